--- a/jujube/base/settings.cc
+++ b/jujube/base/settings.cc
@@ -71,6 +71,7 @@
 
 std::vector<option> longOptions(const std::vector<SettingSpec> &specs) {
   std::vector<option> options;
+  options.reserve(specs.size() + 3);
   for (const SettingSpec &spec : specs)
     options.push_back({spec.Name.c_str(),
                        spec.Kind == SettingKind::Switch ? optional_argument
--- a/jujube/runtime/supervisor.cc
+++ b/jujube/runtime/supervisor.cc
@@ -33,7 +33,7 @@
 
   Status run() {
     Context.loop().watchMailbox<ChildExit>(
-        Exits, [this](ChildExit e) { handleExit(e); });
+        Exits, [this](const ChildExit &e) { handleExit(e); });
     startFrom(0);
     Status status = isOk(Outcome) ? Context.loop().run() : Status(Ok{});
     stopFrom(0);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,6 +4,9 @@
 cd "$(dirname "$0")/.."
 git ls-files -- '*.h' '*.cc' | xargs -r clang-format --dry-run --Werror
 echo "format: clean"
-git ls-files -- '*.cc' | xargs -r -P "$(nproc)" -n 1 clang-tidy --quiet -p build 2>build/tidy.err |
-  tee build/tidy.out
+git ls-files -- '*.cc' |
+  xargs -r -P "$(nproc)" -n 1 clang-tidy --quiet -p build 2>build/tidy.err || {
+  grep -E 'error:' build/tidy.err | head -n 20
+  exit 1
+}
 echo "lint: clean"
