--- /dev/null
+++ b/jujube/wire/sockets.cc
@@ -0,0 +1,99 @@
+#include "jujube/wire/sockets.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::wire {
+namespace {
+
+constexpr int Backlog = 128;
+
+sockaddr_in toSocketAddress(const Address &address) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(address.Port);
+  inet_pton(AF_INET, address.Ip.c_str(), &out.sin_addr);
+  return out;
+}
+
+Error socketError(absl::string_view what, const Address &address) {
+  const int ec = errno;
+  return Error{ErrorKind::Unavailable,
+               absl::StrCat("can't ", what, " ", address.str(), ": ",
+                            std::strerror(ec)), // NOLINT(concurrency-mt-unsafe)
+               "check the address and that no other process uses the port"};
+}
+
+Result<runtime::FileDescriptor> bound(int type, const Address &address) {
+  runtime::FileDescriptor fd(
+      socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  const sockaddr_in target = toSocketAddress(address);
+  if (!fd.isOpen() ||
+      setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+      bind(fd.get(), reinterpret_cast<const sockaddr *>(&target),
+           sizeof target) != 0)
+    return socketError("bind", address);
+  return fd;
+}
+
+void disableDelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+} // namespace
+
+Result<runtime::FileDescriptor> listenTcp(const Address &address) {
+  auto fd = bound(SOCK_STREAM, address);
+  if (isOk(fd) && listen(valueOf(fd).get(), Backlog) != 0)
+    return socketError("listen on", address);
+  return fd;
+}
+
+Result<runtime::FileDescriptor> bindUdp(const Address &address) {
+  return bound(SOCK_DGRAM, address);
+}
+
+Result<runtime::FileDescriptor> connectTcp(const Address &address) {
+  runtime::FileDescriptor fd(
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd.isOpen())
+    return socketError("open a socket to", address);
+  disableDelay(fd.get());
+  const sockaddr_in target = toSocketAddress(address);
+  if (connect(fd.get(), reinterpret_cast<const sockaddr *>(&target),
+              sizeof target) != 0 &&
+      errno != EINPROGRESS)
+    return socketError("connect to", address);
+  return fd;
+}
+
+runtime::FileDescriptor acceptTcp(int listener) {
+  runtime::FileDescriptor fd(
+      accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  if (fd.isOpen())
+    disableDelay(fd.get());
+  return fd;
+}
+
+int pendingError(int fd) {
+  int ec = 0;
+  socklen_t n = sizeof ec;
+  getsockopt(fd, SOL_SOCKET, SO_ERROR, &ec, &n);
+  return ec;
+}
+
+void sendDatagram(int fd, const Address &to, absl::string_view bytes) {
+  const sockaddr_in target = toSocketAddress(to);
+  (void)sendto(fd, bytes.data(), bytes.size(), MSG_DONTWAIT,
+               reinterpret_cast<const sockaddr *>(&target), sizeof target);
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/jujube/wire/sockets.h
@@ -0,0 +1,31 @@
+// Sockets as results.
+#ifndef JUJUBE_WIRE_SOCKETS_H_
+#define JUJUBE_WIRE_SOCKETS_H_
+
+#include <sys/socket.h>
+
+#include "jujube/base/address.h"
+#include "jujube/base/result.h"
+#include "jujube/runtime/file_descriptor.h"
+
+namespace jujube::wire {
+
+// A non-blocking TCP socket that listens, or a UDP socket that is bound.
+Result<runtime::FileDescriptor> listenTcp(const Address &address);
+Result<runtime::FileDescriptor> bindUdp(const Address &address);
+
+// A non-blocking TCP socket that is connecting.
+Result<runtime::FileDescriptor> connectTcp(const Address &address);
+
+// Accepts a connection as a non-blocking socket; not open if there is none.
+runtime::FileDescriptor acceptTcp(int listener);
+
+// The error that a connecting socket ended with; 0 if it is connected.
+int pendingError(int fd);
+
+// Sends one datagram; lost ones are not reported.
+void sendDatagram(int fd, const Address &to, absl::string_view bytes);
+
+} // namespace jujube::wire
+
+#endif // JUJUBE_WIRE_SOCKETS_H_
--- /dev/null
+++ b/jujube/wire/transport.cc
@@ -0,0 +1,200 @@
+#include "jujube/wire/transport.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/base/digest.h"
+#include "jujube/wire/connection.h"
+#include "jujube/wire/sockets.h"
+
+namespace jujube::wire {
+namespace {
+
+constexpr std::size_t ChallengeBytes = 16;
+constexpr std::size_t DigestChars = 64;
+constexpr std::size_t MaxUdpBytes = 65536;
+// A peer that could not be reached is not tried again for this span.
+constexpr Duration RetryAfter = Duration::millis(200);
+// Most payloads that wait for a connection to open.
+constexpr std::size_t MaxWaiting = 4096;
+
+// A connection that another process opened to this one.
+struct Inbound {
+  std::unique_ptr<Connection> Stream;
+  std::string Challenge;
+  bool IsTrusted = false;
+};
+
+// A connection that this process opened.
+struct Outbound {
+  std::unique_ptr<Connection> Stream;
+  // True once the answer to the listener's challenge was sent.
+  bool IsReady = false;
+  std::vector<std::string> Waiting;
+  Instant NoRetryBefore;
+};
+
+// The state of the transport's task.
+class Transport {
+public:
+  Transport(const TransportOptions &options, const DeliverHook &deliver,
+            runtime::TaskContext &context)
+      : Settings(options), Deliver(deliver), Loop(context.loop()) {}
+
+  Status open() {
+    auto listener = listenTcp(Settings.Listen);
+    auto datagrams = bindUdp(Settings.Listen);
+    if (!isOk(listener))
+      return errorOf(listener);
+    if (!isOk(datagrams))
+      return errorOf(datagrams);
+    Listener = valueOf(std::move(listener));
+    Datagrams = valueOf(std::move(datagrams));
+    Loop.watch(Listener.get(), POLLIN, [this](short) { acceptPeer(); });
+    Loop.watch(Datagrams.get(), POLLIN, [this](short) { receiveDatagram(); });
+    return Ok{};
+  }
+
+  void send(Packet packet) {
+    if (packet.Via == Channel::Datagram &&
+        packet.Payload.size() <= MaxDatagramBytes) {
+      sendDatagram(
+          Datagrams.get(), packet.To,
+          absl::StrCat(keyedDigest(Settings.FleetToken, packet.Payload),
+                       packet.Payload));
+      return;
+    }
+    Outbound &peer = Peers[packet.To];
+    if (peer.IsReady) {
+      (void)peer.Stream->send(packet.Payload);
+      return;
+    }
+    if (peer.Waiting.size() < MaxWaiting)
+      peer.Waiting.push_back(std::move(packet.Payload));
+    if (!peer.Stream)
+      connect(packet.To, peer);
+  }
+
+private:
+  void connect(const Address &to, Outbound &peer) {
+    if (Loop.now() < peer.NoRetryBefore) {
+      peer.Waiting.clear();
+      return;
+    }
+    auto fd = connectTcp(to);
+    if (!isOk(fd)) {
+      dropPeer(to);
+      return;
+    }
+    peer.Stream = std::make_unique<Connection>(
+        Loop, valueOf(std::move(fd)),
+        Connection::Hooks{
+            [] {},
+            [this, to](const std::string &challenge) { answer(to, challenge); },
+            [this, to] { dropPeer(to); }});
+  }
+
+  void answer(const Address &to, const std::string &challenge) {
+    Outbound &peer = Peers[to];
+    if (peer.IsReady)
+      return; // Listeners send nothing after their challenge.
+    (void)peer.Stream->send(keyedDigest(Settings.FleetToken, challenge));
+    peer.IsReady = true;
+    for (const std::string &payload : peer.Waiting)
+      (void)peer.Stream->send(payload);
+    peer.Waiting.clear();
+  }
+
+  // Forgets a connection; its object lives until the next turn of the loop.
+  void dropPeer(const Address &to) {
+    Outbound &peer = Peers[to];
+    retire(std::move(peer.Stream));
+    peer = Outbound{};
+    peer.NoRetryBefore = Loop.now() + RetryAfter;
+  }
+
+  void acceptPeer() {
+    runtime::FileDescriptor fd = acceptTcp(Listener.get());
+    if (!fd.isOpen())
+      return;
+    Clients.emplace_back();
+    const auto it = std::prev(Clients.end());
+    it->Challenge = randomHex(ChallengeBytes);
+    it->Stream = std::make_unique<Connection>(
+        Loop, std::move(fd),
+        Connection::Hooks{[] {},
+                          [this, it](std::string payload) {
+                            receiveFrame(*it, std::move(payload));
+                          },
+                          [this, it] {
+                            retire(std::move(it->Stream));
+                            Clients.erase(it);
+                          }});
+    (void)it->Stream->send(it->Challenge);
+  }
+
+  // What a peer sends before its proof is read as the proof, and ignored if it
+  // is none.
+  void receiveFrame(Inbound &client, std::string payload) {
+    if (client.IsTrusted) {
+      Deliver(std::move(payload));
+      return;
+    }
+    client.IsTrusted = equalDigests(
+        payload, keyedDigest(Settings.FleetToken, client.Challenge));
+  }
+
+  void receiveDatagram() {
+    std::array<char, MaxUdpBytes> buf;
+    const ssize_t n = recv(Datagrams.get(), buf.data(), buf.size(), 0);
+    if (n < static_cast<ssize_t>(DigestChars))
+      return;
+    const absl::string_view all(buf.data(), static_cast<std::size_t>(n));
+    const absl::string_view payload = all.substr(DigestChars);
+    if (equalDigests(all.substr(0, DigestChars),
+                     keyedDigest(Settings.FleetToken, payload)))
+      Deliver(std::string(payload));
+  }
+
+  void retire(std::unique_ptr<Connection> connection) {
+    if (!connection)
+      return;
+    if (Retired.empty())
+      Loop.callAt(Loop.now(), [this] { Retired.clear(); });
+    Retired.push_back(std::move(connection));
+  }
+
+  const TransportOptions &Settings;
+  const DeliverHook &Deliver;
+  runtime::PollLoop &Loop;
+  runtime::FileDescriptor Listener;
+  runtime::FileDescriptor Datagrams;
+  std::map<Address, Outbound> Peers;
+  std::list<Inbound> Clients;
+  std::vector<std::unique_ptr<Connection>> Retired;
+};
+
+} // namespace
+
+runtime::ChildSpec transportTask(TransportOptions options, PacketMailbox outbox,
+                                 DeliverHook deliver) {
+  return {
+      "transport",
+      [options = std::move(options), outbox = std::move(outbox),
+       deliver = std::move(deliver)](runtime::TaskContext &context) -> Status {
+        Transport transport(options, deliver, context);
+        if (Status status = transport.open(); !isOk(status))
+          return status;
+        context.loop().watchMailbox<Packet>(
+            outbox, [&](Packet packet) { transport.send(std::move(packet)); });
+        return context.loop().run();
+      }};
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/jujube/wire/transport.h
@@ -0,0 +1,64 @@
+// The task that carries messages between the processes of the system.
+#ifndef JUJUBE_WIRE_TRANSPORT_H_
+#define JUJUBE_WIRE_TRANSPORT_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "jujube/base/address.h"
+#include "jujube/base/clock.h"
+#include "jujube/base/result.h"
+#include "jujube/runtime/mailbox.h"
+#include "jujube/runtime/supervisor.h"
+#include "jujube/runtime/task.h"
+
+namespace jujube::wire {
+
+// How a packet travels.
+enum class Channel {
+  // TCP: in order while the connection lasts.
+  Stream,
+  // UDP: for small messages that the next one replaces.
+  Datagram,
+};
+
+inline constexpr NameTable<Channel, 2> ChannelNames = {{
+    {Channel::Stream, "stream"},
+    {Channel::Datagram, "datagram"},
+}};
+static_assert(isComplete(ChannelNames));
+
+// Largest payload that goes out as a datagram; longer ones go by stream.
+inline constexpr std::size_t MaxDatagramBytes = 1200;
+
+// An encoded message for another process. Delivery is not certain: packets are
+// dropped while the receiver can't be reached.
+struct Packet {
+  Address To;
+  Channel Via = Channel::Stream;
+  std::string Payload;
+};
+
+using PacketMailbox = runtime::MailboxPtr<Packet>;
+
+struct TransportOptions {
+  // Where it listens, on TCP and UDP.
+  Address Listen;
+  // Secret that all processes of the system share. Peers prove that they know
+  // it with an HMAC over the listener's challenge; datagrams carry an HMAC.
+  std::string FleetToken;
+};
+
+// Called on the transport's task for every payload that arrived.
+using DeliverHook = std::function<void(std::string payload)>;
+
+// Returns the child that listens, and sends what is posted to `outbox`.
+runtime::ChildSpec transportTask(TransportOptions options, PacketMailbox outbox,
+                                 DeliverHook deliver);
+
+} // namespace jujube::wire
+
+#endif // JUJUBE_WIRE_TRANSPORT_H_
--- /dev/null
+++ b/jujube/wire/transport_test.cc
@@ -0,0 +1,126 @@
+#include <boost/test/unit_test.hpp>
+
+#include "jujube/runtime/supervisor.h"
+#include "jujube/wire/domain_encoding.h"
+#include "jujube/wire/framing.h"
+#include "jujube/wire/sockets.h"
+#include "jujube/wire/transport.h"
+
+namespace jujube::wire {
+namespace {
+
+constexpr Duration Patience = Duration::seconds(20);
+
+// A transport on its own task whose deliveries arrive in a mailbox.
+struct Host {
+  Address Listen;
+  PacketMailbox Outbox = runtime::makeMailbox<Packet>(1000);
+  runtime::MailboxPtr<std::string> Inbox =
+      runtime::makeMailbox<std::string>(1000);
+  std::unique_ptr<runtime::Task> Running;
+
+  Host(const Address &listen, const std::string &token) : Listen(listen) {
+    runtime::ChildSpec child = transportTask(
+        {listen, token}, Outbox, [inbox = Inbox](std::string payload) {
+          (void)inbox->post(std::move(payload));
+        });
+    Running =
+        valueOf(runtime::Task::start(child.Name, Clock::monotonic(), child.Body,
+                                     [](const runtime::TaskExit &) {}));
+  }
+
+  // Sends until a payload arrives at `to`; packets may be lost while it starts.
+  std::string sendUntilReceived(Host &to, Channel via,
+                                const std::string &payload) {
+    runtime::PollLoop loop(Clock::monotonic());
+    std::string received;
+    const Instant end = loop.now() + Patience;
+    loop.watchMailbox<std::string>(to.Inbox,
+                                   [&](std::string got) { received = got; });
+    loop.callEvery(Duration::millis(20), [&] {
+      if (received.empty())
+        (void)Outbox->post(Packet{to.Listen, via, payload});
+    });
+    while (received.empty() && loop.now() < end)
+      (void)loop.runOnce();
+    return received;
+  }
+};
+
+Address freeAddress() {
+  // The kernel picks a port; it stays free after the socket is closed.
+  const auto fd = valueOf(listenTcp({"127.0.0.1", 0}));
+  sockaddr_storage raw{};
+  socklen_t n = sizeof raw;
+  getsockname(fd.get(), reinterpret_cast<sockaddr *>(&raw), &n);
+  uint16_t port = 0;
+  std::memcpy(&port, reinterpret_cast<const char *>(&raw) + 2, sizeof port);
+  return {"127.0.0.1", static_cast<uint16_t>((port >> 8) | (port << 8))};
+}
+
+BOOST_AUTO_TEST_SUITE(TransportSuite)
+
+BOOST_AUTO_TEST_CASE(PacketsArriveOnBothChannels) {
+  Host a(freeAddress(), "token");
+  Host b(freeAddress(), "token");
+  BOOST_TEST(a.sendUntilReceived(b, Channel::Stream, "hello") == "hello");
+  BOOST_TEST(b.sendUntilReceived(a, Channel::Datagram, "beat") == "beat");
+  const std::string large(2 << 20, 'x');
+  BOOST_TEST((a.sendUntilReceived(b, Channel::Datagram, large) == large));
+}
+
+BOOST_AUTO_TEST_CASE(ReceiverThatRestartsIsReachedAgain) {
+  Host a(freeAddress(), "token");
+  const Address listen = freeAddress();
+  {
+    Host b(listen, "token");
+    BOOST_TEST(a.sendUntilReceived(b, Channel::Stream, "one") == "one");
+  }
+  Host b(listen, "token");
+  BOOST_TEST(a.sendUntilReceived(b, Channel::Stream, "two") == "two");
+}
+
+BOOST_AUTO_TEST_CASE(PeerWithAnotherTokenIsNotHeard) {
+  Host stranger(freeAddress(), "wrong");
+  Host friendly(freeAddress(), "token");
+  Host b(freeAddress(), "token");
+  (void)stranger.Outbox->post(Packet{b.Listen, Channel::Stream, "bad"});
+  (void)stranger.Outbox->post(Packet{b.Listen, Channel::Datagram, "bad"});
+  BOOST_TEST(friendly.sendUntilReceived(b, Channel::Stream, "good") == "good");
+  BOOST_TEST(friendly.sendUntilReceived(b, Channel::Datagram, "good") ==
+             "good");
+}
+
+BOOST_AUTO_TEST_CASE(FramesAreCutFromAnyPieces) {
+  const std::string bytes = frame("one") + frame("") + frame("three");
+  FrameReader reader;
+  std::vector<std::string> payloads;
+  for (const char c : bytes) {
+    reader.append(absl::string_view(&c, 1));
+    auto next = valueOf(reader.next());
+    if (next)
+      payloads.push_back(*next);
+  }
+  BOOST_TEST(payloads.size() == 3U);
+  BOOST_TEST(payloads[2] == "three");
+  reader.append("\xff\xff\xff\xff");
+  BOOST_TEST(!isOk(reader.next()));
+}
+
+BOOST_AUTO_TEST_CASE(DecoderRefusesBadInput) {
+  fate::FateView view;
+  view.Request = RequestId("ubungo.1");
+  view.Tasks.resize(3);
+  const std::string good = encode(view);
+  BOOST_TEST((valueOf(decode<fate::FateView>(good)) == view));
+  for (std::size_t n = 0; n < good.size(); ++n)
+    BOOST_TEST(!isOk(decode<fate::FateView>(good.substr(0, n))));
+  BOOST_TEST(!isOk(decode<fate::FateView>(good + "x")));
+  // A size far over the input must not be allocated.
+  BOOST_TEST(!isOk(decode<std::vector<fate::FateView>>("\xff\xff\xff\x7f")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::wire
