--- /dev/null
+++ b/jujube/limits/zone_slices.h
@@ -0,0 +1,108 @@
+// A zone's side of ceilings: what its leader may use now.
+#ifndef JUJUBE_LIMITS_ZONE_SLICES_H_
+#define JUJUBE_LIMITS_ZONE_SLICES_H_
+
+#include <optional>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+
+#include "jujube/base/clock.h"
+#include "jujube/limits/types.h"
+
+namespace jujube::limits {
+
+// Replicated in the zone's journal: the slices that the zone holds.
+class SliceHoldings {
+public:
+  // Returns false if the update is stale.
+  bool apply(const SliceUpdate &update);
+
+  GrantVersion seen() const { return Seen; }
+  // Null if the zone holds nothing of the team's ceiling.
+  const Slice *find(const TeamId &team) const;
+  const absl::btree_map<TeamId, Slice> &all() const { return Slices; }
+
+  SliceUpdate state() const;
+
+private:
+  GrantVersion Seen;
+  absl::btree_map<TeamId, Slice> Slices;
+};
+
+// Kept in memory by the zone's leader, on its own monotonic clock; made anew by
+// each new leader. What it wants journaled is proposed to the zone's group and
+// comes back through SliceHoldings::apply and onCommitted().
+class ZoneSlices {
+public:
+  ZoneSlices(ZoneId zone, Term term, SlicePolicy policy, Instant takeover,
+             const SliceHoldings &holdings);
+
+  // What the team's attempts in this zone may hold together when another one is
+  // offered now.
+  Resources startable(const TeamId &team, Instant now) const;
+
+  // What the team's attempts may hold together without being stopped.
+  Resources allowed(const TeamId &team, Instant now) const;
+
+  // False while a new leader waits for the keepers: workers' leases are not
+  // renewed yet.
+  bool isSettled(Instant now) const;
+
+  // Once a second: parts to let go, to be journaled before they are reported.
+  // What is let go can't be used from this call on.
+  std::optional<SliceUpdate> letGo(const std::vector<TeamDemand> &demands,
+                                   Instant now);
+
+  // Once a second: the report to send now.
+  SliceReport report(const std::vector<TeamDemand> &demands, Instant now);
+
+  // Takes in a reply; returns what has to be journaled, if anything.
+  std::optional<SliceUpdate> receive(const SliceReply &reply, Instant now);
+
+  // An update was committed by the zone's group.
+  void onCommitted(const SliceHoldings &holdings);
+
+  // When the borrowed parts end unless they are renewed.
+  Instant leaseEnd() const { return LeaseEnd; }
+
+private:
+  struct Line {
+    // As committed.
+    Slice Held;
+    // What has been proposed to be let go but is not committed yet is taken
+    // off.
+    Resources Guaranteed;
+    Resources Borrowed;
+    std::optional<Guidance> Advice;
+    Resources ReportedWanted;
+    // Since when something borrowed has been idle.
+    Instant IdleSince = Instant::never();
+    bool IsReported = false;
+  };
+  struct SentReport {
+    uint64_t Sequence;
+    Instant At;
+    std::vector<ReportLine> Lines;
+  };
+
+  bool isBorrowedUsable(Instant now) const;
+  Resources keepOf(Line &line, const TeamDemand &demand, Instant now);
+  void acknowledge(const SentReport &sent);
+
+  ZoneId Zone;
+  Term LeaderTerm;
+  SlicePolicy Policy;
+  Instant Takeover;
+  GrantVersion Seen;
+  bool IsRenewed = false;
+  Instant LeaseEnd;
+  uint64_t LastSequence = 0;
+  uint64_t LastAnswered = 0;
+  std::vector<SentReport> Unanswered;
+  absl::btree_map<TeamId, Line> Lines;
+};
+
+} // namespace jujube::limits
+
+#endif // JUJUBE_LIMITS_ZONE_SLICES_H_
