--- /dev/null
+++ b/jujube/routing/runner_health.cc
@@ -0,0 +1,75 @@
+#include "jujube/routing/runner_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujube::routing {
+namespace {
+
+// Mean deviations above the mean at which a latency is unusual.
+constexpr double UnusualDeviations = 4;
+
+bool isFailure(AttemptOutcome outcome) {
+  return outcome != AttemptOutcome::Answered;
+}
+
+} // namespace
+
+RunnerHealth::RunnerHealth(HealthOptions options)
+    : Options(options),
+      MeanMs(static_cast<double>(options.InitialLatency.millis())),
+      DeviationMs(MeanMs / 2), BackOff(options.FirstBackOff) {}
+
+void RunnerHealth::observe(AttemptOutcome outcome, Duration latency,
+                           Instant now) {
+  const double failed = isFailure(outcome) ? 1 : 0;
+  FailureRate += Options.Gain * (failed - FailureRate);
+  ++Observations;
+  if (outcome == AttemptOutcome::Answered ||
+      outcome == AttemptOutcome::Unknown) {
+    const double error = static_cast<double>(latency.millis()) - MeanMs;
+    MeanMs += Options.Gain * error;
+    DeviationMs += Options.Gain * (std::abs(error) - DeviationMs);
+  }
+  Successes = isFailure(outcome) ? 0 : Successes + 1;
+  const bool fails = State == HealthState::Probation
+                         ? isFailure(outcome)
+                         : Observations >= Options.MinObservations &&
+                               FailureRate > Options.MaxFailureRate;
+  if (fails && State != HealthState::Suspended)
+    return suspend(now);
+  if (State == HealthState::Probation &&
+      Successes >= Options.ProbationSuccesses)
+    reset();
+}
+
+void RunnerHealth::suspend(Instant now) {
+  State = HealthState::Suspended;
+  Until = now + BackOff;
+  BackOff = std::min(BackOff * 2, Options.MaxBackOff);
+  Successes = 0;
+}
+
+void RunnerHealth::refresh(Instant now) {
+  if (State == HealthState::Suspended && now >= Until)
+    State = HealthState::Probation;
+}
+
+void RunnerHealth::reset() {
+  State = HealthState::Healthy;
+  FailureRate = 0;
+  Observations = 0;
+  Successes = 0;
+  BackOff = Options.FirstBackOff;
+}
+
+Duration RunnerHealth::latency() const {
+  return Duration::millis(std::max<int64_t>(1, std::llround(MeanMs)));
+}
+
+Duration RunnerHealth::unusualLatency() const {
+  return Duration::millis(std::max<int64_t>(
+      1, std::llround(MeanMs + UnusualDeviations * DeviationMs)));
+}
+
+} // namespace jujube::routing
