--- a/jujube/base/name_table.h
+++ b/jujube/base/name_table.h
@@ -46,7 +46,8 @@
 std::string namesIn(const NameTable<Enum, N> &table) {
   std::string all;
   for (const auto &row : table)
-    all.append(all.empty() ? "" : ", ").append(row.Name);
+    all.append(all.empty() ? "" : ", ")
+        .append(row.Name.data(), row.Name.size());
   return all;
 }
 
--- /dev/null
+++ b/jujube/http/bodies.h
@@ -0,0 +1,52 @@
+// Bodies that exist on the HTTP interface only: commands whose other parts
+// travel in the path, the query or the headers.
+#ifndef JUJUBE_HTTP_BODIES_H_
+#define JUJUBE_HTTP_BODIES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "jujube/base/clock.h"
+#include "jujube/base/ids.h"
+#include "jujube/base/result.h"
+
+namespace jujube::http {
+
+// POST /v1/requests.
+struct SubmitBody {
+  RequestId Request;
+  EntryId Entry;
+  std::string Payload;
+  std::optional<uint32_t> Tasks;
+  Duration StartWithin;
+
+  bool operator==(const SubmitBody &) const = default;
+};
+
+// POST /v1/entries/ENTRY/call.
+struct CallBody {
+  RequestId Request;
+  std::string Payload;
+  Duration Timeout;
+
+  bool operator==(const CallBody &) const = default;
+};
+
+// The body of every answer that reports an error.
+struct ErrorBody {
+  Error Problem;
+
+  bool operator==(const ErrorBody &) const = default;
+};
+
+// The answer to a command that has no other.
+struct DoneBody {
+  bool IsDone = true;
+
+  bool operator==(const DoneBody &) const = default;
+};
+
+} // namespace jujube::http
+
+#endif // JUJUBE_HTTP_BODIES_H_
--- /dev/null
+++ b/jujube/http/fields.h
@@ -0,0 +1,288 @@
+// Readers and writers of JSON objects by one list of fields per struct.
+//
+// A struct is described once, by a function `fields(visitor, value)` that names
+// its members; FieldReader and FieldWriter are the visitors. Internal to
+// jujube/http.
+#ifndef JUJUBE_HTTP_FIELDS_H_
+#define JUJUBE_HTTP_FIELDS_H_
+
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "jujube/base/address.h"
+#include "jujube/base/clock.h"
+#include "jujube/base/ids.h"
+#include "jujube/base/name_table.h"
+#include "jujube/base/result.h"
+#include "nlohmann/json.hpp"
+
+namespace jujube::http::internal {
+
+using Json = nlohmann::json;
+
+// Bounds of spans and instants in a body, in milliseconds: about 300 years.
+inline constexpr int64_t MaxMillis = INT64_C(10'000'000'000'000);
+// Bound of each amount of a resource.
+inline constexpr int64_t MaxAmount = INT64_C(1'000'000'000'000);
+
+// Where a value stands in the body; rendered only for errors.
+struct FieldPath {
+  const FieldPath *Parent = nullptr;
+  absl::string_view Name;
+  // Position in an array; only used if Name is empty.
+  std::size_t Index = 0;
+
+  // For example "what.value.id", or "the body" for the root.
+  std::string str() const;
+};
+
+Error malformed(const FieldPath &path, absl::string_view problem,
+                absl::string_view remedy);
+
+// Parses text and checks its depth.
+Result<Json> parseText(absl::string_view text);
+
+std::string encodeBase64(absl::string_view bytes);
+std::optional<std::string> decodeBase64(absl::string_view text);
+bool isUtf8(absl::string_view bytes);
+
+Status readInteger(const Json &json, const FieldPath &path, int64_t min,
+                   int64_t max, int64_t &out);
+Status readUnsigned(const Json &json, const FieldPath &path, uint64_t &out);
+
+// Reads one JSON object. The first problem is kept and ends the reading.
+class FieldReader {
+public:
+  static constexpr bool IsReader = true;
+
+  FieldReader(const Json &json, const FieldPath &path);
+
+  // A field that has to be there.
+  template <typename T> void required(absl::string_view name, T &out) {
+    if (const Json *json = find(name))
+      readInto(*json, name, out);
+    else
+      fail(FieldPath{&Path, name}, "is missing", "add it");
+  }
+
+  // A field that keeps the struct's default if it is absent.
+  template <typename T> void optional(absl::string_view name, T &out) {
+    if (const Json *json = find(name))
+      readInto(*json, name, out);
+  }
+
+  // A byte string: NAME as text or NAME_base64.
+  void bytes(absl::string_view name, std::string &out);
+
+  // An amount of a resource; absent counts as 0.
+  void amount(absl::string_view name, int64_t &out);
+
+  // An enum by its table.
+  template <typename Enum, std::size_t N>
+  void named(absl::string_view name, const NameTable<Enum, N> &table, Enum &out,
+             bool isRequired) {
+    std::string text;
+    isRequired ? required(name, text) : optional(name, text);
+    if (!isOk(Outcome) || (text.empty() && !isRequired))
+      return;
+    if (const std::optional<Enum> value = valueIn(table, text))
+      out = *value;
+    else
+      fail(FieldPath{&Path, name}, "has the value '" + text + "'",
+           "give one of " + namesIn(table));
+  }
+
+  // Ends the reading: fields that no call asked for are an error.
+  Status finish();
+
+  void fail(const FieldPath &path, absl::string_view problem,
+            absl::string_view remedy);
+  const Status &outcome() const { return Outcome; }
+  const FieldPath &path() const { return Path; }
+
+private:
+  const Json *find(absl::string_view name);
+  template <typename T>
+  void readInto(const Json &json, absl::string_view name, T &out);
+
+  const Json &Object;
+  const FieldPath &Path;
+  std::vector<std::string> Known;
+  Status Outcome = Ok{};
+};
+
+// Writes one JSON object.
+class FieldWriter {
+public:
+  static constexpr bool IsReader = false;
+
+  template <typename T> void required(absl::string_view name, const T &value);
+  template <typename T> void optional(absl::string_view name, const T &value);
+  void bytes(absl::string_view name, const std::string &value);
+  void amount(absl::string_view name, int64_t value);
+  template <typename Enum, std::size_t N>
+  void named(absl::string_view name, const NameTable<Enum, N> &table,
+             Enum value, bool /*isRequired*/) {
+    Object[std::string(name)] = std::string(nameIn(table, value));
+  }
+  Json take() { return std::move(Object); }
+
+private:
+  Json Object = Json::object();
+};
+
+// ---- Reading of one value ----
+
+template <typename T>
+Status readValue(const Json &json, const FieldPath &path, T &out);
+
+template <std::integral T>
+Status readNumber(const Json &json, const FieldPath &path, T &out) {
+  if constexpr (std::is_same_v<T, uint64_t>) {
+    return readUnsigned(json, path, out);
+  } else {
+    int64_t n = 0;
+    Status status = readInteger(json, path, std::numeric_limits<T>::min(),
+                                std::numeric_limits<T>::max(), n);
+    if (isOk(status))
+      out = static_cast<T>(n);
+    return status;
+  }
+}
+
+Status readText(const Json &json, const FieldPath &path, std::string &out);
+Status readBool(const Json &json, const FieldPath &path, bool &out);
+Status readDouble(const Json &json, const FieldPath &path, double &out);
+Status readSpan(const Json &json, const FieldPath &path, Duration &out);
+Status readInstant(const Json &json, const FieldPath &path, Instant &out);
+Status readAddress(const Json &json, const FieldPath &path, Address &out);
+
+template <typename T> struct IsTextId : std::false_type {};
+template <typename Tag> struct IsTextId<TextId<Tag>> : std::true_type {};
+template <typename T> struct IsNumberId : std::false_type {};
+template <typename Tag> struct IsNumberId<NumberId<Tag>> : std::true_type {};
+template <typename T> struct IsVector : std::false_type {};
+template <typename T> struct IsVector<std::vector<T>> : std::true_type {};
+template <typename T> struct IsOptional : std::false_type {};
+template <typename T> struct IsOptional<std::optional<T>> : std::true_type {};
+
+template <typename Id>
+Status readId(const Json &json, const FieldPath &path, Id &out) {
+  std::string text;
+  if (Status status = readText(json, path, text); !isOk(status))
+    return status;
+  Result<Id> id = Id::parse(text);
+  if (!isOk(id))
+    return malformed(path, errorOf(id).Message, errorOf(id).Remedy);
+  out = valueOf(std::move(id));
+  return Ok{};
+}
+
+template <typename T>
+Status readList(const Json &json, const FieldPath &path, std::vector<T> &out) {
+  if (!json.is_array())
+    return malformed(path, "is not an array", "give an array");
+  for (std::size_t i = 0; i < json.size(); ++i) {
+    T item{};
+    if (Status status = readValue(json[i], FieldPath{&path, {}, i}, item);
+        !isOk(status))
+      return status;
+    out.push_back(std::move(item));
+  }
+  return Ok{};
+}
+
+template <typename T>
+Status readValue(const Json &json, const FieldPath &path, T &out) {
+  if constexpr (std::is_same_v<T, bool>) {
+    return readBool(json, path, out);
+  } else if constexpr (std::integral<T>) {
+    return readNumber(json, path, out);
+  } else if constexpr (std::is_same_v<T, double>) {
+    return readDouble(json, path, out);
+  } else if constexpr (std::is_same_v<T, std::string>) {
+    return readText(json, path, out);
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    return readSpan(json, path, out);
+  } else if constexpr (std::is_same_v<T, Instant>) {
+    return readInstant(json, path, out);
+  } else if constexpr (std::is_same_v<T, Address>) {
+    return readAddress(json, path, out);
+  } else if constexpr (IsTextId<T>::value) {
+    return readId(json, path, out);
+  } else if constexpr (IsNumberId<T>::value) {
+    return readUnsigned(json, path, out.Value);
+  } else if constexpr (IsOptional<T>::value) {
+    return readValue(json, path, out.emplace());
+  } else if constexpr (IsVector<T>::value) {
+    return readList(json, path, out);
+  } else {
+    FieldReader reader(json, path);
+    fields(reader, out);
+    return reader.finish();
+  }
+}
+
+template <typename T>
+void FieldReader::readInto(const Json &json, absl::string_view name, T &out) {
+  if (!isOk(Outcome))
+    return;
+  Outcome = readValue(json, FieldPath{&Path, name}, out);
+}
+
+// ---- Writing of one value ----
+
+template <typename T> Json writeValue(const T &value) {
+  if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+    return value;
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    return value.millis();
+  } else if constexpr (std::is_same_v<T, Instant>) {
+    return value == Instant::never() ? Json(nullptr) : Json(value.millis());
+  } else if constexpr (std::is_same_v<T, Address> || IsTextId<T>::value) {
+    return value.str();
+  } else if constexpr (IsNumberId<T>::value) {
+    return value.Value;
+  } else if constexpr (IsOptional<T>::value) {
+    return writeValue(*value);
+  } else if constexpr (IsVector<T>::value) {
+    Json list = Json::array();
+    for (const auto &item : value)
+      list.push_back(writeValue(item));
+    return list;
+  } else {
+    FieldWriter writer;
+    // One description serves both directions; a writer does not change it.
+    fields(writer, const_cast<T &>(value));
+    return writer.take();
+  }
+}
+
+template <typename T>
+void FieldWriter::required(absl::string_view name, const T &value) {
+  Object[std::string(name)] = writeValue(value);
+}
+
+// Absent ids and options are left out.
+template <typename T>
+void FieldWriter::optional(absl::string_view name, const T &value) {
+  if constexpr (IsTextId<T>::value) {
+    if (value.empty())
+      return;
+  } else if constexpr (IsOptional<T>::value) {
+    if (!value)
+      return;
+  }
+  required(name, value);
+}
+
+} // namespace jujube::http::internal
+
+#endif // JUJUBE_HTTP_FIELDS_H_
--- /dev/null
+++ b/jujube/http/json.cc
@@ -0,0 +1,50 @@
+#include "jujube/http/json.h"
+
+#include "jujube/http/descriptions.h"
+
+namespace jujube::http {
+
+template <typename T> Result<T> fromJson(absl::string_view body) {
+  Result<internal::Json> json = internal::parseText(body);
+  if (!isOk(json))
+    return errorOf(json);
+  T value{};
+  if (Status status = internal::readValue(valueOf(json), {}, value);
+      !isOk(status))
+    return errorOf(status);
+  return value;
+}
+
+template <typename T> std::string toJson(const T &value) {
+  // Text that is not UTF-8 outside of byte strings, such as a reason that a
+  // library gave, is written with replacement characters.
+  return internal::writeValue(value).dump(
+      -1, ' ', false, internal::Json::error_handler_t::replace);
+}
+
+#define JUJUBE_JSON(TYPE)                                                      \
+  template Result<TYPE> fromJson<TYPE>(absl::string_view);                     \
+  template std::string toJson<TYPE>(const TYPE &);
+
+JUJUBE_JSON(catalogue::Team)
+JUJUBE_JSON(catalogue::Entry)
+JUJUBE_JSON(catalogue::Key)
+JUJUBE_JSON(catalogue::Edit)
+JUJUBE_JSON(catalogue::Contents)
+JUJUBE_JSON(std::vector<catalogue::HistoryLine>)
+JUJUBE_JSON(fate::WorkerSync)
+JUJUBE_JSON(fate::SyncReply)
+JUJUBE_JSON(fate::FateView)
+JUJUBE_JSON(routing::RunnerAnnouncement)
+JUJUBE_JSON(metrics::Snapshot)
+JUJUBE_JSON(api::LiveAnswer)
+JUJUBE_JSON(api::EditReceipt)
+JUJUBE_JSON(api::FleetStatus)
+JUJUBE_JSON(SubmitBody)
+JUJUBE_JSON(CallBody)
+JUJUBE_JSON(DoneBody)
+JUJUBE_JSON(ErrorBody)
+
+#undef JUJUBE_JSON
+
+} // namespace jujube::http
