--- /dev/null
+++ b/jujube/consensus/finder.h
@@ -0,0 +1,63 @@
+// Finds out, by probes, whether a group exists, whether a new one may be
+// founded, and whether the own group can never have a quorum again.
+#ifndef JUJUBE_CONSENSUS_FINDER_H_
+#define JUJUBE_CONSENSUS_FINDER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "jujube/base/clock.h"
+#include "jujube/base/ids.h"
+#include "jujube/consensus/options.h"
+#include "jujube/consensus/types.h"
+
+namespace jujube::consensus {
+
+// What a host answered to the last probe.
+struct Sighting {
+  Incarnation Start;
+  GroupId Group;
+  Address At;
+  bool IsServing = false;
+  Instant SeenAt;
+};
+
+// Collects the answers to probes. Owned by a Node.
+class GroupFinder {
+public:
+  explicit GroupFinder(Instant startedAt) : StartedAt(startedAt) {}
+
+  // The nonce of the next round of probes.
+  uint64_t beginRound() { return ++LastNonce; }
+  void recordReply(const HostId &from, const Message &message,
+                   const ProbeReply &reply, Instant now);
+
+  // The first members of a new group, if this blank host is the one to found
+  // it now.
+  std::optional<Membership> foundingMembers(const Options &settings,
+                                            Instant now) const;
+  // A group other than `own` that holds its lease, if one was seen.
+  std::optional<GroupId> servingGroup(const Options &settings,
+                                      const GroupId &own, Instant now) const;
+  // True if so many voters were restarted or are bound to other groups that
+  // `own` can't have a quorum any more.
+  bool isGroupDead(const Options &settings, const GroupId &own,
+                   const Membership &members, Instant now) const;
+  // True if every voter but this host was seen in a later incarnation, and no
+  // entry can have been committed without this host.
+  bool isSoleSurvivor(const Options &settings, const Membership &members,
+                      Instant now) const;
+
+private:
+  std::map<HostId, Sighting> fresh(const Options &settings, Instant now) const;
+
+  Instant StartedAt;
+  uint64_t LastNonce = 0;
+  std::map<HostId, Sighting> Sightings;
+};
+
+} // namespace jujube::consensus
+
+#endif // JUJUBE_CONSENSUS_FINDER_H_
