--- /dev/null
+++ b/jujube/keeper/fleet_task.cc
@@ -0,0 +1,292 @@
+#include "jujube/keeper/fleet_task.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+#include "jujube/base/digest.h"
+#include "jujube/catalogue/follower.h"
+#include "jujube/keeper/journal_disk.h"
+
+namespace jujube::keeper {
+namespace {
+
+// A poll without news is answered after this span.
+constexpr Duration PollHold = Duration::millis(500);
+// An edit that is not in force everywhere is answered as such after this span.
+constexpr Duration EditHold = Duration::seconds(6);
+// A control host that was silent this long is not listed any more.
+constexpr Duration HostTimeout = Duration::seconds(5);
+// Bound on the drift of clocks over a freshness bound.
+constexpr Duration ClockDrift = Duration::millis(200);
+// How often parked requests and leases are looked at.
+constexpr Duration SweepPeriod = Duration::millis(20);
+constexpr Duration ReclaimPeriod = Duration::seconds(1);
+
+} // namespace
+
+FleetTask::FleetTask(const KeeperOptions &options,
+                     runtime::TaskContext &context, wire::PacketMailbox outbox)
+    : Settings(options), Loop(context.loop()),
+      Messages(Loop, options.Self, options.Listen, std::move(outbox)) {}
+
+FleetTask::~FleetTask() = default;
+
+Result<std::unique_ptr<FleetTask>>
+FleetTask::create(const KeeperOptions &options, runtime::TaskContext &context,
+                  wire::PacketMailbox outbox) {
+  std::unique_ptr<FleetTask> task(
+      new FleetTask(options, context, std::move(outbox)));
+  if (Status status = task->openReplica(context); !isOk(status))
+    return errorOf(status);
+  task->Loop.callEvery(SweepPeriod,
+                       [raw = task.get()] { raw->answerParked(); });
+  task->Loop.callEvery(ReclaimPeriod,
+                       [raw = task.get()] { raw->reclaimEndedLeases(); });
+  return task;
+}
+
+Status FleetTask::openReplica(runtime::TaskContext &context) {
+  auto disk = JournalDisk::open(Settings.DataFolder);
+  if (!isOk(disk))
+    return errorOf(disk);
+  consensus::Options options;
+  options.Self = {Settings.Self, Settings.Listen};
+  options.Start = valueOf(disk)->incarnation();
+  options.Configured = Settings.Keepers;
+  options.Rule = consensus::Formation::WhenAllBlank;
+  auto log = replica::Replica::create(
+      context.loop(), options, valueOf(disk)->recovered(),
+      std::random_device()(), replicaHooks(), valueOf(disk)->hooks());
+  if (!isOk(log))
+    return errorOf(log);
+  Log = valueOf(std::move(log));
+  return Ok{};
+}
+
+replica::ReplicaHooks FleetTask::replicaHooks() {
+  replica::ReplicaHooks hooks;
+  hooks.Apply = [this](const std::string &payload) {
+    const auto command = wire::decodeFleetCommand(payload);
+    CHECK(isOk(command)) << errorOf(command).text();
+    State.apply(valueOf(command));
+  };
+  hooks.Restore = [this](const std::string &data) {
+    const auto state = wire::decodeFleetState(data);
+    CHECK(isOk(state)) << errorOf(state).text();
+    auto restored = FleetState::restore(valueOf(state));
+    CHECK(isOk(restored)) << errorOf(restored).text();
+    State = valueOf(std::move(restored));
+  };
+  hooks.Capture = [this] { return wire::encodeFleetState(State.capture()); };
+  hooks.RoleChanged = [this](const consensus::RoleChanged &change) {
+    changeRole(change);
+  };
+  hooks.Send = [this](const consensus::Send &send) {
+    Messages.send(send.At, wire::GroupMessage{send.What});
+  };
+  hooks.Fail = [this](const Error &error) {
+    Outcome = error;
+    Loop.stop();
+  };
+  return hooks;
+}
+
+void FleetTask::changeRole(const consensus::RoleChanged &change) {
+  const bool isLeader =
+      change.Now == consensus::Role::Leader && change.Leader == Settings.Self;
+  if (isLeader) {
+    const Instant now = Loop.now();
+    const limits::SlicePolicy policy;
+    Force = std::make_unique<catalogue::ForceTracker>(
+        now, catalogue::FreshnessBound, ClockDrift);
+    SliceLeases = std::make_unique<limits::LeaseTable<ZoneId>>(
+        policy.BorrowLease, policy.Drift, now);
+    return;
+  }
+  Force.reset();
+  SliceLeases.reset();
+  const Error why{ErrorKind::NotLeader, "this keeper does not lead any more",
+                  "ask the leader"};
+  for (const ParkedPoll &poll : std::exchange(Polls, {}))
+    refuse(poll.Request, why);
+  for (const ParkedEdit &edit : std::exchange(Edits, {}))
+    refuse(edit.Request, why);
+}
+
+void FleetTask::receive(const std::string &payload) {
+  const auto request = Messages.receive(payload);
+  if (!request)
+    return;
+  if (const auto *group = std::get_if<wire::GroupMessage>(&request->What))
+    Log->receive(request->From, group->What);
+  else if (Log->mayServe() && Force)
+    dispatch(*request);
+  else
+    refuse(*request, Error{ErrorKind::NotLeader, "this keeper does not lead",
+                           "ask the leader"});
+}
+
+void FleetTask::stop() {
+  Log->transferLeadership();
+  Loop.stop();
+}
+
+void FleetTask::refuse(const wire::Envelope &request, const Error &why) {
+  Messages.reply(request, wire::Refusal{why, Log->leaderAddress()});
+}
+
+void FleetTask::dispatch(const wire::Envelope &request) {
+  std::visit([&](const auto &what) { handle(request, what); }, request.What);
+}
+
+template <typename Other>
+void FleetTask::handle(const wire::Envelope &request, const Other &) {
+  refuse(request,
+         Error{ErrorKind::InvalidArgument, "keepers don't take this message",
+               "check which process listens on the address"});
+}
+
+void FleetTask::noteHost(const wire::HostStatus &status) {
+  const bool isNew = !Hosts.contains(status.Host.Id);
+  Hosts[status.Host.Id] = KnownHost{status, Loop.now()};
+  if (isNew)
+    LOG(INFO) << "event=host_joined host=" << status.Host.Id.str()
+              << " role=" << nameIn(catalogue::HostRoleNames, status.Host.Role)
+              << " zone=" << status.Host.Zone.str();
+  if (status.IsLeader && !State.slices().hasZone(status.Host.Zone))
+    propose(limits::SliceCommand(limits::AddZone{status.Host.Zone}),
+            [](const Status &) {});
+}
+
+void FleetTask::handle(const wire::Envelope &request,
+                       const wire::PollCatalogue &poll) {
+  noteHost(poll.Self);
+  ParkedPoll parked{request, Loop.now() + PollHold};
+  if (poll.Have != State.catalogue().latest())
+    answerPoll(parked);
+  else
+    Polls.push_back(std::move(parked));
+}
+
+void FleetTask::answerPoll(const ParkedPoll &parked) {
+  const auto &poll = std::get<wire::PollCatalogue>(parked.Request.What);
+  wire::CatalogueNews news{State.catalogue().updateSince(poll.Have),
+                           knownHosts()};
+  news.News.IsConfirmed = Log->mayServe();
+  if (!news.News.IsConfirmed)
+    return;
+  Force->onReply(poll.Self.Host.Id, poll.Have, news.News.To, Loop.now());
+  Messages.reply(parked.Request, std::move(news));
+}
+
+std::vector<wire::HostStatus> FleetTask::knownHosts() const {
+  std::vector<wire::HostStatus> all;
+  for (const auto &[id, host] : Hosts)
+    if (host.LastSeen + HostTimeout > Loop.now())
+      all.push_back(host.Status);
+  return all;
+}
+
+void FleetTask::propose(const wire::FleetCommand &command,
+                        replica::ProposalHook done) {
+  Log->propose(wire::encodeFleetCommand(command), std::move(done));
+}
+
+void FleetTask::handle(const wire::Envelope &request,
+                       const wire::ProposeEdit &edit) {
+  if (edit.IsDryRun) {
+    const Result<Revision> verdict = State.catalogue().check(edit.Edit);
+    if (isOk(verdict))
+      Messages.reply(request, wire::EditDone{{valueOf(verdict), false}});
+    else
+      refuse(request, errorOf(verdict));
+    return;
+  }
+  propose(edit.Edit, [this, request, edit = edit.Edit](const Status &status) {
+    if (!isOk(status)) {
+      refuse(request, errorOf(status));
+      return;
+    }
+    const Result<Revision> answer = State.answerTo(edit);
+    if (isOk(answer))
+      Edits.push_back({request, edit, valueOf(answer), Loop.now() + EditHold});
+    else
+      refuse(request, errorOf(answer));
+  });
+}
+
+void FleetTask::answerEdit(const ParkedEdit &edit, bool isInForce) {
+  Messages.reply(edit.Request, wire::EditDone{{edit.At, isInForce}});
+}
+
+void FleetTask::answerParked() {
+  if (!Force)
+    return;
+  const Instant now = Loop.now();
+  std::erase_if(Polls, [&](const ParkedPoll &parked) {
+    const auto &poll = std::get<wire::PollCatalogue>(parked.Request.What);
+    if (now < parked.AnswerBy && poll.Have == State.catalogue().latest())
+      return false;
+    answerPoll(parked);
+    return true;
+  });
+  std::erase_if(Edits, [&](const ParkedEdit &edit) {
+    const bool isInForce =
+        Force->isInForce(edit.At, now) && State.isCeilingInForce(edit.Edit);
+    if (!isInForce && now < edit.AnswerBy)
+      return false;
+    answerEdit(edit, isInForce);
+    return true;
+  });
+}
+
+void FleetTask::handle(const wire::Envelope &request,
+                       const wire::ReadHistory &read) {
+  Messages.reply(request,
+                 wire::HistoryPage{State.catalogue().history(read.MaxLines)});
+}
+
+void FleetTask::handle(const wire::Envelope &request,
+                       const wire::ReportSlices &report) {
+  const auto command = State.slices().commandFor(report.Report);
+  if (!command) {
+    answerReport(request, report.Report);
+    return;
+  }
+  propose(*command,
+          [this, request, report = report.Report](const Status &status) {
+            if (isOk(status))
+              answerReport(request, report);
+          });
+}
+
+void FleetTask::answerReport(const wire::Envelope &request,
+                             const limits::SliceReport &report) {
+  if (SliceLeases && Log->mayServe() &&
+      SliceLeases->renew(report.Zone, Loop.now()))
+    Messages.reply(request, wire::SliceNews{State.slices().replyTo(report)});
+}
+
+void FleetTask::reclaimEndedLeases() {
+  if (!SliceLeases || !Log->mayServe())
+    return;
+  for (const ZoneId &zone : State.slices().state().Zones) {
+    if (!SliceLeases->hasEnded(zone, Loop.now()))
+      continue;
+    if (!State.slices().holdsBorrowed(zone)) {
+      SliceLeases->reset(zone, Loop.now());
+      continue;
+    }
+    LOG(INFO) << "event=slices_reclaimed zone=" << zone.str();
+    propose(limits::SliceCommand(limits::ReclaimBorrowed{zone}),
+            [this, zone](const Status &status) {
+              if (isOk(status) && SliceLeases)
+                SliceLeases->reset(zone, Loop.now());
+            });
+  }
+}
+
+} // namespace jujube::keeper
--- /dev/null
+++ b/jujube/keeper/fleet_task.h
@@ -0,0 +1,109 @@
+// The keeper's task that owns the fleet log: its journal, its state and the
+// requests that wait for it.
+#ifndef JUJUBE_KEEPER_FLEET_TASK_H_
+#define JUJUBE_KEEPER_FLEET_TASK_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jujube/base/address.h"
+#include "jujube/base/ids.h"
+#include "jujube/base/result.h"
+#include "jujube/catalogue/force_tracker.h"
+#include "jujube/keeper/fleet_state.h"
+#include "jujube/limits/lease_table.h"
+#include "jujube/replica/replica.h"
+#include "jujube/runtime/task.h"
+#include "jujube/wire/messenger.h"
+
+namespace jujube::keeper {
+
+struct KeeperOptions {
+  HostId Self;
+  // Where other processes reach this keeper.
+  Address Listen;
+  // All keepers with this one.
+  std::vector<consensus::Peer> Keepers;
+  // Folder for the journal and snapshots.
+  std::string DataFolder;
+  std::string FleetToken;
+};
+
+// State of the fleet task; lives on its thread.
+class FleetTask {
+public:
+  // Recovers the journal and joins the group of keepers.
+  static Result<std::unique_ptr<FleetTask>>
+  create(const KeeperOptions &options, runtime::TaskContext &context,
+         wire::PacketMailbox outbox);
+  ~FleetTask();
+
+  // Handles a payload from another process.
+  void receive(const std::string &payload);
+  // Passes leadership on and ends the loop.
+  void stop();
+  // Why the task has to end; Ok if it was asked to.
+  const Status &outcome() const { return Outcome; }
+
+private:
+  struct ParkedPoll {
+    wire::Envelope Request;
+    Instant AnswerBy;
+  };
+  struct ParkedEdit {
+    wire::Envelope Request;
+    catalogue::Edit Edit;
+    Revision At;
+    Instant AnswerBy;
+  };
+  struct KnownHost {
+    wire::HostStatus Status;
+    Instant LastSeen;
+  };
+
+  FleetTask(const KeeperOptions &options, runtime::TaskContext &context,
+            wire::PacketMailbox outbox);
+
+  Status openReplica(runtime::TaskContext &context);
+  replica::ReplicaHooks replicaHooks();
+  void changeRole(const consensus::RoleChanged &change);
+
+  void dispatch(const wire::Envelope &request);
+  void handle(const wire::Envelope &request, const wire::PollCatalogue &poll);
+  void handle(const wire::Envelope &request, const wire::ProposeEdit &propose);
+  void handle(const wire::Envelope &request, const wire::ReadHistory &read);
+  void handle(const wire::Envelope &request, const wire::ReportSlices &report);
+  template <typename Other>
+  void handle(const wire::Envelope &request, const Other &other);
+
+  void refuse(const wire::Envelope &request, const Error &why);
+  void propose(const wire::FleetCommand &command, replica::ProposalHook done);
+  void noteHost(const wire::HostStatus &status);
+  void answerPoll(const ParkedPoll &poll);
+  void answerEdit(const ParkedEdit &edit, bool isInForce);
+  void answerReport(const wire::Envelope &request,
+                    const limits::SliceReport &report);
+  // Answers what waited for a new revision or long enough.
+  void answerParked();
+  void reclaimEndedLeases();
+  std::vector<wire::HostStatus> knownHosts() const;
+
+  KeeperOptions Settings;
+  runtime::PollLoop &Loop;
+  wire::Messenger Messages;
+  FleetState State;
+  std::unique_ptr<replica::Replica> Log;
+  std::map<HostId, KnownHost> Hosts;
+  std::vector<ParkedPoll> Polls;
+  std::vector<ParkedEdit> Edits;
+  // While this keeper leads.
+  std::unique_ptr<catalogue::ForceTracker> Force;
+  std::unique_ptr<limits::LeaseTable<ZoneId>> SliceLeases;
+  Status Outcome = Ok{};
+};
+
+} // namespace jujube::keeper
+
+#endif // JUJUBE_KEEPER_FLEET_TASK_H_
--- /dev/null
+++ b/jujube/replica/replica.cc
@@ -0,0 +1,179 @@
+#include "jujube/replica/replica.h"
+
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+
+namespace jujube::replica {
+namespace {
+
+// The log is replaced by a snapshot after this many applied commands, or this
+// many bytes of them if the state is smaller.
+constexpr uint64_t CompactAfterEntries = 20'000;
+constexpr std::size_t CompactAfterBytes = 16 << 20;
+
+} // namespace
+
+Replica::Replica(runtime::PollLoop &loop, consensus::Node node,
+                 ReplicaHooks hooks, std::optional<DiskHooks> disk)
+    : Loop(loop), Node(std::move(node)), Hooks(std::move(hooks)),
+      Disk(std::move(disk)) {}
+
+Result<std::unique_ptr<Replica>>
+Replica::create(runtime::PollLoop &loop, consensus::Options options,
+                consensus::DurableState initial, uint64_t seed,
+                ReplicaHooks hooks, std::optional<DiskHooks> disk) {
+  options.IsDurable = disk.has_value();
+  if (initial.Base)
+    hooks.Restore(initial.Base->Data);
+  const LogIndex base = initial.Base ? initial.Base->Last : LogIndex{};
+  auto node = consensus::Node::create(std::move(options), std::move(initial),
+                                      std::mt19937_64(seed), loop.now());
+  if (!isOk(node))
+    return errorOf(node);
+  std::unique_ptr<Replica> replica(new Replica(
+      loop, valueOf(std::move(node)), std::move(hooks), std::move(disk)));
+  replica->LastApplied = base;
+  replica->LastCompacted = base;
+  loop.onTurnEnd([raw = replica.get()] { raw->endTurn(); });
+  loop.callAt(loop.now(), [] {});
+  return replica;
+}
+
+void Replica::propose(std::string payload, ProposalHook done) {
+  const uint64_t id = ++LastProposal;
+  Proposals[id] = std::move(done);
+  run(Node.propose(id, std::move(payload), Loop.now()));
+}
+
+void Replica::receive(const HostId &from, const consensus::Message &message) {
+  run(Node.receive(from, message, Loop.now()));
+}
+
+void Replica::transferLeadership() { run(Node.transferLeadership(Loop.now())); }
+
+void Replica::endTurn() {
+  if (HasFailed)
+    return;
+  if (BeforeFlush)
+    BeforeFlush();
+  do {
+    if (Node.nextWake() <= Loop.now())
+      run(Node.tick(Loop.now()));
+  } while (flush());
+  compactIfLong();
+  if (Wake)
+    Loop.cancel(*Wake);
+  Wake = Loop.callAt(Node.nextWake(), [this] { Wake.reset(); });
+}
+
+void Replica::run(consensus::Actions actions) {
+  for (consensus::Action &action : actions)
+    std::visit([this](auto &a) { handle(a); }, action);
+}
+
+bool Replica::flush() {
+  if (Unwritten.empty() || HasFailed)
+    return false;
+  const std::vector<consensus::Persist> batch = std::exchange(Unwritten, {});
+  if (Status status = Disk->Write(batch); !isOk(status)) {
+    fail(errorOf(status));
+    return false;
+  }
+  run(Node.persisted(batch.back().Serial, Loop.now()));
+  return true;
+}
+
+void Replica::compactIfLong() {
+  const uint64_t entries = LastApplied.Value - LastCompacted.Value;
+  if (entries < CompactAfterEntries && BytesSinceCompaction < CompactAfterBytes)
+    return;
+  std::string data = Hooks.Capture();
+  // A large state is not captured again until as much log has come.
+  if (entries < CompactAfterEntries && BytesSinceCompaction < data.size())
+    return;
+  Node.compact(LastApplied, std::move(data));
+  if (Disk) {
+    if (Status status = Disk->SaveSnapshot(*Node.log().base()); !isOk(status)) {
+      fail(errorOf(status));
+      return;
+    }
+  }
+  LastCompacted = LastApplied;
+  BytesSinceCompaction = 0;
+}
+
+void Replica::handle(consensus::Send &action) { Hooks.Send(action); }
+
+void Replica::handle(consensus::Persist &action) {
+  Unwritten.push_back(std::move(action));
+}
+
+void Replica::handle(consensus::Apply &action) {
+  LastApplied = action.Entry.Index;
+  if (action.Entry.Kind == consensus::EntryKind::Command) {
+    BytesSinceCompaction += action.Entry.Payload.size();
+    Hooks.Apply(action.Entry.Payload);
+  }
+  if (action.ProposalId)
+    finish(*action.ProposalId, Ok{});
+}
+
+void Replica::handle(consensus::RestoreSnapshot &action) {
+  flush();
+  LastApplied = action.Base.Last;
+  LastCompacted = action.Base.Last;
+  BytesSinceCompaction = 0;
+  Hooks.Restore(action.Base.Data);
+  if (!Disk)
+    return;
+  if (Status status = Disk->SaveSnapshot(action.Base); !isOk(status)) {
+    fail(errorOf(status));
+    return;
+  }
+  run(Node.persisted(action.Serial, Loop.now()));
+}
+
+void Replica::handle(consensus::RoleChanged &action) {
+  LOG(INFO) << "event=role_changed role="
+            << nameIn(consensus::RoleNames, action.Now)
+            << " term=" << action.At.Value << " leader=" << action.Leader.str();
+  Hooks.RoleChanged(action);
+}
+
+void Replica::handle(consensus::ProposalRefused &action) {
+  finish(action.ProposalId, action.Why);
+}
+
+void Replica::handle(consensus::ProposalUnresolved &action) {
+  finish(action.ProposalId,
+         Error{ErrorKind::Unavailable,
+               "the leader changed before the change was committed",
+               "resend it with the same id"});
+}
+
+void Replica::handle(consensus::Superseded &) {
+  fail(Error{
+      ErrorKind::StaleData, "this member's group has no quorum left",
+      "a diskless member restarts by itself; with a disk, see OPERATIONS.md"});
+}
+
+void Replica::finish(uint64_t proposalId, const Status &status) {
+  const auto it = Proposals.find(proposalId);
+  if (it == Proposals.end())
+    return;
+  const ProposalHook done = std::move(it->second);
+  Proposals.erase(it);
+  done(status);
+}
+
+void Replica::fail(const Error &error) {
+  if (std::exchange(HasFailed, true))
+    return;
+  LOG(ERROR) << "event=replica_failed error=\"" << error.text() << "\"";
+  Hooks.Fail(error);
+}
+
+} // namespace jujube::replica
--- a/jujube/runtime/poll_loop.cc
+++ b/jujube/runtime/poll_loop.cc
@@ -27,7 +27,7 @@
 void PollLoop::unwatch(int fd) { Watches.erase(fd); }
 
 TimerId PollLoop::callAt(Instant when, TimerHandler handler) {
-  const TimerId id{++LastTimer};
+  const TimerId id{when, ++LastTimer};
   Timers.emplace(when, Timer{id, std::move(handler)});
   return id;
 }
@@ -40,9 +40,10 @@
 }
 
 void PollLoop::cancel(TimerId id) {
-  const auto it = std::ranges::find_if(
-      Timers, [id](const auto &timer) { return timer.second.Id == id; });
-  if (it != Timers.end())
+  const auto [first, last] = Timers.equal_range(id.When);
+  const auto it = std::find_if(
+      first, last, [id](const auto &timer) { return timer.second.Id == id; });
+  if (it != last)
     Timers.erase(it);
 }
 
@@ -94,6 +95,8 @@
     }
   }
   fireTimers();
+  if (TurnEnd)
+    TurnEnd();
   return Ok{};
 }
 
--- a/jujube/runtime/poll_loop.h
+++ b/jujube/runtime/poll_loop.h
@@ -16,6 +16,7 @@
 
 // Identifies a timer of one loop.
 struct TimerId {
+  Instant When;
   uint64_t Value = 0;
   auto operator<=>(const TimerId &) const = default;
 };
@@ -52,6 +53,10 @@
   void callEvery(Duration period, TimerHandler handler);
   void cancel(TimerId id);
 
+  // Calls `handler` at the end of every turn, once all events and timers that
+  // were due have been handled; to do work for many events together.
+  void onTurnEnd(TimerHandler handler) { TurnEnd = std::move(handler); }
+
   // Blocks until an event or timer is due and handles all that are.
   Status runOnce();
   // Runs until stop() is called from a handler.
@@ -79,6 +84,7 @@
   Clock Source;
   std::map<int, Watch> Watches;
   std::multimap<Instant, Timer> Timers;
+  TimerHandler TurnEnd;
   uint64_t LastSerial = 0;
   uint64_t LastTimer = 0;
   bool IsStopped = false;
--- /dev/null
+++ b/jujube/wire/consensus_encoding.h
@@ -0,0 +1,59 @@
+// cereal functions for the messages and state of consensus.
+#ifndef JUJUBE_WIRE_CONSENSUS_ENCODING_H_
+#define JUJUBE_WIRE_CONSENSUS_ENCODING_H_
+
+#include "jujube/consensus/types.h"
+#include "jujube/wire/base_encoding.h"
+
+namespace jujube::consensus {
+
+template <typename Archive> void serialize(Archive &ar, GroupId &v) {
+  ar(v.Founder, v.Start);
+}
+template <typename Archive> void serialize(Archive &ar, Member &v) {
+  ar(v.Host, v.Start, v.At, v.IsVoter);
+}
+template <typename Archive> void serialize(Archive &ar, Membership &v) {
+  ar(v.Members);
+}
+template <typename Archive> void serialize(Archive &ar, LogEntry &v) {
+  ar(v.Index, v.At, v.Kind, v.Payload, v.Members);
+}
+template <typename Archive> void serialize(Archive &ar, PreVoteRequest &v) {
+  ar(v.LastIndex, v.LastTerm);
+}
+template <typename Archive> void serialize(Archive &ar, PreVoteReply &v) {
+  ar(v.For, v.IsGranted);
+}
+template <typename Archive> void serialize(Archive &ar, VoteRequest &v) {
+  ar(v.LastIndex, v.LastTerm, v.IsTransfer);
+}
+template <typename Archive> void serialize(Archive &ar, VoteReply &v) {
+  ar(v.IsGranted);
+}
+template <typename Archive> void serialize(Archive &ar, AppendRequest &v) {
+  ar(v.PrevIndex, v.PrevTerm, v.Commit, v.Entries, v.SentAt);
+}
+template <typename Archive> void serialize(Archive &ar, AppendReply &v) {
+  ar(v.IsMatch, v.Last, v.SentAt);
+}
+template <typename Archive> void serialize(Archive &ar, SnapshotChunk &v) {
+  ar(v.Last, v.LastTerm, v.Members, v.Offset, v.TotalSize, v.Data, v.SentAt);
+}
+template <typename Archive> void serialize(Archive &ar, SnapshotReply &v) {
+  ar(v.Last, v.NextOffset, v.IsRestored, v.SentAt);
+}
+template <typename Archive> void serialize(Archive &, TimeoutNow &) {}
+template <typename Archive> void serialize(Archive &ar, Probe &v) {
+  ar(v.Nonce, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, ProbeReply &v) {
+  ar(v.Nonce, v.At, v.IsServing);
+}
+template <typename Archive> void serialize(Archive &ar, Message &v) {
+  ar(v.Group, v.At, v.FromStart, v.ToStart, v.What);
+}
+
+} // namespace jujube::consensus
+
+#endif // JUJUBE_WIRE_CONSENSUS_ENCODING_H_
--- /dev/null
+++ b/jujube/wire/messages.cc
@@ -0,0 +1,123 @@
+#include "jujube/wire/messages.h"
+
+#include "jujube/wire/consensus_encoding.h"
+#include "jujube/wire/routing_encoding.h"
+#include "jujube/wire/state_encoding.h"
+
+namespace jujube::wire {
+
+template <typename Archive> void serialize(Archive &ar, GroupMessage &v) {
+  ar(v.What);
+}
+template <typename Archive> void serialize(Archive &ar, HostStatus &v) {
+  ar(v.Host, v.IsLeader, v.LeaderTerm);
+}
+template <typename Archive> void serialize(Archive &ar, PollCatalogue &v) {
+  ar(v.Self, v.Have);
+}
+template <typename Archive> void serialize(Archive &ar, CatalogueNews &v) {
+  ar(v.News, v.Hosts);
+}
+template <typename Archive> void serialize(Archive &ar, ProposeEdit &v) {
+  ar(v.Edit, v.IsDryRun);
+}
+template <typename Archive> void serialize(Archive &ar, EditDone &v) {
+  ar(v.Receipt);
+}
+template <typename Archive> void serialize(Archive &ar, ReadHistory &v) {
+  ar(v.MaxLines);
+}
+template <typename Archive> void serialize(Archive &ar, HistoryPage &v) {
+  ar(v.Lines);
+}
+template <typename Archive> void serialize(Archive &ar, ReportSlices &v) {
+  ar(v.Report);
+}
+template <typename Archive> void serialize(Archive &ar, SliceNews &v) {
+  ar(v.Reply);
+}
+template <typename Archive> void serialize(Archive &ar, SubmitWork &v) {
+  ar(v.Work);
+}
+template <typename Archive> void serialize(Archive &ar, CancelWork &v) {
+  ar(v.Request, v.Team);
+}
+template <typename Archive> void serialize(Archive &ar, AskFate &v) {
+  ar(v.Request, v.Team, v.Wait);
+}
+template <typename Archive> void serialize(Archive &ar, FateNews &v) {
+  ar(v.View);
+}
+template <typename Archive> void serialize(Archive &ar, SyncTasks &v) {
+  ar(v.Sync);
+}
+template <typename Archive> void serialize(Archive &ar, SyncDone &v) {
+  ar(v.Reply);
+}
+template <typename Archive> void serialize(Archive &ar, PassAnnouncement &v) {
+  ar(v.Runner);
+}
+template <typename Archive> void serialize(Archive &ar, ReportCredits &v) {
+  ar(v.Report);
+}
+template <typename Archive> void serialize(Archive &ar, AgedAnnouncement &v) {
+  ar(v.Runner, v.Age);
+}
+template <typename Archive> void serialize(Archive &ar, CreditNews &v) {
+  ar(v.Grant, v.Runners);
+}
+template <typename Archive> void serialize(Archive &ar, JournalLive &v) {
+  ar(v.Offer);
+}
+template <typename Archive> void serialize(Archive &ar, JournalLiveEnd &v) {
+  ar(v.End);
+}
+template <typename Archive> void serialize(Archive &, ReadZone &) {}
+template <typename Archive> void serialize(Archive &ar, ZoneNews &v) {
+  ar(v.Status, v.Metrics);
+}
+template <typename Archive> void serialize(Archive &, Done &) {}
+template <typename Archive> void serialize(Archive &ar, Refusal &v) {
+  ar(v.Why, v.Leader);
+}
+template <typename Archive> void serialize(Archive &ar, Envelope &v) {
+  ar(v.From, v.ReplyTo, v.Correlation, v.IsReply, v.What);
+}
+template <typename Archive> void serialize(Archive &ar, FleetState &v) {
+  ar(v.Catalogue, v.Slices);
+}
+
+std::string encodeEnvelope(const Envelope &envelope) {
+  return encode(envelope);
+}
+Result<Envelope> decodeEnvelope(absl::string_view bytes) {
+  return decode<Envelope>(bytes);
+}
+
+std::string encodeFleetCommand(const FleetCommand &command) {
+  return encode(command);
+}
+Result<FleetCommand> decodeFleetCommand(absl::string_view bytes) {
+  return decode<FleetCommand>(bytes);
+}
+
+std::string encodeFleetState(const FleetState &state) { return encode(state); }
+Result<FleetState> decodeFleetState(absl::string_view bytes) {
+  return decode<FleetState>(bytes);
+}
+
+std::string encodeZoneEvents(const std::vector<fate::Event> &events) {
+  return encode(events);
+}
+Result<std::vector<fate::Event>> decodeZoneEvents(absl::string_view bytes) {
+  return decode<std::vector<fate::Event>>(bytes);
+}
+
+std::string encodeBookState(const fate::BookState &state) {
+  return encode(state);
+}
+Result<fate::BookState> decodeBookState(absl::string_view bytes) {
+  return decode<fate::BookState>(bytes);
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/jujube/wire/messenger.h
@@ -0,0 +1,72 @@
+// Requests and replies between processes, for the task that owns them.
+#ifndef JUJUBE_WIRE_MESSENGER_H_
+#define JUJUBE_WIRE_MESSENGER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "jujube/base/address.h"
+#include "jujube/base/ids.h"
+#include "jujube/base/result.h"
+#include "jujube/runtime/poll_loop.h"
+#include "jujube/wire/messages.h"
+#include "jujube/wire/transport.h"
+
+namespace jujube::wire {
+
+// Called once for each call: with the reply, with the error of a Refusal, or
+// with DeadlineExceeded. After DeadlineExceeded the request may still have been
+// carried out.
+using ReplyHook = std::function<void(Result<Message>)>;
+
+// Encodes messages, sends them through the transport's mailbox and pairs
+// replies with calls. It belongs to the task that owns `loop`.
+class Messenger {
+public:
+  Messenger(runtime::PollLoop &loop, HostId self, Address listen,
+            PacketMailbox outbox);
+
+  // Sends a message that is not answered.
+  void send(const Address &to, Message what, Channel via = Channel::Stream);
+
+  // Sends a request; `done` is called on the loop's thread, never within
+  // call().
+  void call(const Address &to, Message what, Duration timeout, ReplyHook done,
+            Channel via = Channel::Stream);
+
+  // Answers a request, if it wants an answer.
+  void reply(const Envelope &request, Message what,
+             Channel via = Channel::Stream);
+
+  // Takes a payload that arrived. Replies go to the hook of their call; returns
+  // a message for the owner to handle, or nothing.
+  std::optional<Envelope> receive(const std::string &payload);
+
+  // Messages that could not be decoded since the start.
+  uint64_t undecodable() const { return Undecodable; }
+
+private:
+  struct Call {
+    ReplyHook Done;
+    runtime::TimerId Timeout;
+  };
+
+  void post(const Address &to, Channel via, const Envelope &envelope);
+  void finish(uint64_t correlation, Result<Message> result);
+
+  runtime::PollLoop &Loop;
+  HostId Self;
+  Address Listen;
+  PacketMailbox Outbox;
+  absl::flat_hash_map<uint64_t, Call> Calls;
+  uint64_t LastCorrelation = 0;
+  uint64_t Undecodable = 0;
+};
+
+} // namespace jujube::wire
+
+#endif // JUJUBE_WIRE_MESSENGER_H_
--- /dev/null
+++ b/jujube/wire/state_encoding.h
@@ -0,0 +1,130 @@
+// cereal functions for replicated state and its commands: catalogue, limits and
+// fate.
+#ifndef JUJUBE_WIRE_STATE_ENCODING_H_
+#define JUJUBE_WIRE_STATE_ENCODING_H_
+
+#include "jujube/catalogue/catalogue.h"
+#include "jujube/fate/event.h"
+#include "jujube/fate/fate_book.h"
+#include "jujube/limits/slice_ledger.h"
+#include "jujube/limits/types.h"
+#include "jujube/wire/domain_encoding.h"
+
+namespace jujube::catalogue {
+
+template <typename Archive> void serialize(Archive &ar, Outcome &v) {
+  ar(v.Edit, v.Fingerprint, v.Answer);
+}
+template <typename Archive> void serialize(Archive &ar, Tombstone &v) {
+  ar(v.Object, v.Ended);
+}
+template <typename Archive> void serialize(Archive &ar, State &v) {
+  ar(v.Current, v.Tombstones, v.Outcomes, v.RecentEdits, v.History);
+}
+template <typename Archive> void serialize(Archive &ar, Update &v) {
+  ar(v.From, v.To, v.Edits, v.Snapshot, v.IsConfirmed);
+}
+
+} // namespace jujube::catalogue
+
+namespace jujube::limits {
+
+template <typename Archive> void serialize(Archive &ar, SlicePolicy &v) {
+  ar(v.BorrowLease, v.WindDown, v.Drift, v.IdleKeep, v.TakeoverGrace,
+     v.GuaranteedPercent, v.FloorPercent);
+}
+template <typename Archive> void serialize(Archive &ar, Slice &v) {
+  ar(v.Team, v.Version, v.Guaranteed, v.Borrowed);
+}
+template <typename Archive> void serialize(Archive &ar, SliceUpdate &v) {
+  ar(v.Seen, v.Slices);
+}
+template <typename Archive> void serialize(Archive &ar, ReportLine &v) {
+  ar(v.Held, v.Wanted);
+}
+template <typename Archive> void serialize(Archive &ar, SliceReport &v) {
+  ar(v.Zone, v.LeaderTerm, v.Sequence, v.Seen, v.Lines);
+}
+template <typename Archive> void serialize(Archive &ar, Guidance &v) {
+  ar(v.Team, v.Limit, v.IsRevoked);
+}
+template <typename Archive> void serialize(Archive &ar, SliceReply &v) {
+  ar(v.LeaderTerm, v.Sequence, v.Upto, v.Slices, v.Advice);
+}
+template <typename Archive> void serialize(Archive &ar, AddZone &v) {
+  ar(v.Zone);
+}
+template <typename Archive> void serialize(Archive &ar, RetireZone &v) {
+  ar(v.Zone);
+}
+template <typename Archive> void serialize(Archive &ar, SetCeiling &v) {
+  ar(v.Team, v.Ceiling);
+}
+template <typename Archive> void serialize(Archive &ar, ApplyReport &v) {
+  ar(v.Report);
+}
+template <typename Archive> void serialize(Archive &ar, ReclaimBorrowed &v) {
+  ar(v.Zone);
+}
+template <typename Archive> void serialize(Archive &ar, SliceEntry &v) {
+  ar(v.Zone, v.Held, v.Wanted);
+}
+template <typename Archive> void serialize(Archive &ar, LedgerTeam &v) {
+  ar(v.Team, v.Ceiling, v.Slices);
+}
+template <typename Archive> void serialize(Archive &ar, LedgerState &v) {
+  ar(v.Policy, v.Latest, v.Zones, v.Teams);
+}
+
+} // namespace jujube::limits
+
+namespace jujube::fate {
+
+template <typename Archive> void serialize(Archive &ar, RequestAccepted &v) {
+  ar(v.Work, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, TaskOffered &v) {
+  ar(v.Task, v.Token, v.Worker, v.Start, v.Reserved, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, TaskStarted &v) {
+  ar(v.Task, v.Token, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, TaskEnded &v) {
+  ar(v.Task, v.Token, v.Phase, v.Text, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, AttemptLost &v) {
+  ar(v.Task, v.Token, v.IsForgotten, v.Reason, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, RequestCancelled &v) {
+  ar(v.Request, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, RequestRejected &v) {
+  ar(v.Request, v.Why, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, LiveOffered &v) {
+  ar(v.Request, v.Team, v.Entry, v.BodyDigest, v.EntryHost, v.Runner,
+     v.IsIdempotent, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, LiveEnded &v) {
+  ar(v.Request, v.EntryHost, v.Runner, v.State, v.Text, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, FateForgotten &v) {
+  ar(v.Request);
+}
+template <typename Archive> void serialize(Archive &ar, TaskRecord &v) {
+  ar(v.State, v.IsLive, v.MayHaveRun, v.IsStopping, v.Attempts, v.Failures,
+     v.Token, v.Worker, v.Start, v.Reserved, v.Text);
+}
+template <typename Archive> void serialize(Archive &ar, RequestRecord &v) {
+  ar(v.Work, v.AcceptedAt, v.StartedAt, v.EndedAt, v.IsCancelled, v.Tasks);
+}
+template <typename Archive> void serialize(Archive &ar, LiveRecord &v) {
+  ar(v.Offer, v.State, v.EndedAt, v.Text);
+}
+template <typename Archive> void serialize(Archive &ar, BookState &v) {
+  ar(v.Requests, v.LiveRequests, v.Holdings);
+}
+
+} // namespace jujube::fate
+
+#endif // JUJUBE_WIRE_STATE_ENCODING_H_
--- /dev/null
+++ b/jujube/zone/scheduler.cc
@@ -0,0 +1,369 @@
+#include "jujube/zone/scheduler.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+#include <utility>
+#include <variant>
+
+#include "glog/logging.h"
+
+namespace jujube::zone {
+namespace {
+
+// How often slices are looked up anew.
+constexpr Duration LimitsPeriod = Duration::millis(200);
+// Most time-driven events of one sweep.
+constexpr std::size_t MaxDueEvents = 256;
+
+metrics::Labels labelsOf(const fate::Submission &work) {
+  return {work.Team.str(),
+          std::string(nameIn(catalogue::WorkClassNames, work.Entry.Class))};
+}
+
+// Index i is the end kind of the attempt that phase i reports.
+placement::EndKind endKindOf(fate::TaskPhase phase) {
+  switch (phase) {
+  case fate::TaskPhase::Finished:
+    return placement::EndKind::Finished;
+  case fate::TaskPhase::Failed:
+    return placement::EndKind::Failed;
+  case fate::TaskPhase::Refused:
+    return placement::EndKind::Refused;
+  default:
+    return placement::EndKind::Stopped;
+  }
+}
+
+// A team's attempts are not stopped below what they use as long as the zone is
+// allowed that much; new ones need more.
+Resources limitOf(const Resources &startable, const Resources &allowed,
+                  const Resources &used) {
+  return maxOf(startable, minOf(used, allowed));
+}
+
+} // namespace
+
+Scheduler::Scheduler(const ZoneOptions &options, Term term,
+                     const fate::FateBook &book, placement::Planner planner,
+                     SchedulerHooks hooks, Moment at)
+    : Settings(options), LeaderTerm(term), Book(book),
+      Planner(std::move(planner)), Hooks(std::move(hooks)), Orders(book),
+      Leases(options.WorkerLease, options.WorkerDrift, at.Now),
+      Slices(options.Zone, term, {}, at.Now, book.holdings()) {}
+
+Result<std::unique_ptr<Scheduler>> Scheduler::create(
+    const ZoneOptions &options, Term term, const fate::FateBook &book,
+    const catalogue::Catalogue &catalogue, SchedulerHooks hooks, Moment at) {
+  placement::Options planning;
+  planning.Zone = options.Zone;
+  planning.Policy = options.Policy;
+  planning.Seed = term.Value;
+  auto planner =
+      placement::Planner::create(planning, placement::hooksFor(options.Policy));
+  if (!isOk(planner))
+    return errorOf(planner);
+  std::unique_ptr<Scheduler> scheduler(new Scheduler(
+      options, term, book, valueOf(std::move(planner)), std::move(hooks), at));
+  scheduler->setCatalogue(catalogue);
+  scheduler->restore(at);
+  return scheduler;
+}
+
+Instant Scheduler::acceptedAt(const fate::RequestRecord &request,
+                              Moment at) const {
+  const Duration waited = std::max(Duration(), at.Wall - request.AcceptedAt);
+  return at.Now - waited;
+}
+
+void Scheduler::restore(Moment at) {
+  for (const fate::Attempt &attempt : Book.liveAttempts()) {
+    const fate::RequestRecord *request = Book.findRequest(attempt.Task.Request);
+    Planner.restore(request->Work, acceptedAt(*request, at),
+                    {attempt.Task, attempt.Worker, attempt.Reserved, at.Now});
+    Leases.reset(attempt.Worker, at.Now);
+    Workers[attempt.Worker] = attempt.Start;
+  }
+  std::map<RequestId, std::vector<uint32_t>> queued;
+  for (const TaskId &task : Book.queuedTasks())
+    queued[task.Request].push_back(task.Index);
+  for (const auto &[id, tasks] : queued) {
+    const fate::RequestRecord *request = Book.findRequest(id);
+    Planner.enqueue({request->Work, acceptedAt(*request, at), tasks}, at.Now);
+  }
+  setLimits(at.Now);
+}
+
+void Scheduler::setCatalogue(const catalogue::Catalogue &catalogue) {
+  Teams.clear();
+  std::ranges::transform(catalogue.contents().Teams, std::back_inserter(Teams),
+                         [](const auto &team) { return team.Value; });
+  Planner.setTeams(Teams);
+}
+
+std::vector<limits::TeamDemand> Scheduler::demands() const {
+  std::vector<limits::TeamDemand> all;
+  std::ranges::transform(
+      Teams, std::back_inserter(all), [this](const auto &team) {
+        return limits::TeamDemand{team.Id, Planner.used(team.Id),
+                                  Planner.wanted(team.Id)};
+      });
+  return all;
+}
+
+void Scheduler::setLimits(Instant now) {
+  NextLimits = now + LimitsPeriod;
+  for (const catalogue::Team &team : Teams)
+    Planner.setSlice(team.Id, limitOf(Slices.startable(team.Id, now),
+                                      Slices.allowed(team.Id, now),
+                                      Planner.used(team.Id)));
+}
+
+void Scheduler::enqueueAll(const RequestId &id, Moment at) {
+  const fate::RequestRecord *request = Book.findRequest(id);
+  std::vector<uint32_t> tasks(request->Tasks.size());
+  std::iota(tasks.begin(), tasks.end(), 0U);
+  Planner.enqueue({request->Work, acceptedAt(*request, at), std::move(tasks)},
+                  at.Now);
+}
+
+void Scheduler::forgetIfEnded(const RequestId &id, Moment at) {
+  const auto state = Book.stateOf(id);
+  if (!state || !fate::isTerminal(*state))
+    return;
+  Planner.forget(id);
+  if (const auto *request = Book.findRequest(id)) {
+    const metrics::Labels labels = labelsOf(request->Work);
+    Metrics.add(std::string(nameIn(fate::FateStateNames, *state)), labels);
+    Metrics.observe("total_ms", labels,
+                    (at.Wall - request->AcceptedAt).millis());
+  }
+  Hooks.RequestEnded(id);
+}
+
+void Scheduler::afterAttempt(const TaskId &task, placement::EndKind kind,
+                             Moment at) {
+  Orders.forget(task);
+  Planner.ended(task, kind, at.Now);
+  const fate::TaskRecord *record = Book.findTask(task);
+  if (record && record->State == fate::FateState::Queued)
+    Planner.requeue(task, at.Now);
+  forgetIfEnded(task.Request, at);
+}
+
+void Scheduler::observeStart(const TaskId &task, Moment at) {
+  const fate::RequestRecord *request = Book.findRequest(task.Request);
+  if (!request)
+    return;
+  const fate::TaskRecord *record = Book.findTask(task);
+  if (record && record->Attempts == 1)
+    Metrics.observe("wait_ms", labelsOf(request->Work),
+                    (at.Wall - request->AcceptedAt).millis());
+  Metrics.add("started", labelsOf(request->Work));
+}
+
+void Scheduler::onApplied(const fate::Event &event, Moment at) {
+  std::visit([&](const auto &e) { on(e, at); }, event);
+}
+
+void Scheduler::on(const fate::RequestAccepted &event, Moment at) {
+  Metrics.add("accepted", labelsOf(event.Work));
+  enqueueAll(event.Work.Request, at);
+}
+
+void Scheduler::on(const fate::TaskOffered &event, Moment) {
+  Hooks.WakeWorker(event.Worker);
+}
+
+void Scheduler::on(const fate::TaskStarted &event, Moment at) {
+  Planner.started(event.Task, at.Now);
+  observeStart(event.Task, at);
+}
+
+void Scheduler::on(const fate::TaskEnded &event, Moment at) {
+  afterAttempt(event.Task, endKindOf(event.Phase), at);
+  const auto it = ReportedBy.find(event.Task);
+  if (it == ReportedBy.end())
+    return;
+  const WorkerId worker = it->second;
+  ReportedBy.erase(it);
+  Hooks.WakeWorker(worker);
+}
+
+void Scheduler::on(const fate::AttemptLost &event, Moment at) {
+  afterAttempt(event.Task, placement::EndKind::Lost, at);
+}
+
+void Scheduler::on(const fate::RequestCancelled &event, Moment at) {
+  Planner.cancel(event.Request, at.Now);
+  const fate::RequestRecord *request = Book.findRequest(event.Request);
+  for (const fate::TaskRecord &task : request->Tasks)
+    if (task.IsLive)
+      Hooks.WakeWorker(task.Worker);
+  forgetIfEnded(event.Request, at);
+}
+
+void Scheduler::on(const fate::RequestRejected &event, Moment at) {
+  Planner.cancel(event.Request, at.Now);
+  forgetIfEnded(event.Request, at);
+}
+
+void Scheduler::on(const fate::LiveEnded &event, Moment) {
+  Hooks.RequestEnded(event.Request);
+}
+
+void Scheduler::on(const limits::SliceUpdate &, Moment at) {
+  Slices.onCommitted(Book.holdings());
+  setLimits(at.Now);
+}
+
+Status Scheduler::takeSync(const fate::WorkerSync &sync, Moment at) {
+  const WorkerId &worker = sync.Announcement.Worker;
+  const Incarnation start = sync.Announcement.Start;
+  const Error later{ErrorKind::Unavailable,
+                    "the worker's ended lease is being journaled",
+                    "stop all tasks and sync again"};
+  if (Expiring.contains(worker))
+    return later;
+  const auto known = Workers.find(worker);
+  if (known != Workers.end() && known->second > start)
+    return Error{ErrorKind::StaleData,
+                 "a later start of this worker has announced itself",
+                 "give each worker an id of its own"};
+  std::vector<fate::Event> events;
+  if (known != Workers.end() && known->second < start)
+    events = Book.workerRestarted(worker, start, at.Wall);
+  else if (Leases.hasEnded(worker, at.Now) && !Book.attemptsOn(worker).empty())
+    return later; // The next sweep ends them.
+  if (Leases.hasEnded(worker, at.Now))
+    Leases.reset(worker, at.Now);
+  Workers[worker] = start;
+  Planner.workerSeen(sync.Announcement, at.Now);
+  Unanswered[worker] = sync.Reports;
+  for (const fate::TaskReport &report : sync.Reports) {
+    ReportedBy[report.Task] = worker;
+    auto more = Book.report(worker, start, report, at.Wall);
+    std::ranges::move(more, std::back_inserter(events));
+    if (report.Usage != Resources{})
+      Planner.usage(report.Task, report.Usage, at.Now);
+  }
+  if (!events.empty())
+    Hooks.Propose(std::move(events));
+  return Ok{};
+}
+
+std::vector<fate::Directive> Scheduler::answersFor(const WorkerId &worker) {
+  std::vector<fate::Directive> answers;
+  std::erase_if(Unanswered[worker], [&](const fate::TaskReport &report) {
+    const auto kind = Book.answerTo(worker, report);
+    if (kind)
+      answers.push_back(
+          {*kind, report.Task, report.Token, EntryId(), Resources{}, ""});
+    return kind.has_value();
+  });
+  return answers;
+}
+
+std::optional<fate::SyncReply> Scheduler::replyTo(const WorkerId &worker,
+                                                  bool isDue, Moment at) {
+  if (!Slices.isSettled(at.Now) || Expiring.contains(worker))
+    return std::nullopt;
+  std::vector<fate::Directive> directives = answersFor(worker);
+  std::ranges::move(Orders.take(worker, at.Now),
+                    std::back_inserter(directives));
+  if ((directives.empty() && !isDue) || !Leases.renew(worker, at.Now))
+    return std::nullopt;
+  return fate::SyncReply{LeaderTerm, Settings.WorkerLease,
+                         std::move(directives)};
+}
+
+void Scheduler::plan(Moment at) {
+  if (at.Now >= NextLimits)
+    setLimits(at.Now);
+  std::vector<fate::Event> events;
+  for (const placement::Action &action : Planner.plan(at.Now)) {
+    auto event =
+        std::visit([&](const auto &a) { return carryOut(a, at); }, action);
+    if (event)
+      events.push_back(std::move(*event));
+  }
+  if (!events.empty())
+    Hooks.Propose(std::move(events));
+}
+
+std::optional<fate::Event> Scheduler::carryOut(const placement::Offer &offer,
+                                               Moment at) {
+  auto event = Book.offer(offer.Task, LeaderTerm, offer.Worker,
+                          Workers[offer.Worker], offer.Reserved, at.Wall);
+  if (!event)
+    Planner.ended(offer.Task, placement::EndKind::Refused, at.Now);
+  return event;
+}
+
+void Scheduler::direct(const TaskId &task, fate::DirectiveKind kind) {
+  Orders.requestStop(task, kind);
+  if (const fate::TaskRecord *record = Book.findTask(task))
+    Hooks.WakeWorker(record->Worker);
+}
+
+std::optional<fate::Event> Scheduler::carryOut(const placement::StopTask &stop,
+                                               Moment) {
+  direct(stop.Task, fate::DirectiveKind::Stop);
+  return std::nullopt;
+}
+
+std::optional<fate::Event>
+Scheduler::carryOut(const placement::CheckpointTask &stop, Moment) {
+  direct(stop.Task, fate::DirectiveKind::Checkpoint);
+  return std::nullopt;
+}
+
+std::optional<fate::Event>
+Scheduler::carryOut(const placement::ThrottleTask &throttle, Moment) {
+  Orders.requestThrottle(throttle.Task, throttle.Grant);
+  if (const fate::TaskRecord *record = Book.findTask(throttle.Task))
+    Hooks.WakeWorker(record->Worker);
+  return std::nullopt;
+}
+
+std::optional<fate::Event>
+Scheduler::carryOut(const placement::RejectRequest &reject, Moment at) {
+  return Book.reject(reject.Request, reject.Why, at.Wall);
+}
+
+void Scheduler::sweep(Moment at) {
+  std::vector<fate::Event> events = Book.due(at.Wall, MaxDueEvents);
+  std::erase_if(Expiring, [this](const WorkerId &worker) {
+    return Book.attemptsOn(worker).empty();
+  });
+  for (const WorkerId &worker : Leases.ended(at.Now)) {
+    if (Expiring.contains(worker))
+      continue;
+    LOG(INFO) << "event=worker_lost worker=" << worker.str();
+    Planner.workerLost(worker, at.Now);
+    auto more = Book.workerExpired(worker, at.Wall);
+    if (!more.empty())
+      Expiring.insert(worker);
+    std::ranges::move(more, std::back_inserter(events));
+    Leases.forget(worker);
+    Unanswered.erase(worker);
+  }
+  if (!events.empty())
+    Hooks.Propose(std::move(events));
+}
+
+limits::SliceReport Scheduler::reportSlices(Moment at) {
+  const auto needs = demands();
+  if (auto update = Slices.letGo(needs, at.Now))
+    Hooks.Propose({std::move(*update)});
+  setLimits(at.Now);
+  return Slices.report(needs, at.Now);
+}
+
+void Scheduler::takeSlices(const limits::SliceReply &reply, Moment at) {
+  if (auto update = Slices.receive(reply, at.Now))
+    Hooks.Propose({std::move(*update)});
+  setLimits(at.Now);
+}
+
+} // namespace jujube::zone
--- /dev/null
+++ b/jujube/zone/zone_task.cc
@@ -0,0 +1,388 @@
+#include "jujube/zone/zone_task.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+
+namespace jujube::zone {
+namespace {
+
+// A worker's sync without directives is answered after this span.
+constexpr Duration SyncHold = Duration::millis(1000);
+constexpr Duration PlanPeriod = Duration::millis(50);
+constexpr Duration SweepPeriod = Duration::millis(100);
+constexpr Duration SlicePeriod = Duration::seconds(1);
+constexpr Duration SliceTimeout = Duration::millis(900);
+// Live offers of an entry host that was silent this long are unresolved. It
+// exceeds the longest time of a live request.
+constexpr Duration EntryHostTimeout = Duration::seconds(15);
+
+} // namespace
+
+ZoneTask::ZoneTask(const ZoneOptions &options, runtime::TaskContext &context,
+                   wire::PacketMailbox outbox)
+    : Settings(options), Loop(context.loop()),
+      Messages(Loop, options.Self, options.Listen, std::move(outbox)),
+      Keepers(Loop, Messages),
+      Catalogue(Loop, Keepers,
+                {[this] {
+                   return wire::HostStatus{{Settings.Self,
+                                            catalogue::HostRole::Zone,
+                                            Settings.Zone, Settings.Listen},
+                                           isServing(),
+                                           Log->term()};
+                 },
+                 [this] {
+                   if (Leading)
+                     Leading->setCatalogue(Catalogue.catalogue());
+                 }}) {}
+
+ZoneTask::~ZoneTask() = default;
+
+Result<std::unique_ptr<ZoneTask>>
+ZoneTask::create(const ZoneOptions &options, runtime::TaskContext &context,
+                 wire::PacketMailbox outbox) {
+  std::unique_ptr<ZoneTask> task(
+      new ZoneTask(options, context, std::move(outbox)));
+  if (Status status = task->openReplica(context); !isOk(status))
+    return errorOf(status);
+  task->Keepers.setMembers(options.Keepers);
+  task->Catalogue.start();
+  task->startTimers();
+  return task;
+}
+
+Status ZoneTask::openReplica(runtime::TaskContext &context) {
+  consensus::Options options;
+  options.Self = {Settings.Self, Settings.Listen};
+  // Diskless members take a higher incarnation on every start.
+  options.Start = Incarnation{static_cast<uint64_t>(WallClock.now().millis())};
+  options.Configured = Settings.Peers;
+  options.Rule = consensus::Formation::WhenMajorityBlank;
+  auto log = replica::Replica::create(context.loop(), options, {},
+                                      std::random_device()(), replicaHooks(),
+                                      std::nullopt);
+  if (!isOk(log))
+    return errorOf(log);
+  Log = valueOf(std::move(log));
+  Log->onTurnEnd([this] {
+    if (!isServing())
+      return;
+    for (const WorkerId &worker : std::exchange(Woken, {}))
+      answerSync(worker);
+  });
+  return Ok{};
+}
+
+replica::ReplicaHooks ZoneTask::replicaHooks() {
+  replica::ReplicaHooks hooks;
+  hooks.Apply = [this](const std::string &payload) { apply(payload); };
+  hooks.Restore = [this](const std::string &data) {
+    auto state = wire::decodeBookState(data);
+    CHECK(isOk(state)) << errorOf(state).text();
+    auto book = fate::FateBook::fromState(valueOf(std::move(state)));
+    CHECK(isOk(book)) << errorOf(book).text();
+    Book = valueOf(std::move(book));
+  };
+  hooks.Capture = [this] { return wire::encodeBookState(Book.state()); };
+  hooks.RoleChanged = [this](const consensus::RoleChanged &change) {
+    changeRole(change);
+  };
+  hooks.Send = [this](const consensus::Send &send) {
+    Messages.send(send.At, wire::GroupMessage{send.What});
+  };
+  hooks.Fail = [this](const Error &error) {
+    Outcome = error;
+    Loop.stop();
+  };
+  return hooks;
+}
+
+void ZoneTask::startTimers() {
+  Loop.callEvery(PlanPeriod, [this] {
+    if (isServing())
+      Leading->plan(moment());
+  });
+  Loop.callEvery(SweepPeriod, [this] {
+    answerOverdue();
+    if (isServing())
+      Leading->sweep(moment());
+  });
+  Loop.callEvery(SlicePeriod, [this] { pollSlices(); });
+}
+
+Moment ZoneTask::moment() const { return {Loop.now(), WallClock.now()}; }
+
+void ZoneTask::changeRole(const consensus::RoleChanged &change) {
+  if (change.Now == consensus::Role::Leader && change.Leader == Settings.Self) {
+    lead(change.At);
+    return;
+  }
+  Leading.reset();
+  Runners.reset();
+  refuseParked();
+}
+
+void ZoneTask::lead(Term term) {
+  SchedulerHooks hooks;
+  hooks.Propose = [this](std::vector<fate::Event> events) {
+    propose(std::move(events), [](const Status &) {});
+  };
+  hooks.WakeWorker = [this](const WorkerId &worker) { Woken.insert(worker); };
+  hooks.RequestEnded = [this](const RequestId &id) { answerAsks(id); };
+  auto scheduler = Scheduler::create(
+      Settings, term, Book, Catalogue.catalogue(), std::move(hooks), moment());
+  auto runners = RunnerDesk::create(Settings.Zone, term, Loop.now());
+  CHECK(isOk(scheduler) && isOk(runners)) << "the default options are accepted";
+  Leading = valueOf(std::move(scheduler));
+  Runners = valueOf(std::move(runners));
+}
+
+void ZoneTask::apply(const std::string &payload) {
+  const auto events = wire::decodeZoneEvents(payload);
+  CHECK(isOk(events)) << errorOf(events).text();
+  for (const fate::Event &event : valueOf(events))
+    if (Book.apply(event) && Leading)
+      Leading->onApplied(event, moment());
+}
+
+void ZoneTask::receive(const std::string &payload) {
+  const auto request = Messages.receive(payload);
+  if (!request)
+    return;
+  if (const auto *group = std::get_if<wire::GroupMessage>(&request->What))
+    Log->receive(request->From, group->What);
+  else if (isServing())
+    dispatch(*request);
+  else
+    refuse(*request,
+           Error{ErrorKind::NotLeader, "this scheduler does not lead its zone",
+                 "ask the leader"});
+}
+
+void ZoneTask::stop() {
+  Log->transferLeadership();
+  Loop.stop();
+}
+
+void ZoneTask::refuse(const wire::Envelope &request, const Error &why) {
+  Messages.reply(request, wire::Refusal{why, Log->leaderAddress()});
+}
+
+void ZoneTask::dispatch(const wire::Envelope &request) {
+  std::visit([&](const auto &what) { handle(request, what); }, request.What);
+}
+
+template <typename Other>
+void ZoneTask::handle(const wire::Envelope &request, const Other &) {
+  refuse(request,
+         Error{ErrorKind::InvalidArgument, "schedulers don't take this message",
+               "check which process listens on the address"});
+}
+
+void ZoneTask::propose(std::vector<fate::Event> events,
+                       replica::ProposalHook done) {
+  Log->propose(wire::encodeZoneEvents(events), std::move(done));
+}
+
+TeamId ZoneTask::actingTeam(const RequestId &id,
+                            const TeamId &presented) const {
+  const fate::RequestRecord *record = Book.findRequest(id);
+  if (presented.empty() && record && record->Work.Entry.IsOpen)
+    return record->Work.Team;
+  return presented;
+}
+
+bool ZoneTask::maySee(const RequestId &id, const TeamId &presented) const {
+  const auto view = Book.view(id);
+  return view && view->Team == actingTeam(id, presented);
+}
+
+void ZoneTask::answerFate(const wire::Envelope &request, const RequestId &id) {
+  if (auto view = Book.view(id))
+    Messages.reply(request, wire::FateNews{std::move(*view)});
+  else
+    refuse(request,
+           Error{ErrorKind::NotFound, absl::StrCat("no request ", id.str()),
+                 "check the id; fates are kept for a day"});
+}
+
+void ZoneTask::proposeThenAnswer(
+    const wire::Envelope &request, const RequestId &id,
+    const Result<std::optional<fate::Event>> &event) {
+  if (!isOk(event)) {
+    refuse(request, errorOf(event));
+    return;
+  }
+  if (!valueOf(event)) {
+    answerFate(request, id);
+    return;
+  }
+  propose({*valueOf(event)}, [this, request, id](const Status &status) {
+    if (isOk(status))
+      answerFate(request, id);
+    else
+      refuse(request, errorOf(status));
+  });
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::SubmitWork &submit) {
+  proposeThenAnswer(request, submit.Work.Request,
+                    Book.submit(submit.Work, WallClock.now()));
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::CancelWork &cancel) {
+  proposeThenAnswer(request, cancel.Request,
+                    Book.cancel(cancel.Request,
+                                actingTeam(cancel.Request, cancel.Team),
+                                WallClock.now()));
+}
+
+void ZoneTask::handle(const wire::Envelope &request, const wire::AskFate &ask) {
+  if (!maySee(ask.Request, ask.Team)) {
+    refuse(request,
+           Error{ErrorKind::NotFound,
+                 absl::StrCat("your team has no request ", ask.Request.str()),
+                 "check the id and the key; fates are kept for a day"});
+    return;
+  }
+  if (ask.Wait <= Duration() || fate::isTerminal(*Book.stateOf(ask.Request)))
+    answerFate(request, ask.Request);
+  else
+    Asks.emplace(ask.Request, ParkedAsk{request, Loop.now() + ask.Wait});
+}
+
+void ZoneTask::answerAsks(const RequestId &id) {
+  const auto [first, last] = Asks.equal_range(id);
+  std::for_each(first, last,
+                [&](const auto &item) { answerFate(item.second.Request, id); });
+  Asks.erase(first, last);
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::SyncTasks &sync) {
+  const WorkerId &worker = sync.Sync.Announcement.Worker;
+  const Status status = Leading->takeSync(sync.Sync, moment());
+  if (!isOk(status)) {
+    refuse(request, errorOf(status));
+    return;
+  }
+  Syncs[worker] = ParkedSync{request, Loop.now() + SyncHold};
+  Woken.insert(worker);
+}
+
+void ZoneTask::answerSync(const WorkerId &worker) {
+  const auto it = Syncs.find(worker);
+  if (it == Syncs.end())
+    return;
+  const bool isDue = it->second.AnswerBy <= Loop.now();
+  auto reply = Leading->replyTo(worker, isDue, moment());
+  if (!reply)
+    return;
+  Messages.reply(it->second.Request, wire::SyncDone{std::move(*reply)});
+  Syncs.erase(it);
+}
+
+void ZoneTask::answerOverdue() {
+  const Instant now = Loop.now();
+  for (const auto &[worker, parked] : Syncs)
+    if (parked.AnswerBy <= now)
+      Woken.insert(worker);
+  std::erase_if(Asks, [&](const auto &item) {
+    if (item.second.AnswerBy > now)
+      return false;
+    answerFate(item.second.Request, item.first);
+    return true;
+  });
+}
+
+void ZoneTask::refuseParked() {
+  const Error why{ErrorKind::NotLeader, "this scheduler does not lead any more",
+                  "ask the leader"};
+  for (const auto &[worker, parked] : std::exchange(Syncs, {}))
+    refuse(parked.Request, why);
+  for (const auto &[id, parked] : std::exchange(Asks, {}))
+    refuse(parked.Request, why);
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::PassAnnouncement &pass) {
+  Runners->announce(pass.Runner, Loop.now());
+  Messages.reply(request, wire::Done{});
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::ReportCredits &report) {
+  if (auto news = Runners->report(report.Report, Loop.now()))
+    Messages.reply(request, std::move(*news), wire::Channel::Datagram);
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::JournalLive &live) {
+  const auto event = Book.offerLive(live.Offer);
+  if (!isOk(event)) {
+    refuse(request, errorOf(event));
+    return;
+  }
+  if (!valueOf(event)) {
+    answerFate(request, live.Offer.Request);
+    return;
+  }
+  propose({*valueOf(event)}, [this, request](const Status &status) {
+    if (isOk(status))
+      Messages.reply(request, wire::Done{});
+    else
+      refuse(request, errorOf(status));
+  });
+}
+
+void ZoneTask::handle(const wire::Envelope &request,
+                      const wire::JournalLiveEnd &live) {
+  propose({live.End}, [this, request](const Status &status) {
+    if (isOk(status))
+      Messages.reply(request, wire::Done{});
+    else
+      refuse(request, errorOf(status));
+  });
+}
+
+void ZoneTask::handle(const wire::Envelope &request, const wire::ReadZone &) {
+  Messages.reply(request, wire::ZoneNews{status(), Leading->metrics()});
+}
+
+api::ZoneStatus ZoneTask::status() const {
+  const placement::PlannerStatus planner = Leading->status();
+  return {Settings.Zone,       Settings.Self,
+          planner.Workers,     planner.QuarantinedWorkers,
+          planner.QueuedTasks, planner.PlacedTasks,
+          planner.Held,        planner.Reserved};
+}
+
+void ZoneTask::pollSlices() {
+  if (!isServing())
+    return;
+  Runners->expectEntryHosts(Catalogue.hosts());
+  Runners->tick(Loop.now());
+  std::vector<fate::Event> lost;
+  for (const HostId &host : Runners->silentHosts(EntryHostTimeout, Loop.now()))
+    std::ranges::move(Book.hostLost(host, WallClock.now()),
+                      std::back_inserter(lost));
+  if (!lost.empty())
+    propose(std::move(lost), [](const Status &) {});
+  Keepers.callOnce(wire::ReportSlices{Leading->reportSlices(moment())},
+                   SliceTimeout, [this](const Result<wire::Message> &reply) {
+                     const auto *news =
+                         isOk(reply)
+                             ? std::get_if<wire::SliceNews>(&valueOf(reply))
+                             : nullptr;
+                     if (news && isServing())
+                       Leading->takeSlices(news->Reply, moment());
+                   });
+}
+
+} // namespace jujube::zone
