--- a/jujube/consensus/finder.h
+++ b/jujube/consensus/finder.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <vector>
+#include <set>
 
 #include "jujube/base/clock.h"
 #include "jujube/base/ids.h"
@@ -45,10 +45,10 @@
   // `own` can't have a quorum any more.
   bool isGroupDead(const Options &settings, const GroupId &own,
                    const Membership &members, Instant now) const;
-  // True if every voter but this host was seen in a later incarnation, and no
-  // entry can have been committed without this host.
-  bool isSoleSurvivor(const Options &settings, const Membership &members,
-                      Instant now) const;
+  // The members whose host was seen in a later incarnation, which proves that
+  // the listed one has ended.
+  std::set<HostId> endedMembers(const Options &settings,
+                                const Membership &members, Instant now) const;
 
 private:
   std::map<HostId, Sighting> fresh(const Options &settings, Instant now) const;
--- /dev/null
+++ b/jujube/consensus/node.cc
@@ -0,0 +1,344 @@
+#include "jujube/consensus/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jujube/consensus/quorum.h"
+
+namespace jujube::consensus {
+
+namespace {
+
+Status checkState(const DurableState &state) {
+  LogIndex last = state.Base ? state.Base->Last : LogIndex{};
+  for (const LogEntry &entry : state.Entries) {
+    if (entry.Index != last.next())
+      return Error{ErrorKind::CorruptData,
+                   "the log has a gap after entry " +
+                       std::to_string(last.Value),
+                   "clear this host's data folder and let it join again"};
+    last = entry.Index;
+  }
+  return Ok{};
+}
+
+bool isRequest(const Body &body) {
+  return std::holds_alternative<AppendRequest>(body) ||
+         std::holds_alternative<SnapshotChunk>(body) ||
+         std::holds_alternative<PreVoteRequest>(body) ||
+         std::holds_alternative<VoteRequest>(body);
+}
+
+bool isFromLeader(const Body &body) {
+  return std::holds_alternative<AppendRequest>(body) ||
+         std::holds_alternative<SnapshotChunk>(body);
+}
+
+bool isReply(const Body &body) {
+  return std::holds_alternative<AppendReply>(body) ||
+         std::holds_alternative<SnapshotReply>(body) ||
+         std::holds_alternative<PreVoteReply>(body) ||
+         std::holds_alternative<VoteReply>(body);
+}
+
+} // namespace
+
+Result<Node> Node::create(Options options, DurableState initial,
+                          std::mt19937_64 random, Instant now) {
+  if (Status status = checkOptions(options); !isOk(status))
+    return errorOf(status);
+  if (Status status = checkState(initial); !isOk(status))
+    return errorOf(status);
+  return Node(std::move(options), std::move(initial), random, now);
+}
+
+Node::Node(Options options, DurableState initial, std::mt19937_64 random,
+           Instant now)
+    : Settings(std::move(options)), Random(random), Hard(initial.Hard),
+      Entries(std::move(initial)), Finder(now), NextProbe(now) {
+  Commit = Entries.baseIndex();
+  Applied = Commit;
+  SyncedIndex = Entries.last();
+  // An earlier run may have acknowledged a leader just before it ended.
+  RefuseUntil = now + voteRefusal(Settings);
+  ElectionAt = RefuseUntil + randomDelay();
+  LastLeaderContact = now;
+  LastReport = RoleChanged{CurrentRole, Hard.Current, Hard.Group, Leader};
+}
+
+Actions Node::tick(Instant now) {
+  if (IsSuperseded)
+    return {};
+  Now = now;
+  if (CurrentRole == Role::Leader) {
+    tickLeader(now);
+    return finish(now);
+  }
+  if (!Hard.Group.isBlank() && now >= ElectionAt) {
+    Leader = HostId();
+    ElectionAt = now + voteRefusal(Settings) / 2 + randomDelay();
+    if (isVoter())
+      startPreVote(now);
+  }
+  if (Leader.empty())
+    seekGroup(now);
+  return finish(now);
+}
+
+Actions Node::receive(const HostId &from, const Message &message, Instant now) {
+  const bool isForOther =
+      message.ToStart.Value != 0 && message.ToStart != Settings.Start;
+  if (IsSuperseded || isForOther || from == Settings.Self.Host)
+    return {};
+  Now = now;
+  dispatch(from, message, now);
+  return finish(now);
+}
+
+void Node::dispatch(const HostId &from, const Message &message, Instant now) {
+  const Body &body = message.What;
+  if (const auto *ask = std::get_if<Probe>(&body))
+    return handle(from, message, *ask, now);
+  if (const auto *answer = std::get_if<ProbeReply>(&body))
+    return handle(from, message, *answer, now);
+  if (message.Group.isBlank())
+    return;
+  // A blank host binds only once a leader of an earlier group can't rely any
+  // more on what this host's predecessor acknowledged.
+  if (Hard.Group.isBlank() && isRequest(body) &&
+      message.ToStart == Settings.Start && now >= RefuseUntil)
+    bindTo(message.Group);
+  if (message.Group != Hard.Group)
+    return;
+  if (isReply(body) && message.At > Hard.Current)
+    return becomeFollower(message.At, HostId(), now);
+  if (isFromLeader(body) && message.At < Hard.Current)
+    return reply(from, message, AppendReply{});
+  if (isFromLeader(body)) {
+    if (message.At > Hard.Current || CurrentRole != Role::Follower)
+      becomeFollower(message.At, from, now);
+    onLeaderContact(from, now);
+  }
+  std::visit(
+      [&](const auto &what) {
+        using T = std::decay_t<decltype(what)>;
+        if constexpr (!std::is_same_v<T, Probe> &&
+                      !std::is_same_v<T, ProbeReply>)
+          handle(from, message, what, now);
+      },
+      body);
+}
+
+Actions Node::propose(uint64_t proposalId, std::string payload, Instant now) {
+  Now = now;
+  if (!mayServe(now)) {
+    const std::string remedy = Leader.empty() || Leader == Settings.Self.Host
+                                   ? "retry once a leader is elected"
+                                   : "send it to " + Leader.str();
+    Out.emplace_back(ProposalRefused{
+        proposalId, Error{ErrorKind::NotLeader,
+                          "this host does not lead its group", remedy}});
+    return finish(now);
+  }
+  if (UncommittedBytes + payload.size() > Settings.MaxUncommittedBytes) {
+    Out.emplace_back(ProposalRefused{
+        proposalId,
+        Error{ErrorKind::Overloaded, "too many bytes wait to be replicated",
+              "retry later"}});
+    return finish(now);
+  }
+  appendLocal(EntryKind::Command, std::move(payload), {});
+  Proposals.emplace(Entries.last(), proposalId);
+  updateCommit();
+  return finish(now);
+}
+
+Actions Node::persisted(uint64_t serial, Instant now) {
+  Now = now;
+  SyncedSerial = std::max(SyncedSerial, serial);
+  while (!Unsynced.empty() && Unsynced.front().first <= SyncedSerial) {
+    SyncedIndex = Unsynced.front().second;
+    Unsynced.pop_front();
+  }
+  releaseHeld();
+  if (CurrentRole == Role::Leader)
+    updateCommit();
+  return finish(now);
+}
+
+void Node::compact(LogIndex upTo, std::string snapshot) {
+  if (upTo <= Entries.baseIndex() || upTo > Applied)
+    return;
+  Entries.compact(upTo, std::move(snapshot), Settings.RetainBytes);
+}
+
+Instant Node::nextWake() const {
+  if (IsSuperseded)
+    return Instant::never();
+  if (CurrentRole == Role::Leader) {
+    if (HasUnsent)
+      return Instant();
+    Instant next = Now + Settings.Heartbeat;
+    for (const auto &[host, peer] : Peers)
+      next = std::min(next, peer.NextHeartbeat);
+    return next;
+  }
+  const Instant probe = Leader.empty() ? NextProbe : Instant::never();
+  return Hard.Group.isBlank() ? probe : std::min(probe, ElectionAt);
+}
+
+std::optional<Address> Node::leaderAddress() const {
+  if (Leader.empty())
+    return std::nullopt;
+  return addressOf(Leader);
+}
+
+Actions Node::finish(Instant) {
+  applyCommitted();
+  persistChanges();
+  reportRole();
+  return std::exchange(Out, {});
+}
+
+void Node::applyCommitted() {
+  while (Applied < Commit) {
+    Applied = Applied.next();
+    const LogEntry &entry = Entries.at(Applied);
+    UncommittedBytes -= std::min(UncommittedBytes, sizeOf(entry));
+    Apply action{entry, std::nullopt};
+    if (const auto it = Proposals.find(Applied); it != Proposals.end()) {
+      action.ProposalId = it->second;
+      Proposals.erase(it);
+    }
+    Out.emplace_back(std::move(action));
+  }
+}
+
+void Node::persistChanges() {
+  const bool hasChanges =
+      HasNewHard || NewTruncateFrom.Value != 0 || NewFrom.has_value();
+  if (Settings.IsDurable && hasChanges) {
+    Persist action;
+    action.Serial = ++LastSerial;
+    if (HasNewHard)
+      action.State = Hard;
+    action.TruncateFrom = NewTruncateFrom;
+    if (NewFrom)
+      action.Entries = Entries.slice(*NewFrom, SIZE_MAX);
+    Unsynced.emplace_back(LastSerial, Entries.last());
+    Out.emplace_back(std::move(action));
+  }
+  if (!Settings.IsDurable)
+    SyncedIndex = Entries.last();
+  HasNewHard = false;
+  NewTruncateFrom = LogIndex{};
+  NewFrom.reset();
+  for (Send &held : NewHeld)
+    Waiting.push_back(Held{LastSerial, std::move(held)});
+  NewHeld.clear();
+  if (!Settings.IsDurable)
+    SyncedSerial = LastSerial;
+  releaseHeld();
+}
+
+void Node::releaseHeld() {
+  while (!Waiting.empty() && Waiting.front().Serial <= SyncedSerial) {
+    Out.emplace_back(std::move(Waiting.front().What));
+    Waiting.pop_front();
+  }
+}
+
+void Node::reportRole() {
+  RoleChanged report{CurrentRole, Hard.Current, Hard.Group, Leader};
+  if (CurrentRole == Role::Leader && Commit < ReadyIndex) {
+    report.Now = Role::Candidate;
+    report.Leader = HostId();
+  }
+  if (report == LastReport)
+    return;
+  LastReport = report;
+  Out.emplace_back(std::move(report));
+}
+
+Message Node::messageTo(Incarnation toStart, Body body) const {
+  return Message{Hard.Group, Hard.Current, Settings.Start, toStart,
+                 std::move(body)};
+}
+
+void Node::send(const HostId &to, const Address &at, Incarnation toStart,
+                Body body) {
+  Out.emplace_back(Send{to, at, messageTo(toStart, std::move(body))});
+}
+
+void Node::sendSynced(const HostId &to, const Address &at, Incarnation toStart,
+                      Body body) {
+  NewHeld.push_back(Send{to, at, messageTo(toStart, std::move(body))});
+}
+
+void Node::reply(const HostId &to, const Message &request, Body body) {
+  sendSynced(to, addressOf(to), request.FromStart, std::move(body));
+}
+
+void Node::appendLocal(EntryKind kind, std::string payload,
+                       Membership members) {
+  LogEntry entry{Entries.last().next(), Hard.Current, kind, std::move(payload),
+                 std::move(members)};
+  UncommittedBytes += sizeOf(entry);
+  if (!NewFrom)
+    NewFrom = entry.Index;
+  Entries.append(std::move(entry));
+  if (!Settings.IsDurable)
+    SyncedIndex = Entries.last();
+  HasUnsent = true;
+}
+
+void Node::truncateFrom(LogIndex from) {
+  Entries.truncateFrom(from);
+  const LogIndex last = Entries.last();
+  SyncedIndex = std::min(SyncedIndex, last);
+  for (auto &[serial, index] : Unsynced)
+    index = std::min(index, last);
+  NewTruncateFrom = from;
+}
+
+void Node::advanceCommit(LogIndex to) {
+  Commit = std::max(Commit, std::min(to, Entries.last()));
+}
+
+void Node::bindTo(const GroupId &group) {
+  Hard = HardState{group, Term{}, HostId(), Incarnation{}};
+  HasNewHard = true;
+}
+
+Address Node::addressOf(const HostId &host) const {
+  if (const Member *member = findMember(Entries.membership(), host))
+    return member->At;
+  const auto it = std::ranges::find(Settings.Configured, host, &Peer::Host);
+  if (it != Settings.Configured.end())
+    return it->At;
+  const auto standby = Standbys.find(host);
+  return standby == Standbys.end() ? Address() : standby->second.At;
+}
+
+const Member *Node::self() const {
+  const Member *member = findMember(Entries.membership(), Settings.Self.Host);
+  return member != nullptr && member->Start == Settings.Start ? member
+                                                              : nullptr;
+}
+
+bool Node::isVoter() const {
+  const Member *member = self();
+  return member != nullptr && member->IsVoter;
+}
+
+std::size_t Node::quorum() const {
+  return quorumSize(Entries.membership(), Settings.Configured.size());
+}
+
+Duration Node::randomDelay() {
+  std::uniform_int_distribution<int64_t> spread(
+      1, Settings.ElectionSpread.millis());
+  return Duration::millis(spread(Random));
+}
+
+} // namespace jujube::consensus
--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -123,12 +123,13 @@
   // Sends once everything that changed so far is synced.
   void sendSynced(const HostId &to, const Address &at, Incarnation toStart,
                   Body body);
+  // Answers `request` once everything that changed so far is synced.
   void reply(const HostId &to, const Message &request, Body body);
-  void appendLocal(EntryKind kind, std::string payload, Membership members,
-                   Instant now);
+  void appendLocal(EntryKind kind, std::string payload, Membership members);
   void truncateFrom(LogIndex from);
   void applyCommitted();
   void advanceCommit(LogIndex to);
+  void bindTo(const GroupId &group);
   Address addressOf(const HostId &host) const;
   const Member *self() const;
   bool isVoter() const;
@@ -137,14 +138,17 @@
   void dispatch(const HostId &from, const Message &message, Instant now);
 
   // node_election.cc
-  void becomeFollower(Term term, const HostId &leader);
+  void becomeFollower(Term term, const HostId &leader, Instant now);
   void startPreVote(Instant now);
   void startElection(bool isTransfer, Instant now);
   void becomeLeader(Instant now);
   void failProposals();
   bool refusesVotes(Instant now) const;
   bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
-  bool countVote(const HostId &from, const Message &message);
+  void requestVotes(Body body, Term at);
+  void countVote(const HostId &from, const Message &message);
+  bool hasWon(Instant now) const;
+  bool isLastVoter(const std::set<HostId> &ended) const;
   void onLeaderContact(const HostId &from, Instant now);
   void handle(const HostId &from, const Message &m, const PreVoteRequest &body,
               Instant now);
@@ -178,14 +182,15 @@
               Instant now);
 
   // node_membership.cc
-  void syncProgress(Instant now);
+  void syncProgress();
   bool canChangeMembership() const;
-  void changeMembership(Membership next, Instant now);
+  void changeMembership(Membership next);
   void admitStandbys(Instant now);
   void admit(const HostId &host, const Sighting &seen, Instant now);
   void promoteLearners(Instant now);
   void replaceSilentVoter(Instant now);
   bool isRemainderQuorum(const HostId &without, Instant now) const;
+  bool isLastVoterPossible(Instant now) const;
   void probe(Instant now);
   void seekGroup(Instant now);
   void foundGroup(Membership members, Instant now);
@@ -207,6 +212,8 @@
   Instant RefuseUntil;
   Instant ElectionAt;
   Instant LastLeaderContact;
+  // Of the event being handled.
+  Instant Now;
   std::set<HostId> Votes;
 
   // Leader only.
@@ -217,7 +224,6 @@
   // Once committed, this leader may serve.
   LogIndex ReadyIndex;
   bool HasUnsent = false;
-  bool IsAbdicating = false;
   // Elected as the only voter left; its first change has to restore a quorum.
   bool IsRecovering = false;
   std::size_t UncommittedBytes = 0;
--- /dev/null
+++ b/jujube/consensus/node_election.cc
@@ -0,0 +1,228 @@
+// Elections: pre-vote, vote, transfer, and the lease.
+#include "jujube/consensus/node.h"
+
+#include <algorithm>
+
+#include "jujube/consensus/quorum.h"
+
+namespace jujube::consensus {
+
+void Node::becomeFollower(Term term, const HostId &leader, Instant now) {
+  if (term > Hard.Current) {
+    Hard.Current = term;
+    Hard.VotedFor = HostId();
+    Hard.VotedForStart = Incarnation{};
+    HasNewHard = true;
+  }
+  if (CurrentRole == Role::Leader) {
+    failProposals();
+    Peers.clear();
+    HasUnsent = false;
+    IsRecovering = false;
+    LastLeaderContact = now;
+    NextProbe = now;
+    ElectionAt = now + voteRefusal(Settings) + randomDelay();
+  }
+  CurrentRole = Role::Follower;
+  Leader = leader;
+  Votes.clear();
+}
+
+void Node::failProposals() {
+  for (const auto &[index, id] : Proposals)
+    Out.emplace_back(ProposalUnresolved{id});
+  Proposals.clear();
+  UncommittedBytes = 0;
+}
+
+void Node::onLeaderContact(const HostId &from, Instant now) {
+  Leader = from;
+  LastLeaderContact = now;
+  RefuseUntil = std::max(RefuseUntil, now + voteRefusal(Settings));
+  ElectionAt = RefuseUntil + randomDelay();
+}
+
+Instant Node::leaseEnd(Instant now) const {
+  const Instant none;
+  const Instant confirmed = quorumValue<Instant>(
+      Entries.membership(), quorum(),
+      [&](const Member &member) {
+        if (member.Host == Settings.Self.Host)
+          return now;
+        const auto it = Peers.find(member.Host);
+        return it == Peers.end() ? none : it->second.AckedSend.value_or(none);
+      },
+      none);
+  return confirmed == none ? none : confirmed + Settings.Lease;
+}
+
+bool Node::mayServe(Instant now) const {
+  return CurrentRole == Role::Leader && Commit >= ReadyIndex &&
+         now < leaseEnd(now);
+}
+
+bool Node::refusesVotes(Instant now) const {
+  if (CurrentRole == Role::Leader)
+    return now < std::max(leaseEnd(now), ElectedAt + voteRefusal(Settings));
+  return now < RefuseUntil;
+}
+
+bool Node::isUpToDate(LogIndex lastIndex, Term lastTerm) const {
+  return std::pair(lastTerm, lastIndex) >=
+         std::pair(Entries.lastTerm(), Entries.last());
+}
+
+void Node::requestVotes(Body body, Term at) {
+  for (const Member &member : Entries.membership().Members) {
+    if (member.Host == Settings.Self.Host)
+      continue;
+    sendSynced(member.Host, member.At, member.Start, body);
+    NewHeld.back().What.At = at;
+  }
+}
+
+void Node::startPreVote(Instant now) {
+  CurrentRole = Role::PreCandidate;
+  Votes = {Settings.Self.Host};
+  if (hasWon(now))
+    return startElection(/*isTransfer=*/false, now);
+  requestVotes(PreVoteRequest{Entries.last(), Entries.lastTerm()},
+               Hard.Current.next());
+}
+
+void Node::startElection(bool isTransfer, Instant now) {
+  CurrentRole = Role::Candidate;
+  Leader = HostId();
+  Hard.Current = Hard.Current.next();
+  Hard.VotedFor = Settings.Self.Host;
+  Hard.VotedForStart = Settings.Start;
+  HasNewHard = true;
+  Votes = {Settings.Self.Host};
+  ElectionAt = now + voteRefusal(Settings) / 2 + randomDelay();
+  if (hasWon(now))
+    return becomeLeader(now);
+  requestVotes(VoteRequest{Entries.last(), Entries.lastTerm(), isTransfer},
+               Hard.Current);
+}
+
+void Node::countVote(const HostId &from, const Message &message) {
+  const Member *member = findMember(Entries.membership(), from);
+  if (member != nullptr && member->Start == message.FromStart)
+    Votes.insert(from);
+}
+
+// True if every quorum needs this host, every other voter has ended or granted
+// its vote, and every learner, which may have become a voter since, granted its
+// vote.
+bool Node::isLastVoter(const std::set<HostId> &ended) const {
+  const Membership &members = Entries.membership();
+  return Settings.Rule == Formation::WhenMajorityBlank &&
+         voterCount(members) == quorum() &&
+         std::ranges::all_of(members.Members, [&](const Member &member) {
+           return Votes.contains(member.Host) ||
+                  (member.IsVoter && ended.contains(member.Host));
+         });
+}
+
+bool Node::hasWon(Instant now) const {
+  const Membership &members = Entries.membership();
+  const auto granted =
+      std::ranges::count_if(members.Members, [this](const Member &member) {
+        return member.IsVoter && Votes.contains(member.Host);
+      });
+  if (static_cast<std::size_t>(granted) >= quorum())
+    return true;
+  return isLastVoter(Finder.endedMembers(Settings, members, now));
+}
+
+void Node::becomeLeader(Instant now) {
+  const auto granted =
+      std::ranges::count_if(votersOf(Entries.membership()),
+                            [this](auto &m) { return Votes.contains(m.Host); });
+  IsRecovering = static_cast<std::size_t>(granted) < quorum();
+  CurrentRole = Role::Leader;
+  Leader = Settings.Self.Host;
+  ElectedAt = now;
+  Peers.clear();
+  Standbys.clear();
+  UncommittedBytes = 0;
+  syncProgress();
+  appendLocal(EntryKind::Noop, {}, {});
+  ReadyIndex = Entries.last();
+  updateCommit();
+  sendAll(now);
+}
+
+void Node::handle(const HostId &from, const Message &m,
+                  const PreVoteRequest &body, Instant now) {
+  const bool isGranted = !refusesVotes(now) && m.At > Hard.Current &&
+                         isUpToDate(body.LastIndex, body.LastTerm);
+  reply(from, m, PreVoteReply{m.At, isGranted});
+}
+
+void Node::handle(const HostId &from, const Message &m,
+                  const PreVoteReply &body, Instant now) {
+  if (CurrentRole != Role::PreCandidate || !body.IsGranted ||
+      body.For != Hard.Current.next())
+    return;
+  countVote(from, m);
+  if (hasWon(now))
+    startElection(/*isTransfer=*/false, now);
+}
+
+void Node::handle(const HostId &from, const Message &m, const VoteRequest &body,
+                  Instant now) {
+  if (m.At < Hard.Current || (refusesVotes(now) && !body.IsTransfer))
+    return reply(from, m, VoteReply{false});
+  if (m.At > Hard.Current)
+    becomeFollower(m.At, HostId(), now);
+  const bool hasVoted = !Hard.VotedFor.empty();
+  const bool isSame =
+      Hard.VotedFor == from && Hard.VotedForStart == m.FromStart;
+  const bool isGranted =
+      (isSame || !hasVoted) && isUpToDate(body.LastIndex, body.LastTerm);
+  if (isGranted && !hasVoted) {
+    CurrentRole = Role::Follower;
+    Hard.VotedFor = from;
+    Hard.VotedForStart = m.FromStart;
+    HasNewHard = true;
+    ElectionAt = now + voteRefusal(Settings) + randomDelay();
+  }
+  reply(from, m, VoteReply{isGranted});
+}
+
+void Node::handle(const HostId &from, const Message &m, const VoteReply &body,
+                  Instant now) {
+  if (CurrentRole != Role::Candidate || m.At != Hard.Current || !body.IsGranted)
+    return;
+  countVote(from, m);
+  if (hasWon(now))
+    becomeLeader(now);
+}
+
+void Node::handle(const HostId &from, const Message &m, const TimeoutNow &,
+                  Instant now) {
+  if (m.At == Hard.Current && from == Leader && isVoter() &&
+      CurrentRole == Role::Follower)
+    startElection(/*isTransfer=*/true, now);
+}
+
+Actions Node::transferLeadership(Instant now) {
+  Now = now;
+  if (CurrentRole != Role::Leader)
+    return finish(now);
+  const Member *target = nullptr;
+  for (const Member &member : Entries.membership().Members) {
+    const auto it = Peers.find(member.Host);
+    if (!member.IsVoter || it == Peers.end())
+      continue;
+    if (target == nullptr || it->second.Match > Peers[target->Host].Match)
+      target = &member;
+  }
+  if (target != nullptr)
+    send(target->Host, target->At, target->Start, TimeoutNow{});
+  becomeFollower(Hard.Current, HostId(), now);
+  return finish(now);
+}
+
+} // namespace jujube::consensus
--- /dev/null
+++ b/jujube/consensus/node_membership.cc
@@ -0,0 +1,259 @@
+// Membership: probes, founding a group, learners and replacements.
+#include "jujube/consensus/node.h"
+
+#include <algorithm>
+
+#include "jujube/consensus/quorum.h"
+
+namespace jujube::consensus {
+
+void Node::syncProgress() {
+  const Membership &members = Entries.membership();
+  std::erase_if(Peers, [&](const auto &it) {
+    const Member *member = findMember(members, it.first);
+    return member == nullptr || member->Start != it.second.Start;
+  });
+  for (const Member &member : members.Members) {
+    if (member.Host == Settings.Self.Host || Peers.contains(member.Host))
+      continue;
+    Progress peer;
+    peer.Start = member.Start;
+    peer.Next = Entries.last().next();
+    peer.LastHeard = Now;
+    peer.NextHeartbeat = Now;
+    Peers.emplace(member.Host, std::move(peer));
+  }
+}
+
+bool Node::canChangeMembership() const {
+  if (IsRecovering)
+    return true;
+  return mayServe(Now) && Commit >= Entries.membershipIndex();
+}
+
+void Node::changeMembership(Membership next) {
+  appendLocal(EntryKind::Membership, {}, std::move(next));
+  syncProgress();
+  updateCommit();
+}
+
+void Node::admitStandbys(Instant now) {
+  for (auto it = Standbys.begin(); it != Standbys.end();) {
+    if (now - it->second.SeenAt > Settings.ProbePeriod * 4) {
+      it = Standbys.erase(it);
+      continue;
+    }
+    if (canChangeMembership())
+      admit(it->first, it->second, now);
+    ++it;
+  }
+}
+
+void Node::admit(const HostId &host, const Sighting &seen, Instant now) {
+  Membership next = Entries.membership();
+  const auto it = std::ranges::find(next.Members, host, &Member::Host);
+  const bool isConfigured = std::ranges::any_of(
+      Settings.Configured, [&](const Peer &peer) { return peer.Host == host; });
+  if (it == next.Members.end()) {
+    if (!isConfigured)
+      return;
+    next.Members.push_back(Member{host, seen.Start, seen.At, false});
+    return changeMembership(std::move(next));
+  }
+  if (seen.Start < it->Start || (seen.Start == it->Start && seen.At == it->At))
+    return;
+  if (seen.Start == it->Start) {
+    it->At = seen.At;
+    return changeMembership(std::move(next));
+  }
+  if (it->IsVoter && !IsRecovering && !isRemainderQuorum(host, now))
+    return;
+  *it = Member{host, seen.Start, seen.At, false};
+  changeMembership(std::move(next));
+}
+
+bool Node::isRemainderQuorum(const HostId &without, Instant now) const {
+  Membership rest = Entries.membership();
+  std::erase_if(rest.Members,
+                [&](const Member &member) { return member.Host == without; });
+  const auto responsive =
+      std::ranges::count_if(votersOf(rest), [&](const Member &member) {
+        if (member.Host == Settings.Self.Host)
+          return true;
+        const auto it = Peers.find(member.Host);
+        return it != Peers.end() &&
+               now - it->second.LastHeard <= voteRefusal(Settings);
+      });
+  return static_cast<std::size_t>(responsive) >=
+         quorumSize(rest, Settings.Configured.size());
+}
+
+void Node::promoteLearners(Instant now) {
+  if (!canChangeMembership() ||
+      voterCount(Entries.membership()) >= Settings.Configured.size())
+    return;
+  // While recovering, one promotion restores the quorum; the next has to wait
+  // for its commit.
+  if (IsRecovering && voterCount(Entries.membership()) >= quorum())
+    return;
+  Membership next = Entries.membership();
+  const auto it = std::ranges::find_if(next.Members, [&](const Member &member) {
+    const auto peer = Peers.find(member.Host);
+    if (member.IsVoter || peer == Peers.end())
+      return false;
+    const LogIndex needed = IsRecovering ? ReadyIndex : Commit;
+    const LearnerView view{peer->second.Match, Entries.last(), needed,
+                           now - peer->second.LastHeard};
+    return isCaughtUp(view) && Settings.CanPromote(view);
+  });
+  if (it == next.Members.end())
+    return;
+  it->IsVoter = true;
+  changeMembership(std::move(next));
+}
+
+void Node::replaceSilentVoter(Instant now) {
+  if (Settings.Rule == Formation::WhenMajorityBlank || !canChangeMembership())
+    return;
+  const auto silent = std::ranges::find_if(Peers, [&](const auto &it) {
+    const Member *member = findMember(Entries.membership(), it.first);
+    return member != nullptr && member->IsVoter &&
+           now - it.second.LastHeard > Settings.ReplaceAfter;
+  });
+  const auto standby = std::ranges::find_if(Standbys, [&](const auto &it) {
+    return findMember(Entries.membership(), it.first) == nullptr;
+  });
+  if (silent == Peers.end() || standby == Standbys.end() ||
+      !isRemainderQuorum(silent->first, now))
+    return;
+  const HostId gone = silent->first;
+  Membership next = Entries.membership();
+  std::erase_if(next.Members,
+                [&](const Member &member) { return member.Host == gone; });
+  next.Members.push_back(
+      Member{standby->first, standby->second.Start, standby->second.At, false});
+  changeMembership(std::move(next));
+}
+
+Result<Actions> Node::replaceMember(const HostId &gone, const HostId &standby,
+                                    Instant now) {
+  Now = now;
+  const Member *member = findMember(Entries.membership(), gone);
+  const auto successor = Standbys.find(standby);
+  if (!mayServe(now))
+    return Error{ErrorKind::NotLeader, "this host does not lead its group",
+                 "send the change to the leader"};
+  if (Settings.Rule == Formation::WhenMajorityBlank)
+    return Error{ErrorKind::InvalidArgument,
+                 "members of a diskless group keep their host ids",
+                 "start the new host under the id " + gone.str()};
+  if (!canChangeMembership())
+    return Error{ErrorKind::Unavailable,
+                 "another membership change is in progress", "retry later"};
+  if (member == nullptr || gone == Settings.Self.Host ||
+      successor == Standbys.end() ||
+      findMember(Entries.membership(), standby) != nullptr)
+    return Error{ErrorKind::NotFound,
+                 gone.str() + " can't be replaced by " + standby.str(),
+                 "name a member other than the leader, and a started host "
+                 "that is not a member"};
+  if (member->IsVoter && !isRemainderQuorum(gone, now))
+    return Error{ErrorKind::Unavailable,
+                 "the remaining voters are not a quorum",
+                 "wait until the other members are back"};
+  Membership next = Entries.membership();
+  std::erase_if(next.Members,
+                [&](const Member &it) { return it.Host == gone; });
+  next.Members.push_back(
+      Member{standby, successor->second.Start, successor->second.At, false});
+  changeMembership(std::move(next));
+  return finish(now);
+}
+
+void Node::probe(Instant now) {
+  NextProbe = now + Settings.ProbePeriod;
+  const uint64_t nonce = Finder.beginRound();
+  std::vector<Peer> targets = Settings.Configured;
+  for (const Member &member : Entries.membership().Members)
+    if (std::ranges::none_of(targets, [&](const Peer &peer) {
+          return peer.Host == member.Host;
+        }))
+      targets.push_back(Peer{member.Host, member.At});
+  for (const Peer &peer : targets)
+    if (peer.Host != Settings.Self.Host)
+      send(peer.Host, addressOf(peer.Host), Incarnation{},
+           Probe{nonce, Settings.Self.At});
+}
+
+void Node::seekGroup(Instant now) {
+  if (now >= NextProbe)
+    probe(now);
+  if (Hard.Group.isBlank()) {
+    if (std::optional<Membership> members =
+            Finder.foundingMembers(Settings, now))
+      foundGroup(std::move(*members), now);
+    return;
+  }
+  const bool isDiskless = Settings.Rule == Formation::WhenMajorityBlank;
+  const bool hasWaited = now >= LastLeaderContact + Settings.FormationWait;
+  const bool isReplaced =
+      Finder.servingGroup(Settings, Hard.Group, now).has_value();
+  const bool isDead =
+      isDiskless && hasWaited && !(isVoter() && isLastVoterPossible(now)) &&
+      Finder.isGroupDead(Settings, Hard.Group, Entries.membership(), now);
+  if (!isReplaced && !isDead)
+    return;
+  IsSuperseded = true;
+  Out.emplace_back(Superseded{Hard.Group});
+}
+
+// True if this host may still recover the group alone.
+bool Node::isLastVoterPossible(Instant now) const {
+  const Membership &members = Entries.membership();
+  const std::set<HostId> ended = Finder.endedMembers(Settings, members, now);
+  return voterCount(members) == quorum() &&
+         std::ranges::all_of(members.Members, [&](const Member &member) {
+           return member.Host == Settings.Self.Host ||
+                  member.IsVoter == ended.contains(member.Host);
+         });
+}
+
+void Node::foundGroup(Membership members, Instant now) {
+  bindTo(GroupId{Settings.Self.Host, Settings.Start});
+  Hard.Current = Term{1};
+  Hard.VotedFor = Settings.Self.Host;
+  Hard.VotedForStart = Settings.Start;
+  CurrentRole = Role::Leader;
+  Leader = Settings.Self.Host;
+  ElectedAt = now;
+  appendLocal(EntryKind::Membership, {}, std::move(members));
+  ReadyIndex = Entries.last();
+  syncProgress();
+  // The first members hold nothing yet.
+  for (auto &[host, peer] : Peers)
+    peer.Next = LogIndex{1};
+  updateCommit();
+  sendAll(now);
+}
+
+void Node::handle(const HostId &from, const Message &m, const Probe &body,
+                  Instant now) {
+  if (m.FromStart.Value == 0)
+    return;
+  const bool mayJoin = m.Group.isBlank() || m.Group == Hard.Group;
+  if (CurrentRole == Role::Leader && mayJoin)
+    Standbys[from] = Sighting{m.FromStart, m.Group, body.At, false, now};
+  ProbeReply answer{body.Nonce, Settings.Self.At, mayServe(now)};
+  sendSynced(from, body.At, m.FromStart, answer);
+  if (CurrentRole == Role::Leader)
+    admitStandbys(now);
+}
+
+void Node::handle(const HostId &from, const Message &m, const ProbeReply &body,
+                  Instant now) {
+  Finder.recordReply(from, m, body, now);
+  if (CurrentRole != Role::Leader && Leader.empty())
+    seekGroup(now);
+}
+
+} // namespace jujube::consensus
--- /dev/null
+++ b/jujube/consensus/options.cc
@@ -0,0 +1,77 @@
+#include "jujube/consensus/options.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "jujube/consensus/quorum.h"
+
+namespace jujube::consensus {
+
+namespace {
+
+// Instants are cut to whole milliseconds on both hosts.
+constexpr Duration RoundingMargin = Duration::millis(2);
+constexpr Duration MaxLearnerSilence = Duration::seconds(1);
+
+Error invalid(const std::string &message, const std::string &remedy) {
+  return Error{ErrorKind::InvalidArgument, message, remedy};
+}
+
+Status checkPeers(const Options &options) {
+  std::set<HostId> hosts;
+  for (const Peer &peer : options.Configured)
+    if (!hosts.insert(peer.Host).second)
+      return invalid("host " + peer.Host.str() + " is configured twice",
+                     "name each host of the group once");
+  if (options.Configured.empty())
+    return invalid("no hosts are configured",
+                   "name the hosts of the group, with this one among them");
+  const bool isConfigured = hosts.contains(options.Self.Host);
+  if (!isConfigured && options.Rule != Formation::Never)
+    return invalid("this host is not among the configured hosts",
+                   "add it, or let it only join: formation rule \"never\"");
+  if (options.Rule == Formation::WhenMajorityBlank &&
+      options.Configured.size() % 2 == 0)
+    return invalid("diskless groups need an odd number of configured hosts",
+                   "configure 1, 3 or 5 hosts");
+  return Ok{};
+}
+
+} // namespace
+
+bool isCaughtUp(const LearnerView &learner) {
+  return learner.Match >= learner.LeaderCommit &&
+         learner.Silence <= MaxLearnerSilence;
+}
+
+Duration voteRefusal(const Options &options) {
+  const int64_t drift = options.MaxDriftPerMille;
+  const int64_t ms = options.Lease.millis();
+  const int64_t slow = 1000 - drift;
+  const int64_t stretched = (ms * (1000 + drift) + slow - 1) / slow;
+  return Duration::millis(stretched) + RoundingMargin;
+}
+
+Status checkOptions(const Options &options) {
+  if (Status status = checkPeers(options); !isOk(status))
+    return status;
+  if (options.MaxDriftPerMille < 0 || options.MaxDriftPerMille > 500)
+    return invalid("the clock drift bound is out of range",
+                   "set it to 0 to 500 parts per thousand");
+  if (options.Heartbeat < Duration::millis(1) ||
+      options.Lease < options.Heartbeat * 2)
+    return invalid("the lease is shorter than two heartbeats",
+                   "lengthen the lease or shorten the heartbeat");
+  if (options.ElectionSpread < Duration::millis(1) ||
+      options.ProbePeriod < Duration::millis(1))
+    return invalid("election spread and probe period have to be positive",
+                   "set them to at least 1 ms");
+  if (options.MaxAppendBytes == 0 || options.SnapshotChunkBytes == 0)
+    return invalid("messages may hold no bytes", "raise the message bounds");
+  if (options.Start.Value == 0)
+    return invalid("the incarnation is 0", "number incarnations from 1");
+  return Ok{};
+}
+
+} // namespace jujube::consensus
--- a/jujube/consensus/options.h
+++ b/jujube/consensus/options.h
@@ -66,6 +66,8 @@
   std::size_t MaxAppendBytes = 256 * 1024;
   std::size_t SnapshotChunkBytes = 256 * 1024;
   std::size_t MaxUncommittedBytes = 8 * 1024 * 1024;
+  // Entries kept beside a snapshot for members that lag a little.
+  std::size_t RetainBytes = 1024 * 1024;
 
   PromotionHook CanPromote = isCaughtUp;
 };
