--- a/jujube/catalogue/catalogue.h
+++ b/jujube/catalogue/catalogue.h
@@ -15,6 +15,7 @@
 #include "jujube/base/ids.h"
 #include "jujube/base/result.h"
 #include "jujube/catalogue/edit.h"
+#include "jujube/catalogue/tombstone_set.h"
 
 namespace jujube::catalogue {
 
@@ -29,6 +30,8 @@
 inline constexpr std::size_t MaxKeys = 20'000;
 // Withdrawn key ids that are remembered, so that none is issued again.
 inline constexpr std::size_t MaxWithdrawnKeys = 65'536;
+// Deleted teams and entries that are remembered, to name what beat an edit.
+inline constexpr std::size_t MaxDeleted = 4096;
 
 // The first answer to an edit.
 struct Outcome {
@@ -40,19 +43,12 @@
   bool operator==(const Outcome &) const = default;
 };
 
-// An id that is no longer in use and the revision that ended it.
-struct Tombstone {
-  // "team", "entry" or "key", a space, and the id.
-  std::string Object;
-  Revision Ended;
-
-  bool operator==(const Tombstone &) const = default;
-};
-
 // Everything that a snapshot of the catalogue holds.
 struct State {
   Contents Current;
-  std::vector<Tombstone> Tombstones;
+  // Deleted teams and entries, and withdrawn keys, oldest first.
+  std::vector<Tombstone> Deleted;
+  std::vector<Tombstone> WithdrawnKeys;
   std::vector<Outcome> Outcomes;
   std::vector<Edit> RecentEdits;
   std::vector<HistoryLine> History;
@@ -113,19 +109,21 @@
   using Table = absl::btree_map<std::string, Versioned<T>>;
 
   const Outcome *findOutcome(const EditId &id) const;
-  Status validate(const Change &change) const;
+  // The revision that last changed the edited object, if it exists.
+  std::optional<Revision> changedAt(const Change &change) const;
   Status checkBase(const Edit &edit) const;
-  // Changes the tables; precondition: the edit was checked.
-  void commit(const Edit &edit);
+  Status checkReferences(const Change &change) const;
+  Status checkUnused(const TeamId &id) const;
+  // Changes the tables. Precondition: the edit was accepted.
+  void change(const Edit &edit);
   void remember(const Edit &edit, const Result<Revision> &answer);
-  void bury(std::string object);
 
   Revision Latest;
   Table<Team> Teams;
   Table<Entry> Entries;
   Table<Key> Keys;
-  absl::btree_map<std::string, Revision> Tombstones;
-  std::deque<std::string> TombstoneOrder;
+  TombstoneSet Deleted{MaxDeleted};
+  TombstoneSet WithdrawnKeys{MaxWithdrawnKeys};
   absl::btree_map<EditId, Outcome> Outcomes;
   std::deque<EditId> OutcomeOrder;
   std::deque<Edit> RecentEdits;
--- a/jujube/catalogue/follower.h
+++ b/jujube/catalogue/follower.h
@@ -37,6 +37,9 @@
   Revision latest() const { return Copy.latest(); }
 
 private:
+  // Takes in what the update holds beyond the copy.
+  Status advance(const Update &update);
+
   Duration Bound;
   Catalogue Copy;
   bool IsEverConfirmed = false;
--- /dev/null
+++ b/jujube/catalogue/force_tracker.cc
@@ -0,0 +1,47 @@
+#include "jujube/catalogue/force_tracker.h"
+
+#include <algorithm>
+
+namespace jujube::catalogue {
+
+void ForceTracker::onReply(const HostId &host, Revision has, Revision to,
+                           Instant now) {
+  Follower &follower = Followers[host];
+  follower.Has = std::max(follower.Has, has);
+  follower.LastReply = now;
+  std::erase_if(follower.Sent, [&](const Confirmation &sent) {
+    return sent.To < follower.Has || sent.SentAt + Grace <= now;
+  });
+  if (!follower.Sent.empty() && follower.Sent.back().To == to)
+    follower.Sent.back().SentAt = now;
+  else
+    follower.Sent.push_back({to, now});
+}
+
+bool ForceTracker::isInForce(Revision revision, Instant now) const {
+  const bool isPredecessorOver = now >= Takeover + Grace;
+  const auto holds = [&](const auto &row) {
+    const Follower &follower = row.second;
+    return follower.Has >= revision ||
+           std::ranges::all_of(follower.Sent, [&](const Confirmation &sent) {
+             return sent.To >= revision || now >= sent.SentAt + Grace;
+           });
+  };
+  return isPredecessorOver && std::ranges::all_of(Followers, holds);
+}
+
+std::vector<HostId> ForceTracker::freshHosts(Instant now) const {
+  std::vector<HostId> hosts;
+  for (const auto &[host, follower] : Followers)
+    if (now < follower.LastReply + Grace)
+      hosts.push_back(host);
+  return hosts;
+}
+
+void ForceTracker::forgetSilent(Instant now, Duration span) {
+  const Duration kept = std::max(span, Grace);
+  for (auto it = Followers.begin(); it != Followers.end();)
+    it = now - it->second.LastReply > kept ? Followers.erase(it) : ++it;
+}
+
+} // namespace jujube::catalogue
