--- a/jujube/limits/slice_ledger.h
+++ b/jujube/limits/slice_ledger.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "absl/container/btree_map.h"
-#include "absl/container/btree_set.h"
 
 #include "jujube/base/result.h"
 #include "jujube/limits/types.h"
@@ -32,29 +31,46 @@
   bool operator==(const LedgerTeam &) const = default;
 };
 
+// A zone and the last report that changed its lines.
+struct LedgerZone {
+  ZoneId Zone;
+  Term LeaderTerm;
+  uint64_t Sequence = 0;
+
+  bool operator==(const LedgerZone &) const = default;
+};
+
 // Everything that a snapshot of the ledger holds.
 struct LedgerState {
-  SlicePolicy Policy;
   GrantVersion Latest;
-  std::vector<ZoneId> Zones;
+  std::vector<LedgerZone> Zones;
   std::vector<LedgerTeam> Teams;
+
+  bool operator==(const LedgerState &) const = default;
 };
 
 // Replicated state machine of the fleet log; knows no time. When a lease has
-// ended is decided by the keepers' leader with a LeaseTable<ZoneId>: it sends a
-// reply only if renew() allows it, and proposes ReclaimBorrowed when hasEnded()
-// says so and `holdsBorrowed()`; after that is applied it calls reset().
+// ended is decided by the keepers' leader with a LeaseTable<ZoneId>, made when
+// it has applied its first own entry of the log. To answer a report:
+//   1. propose commandFor(report), if any, and wait until it is applied;
+//   2. if the table's renew() refuses and holdsBorrowed(): propose
+//      ReclaimBorrowed and wait until it is applied;
+//   3. if renew() refused, reset() the lease;
+//   4. send replyTo(report), under the leader lease of the keepers' group.
+// Once a second it proposes ReclaimBorrowed for every zone that is ended() and
+// holdsBorrowed().
 class SliceLedger {
 public:
   explicit SliceLedger(SlicePolicy policy = {}) : Policy(policy) {}
 
   void apply(const SliceCommand &command);
 
-  // The command that a report calls for, or nothing if it changes nothing. Its
-  // lines are only those that matter.
+  // The command that a report calls for, or nothing if it changes nothing:
+  // AddZone for an unknown zone, else ApplyReport with the lines that matter.
   std::optional<SliceCommand> commandFor(const SliceReport &report) const;
 
-  // The answer to a report, from the applied state.
+  // The answer to a report, from the applied state. Send it only after the
+  // report's command was applied.
   SliceReply replyTo(const SliceReport &report) const;
 
   bool hasZone(const ZoneId &zone) const { return Zones.contains(zone); }
@@ -68,16 +84,29 @@
   bool isInForce(const TeamId &team) const;
 
   LedgerState state() const;
-  static Result<SliceLedger> fromState(const LedgerState &state);
+  static Result<SliceLedger> fromState(const LedgerState &state,
+                                       SlicePolicy policy = {});
 
 private:
   struct Part {
     Slice Held;
     Resources Wanted;
+
+    // True if the zone wants more than it holds.
+    bool isWanting() const { return !Wanted.fitsIn(Held.total()); }
   };
   struct TeamLine {
     Resources Ceiling;
     absl::btree_map<ZoneId, Part> Parts;
+
+    Resources held() const;
+    bool isWanted() const;
+  };
+  struct ReportMark {
+    Term LeaderTerm;
+    uint64_t Sequence = 0;
+
+    auto operator<=>(const ReportMark &) const = default;
   };
 
   void on(const AddZone &command);
@@ -86,21 +115,28 @@
   void on(const ApplyReport &command);
   void on(const ReclaimBorrowed &command);
 
+  const TeamLine *findTeam(const TeamId &team) const;
+  bool isOutdated(const SliceReport &report) const;
+  bool matters(const ZoneId &zone, const ReportLine &line) const;
+
+  // A zone's guaranteed part when nothing else speaks against it.
   Resources entitlement(const TeamLine &line) const;
-  bool isContended(const TeamLine &line) const;
-  bool matters(const SliceReport &report, const ReportLine &line) const;
+  // What a zone should hold while there is too little for all.
+  Resources limitOf(const TeamLine &line, const ZoneId &zone) const;
+  // The part of limitOf() that does not depend on what is left over.
+  Resources baseOf(const TeamLine &line, const Part &part) const;
   std::optional<Guidance> guidanceFor(const TeamId &team, const TeamLine &line,
                                       const ZoneId &zone) const;
+
   // Hands out what is free.
   void distribute(TeamLine &line);
-  void restoreGuaranteed(TeamLine &line, Resources &freePart);
-  void lendFree(TeamLine &line, Resources &freePart);
-  void raise(Part &part, const Resources &guaranteed,
-             const Resources &borrowed);
+  void restoreGuaranteed(TeamLine &line, Resources &unheld);
+  void lend(TeamLine &line, Resources &unheld);
+  void stamp(Slice &slice);
 
   SlicePolicy Policy;
   GrantVersion Latest;
-  absl::btree_set<ZoneId> Zones;
+  absl::btree_map<ZoneId, ReportMark> Zones;
   absl::btree_map<TeamId, TeamLine> Teams;
 };
 
--- a/jujube/limits/zone_slices.h
+++ b/jujube/limits/zone_slices.h
@@ -2,6 +2,7 @@
 #ifndef JUJUBE_LIMITS_ZONE_SLICES_H_
 #define JUJUBE_LIMITS_ZONE_SLICES_H_
 
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -50,7 +51,8 @@
   bool isSettled(Instant now) const;
 
   // Once a second: parts to let go, to be journaled before they are reported.
-  // What is let go can't be used from this call on.
+  // What is let go can't be used from this call on. `Used` includes offers that
+  // are proposed but not committed yet.
   std::optional<SliceUpdate> letGo(const std::vector<TeamDemand> &demands,
                                    Instant now);
 
@@ -70,15 +72,19 @@
   struct Line {
     // As committed.
     Slice Held;
-    // What has been proposed to be let go but is not committed yet is taken
-    // off.
-    Resources Guaranteed;
-    Resources Borrowed;
+    // Proposed to be let go; void once `Held` has another version.
+    std::optional<Slice> LetGo;
+    Instant LetGoAt;
+    // Received but not committed yet.
+    std::optional<Slice> Pending;
     std::optional<Guidance> Advice;
-    Resources ReportedWanted;
+    // As last acknowledged by the keepers.
+    std::optional<ReportLine> Reported;
     // Since when something borrowed has been idle.
     Instant IdleSince = Instant::never();
-    bool IsReported = false;
+
+    // What can be relied on whichever proposals are committed.
+    Slice effective() const;
   };
   struct SentReport {
     uint64_t Sequence;
@@ -87,8 +93,9 @@
   };
 
   bool isBorrowedUsable(Instant now) const;
-  Resources keepOf(Line &line, const TeamDemand &demand, Instant now);
-  void acknowledge(const SentReport &sent);
+  // What is to be let go of the line; zero amounts if nothing.
+  Slice excessOf(Line &line, const TeamDemand &demand, Instant now) const;
+  void acknowledge(const SentReport &sent, const SliceReply &reply);
 
   ZoneId Zone;
   Term LeaderTerm;
@@ -99,7 +106,7 @@
   Instant LeaseEnd;
   uint64_t LastSequence = 0;
   uint64_t LastAnswered = 0;
-  std::vector<SentReport> Unanswered;
+  std::deque<SentReport> Unanswered;
   absl::btree_map<TeamId, Line> Lines;
 };
 
