Routing: credit ledger and router, first working version

Cause: live requests need slots leased over entry hosts. Change: the ledger bounds each holder by its report and its unconfirmed grants; the router queues per team, dispatches on leased credits, retries within a budget, hedges idempotent requests, spills to other zones and drains.

--- a/jujube/routing/actions.h
+++ b/jujube/routing/actions.h
@@ -93,7 +93,7 @@
 };
 
 // Answer the caller that the outcome is not known; the request is not tried
-// again.
+// again. A later Deliver, Fail or Shed of the request resolves it.
 struct MarkUnresolved {
   RequestId Request;
   RunnerId Runner;
@@ -103,6 +103,18 @@
   bool operator==(const MarkUnresolved &) const = default;
 };
 
+// Ask the runner what became of a lost attempt, and report the reply with
+// Router::answered(). A runner that has not seen the attempt must refuse it
+// from then on, so that Refused is certain.
+struct Inquire {
+  RequestId Request;
+  RunnerId Runner;
+  Address Http;
+  uint32_t Attempt = 1;
+
+  bool operator==(const Inquire &) const = default;
+};
+
 // Pass the request on to another entry host: this one is draining and it has
 // not left yet.
 struct HandOver {
@@ -119,7 +131,7 @@
 };
 
 using RouterAction = std::variant<Dispatch, JournalOffer, Shed, Deliver, Fail,
-                                  MarkUnresolved, HandOver, ReportNow>;
+                                  MarkUnresolved, Inquire, HandOver, ReportNow>;
 using RouterActions = std::vector<RouterAction>;
 
 } // namespace jujube::routing
--- /dev/null
+++ b/jujube/routing/credit_ledger.cc
@@ -0,0 +1,261 @@
+#include "jujube/routing/credit_ledger.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <ranges>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/routing/fair_slots.h"
+
+namespace jujube::routing {
+namespace {
+
+// Grants that a holder has not confirmed; beyond it the last is repeated.
+constexpr std::size_t MaxOutstanding = 8;
+// Preference for runners that the holder uses or holds already, in slots.
+constexpr int64_t InUseBonus = 1000;
+constexpr int64_t HeldBonus = 1;
+
+uint32_t creditsFor(const CreditGrant &grant, const RunnerId &id) {
+  const auto it = std::ranges::find(grant.Credits, id, &RunnerCredits::Runner);
+  return it == grant.Credits.end() ? 0 : it->Credits;
+}
+
+} // namespace
+
+CreditLedger::CreditLedger(LedgerOptions options, Instant now)
+    : Options(std::move(options)), StartedAt(now),
+      GrantsFrom(now + withDrift(Options.Lease + Options.MaxRequestTime)) {}
+
+Result<CreditLedger> CreditLedger::create(LedgerOptions options, Instant now) {
+  if (options.Lease <= Duration() || options.MaxRequestTime <= Duration() ||
+      options.RunnerLease <= Duration())
+    return Error{ErrorKind::InvalidArgument,
+                 "a credit ledger needs leases and request times over 0 ms",
+                 "set the credit lease, the request time and the runner lease"};
+  return CreditLedger(std::move(options), now);
+}
+
+Duration CreditLedger::withDrift(Duration span) const {
+  return span + span * Options.DriftPermille / 1000;
+}
+
+void CreditLedger::announce(const RunnerAnnouncement &announcement,
+                            Instant now) {
+  const auto [it, isNew] =
+      Runners.try_emplace(announcement.Runner, Runner{announcement, now});
+  if (isNew)
+    return;
+  RunnerAnnouncement &known = it->second.Announcement;
+  if (announcement.Start < known.Start)
+    return;
+  const bool wasLeaving = known.IsLeaving && announcement.Start == known.Start;
+  known = announcement;
+  known.IsLeaving = known.IsLeaving || wasLeaving;
+  it->second.LastSeen = now;
+}
+
+bool CreditLedger::isUsable(const Runner &runner, Instant now) const {
+  return !runner.Announcement.IsLeaving &&
+         now - runner.LastSeen < Options.RunnerLease;
+}
+
+uint32_t CreditLedger::boundOf(const HolderState &holder,
+                               const RunnerId &id) const {
+  const auto use = holder.Uses.find(id);
+  const uint32_t held = use == holder.Uses.end()
+                            ? 0
+                            : std::max(use->second.Held, use->second.InFlight);
+  return std::accumulate(holder.Outstanding.begin(), holder.Outstanding.end(),
+                         held, [&](uint32_t bound, const CreditGrant &grant) {
+                           return std::max(bound, creditsFor(grant, id));
+                         });
+}
+
+uint32_t CreditLedger::committed(const RunnerId &id) const {
+  return std::accumulate(Holders.begin(), Holders.end(), 0U,
+                         [&](uint32_t sum, const auto &row) {
+                           return sum + boundOf(row.second, id);
+                         });
+}
+
+// The early start needs that every entry host has left the predecessor's term
+// and that none was restarted while requests of its last start may go on.
+bool CreditLedger::haveAllReported() const {
+  const Duration quiet = withDrift(Options.Lease + Options.MaxRequestTime);
+  const auto hasReported = [&](const HostId &host) {
+    return std::ranges::any_of(Holders, [&](const auto &row) {
+      const EntryReport &last = row.second.Last;
+      return row.first.Host == host && last.AppliedTerm == Options.LedgerTerm &&
+             last.UpFor >= quiet;
+    });
+  };
+  return !Options.EntryHosts.empty() &&
+         std::ranges::all_of(Options.EntryHosts, hasReported);
+}
+
+bool CreditLedger::isWaiting(Instant now) const {
+  return now < GrantsFrom && !haveAllReported();
+}
+
+void CreditLedger::expectEntryHosts(std::set<HostId> hosts) {
+  Options.EntryHosts = std::move(hosts);
+}
+
+void CreditLedger::confirm(HolderState &holder, const EntryReport &report) {
+  holder.Last = report;
+  holder.Uses.clear();
+  for (const RunnerUse &use : report.Runners)
+    holder.Uses[use.Runner] = use;
+  if (report.AppliedTerm != Options.LedgerTerm)
+    return;
+  std::erase_if(holder.Outstanding, [&](const CreditGrant &grant) {
+    return grant.Serial <= report.AppliedGrant;
+  });
+}
+
+std::optional<CreditGrant> CreditLedger::report(const EntryReport &report,
+                                                Instant now) {
+  if (report.Zone != Options.Zone || report.AppliedTerm > Options.LedgerTerm)
+    return std::nullopt;
+  HolderState &holder = Holders[report.From];
+  if (report.Sequence <= holder.Last.Sequence)
+    return std::nullopt;
+  confirm(holder, report);
+  holder.ReportedAt = now;
+  holder.GoneAt = now + withDrift(Options.Lease + Options.MaxRequestTime);
+  if (isWaiting(now))
+    return issue(holder, renewals(holder));
+  return issue(holder, allotments(report.From, holder, now));
+}
+
+CreditLedger::Wanted CreditLedger::renewals(const HolderState &holder) const {
+  Wanted wanted;
+  for (const auto &[id, use] : holder.Uses)
+    wanted[id] = use.Held;
+  return wanted;
+}
+
+CreditLedger::Wanted CreditLedger::allotments(const Holder &id,
+                                              const HolderState &holder,
+                                              Instant now) const {
+  Wanted wanted;
+  // Runners that this leader has not heard of yet keep what they have.
+  if (now - StartedAt < Options.RunnerLease)
+    for (const auto &[runner, use] : holder.Uses)
+      if (!Runners.contains(runner))
+        wanted[runner] = use.Held;
+  std::set<EntryId> desks;
+  for (const TeamDemand &demand : holder.Last.Demand)
+    desks.insert(demand.Entry);
+  for (const EntryId &desk : desks)
+    allotDesk(desk, id, holder, now, wanted);
+  return wanted;
+}
+
+std::vector<CreditLedger::Place>
+CreditLedger::placesOf(const EntryId &entry, const HolderState &holder,
+                       Instant now) const {
+  std::vector<Place> places;
+  for (const auto &[id, runner] : Runners) {
+    if (runner.Announcement.Entry != entry || !isUsable(runner, now))
+      continue;
+    const uint32_t own = boundOf(holder, id);
+    const uint32_t others = committed(id) - own;
+    const uint32_t slots = runner.Announcement.Slots;
+    const auto use = holder.Uses.find(id);
+    Place place{id, slots > others ? slots - others : 0};
+    if (use != holder.Uses.end()) {
+      place.Limit = std::min(place.Room, use->second.Limit);
+      place.InFlight = use->second.InFlight;
+      place.Held = use->second.Held;
+    }
+    places.push_back(place);
+  }
+  return places;
+}
+
+void CreditLedger::allotDesk(const EntryId &entry, const Holder &id,
+                             const HolderState &holder, Instant now,
+                             Wanted &wanted) const {
+  std::vector<Place> places = placesOf(entry, holder, now);
+  const auto score = [](const Place &place) {
+    if (place.Given >= place.Limit)
+      return std::numeric_limits<int64_t>::min();
+    const int64_t bonus = place.Given < place.InFlight ? InUseBonus
+                          : place.Given < place.Held   ? HeldBonus
+                                                       : 0;
+    return static_cast<int64_t>(place.Room - place.Given) + bonus;
+  };
+  for (uint32_t left = target(entry, id, now); left > 0; --left) {
+    const auto best = std::ranges::max_element(places, {}, score);
+    if (best == places.end() || best->Given >= best->Limit)
+      break;
+    ++best->Given;
+  }
+  for (const Place &place : places)
+    if (place.Given > 0)
+      wanted[place.Runner] = place.Given;
+}
+
+uint32_t CreditLedger::target(const EntryId &entry, const Holder &id,
+                              Instant now) const {
+  uint32_t slots = 0;
+  for (const auto &[name, runner] : Runners)
+    if (runner.Announcement.Entry == entry && isUsable(runner, now))
+      slots += runner.Announcement.Slots;
+  std::vector<HolderDemand> demands;
+  for (const auto &[holder, state] : Holders) {
+    if (now - state.ReportedAt >= withDrift(Options.Lease))
+      continue;
+    for (const TeamDemand &demand : state.Last.Demand)
+      if (demand.Entry == entry)
+        demands.push_back({holder, demand.Team, demand.Share,
+                           demand.Queued + demand.InFlight});
+  }
+  return fairSlots(demands, id, slots);
+}
+
+CreditGrant CreditLedger::issue(HolderState &holder, const Wanted &wanted) {
+  if (holder.Outstanding.size() >= MaxOutstanding) {
+    holder.Outstanding.back().AnswersReport = holder.Last.Sequence;
+    return holder.Outstanding.back();
+  }
+  CreditGrant grant{holder.Last.From,
+                    Options.Zone,
+                    Options.LedgerTerm,
+                    ++holder.LastSerial,
+                    holder.Last.Sequence,
+                    Options.Lease,
+                    {}};
+  for (const auto &[id, credits] : wanted)
+    grant.Credits.push_back({id, credits});
+  holder.Outstanding.push_back(grant);
+  return grant;
+}
+
+void CreditLedger::tick(Instant now) {
+  std::erase_if(Holders,
+                [&](const auto &row) { return row.second.GoneAt <= now; });
+  std::erase_if(Runners, [&](const auto &row) {
+    const Duration silence = now - row.second.LastSeen;
+    return silence > Options.RunnerLease + Options.MaxRequestTime &&
+           committed(row.first) == 0;
+  });
+}
+
+std::vector<LedgerRunner> CreditLedger::runners(Instant now) const {
+  std::vector<LedgerRunner> all;
+  for (const auto &[id, runner] : Runners) {
+    LedgerRunner view{runner.Announcement, committed(id), 0,
+                      now - runner.LastSeen >= Options.RunnerLease};
+    for (const auto &[name, holder] : Holders)
+      if (const auto use = holder.Uses.find(id); use != holder.Uses.end())
+        view.InFlight += use->second.InFlight;
+    all.push_back(std::move(view));
+  }
+  return all;
+}
+
+} // namespace jujube::routing
--- a/jujube/routing/credit_ledger.h
+++ b/jujube/routing/credit_ledger.h
@@ -85,10 +85,21 @@
     // Not confirmed yet, oldest first.
     std::deque<CreditGrant> Outstanding;
     uint64_t LastSerial = 0;
+    Instant ReportedAt;
     // When nothing of it can be in progress any more unless it reports again.
     Instant GoneAt;
   };
   using Wanted = std::map<RunnerId, uint32_t>;
+  // A runner as one holder could use it.
+  struct Place {
+    RunnerId Runner;
+    // Slots that no other holder has.
+    uint32_t Room = 0;
+    uint32_t Limit = Room;
+    uint32_t InFlight = 0;
+    uint32_t Held = 0;
+    uint32_t Given = 0;
+  };
 
   CreditLedger(LedgerOptions options, Instant now);
 
@@ -101,13 +112,15 @@
   Wanted renewals(const HolderState &holder) const;
   Wanted allotments(const Holder &id, const HolderState &holder,
                     Instant now) const;
+  std::vector<Place> placesOf(const EntryId &entry, const HolderState &holder,
+                              Instant now) const;
   void allotDesk(const EntryId &entry, const Holder &id,
                  const HolderState &holder, Instant now, Wanted &wanted) const;
-  uint32_t fairSlots(const EntryId &entry, const Holder &id,
-                     uint32_t slots) const;
+  uint32_t target(const EntryId &entry, const Holder &id, Instant now) const;
   CreditGrant issue(HolderState &holder, const Wanted &wanted);
 
   LedgerOptions Options;
+  Instant StartedAt;
   Instant GrantsFrom;
   std::map<RunnerId, Runner> Runners;
   std::map<Holder, HolderState> Holders;
--- a/jujube/routing/fair_queue.cc
+++ b/jujube/routing/fair_queue.cc
@@ -68,17 +68,11 @@
   return n > 0;
 }
 
-std::vector<RequestId> FairQueue::expire(Instant now) {
-  std::vector<RequestId> expired;
-  for (auto &[team, flow] : Teams)
-    std::erase_if(flow.Waiting, [&](const QueuedRequest &waiting) {
-      if (waiting.Deadline > now)
-        return false;
-      expired.push_back(waiting.Request);
-      return true;
-    });
-  Total -= expired.size();
-  return expired;
+std::vector<RequestId> FairQueue::removeAll() {
+  std::vector<RequestId> all;
+  while (std::optional<RequestId> id = pop())
+    all.push_back(*std::move(id));
+  return all;
 }
 
 std::size_t FairQueue::sizeOf(const TeamId &team) const {
@@ -103,14 +97,6 @@
   return first;
 }
 
-Instant FairQueue::nextDeadline() const {
-  Instant first = Instant::never();
-  for (const auto &[team, flow] : Teams)
-    for (const QueuedRequest &waiting : flow.Waiting)
-      first = std::min(first, waiting.Deadline);
-  return first;
-}
-
 std::map<TeamId, uint32_t> FairQueue::queued() const {
   std::map<TeamId, uint32_t> counts;
   for (const auto &[team, flow] : Teams)
--- a/jujube/routing/fair_queue.h
+++ b/jujube/routing/fair_queue.h
@@ -17,7 +17,6 @@
 struct QueuedRequest {
   RequestId Request;
   Instant Since;
-  Instant Deadline = Instant::never();
 };
 
 // Start-time fair queueing: of the teams that wait, the one with the least
@@ -32,8 +31,7 @@
   // The request that pop() would return.
   std::optional<RequestId> front() const;
   bool remove(const TeamId &team, const RequestId &request);
-  // Removes and returns the requests whose deadline is at or before `now`.
-  std::vector<RequestId> expire(Instant now);
+  std::vector<RequestId> removeAll();
 
   std::size_t size() const { return Total; }
   bool empty() const { return Total == 0; }
@@ -42,7 +40,6 @@
   // wait.
   double shareOf(const TeamId &team, uint32_t weight) const;
   Instant oldest() const;
-  Instant nextDeadline() const;
   std::map<TeamId, uint32_t> queued() const;
 
 private:
--- a/jujube/routing/router.h
+++ b/jujube/routing/router.h
@@ -7,10 +7,10 @@
 #define JUJUBE_ROUTING_ROUTER_H_
 
 #include <cstdint>
-#include <deque>
-#include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "jujube/base/clock.h"
@@ -20,74 +20,13 @@
 #include "jujube/routing/fair_queue.h"
 #include "jujube/routing/messages.h"
 #include "jujube/routing/retry_budget.h"
+#include "jujube/routing/router_options.h"
 #include "jujube/routing/runner_health.h"
+#include "jujube/routing/runner_table.h"
 #include "jujube/routing/types.h"
 
 namespace jujube::routing {
 
-// A runner that could take a request now, as a choice hook sees it.
-struct Candidate {
-  RunnerId Runner;
-  uint32_t InFlight = 0;
-  uint32_t Credits = 0;
-  // Expected time of one request.
-  Duration Latency;
-  bool IsInOwnZone = true;
-};
-
-// Hooks of the policy; the defaults are those of production.
-struct RouterHooks {
-  // Picks an index into a list of candidates that is not empty and ordered by
-  // runner id.
-  std::function<std::size_t(const std::vector<Candidate> &)> Choose;
-};
-
-// The candidate that is expected to end the request first; one of the own zone
-// goes first.
-std::size_t chooseFastest(const std::vector<Candidate> &candidates);
-
-// Settings of a router. Lease and MaxRequestTime must be those of the ledgers.
-struct RouterOptions {
-  Holder Self;
-  ZoneId Zone;
-  Duration Lease = Duration::seconds(2);
-  Duration MaxRequestTime = Duration::seconds(10);
-  // Credits are not used in the last part of their lease.
-  Duration LeaseGuard = Duration::millis(100);
-  // A runner not heard of for this span gets nothing new.
-  Duration RunnerLease = Duration::seconds(3);
-  Duration ReportPeriod = Duration::millis(200);
-  // Least span between two reports to a zone.
-  Duration ReportGap = Duration::millis(10);
-  // The most requests in flight on one runner, for the connection budget.
-  uint32_t MaxPerRunner = 6;
-  uint32_t MaxQueuedPerTeam = 1000;
-  // Requests expected to wait longer are shed at once.
-  Duration MaxQueueWait = Duration::seconds(2);
-  // Other zones are asked for credits once a request has waited this long...
-  Duration SpillAfter = Duration::millis(40);
-  // ...and no more once none has for this span.
-  Duration SpillHold = Duration::millis(1000);
-  RetryBudgetOptions Retries;
-  HealthOptions Health;
-  RouterHooks Hooks;
-};
-
-// Counters since the router was created.
-struct RouterCounters {
-  uint64_t Submitted = 0;
-  uint64_t Dispatched = 0;
-  uint64_t Retried = 0;
-  uint64_t Hedged = 0;
-  uint64_t Delivered = 0;
-  uint64_t Failed = 0;
-  uint64_t Shed = 0;
-  uint64_t Unresolved = 0;
-  uint64_t DiscardedAnswers = 0;
-  uint64_t Spilled = 0;
-  uint64_t Reports = 0;
-};
-
 class Router {
 public:
   // Fails on spans or limits that are not positive.
@@ -96,8 +35,9 @@
   // Sets the weights of the teams' shares; teams that are not listed weigh 1.
   void setShares(const std::vector<catalogue::Team> &teams);
 
-  // Takes a request whose key has been checked. One whose id is in progress
-  // already changes nothing: its caller waits for the first.
+  // Takes a request whose key has been checked. One that is in progress already
+  // changes nothing; one that was concluded and is still remembered is
+  // concluded again. The caller looks up older answers first.
   RouterActions submit(const LiveRequest &request, Instant now);
 
   // Takes an announcement that is `age` old.
@@ -111,7 +51,8 @@
   RouterActions offerJournaled(const RequestId &id, uint32_t attempt,
                                const Status &status, Instant now);
 
-  // Tells how an attempt ended. An end that was reported before is discarded.
+  // Tells how an attempt ended, or what an Inquire found. An end that is known
+  // already is discarded.
   RouterActions answered(const RequestId &id, uint32_t attempt,
                          AttemptOutcome outcome, Instant now);
 
@@ -122,114 +63,111 @@
   // Hands over what is queued; what is in flight finishes. Later submissions
   // are handed over too.
   RouterActions beginDrain(Instant now);
-  // True once nothing is queued or in flight after beginDrain().
-  bool isDrained() const;
+  // True once nothing is queued or in flight.
+  bool isIdle() const;
 
-  // Sheds what is past its deadline, hedges, retries, and asks for reports that
-  // are due. To be called at nextWake().
+  // Sheds what can't be met, hedges, inquires, and asks for reports that are
+  // due. To be called at nextWake().
   RouterActions tick(Instant now);
   Instant nextWake(Instant now) const;
 
   // The report for the leader of `zone`; to be sent at once.
   EntryReport report(const ZoneId &zone, Instant now);
-  // The zones of all runners known, and the own zone.
-  std::vector<ZoneId> zones() const;
+  // The own zone and those of all runners known.
+  std::vector<ZoneId> zones() const { return Table.zones(); }
 
   const RouterCounters &counters() const { return Counters; }
-  // Runners as status pages show them: announcement, credits and in flight.
-  struct RunnerView {
-    RunnerAnnouncement Announcement;
-    uint32_t Credits = 0;
-    uint32_t InFlight = 0;
-    HealthState Health = HealthState::Healthy;
-  };
-  std::vector<RunnerView> runners(Instant now) const;
+  const RunnerTable &runners() const { return Table; }
+  std::size_t queued() const;
 
 private:
-  // Where one attempt stands.
   enum class AttemptState { Journaling, Sent, Lost };
   struct Attempt {
     uint32_t Number = 1;
     RunnerId Runner;
     AttemptState State = AttemptState::Sent;
     Instant StartedAt;
-    // The runner may work on it until then.
+    Duration Timeout;
+    // Counts against the runner's credits until then at the latest.
     Instant BusyUntil;
+    bool HoldsSlot = true;
+    // Lost: when to inquire or to release the slot.
+    Instant NextEvent = Instant::never();
   };
   struct Live {
     LiveRequest Request;
     Instant SubmittedAt;
     std::vector<Attempt> Attempts;
     uint32_t LastAttempt = 0;
-    bool IsQueued = true;
-    bool IsHedged = false;
-    // True once the caller got its answer; attempts may still be open.
-    bool IsConcluded = false;
-  };
-  struct RunnerState {
-    RunnerAnnouncement Announcement;
-    Instant LastSeen;
-    uint32_t Credits = 0;
-    uint32_t InFlight = 0;
-    RunnerHealth Health;
-  };
-  struct SentReport {
-    uint64_t Sequence = 0;
-    Instant SentAt;
-  };
-  struct ZoneLease {
-    Term LedgerTerm;
-    uint64_t Serial = 0;
-    Instant Until;
-    uint64_t LastSequence = 0;
-    Instant LastReport;
-    bool IsUrgent = false;
-    std::deque<SentReport> Reports;
+    bool IsQueued = false;
+    // Not worth starting from then on.
+    Instant ExpiresAt;
+    Instant HedgeAt = Instant::never();
+    // True once an attempt ran and failed.
+    bool HasFailed = false;
+    // What the caller was told; attempts may still be open.
+    std::optional<RouterAction> Conclusion;
   };
   struct Desk {
+    explicit Desk(HealthOptions options) : Typical(options) {}
+
     FairQueue Queue;
-    std::map<TeamId, uint32_t> InFlight;
-    // Other zones' credits are asked for until then.
+    // Over all runners of the entry.
+    RunnerHealth Typical;
+    // Credits of other zones are asked for until then.
     Instant SpillUntil;
   };
+  // Requests in flight per runner's zone, entry and team.
+  using FlightCounts =
+      std::map<std::pair<ZoneId, std::pair<EntryId, TeamId>>, uint32_t>;
 
   Router(RouterOptions options, Instant now);
 
+  uint32_t shareOf(const TeamId &team) const;
+  Desk &deskOf(const EntryId &entry);
+  RetryBudget &budgetOf(const TeamId &team);
+
   // router.cc: the life of a request.
-  void enqueue(Live &live, bool isFront);
-  Live *find(const RequestId &id);
-  void conclude(Live &live);
+  std::optional<Shed> refusal(const LiveRequest &request, Instant now);
+  Duration expectedWait(Desk &desk, const LiveRequest &request,
+                        Instant now) const;
+  void enqueue(Live &live, bool isFirst, Instant now);
+  void dequeue(Live &live);
+  void conclude(Live &live, RouterAction action, RouterActions &out);
+  void concludeUnserved(Live &live, Error why, Duration after,
+                        RouterActions &out);
   void forgetIfDone(const RequestId &id);
-  void release(Live &live, std::size_t index, Instant now);
-  void handleLoss(Live &live, const Attempt &attempt, AttemptOutcome outcome,
-                  Instant now, RouterActions &out);
-  void retry(Live &live, Instant now, RouterActions &out);
-  void shed(Live &live, Error why, Duration after, RouterActions &out);
-  void unresolved(Live &live, const Attempt &attempt, RouterActions &out);
-  std::optional<Duration> expectedWait(const LiveRequest &request,
-                                       Instant now) const;
-
-  // router_dispatch.cc: from queue to runner.
-  void pump(Desk &desk, const EntryId &entry, Instant now, RouterActions &out);
-  void pumpAll(Instant now, RouterActions &out);
-  std::optional<RunnerId> pick(const EntryId &entry, const Live &live,
-                               Instant now) const;
+  void finishCall(Instant now, RouterActions &out);
+
+  // router_attempts.cc: from queue to runner and back.
+  Attempt *findAttempt(const RequestId &id, uint32_t number);
+  static bool hasOpenAttempt(const Live &live);
+  void pump(const EntryId &entry, Instant now, RouterActions &out);
+  std::optional<RunnerId> pick(const Live &live, Instant now) const;
   void launch(Live &live, const RunnerId &id, Instant now, RouterActions &out);
-  Dispatch dispatchOf(const Live &live, const Attempt &attempt,
-                      Instant now) const;
-  void hedge(Instant now, RouterActions &out);
+  Dispatch dispatchOf(const Live &live, Attempt &attempt, Instant now);
+  void takeSlot(const Live &live, const Attempt &attempt);
+  void releaseSlot(const Live &live, Attempt &attempt);
+  void removeAttempt(Live &live, uint32_t number);
+  void learn(const Live &live, const Attempt &attempt, AttemptOutcome outcome,
+             Instant now);
+  void lose(Live &live, Attempt &attempt, Instant now, RouterActions &out);
+  void settle(Live &live, const Attempt &attempt, AttemptOutcome outcome,
+              Instant now, RouterActions &out);
+  void settleConcluded(Live &live, const Attempt &attempt,
+                       AttemptOutcome outcome, RouterActions &out);
+  void retry(Live &live, Error why, Instant now, RouterActions &out);
+
+  // router_timers.cc: deadlines, hedges, inquiries and reports.
   void expire(Instant now, RouterActions &out);
-  void sweepLost(Instant now);
-
-  // router_credits.cc: leases and reports.
-  bool isUsable(const RunnerState &runner, Instant now) const;
-  uint32_t freeCredits(const RunnerState &runner, Instant now) const;
-  uint32_t keptCredits(const RunnerState &runner, uint32_t reserve) const;
-  void giveBack(const ZoneId &zone, Instant now);
-  void wantCredits(const EntryId &entry, Instant now, RouterActions &out);
-  void requestReports(Instant now, RouterActions &out);
-  uint32_t queuedFor(const Desk &desk, const ZoneId &zone, const TeamId &team,
-                     Instant now) const;
+  void hedge(Instant now, RouterActions &out);
+  void followLost(Instant now, RouterActions &out);
+  void spill(Instant now);
+  void dueReports(Instant now, RouterActions &out);
+  Instant reportDue(const ZoneId &zone, Instant now) const;
+  std::vector<TeamDemand> demandFor(const ZoneId &zone, Instant now) const;
+  uint32_t spilledTo(const ZoneId &zone, const EntryId &entry, const Desk &desk,
+                     uint32_t queued, Instant now) const;
 
   RouterOptions Options;
   Instant StartedAt;
@@ -237,8 +175,13 @@
   std::map<TeamId, uint32_t> Shares;
   std::map<RequestId, Live> Requests;
   std::map<EntryId, Desk> Desks;
-  std::map<RunnerId, RunnerState> Runners;
-  std::map<ZoneId, ZoneLease> Leases;
+  RunnerTable Table;
+  FlightCounts InFlight;
+  // When queued requests expire, when requests in flight are hedged, and the
+  // next events of lost attempts.
+  std::set<std::pair<Instant, RequestId>> Expiries;
+  std::set<std::pair<Instant, RequestId>> HedgeTimes;
+  std::set<std::pair<Instant, std::pair<RequestId, uint32_t>>> LostTimes;
   std::map<TeamId, RetryBudget> Budgets;
   RouterCounters Counters;
 };
--- /dev/null
+++ b/jujube/routing/router_attempts.cc
@@ -0,0 +1,271 @@
+// From queue to runner and back: attempts and their outcomes.
+#include <algorithm>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/routing/router.h"
+
+namespace jujube::routing {
+namespace {
+
+constexpr Duration RunnerRetryAfter = Duration::millis(500);
+
+bool isUnresolved(const std::optional<RouterAction> &conclusion) {
+  return conclusion && std::holds_alternative<MarkUnresolved>(*conclusion);
+}
+
+} // namespace
+
+Router::Attempt *Router::findAttempt(const RequestId &id, uint32_t number) {
+  const auto it = Requests.find(id);
+  if (it == Requests.end())
+    return nullptr;
+  std::vector<Attempt> &attempts = it->second.Attempts;
+  const auto attempt = std::ranges::find(attempts, number, &Attempt::Number);
+  return attempt == attempts.end() ? nullptr : &*attempt;
+}
+
+bool Router::hasOpenAttempt(const Live &live) {
+  return std::ranges::any_of(live.Attempts, [](const Attempt &attempt) {
+    return attempt.State != AttemptState::Lost;
+  });
+}
+
+void Router::pump(const EntryId &entry, Instant now, RouterActions &out) {
+  Desk &desk = deskOf(entry);
+  while (const std::optional<RequestId> id = desk.Queue.front()) {
+    Live &live = Requests.at(*id);
+    const std::optional<RunnerId> runner = pick(live, now);
+    if (!runner)
+      break;
+    desk.Queue.pop();
+    dequeue(live);
+    launch(live, *runner, now, out);
+  }
+  if (!desk.Queue.empty())
+    Table.setUrgent(Options.Zone);
+}
+
+std::optional<RunnerId> Router::pick(const Live &live, Instant now) const {
+  std::vector<Candidate> candidates;
+  for (const auto &[id, runner] : Table.all()) {
+    if (runner.Announcement.Entry != live.Request.Entry)
+      continue;
+    const uint32_t free = Table.freeCredits(runner, now);
+    const bool wasTried =
+        std::ranges::find(live.Attempts, id, &Attempt::Runner) !=
+        live.Attempts.end();
+    if (free == 0 || (wasTried && hasOpenAttempt(live)))
+      continue;
+    candidates.push_back(
+        {id, runner.InFlight, runner.InFlight + free,
+         runner.Health.latency(now), runner.Announcement.Zone == Options.Zone,
+         wasTried || runner.Health.stateAt(now) != HealthState::Healthy});
+  }
+  if (candidates.empty())
+    return std::nullopt;
+  return candidates[Options.Choose(candidates)].Runner;
+}
+
+void Router::launch(Live &live, const RunnerId &id, Instant now,
+                    RouterActions &out) {
+  Attempt attempt;
+  attempt.Number = ++live.LastAttempt;
+  attempt.Runner = id;
+  attempt.StartedAt = now;
+  attempt.BusyUntil = Instant::never();
+  takeSlot(live, attempt);
+  if (Table.find(id)->Announcement.Zone != Options.Zone)
+    ++Counters.Spilled;
+  if (live.Request.IsIdempotent) {
+    out.emplace_back(dispatchOf(live, attempt, now));
+    live.HedgeAt =
+        now + std::max(Options.HedgeAfter,
+                       deskOf(live.Request.Entry).Typical.unusualLatency());
+    if (attempt.Number == 1)
+      HedgeTimes.emplace(live.HedgeAt, live.Request.Request);
+  } else {
+    attempt.State = AttemptState::Journaling;
+    out.emplace_back(JournalOffer{live.Request.Request, id, attempt.Number});
+  }
+  live.Attempts.push_back(std::move(attempt));
+}
+
+Dispatch Router::dispatchOf(const Live &live, Attempt &attempt, Instant now) {
+  const RunnerAnnouncement &runner = Table.find(attempt.Runner)->Announcement;
+  attempt.State = AttemptState::Sent;
+  attempt.StartedAt = now;
+  attempt.Timeout = std::min(live.Request.Deadline - now,
+                             Options.MaxRequestTime - Options.EndGuard);
+  attempt.BusyUntil = now + attempt.Timeout + Options.EndGuard;
+  ++Counters.Dispatched;
+  return Dispatch{live.Request.Request, attempt.Runner,
+                  runner.Http,          attempt.Number,
+                  attempt.Timeout,      Table.leaseEnd(runner.Zone)};
+}
+
+void Router::takeSlot(const Live &live, const Attempt &attempt) {
+  KnownRunner *runner = Table.find(attempt.Runner);
+  ++runner->InFlight;
+  ++InFlight[{runner->Announcement.Zone,
+              {live.Request.Entry, live.Request.Team}}];
+}
+
+void Router::releaseSlot(const Live &live, Attempt &attempt) {
+  if (!attempt.HoldsSlot)
+    return;
+  attempt.HoldsSlot = false;
+  KnownRunner *runner = Table.find(attempt.Runner);
+  --runner->InFlight;
+  const auto count = InFlight.find(
+      {runner->Announcement.Zone, {live.Request.Entry, live.Request.Team}});
+  if (--count->second == 0)
+    InFlight.erase(count);
+}
+
+void Router::removeAttempt(Live &live, uint32_t number) {
+  std::erase_if(live.Attempts, [&](const Attempt &attempt) {
+    return attempt.Number == number;
+  });
+}
+
+RouterActions Router::offerJournaled(const RequestId &id, uint32_t number,
+                                     const Status &status, Instant now) {
+  RouterActions out;
+  Attempt *attempt = findAttempt(id, number);
+  if (attempt == nullptr || attempt->State != AttemptState::Journaling)
+    return out;
+  Live &live = Requests.at(id);
+  const KnownRunner &runner = *Table.find(attempt->Runner);
+  const bool isLeased =
+      now + Options.LeaseGuard < Table.leaseEnd(runner.Announcement.Zone);
+  const bool isInTime = now < live.ExpiresAt;
+  if (isOk(status) && isInTime && isLeased && Table.isUsable(runner, now)) {
+    out.emplace_back(dispatchOf(live, *attempt, now));
+  } else {
+    releaseSlot(live, *attempt);
+    removeAttempt(live, number);
+    if (!isOk(status))
+      concludeUnserved(live, errorOf(status), RunnerRetryAfter, out);
+    else
+      enqueue(live, true, now);
+    pump(live.Request.Entry, now, out);
+    forgetIfDone(id);
+  }
+  finishCall(now, out);
+  return out;
+}
+
+RouterActions Router::answered(const RequestId &id, uint32_t number,
+                               AttemptOutcome outcome, Instant now) {
+  RouterActions out;
+  Attempt *attempt = findAttempt(id, number);
+  const bool isLost =
+      attempt != nullptr && attempt->State == AttemptState::Lost;
+  if (attempt == nullptr || attempt->State == AttemptState::Journaling ||
+      (isLost && outcome == AttemptOutcome::Unknown)) {
+    ++Counters.DiscardedAnswers;
+    return out;
+  }
+  Live &live = Requests.at(id);
+  const EntryId entry = live.Request.Entry;
+  if (!isLost)
+    learn(live, *attempt, outcome, now);
+  if (outcome == AttemptOutcome::Unknown) {
+    lose(live, *attempt, now, out);
+  } else {
+    LostTimes.erase({attempt->NextEvent, {id, number}});
+    releaseSlot(live, *attempt);
+    const Attempt ended = *attempt;
+    removeAttempt(live, number);
+    settle(live, ended, outcome, now, out);
+  }
+  forgetIfDone(id);
+  pump(entry, now, out);
+  finishCall(now, out);
+  return out;
+}
+
+void Router::learn(const Live &live, const Attempt &attempt,
+                   AttemptOutcome outcome, Instant now) {
+  RunnerHealth &typical = deskOf(live.Request.Entry).Typical;
+  // A runner is not blamed for a deadline that was too short for it.
+  if (outcome == AttemptOutcome::Unknown &&
+      now - attempt.StartedAt >= attempt.Timeout &&
+      attempt.Timeout < typical.unusualLatency())
+    return;
+  const Duration latency = now - attempt.StartedAt;
+  Table.find(attempt.Runner)
+      ->Health.observe(outcome, latency, now, typical.failureRate());
+  typical.observe(outcome, latency, now);
+}
+
+void Router::lose(Live &live, Attempt &attempt, Instant now,
+                  RouterActions &out) {
+  attempt.State = AttemptState::Lost;
+  attempt.NextEvent = live.Request.IsIdempotent ? attempt.BusyUntil : now;
+  LostTimes.insert({attempt.NextEvent, {live.Request.Request, attempt.Number}});
+  if (live.Conclusion)
+    return;
+  const Error why{
+      ErrorKind::Unavailable,
+      absl::StrCat("no whole answer of runner ", attempt.Runner.str()),
+      "retry later"};
+  if (live.Request.IsIdempotent)
+    return retry(live, why, now, out);
+  concludeUnserved(live, why, RunnerRetryAfter, out);
+}
+
+void Router::settle(Live &live, const Attempt &attempt, AttemptOutcome outcome,
+                    Instant now, RouterActions &out) {
+  if (live.Conclusion)
+    return settleConcluded(live, attempt, outcome, out);
+  const RequestId &id = live.Request.Request;
+  if (outcome == AttemptOutcome::Answered) {
+    ++Counters.Delivered;
+    return conclude(live, Deliver{id, attempt.Runner, attempt.Number}, out);
+  }
+  const bool hasFailed = outcome == AttemptOutcome::Failed;
+  live.HasFailed = live.HasFailed || hasFailed;
+  const Error why{
+      ErrorKind::Unavailable,
+      absl::StrCat("runner ", attempt.Runner.str(), " ",
+                   std::string(nameIn(AttemptOutcomeNames, outcome))),
+      hasFailed ? "check the request, then send it under a new id"
+                : "retry later"};
+  if (hasFailed && !live.Request.IsIdempotent)
+    return concludeUnserved(live, why, RunnerRetryAfter, out);
+  retry(live, why, now, out);
+}
+
+// A later outcome of a request whose caller was told that it is not known.
+void Router::settleConcluded(Live &live, const Attempt &attempt,
+                             AttemptOutcome outcome, RouterActions &out) {
+  if (!isUnresolved(live.Conclusion))
+    return;
+  const RequestId &id = live.Request.Request;
+  const Error why{ErrorKind::Unavailable,
+                  absl::StrCat("resolved by runner ", attempt.Runner.str()),
+                  "send the request again under a new id"};
+  if (outcome == AttemptOutcome::Answered)
+    return conclude(live, Deliver{id, attempt.Runner, attempt.Number}, out);
+  live.HasFailed = live.HasFailed || outcome == AttemptOutcome::Failed;
+  if (!live.Attempts.empty())
+    return;
+  if (live.HasFailed)
+    return conclude(live, Fail{id, attempt.Runner, attempt.Number, why}, out);
+  conclude(live, Shed{id, why, RunnerRetryAfter}, out);
+}
+
+void Router::retry(Live &live, Error why, Instant now, RouterActions &out) {
+  if (hasOpenAttempt(live))
+    return;
+  const bool mayRetry = live.LastAttempt < Options.MaxAttempts &&
+                        budgetOf(live.Request.Team).spend();
+  if (!mayRetry)
+    return concludeUnserved(live, std::move(why), RunnerRetryAfter, out);
+  ++Counters.Retried;
+  enqueue(live, true, now);
+}
+
+} // namespace jujube::routing
--- /dev/null
+++ b/jujube/routing/router_timers.cc
@@ -0,0 +1,175 @@
+// Deadlines, hedges, inquiries about lost attempts, and reports.
+#include <algorithm>
+#include <ranges>
+
+#include "jujube/routing/router.h"
+
+namespace jujube::routing {
+namespace {
+
+constexpr Duration ExpiredRetryAfter = Duration::millis(500);
+
+} // namespace
+
+RouterActions Router::tick(Instant now) {
+  RouterActions out;
+  expire(now, out);
+  followLost(now, out);
+  const auto names = Desks | std::views::keys;
+  for (const EntryId &entry : std::vector<EntryId>(names.begin(), names.end()))
+    pump(entry, now, out);
+  hedge(now, out);
+  finishCall(now, out);
+  return out;
+}
+
+Instant Router::nextWake(Instant now) const {
+  Instant next = Instant::never();
+  for (const ZoneId &zone : Table.zones())
+    next = std::min(next, reportDue(zone, now));
+  if (!Expiries.empty())
+    next = std::min(next, Expiries.begin()->first);
+  if (!HedgeTimes.empty())
+    next = std::min(next, HedgeTimes.begin()->first);
+  if (!LostTimes.empty())
+    next = std::min(next, LostTimes.begin()->first);
+  for (const auto &[entry, desk] : Desks)
+    if (const Instant spillAt = desk.Queue.oldest() + Options.SpillAfter;
+        spillAt > now)
+      next = std::min(next, spillAt);
+  return next;
+}
+
+void Router::expire(Instant now, RouterActions &out) {
+  while (!Expiries.empty() && Expiries.begin()->first <= now) {
+    const RequestId id = Expiries.begin()->second;
+    concludeUnserved(Requests.at(id),
+                     {ErrorKind::DeadlineExceeded,
+                      "no slot became free before the deadline",
+                      "retry later, or allow a longer timeout"},
+                     ExpiredRetryAfter, out);
+    forgetIfDone(id);
+  }
+}
+
+void Router::hedge(Instant now, RouterActions &out) {
+  while (!HedgeTimes.empty() && HedgeTimes.begin()->first <= now) {
+    const RequestId id = HedgeTimes.begin()->second;
+    HedgeTimes.erase(HedgeTimes.begin());
+    Live &live = Requests.at(id);
+    const bool isBusy = !deskOf(live.Request.Entry).Queue.empty();
+    if (isBusy || live.IsQueued || !hasOpenAttempt(live) ||
+        live.LastAttempt >= Options.MaxAttempts)
+      continue;
+    const std::optional<RunnerId> runner = pick(live, now);
+    if (!runner || !budgetOf(live.Request.Team).spend())
+      continue;
+    ++Counters.Hedged;
+    launch(live, *runner, now, out);
+  }
+}
+
+void Router::followLost(Instant now, RouterActions &out) {
+  while (!LostTimes.empty() && LostTimes.begin()->first <= now) {
+    const auto [id, number] = LostTimes.begin()->second;
+    LostTimes.erase(LostTimes.begin());
+    Live &live = Requests.at(id);
+    Attempt &attempt = *findAttempt(id, number);
+    if (now >= attempt.BusyUntil)
+      releaseSlot(live, attempt);
+    const bool isOver = live.Request.IsIdempotent ||
+                        now >= attempt.StartedAt + Options.ResolveWithin;
+    if (isOver && !attempt.HoldsSlot) {
+      // A request that is tried again keeps the fact that it may have run.
+      if (live.Conclusion)
+        removeAttempt(live, number);
+      forgetIfDone(id);
+      continue;
+    }
+    if (!isOver)
+      out.emplace_back(Inquire{id, attempt.Runner,
+                               Table.find(attempt.Runner)->Announcement.Http,
+                               number});
+    attempt.NextEvent = now + Options.InquiryPeriod;
+    LostTimes.insert({attempt.NextEvent, {id, number}});
+  }
+}
+
+void Router::spill(Instant now) {
+  for (auto &[entry, desk] : Desks) {
+    if (desk.Queue.empty())
+      continue;
+    const bool isSlow = now - desk.Queue.oldest() >= Options.SpillAfter;
+    if (!isSlow && Table.isServedIn(Options.Zone, entry, now))
+      continue;
+    desk.SpillUntil = now + Options.SpillHold;
+    for (const ZoneId &zone : Table.zones())
+      if (zone != Options.Zone && Table.isServedIn(zone, entry, now))
+        Table.setUrgent(zone);
+  }
+}
+
+Instant Router::reportDue(const ZoneId &zone, Instant now) const {
+  const bool isActive =
+      !demandFor(zone, now).empty() ||
+      std::ranges::any_of(Table.all(), [&](const auto &row) {
+        return row.second.Announcement.Zone == zone && row.second.Credits > 0;
+      });
+  const Duration period = Table.isUrgent(zone) ? Options.ReportGap
+                          : isActive           ? Options.ReportPeriod
+                                               : Options.IdleReportPeriod;
+  return Table.lastReport(zone) + period;
+}
+
+void Router::dueReports(Instant now, RouterActions &out) {
+  for (const ZoneId &zone : Table.zones())
+    if (reportDue(zone, now) <= now)
+      out.emplace_back(ReportNow{zone});
+}
+
+uint32_t Router::spilledTo(const ZoneId &zone, const EntryId &entry,
+                           const Desk &desk, uint32_t queued,
+                           Instant now) const {
+  if (zone == Options.Zone)
+    return queued;
+  if (now >= desk.SpillUntil || !Table.isServedIn(zone, entry, now))
+    return 0;
+  const std::vector<ZoneId> zones = Table.zones();
+  const auto others = static_cast<uint32_t>(
+      std::ranges::count_if(zones, [&](const ZoneId &other) {
+        return other != Options.Zone && Table.isServedIn(other, entry, now);
+      }));
+  return (queued + others - 1) / others;
+}
+
+std::vector<TeamDemand> Router::demandFor(const ZoneId &zone,
+                                          Instant now) const {
+  std::map<std::pair<EntryId, TeamId>, TeamDemand> rows;
+  const auto rowOf = [&](const EntryId &entry,
+                         const TeamId &team) -> TeamDemand & {
+    return rows
+        .try_emplace({entry, team}, TeamDemand{entry, team, shareOf(team)})
+        .first->second;
+  };
+  for (const auto &[entry, desk] : Desks)
+    for (const auto &[team, queued] : desk.Queue.queued())
+      if (const uint32_t n = spilledTo(zone, entry, desk, queued, now); n > 0)
+        rowOf(entry, team).Queued = n;
+  for (const auto &[key, n] : InFlight)
+    if (key.first == zone)
+      rowOf(key.second.first, key.second.second).InFlight = n;
+  std::vector<TeamDemand> demand;
+  for (auto &[key, row] : rows)
+    demand.push_back(std::move(row));
+  return demand;
+}
+
+EntryReport Router::report(const ZoneId &zone, Instant now) {
+  ++Counters.Reports;
+  EntryReport report = Table.beginReport(zone, now);
+  report.UpFor = now - StartedAt;
+  report.Demand = demandFor(zone, now);
+  return report;
+}
+
+} // namespace jujube::routing
--- a/jujube/routing/runner_health.cc
+++ b/jujube/routing/runner_health.cc
@@ -21,7 +21,9 @@
       DeviationMs(MeanMs / 2), BackOff(options.FirstBackOff) {}
 
 void RunnerHealth::observe(AttemptOutcome outcome, Duration latency,
-                           Instant now) {
+                           Instant now, double peerFailureRate) {
+  LastObserved = now;
+  State = stateAt(now);
   const double failed = isFailure(outcome) ? 1 : 0;
   FailureRate += Options.Gain * (failed - FailureRate);
   ++Observations;
@@ -32,10 +34,11 @@
     DeviationMs += Options.Gain * (std::abs(error) - DeviationMs);
   }
   Successes = isFailure(outcome) ? 0 : Successes + 1;
+  const double limit =
+      std::max(Options.MaxFailureRate, peerFailureRate + Options.MinExcessRate);
   const bool fails = State == HealthState::Probation
                          ? isFailure(outcome)
-                         : Observations >= Options.MinObservations &&
-                               FailureRate > Options.MaxFailureRate;
+                         : hasLearned() && FailureRate > limit;
   if (fails && State != HealthState::Suspended)
     return suspend(now);
   if (State == HealthState::Probation &&
@@ -50,9 +53,10 @@
   Successes = 0;
 }
 
-void RunnerHealth::refresh(Instant now) {
-  if (State == HealthState::Suspended && now >= Until)
-    State = HealthState::Probation;
+HealthState RunnerHealth::stateAt(Instant now) const {
+  return State == HealthState::Suspended && now >= Until
+             ? HealthState::Probation
+             : State;
 }
 
 void RunnerHealth::reset() {
@@ -63,8 +67,12 @@
   BackOff = Options.FirstBackOff;
 }
 
-Duration RunnerHealth::latency() const {
-  return Duration::millis(std::max<int64_t>(1, std::llround(MeanMs)));
+Duration RunnerHealth::latency(Instant now) const {
+  const double halfLives = static_cast<double>((now - LastObserved).millis()) /
+                           static_cast<double>(Options.HalfLife.millis());
+  const double faded =
+      Observations == 0 ? MeanMs : MeanMs * std::exp2(-halfLives);
+  return Duration::millis(std::max<int64_t>(1, std::llround(faded)));
 }
 
 Duration RunnerHealth::unusualLatency() const {
--- a/jujube/routing/runner_health.h
+++ b/jujube/routing/runner_health.h
@@ -30,8 +30,10 @@
 struct HealthOptions {
   // Weight of the newest observation.
   double Gain = 0.1;
-  // Suspended above this failure rate, once MinObservations were made.
+  // Suspended above this failure rate, once MinObservations were made...
   double MaxFailureRate = 0.5;
+  // ...and only if it exceeds that of all runners by this.
+  double MinExcessRate = 0.3;
   uint32_t MinObservations = 5;
   Duration FirstBackOff = Duration::millis(1000);
   Duration MaxBackOff = Duration::seconds(30);
@@ -39,6 +41,8 @@
   uint32_t ProbationSuccesses = 5;
   // Assumed before the first observation.
   Duration InitialLatency = Duration::millis(50);
+  // Without observations the remembered latency halves in this span.
+  Duration HalfLife = Duration::seconds(10);
 };
 
 // Exponentially weighted averages and a circuit breaker with back-off.
@@ -46,17 +50,22 @@
 public:
   explicit RunnerHealth(HealthOptions options = {});
 
-  void observe(AttemptOutcome outcome, Duration latency, Instant now);
-  // Moves from Suspended to Probation once the back-off has passed.
-  void refresh(Instant now);
+  // `peerFailureRate` is that of all runners of the entry: what fails
+  // everywhere is not blamed on one runner.
+  void observe(AttemptOutcome outcome, Duration latency, Instant now,
+               double peerFailureRate = 0);
   // Forgets failures, after a restart of the runner.
   void reset();
 
-  HealthState state() const { return State; }
-  Duration latency() const;
+  // Probation follows once the back-off of a suspension has passed.
+  HealthState stateAt(Instant now) const;
+  // Fades while nothing is observed, so that a runner that was slow is tried
+  // again.
+  Duration latency(Instant now) const;
   // Mean plus four mean deviations: later answers are unusual.
   Duration unusualLatency() const;
-  Instant suspendedUntil() const { return Until; }
+  bool hasLearned() const { return Observations >= Options.MinObservations; }
+  double failureRate() const { return FailureRate; }
 
 private:
   void suspend(Instant now);
@@ -70,6 +79,7 @@
   uint32_t Successes = 0;
   Duration BackOff;
   Instant Until;
+  Instant LastObserved;
 };
 
 } // namespace jujube::routing
