Router: expire before dispatch, cheaper due-report check

Cause: a queued request could start after its deadline, and each event scanned all demand. Change: pump() expires first; reportDue() looks at counts only.

--- a/jujube/routing/router.cc
+++ b/jujube/routing/router.cc
@@ -164,6 +164,10 @@
 void Router::conclude(Live &live, RouterAction action, RouterActions &out) {
   dequeue(live);
   HedgeTimes.erase({live.HedgeAt, live.Request.Request});
+  // Kept only for the fact that they may have run.
+  std::erase_if(live.Attempts, [&](const Attempt &attempt) {
+    return live.Request.IsIdempotent && !attempt.HoldsSlot;
+  });
   live.Conclusion = action;
   out.push_back(std::move(action));
 }
--- a/jujube/routing/router.h
+++ b/jujube/routing/router.h
@@ -164,7 +164,7 @@
   void followLost(Instant now, RouterActions &out);
   void spill(Instant now);
   void dueReports(Instant now, RouterActions &out);
-  Instant reportDue(const ZoneId &zone, Instant now) const;
+  Instant reportDue(const ZoneId &zone) const;
   std::vector<TeamDemand> demandFor(const ZoneId &zone, Instant now) const;
   uint32_t spilledTo(const ZoneId &zone, const EntryId &entry, const Desk &desk,
                      uint32_t queued, Instant now) const;
--- a/jujube/routing/router_attempts.cc
+++ b/jujube/routing/router_attempts.cc
@@ -32,6 +32,7 @@
 }
 
 void Router::pump(const EntryId &entry, Instant now, RouterActions &out) {
+  expire(now, out);
   Desk &desk = deskOf(entry);
   while (const std::optional<RequestId> id = desk.Queue.front()) {
     Live &live = Requests.at(*id);
@@ -39,7 +40,8 @@
     if (!runner)
       break;
     desk.Queue.pop();
-    dequeue(live);
+    live.IsQueued = false;
+    Expiries.erase({live.ExpiresAt, *id});
     launch(live, *runner, now, out);
   }
   if (!desk.Queue.empty())
@@ -79,11 +81,12 @@
     ++Counters.Spilled;
   if (live.Request.IsIdempotent) {
     out.emplace_back(dispatchOf(live, attempt, now));
-    live.HedgeAt =
-        now + std::max(Options.HedgeAfter,
-                       deskOf(live.Request.Entry).Typical.unusualLatency());
-    if (attempt.Number == 1)
+    if (attempt.Number == 1) {
+      live.HedgeAt =
+          now + std::max(Options.HedgeAfter,
+                         deskOf(live.Request.Entry).Typical.unusualLatency());
       HedgeTimes.emplace(live.HedgeAt, live.Request.Request);
+    }
   } else {
     attempt.State = AttemptState::Journaling;
     out.emplace_back(JournalOffer{live.Request.Request, id, attempt.Number});
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -26,7 +26,7 @@
 Instant Router::nextWake(Instant now) const {
   Instant next = Instant::never();
   for (const ZoneId &zone : Table.zones())
-    next = std::min(next, reportDue(zone, now));
+    next = std::min(next, reportDue(zone));
   if (!Expiries.empty())
     next = std::min(next, Expiries.begin()->first);
   if (!HedgeTimes.empty())
@@ -109,12 +109,11 @@
   }
 }
 
-Instant Router::reportDue(const ZoneId &zone, Instant now) const {
+Instant Router::reportDue(const ZoneId &zone) const {
+  const auto flight = InFlight.lower_bound({zone, {}});
   const bool isActive =
-      !demandFor(zone, now).empty() ||
-      std::ranges::any_of(Table.all(), [&](const auto &row) {
-        return row.second.Announcement.Zone == zone && row.second.Credits > 0;
-      });
+      Table.creditsIn(zone) > 0 ||
+      (flight != InFlight.end() && flight->first.first == zone);
   const Duration period = Table.isUrgent(zone) ? Options.ReportGap
                           : isActive           ? Options.ReportPeriod
                                                : Options.IdleReportPeriod;
@@ -123,7 +122,7 @@
 
 void Router::dueReports(Instant now, RouterActions &out) {
   for (const ZoneId &zone : Table.zones())
-    if (reportDue(zone, now) <= now)
+    if (reportDue(zone) <= now)
       out.emplace_back(ReportNow{zone});
 }
 
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -67,6 +67,8 @@
 
 bool RunnerTable::replaceCredits(const CreditGrant &grant) {
   bool hasFreed = false;
+  uint32_t &total = Leases[grant.Zone].Credits;
+  total = 0;
   for (auto &[id, runner] : Runners) {
     if (runner.Announcement.Zone != grant.Zone)
       continue;
@@ -76,6 +78,7 @@
     hasFreed = hasFreed || std::max(credits, runner.InFlight) <
                                std::max(runner.Credits, runner.InFlight);
     runner.Credits = credits;
+    total += credits;
   }
   return hasFreed;
 }
@@ -94,6 +97,7 @@
   report.AppliedTerm = lease.LedgerTerm;
   report.AppliedGrant = lease.Serial;
   const bool isValid = now < lease.Until;
+  lease.Credits = isValid ? lease.Credits : 0;
   for (auto &[id, runner] : Runners) {
     if (runner.Announcement.Zone != zone)
       continue;
@@ -171,6 +175,11 @@
   return {names.begin(), names.end()};
 }
 
+uint32_t RunnerTable::creditsIn(const ZoneId &zone) const {
+  const auto it = Leases.find(zone);
+  return it == Leases.end() ? 0 : it->second.Credits;
+}
+
 Instant RunnerTable::lastReport(const ZoneId &zone) const {
   const auto it = Leases.find(zone);
   return it == Leases.end() ? Instant() : it->second.LastReport;
--- a/jujube/routing/runner_table.h
+++ b/jujube/routing/runner_table.h
@@ -57,6 +57,7 @@
   uint32_t capacityOf(const EntryId &entry, Instant now) const;
   std::vector<ZoneId> zones() const;
 
+  uint32_t creditsIn(const ZoneId &zone) const;
   // When the last report to the zone was made.
   Instant lastReport(const ZoneId &zone) const;
   void setUrgent(const ZoneId &zone) { Leases[zone].IsUrgent = true; }
@@ -72,6 +73,7 @@
     Term LedgerTerm;
     uint64_t Serial = 0;
     Instant Until;
+    uint32_t Credits = 0;
     uint64_t LastSequence = 0;
     Instant LastReport;
     bool IsUrgent = false;
