Runner links: tasks that own the connections to runners, and their protocol

Cause: routed requests have to leave over kept-alive HTTP connections, within the connection budget of a runner.

--- /dev/null
+++ b/jujube/entry/runner_exchange.h
@@ -0,0 +1,47 @@
+// One HTTP connection to a runner at a time, and the exchanges over it.
+// Owned by a link task; every call blocks.
+#ifndef JUJUBE_ENTRY_RUNNER_EXCHANGE_H_
+#define JUJUBE_ENTRY_RUNNER_EXCHANGE_H_
+
+#include <memory>
+#include <string>
+
+#include "jujube/base/address.h"
+#include "jujube/base/clock.h"
+#include "jujube/entry/runner_link.h"
+
+namespace httplib {
+class Client;
+}
+
+namespace jujube::entry {
+
+class RunnerConnection {
+public:
+  explicit RunnerConnection(Clock clock);
+  ~RunnerConnection();
+  RunnerConnection(const RunnerConnection &) = delete;
+  RunnerConnection &operator=(const RunnerConnection &) = delete;
+
+  // Sends a request or an inquiry and waits for its outcome. An answer that is
+  // incomplete, or of another request or attempt, is not an answer.
+  RunnerOutcome perform(const LinkCommand &command);
+
+private:
+  struct HttpReply;
+
+  RunnerOutcome run(const SendRequest &request);
+  RunnerOutcome inquire(const SendInquiry &inquiry);
+  HttpReply post(const Address &to, const std::string &path, std::string body,
+                 Duration timeout);
+  void connectTo(const Address &to);
+
+  Clock Source;
+  Address Peer;
+  Instant LastUse;
+  std::unique_ptr<httplib::Client> Client;
+};
+
+} // namespace jujube::entry
+
+#endif // JUJUBE_ENTRY_RUNNER_EXCHANGE_H_
