--- /dev/null
+++ b/jujube/placement/blame.cc
@@ -0,0 +1,84 @@
+#include "jujube/placement/blame.h"
+
+#include <algorithm>
+
+namespace jujube::placement::internal {
+namespace {
+
+// Outcomes older than this say nothing of today's faults.
+constexpr Duration EvidenceWindow = Duration::minutes(5);
+constexpr std::size_t MaxEvidence = 32;
+// Distinct workers on which an entry has to fail to be suspect.
+constexpr uint32_t SuspectWorkers = 3;
+// Unexplained failures that quarantine a worker.
+constexpr uint32_t QuarantineSuspicion = 3;
+// Finished tasks that end a probation.
+constexpr uint32_t ProbationLength = 3;
+constexpr uint32_t MaxDoublings = 20;
+
+} // namespace
+
+void Evidence::add(uint32_t source, Instant now) {
+  remove(source);
+  if (Items.size() >= MaxEvidence)
+    Items.erase(Items.begin());
+  Items.push_back({source, now});
+}
+
+void Evidence::remove(uint32_t source) {
+  std::erase_if(Items,
+                [source](const Item &item) { return item.Source == source; });
+}
+
+uint32_t Evidence::count(Instant now) const {
+  return static_cast<uint32_t>(
+      std::ranges::count_if(Items, [now](const Item &item) {
+        return now - item.At <= EvidenceWindow;
+      }));
+}
+
+bool EntryHistory::isSuspect(Instant now) const {
+  const uint32_t failed = FailedOn.count(now);
+  return failed >= SuspectWorkers && FinishedOn.count(now) < failed;
+}
+
+bool recordFailure(WorkerHistory &worker, EntryHistory &entry, uint32_t slot,
+                   Instant now) {
+  entry.FinishedOn.remove(slot);
+  entry.FailedOn.add(slot, now);
+  if (entry.isSuspect(now))
+    return false;
+  ++worker.Suspicion;
+  return worker.Health == WorkerHealth::Probation ||
+         (worker.Health == WorkerHealth::Healthy &&
+          worker.Suspicion >= QuarantineSuspicion);
+}
+
+bool recordSuccess(WorkerHistory &worker, EntryHistory &entry, uint32_t slot,
+                   Instant now) {
+  entry.FailedOn.remove(slot);
+  entry.FinishedOn.add(slot, now);
+  worker.Suspicion -= std::min(worker.Suspicion, 1U);
+  if (worker.Health != WorkerHealth::Probation ||
+      ++worker.ProbationSuccesses < ProbationLength)
+    return false;
+  worker = WorkerHistory{};
+  return true;
+}
+
+void quarantine(WorkerHistory &worker, const QuarantineBounds &bounds,
+                Instant now) {
+  ++worker.Quarantines;
+  worker.Health = WorkerHealth::Quarantined;
+  worker.ProbationSuccesses = 0;
+  worker.Suspicion = 0;
+  worker.QuarantinedUntil =
+      now + doubled(bounds.Min, bounds.Max, worker.Quarantines);
+}
+
+Duration doubled(Duration min, Duration max, uint32_t n) {
+  const uint32_t doublings = std::min(n > 0 ? n - 1 : 0, MaxDoublings);
+  return std::min(min * (int64_t{1} << doublings), max);
+}
+
+} // namespace jujube::placement::internal
--- /dev/null
+++ b/jujube/placement/making_room.cc
@@ -0,0 +1,314 @@
+#include "jujube/placement/making_room.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+#include "jujube/placement/placing.h"
+#include "jujube/placement/queue.h"
+
+namespace jujube::placement::internal {
+namespace {
+
+// Requests of an urgent lane for which room is made at once.
+constexpr uint32_t UrgentReach = 32;
+// Most holds of a request that is not a gang.
+constexpr std::size_t MaxHolds = 16;
+// Most aged requests that hold room at once, one for each team.
+constexpr std::ptrdiff_t MaxReservations = 8;
+// Workers that are compared for one preemption.
+constexpr uint32_t PreemptCandidates = 16;
+// A hold is chosen anew after this span.
+constexpr Duration HoldTime = Duration::seconds(60);
+// How often a blocked request is checked for being impossible.
+constexpr Duration RecheckInterval = Duration::seconds(60);
+// Part of a task's progress that a stop with a checkpoint costs.
+constexpr double CheckpointCost = 0.1;
+// A team above its fair part by more than this reserves nothing.
+constexpr double ReservationBand = 1.1;
+
+// Tasks whose stop makes room on one worker.
+struct Eviction {
+  uint32_t Slot = NoWorker;
+  std::vector<TaskRef> Victims;
+  // Processor time that is lost, in task-milliseconds.
+  double Cost = 0;
+};
+
+// Room on the worker once all tasks that were told to stop are gone.
+Resources comingRoom(const PlannerState &state, const WorkerState &worker) {
+  return state.freeOn(worker) + worker.Stopping;
+}
+
+// The team's share over its fair part, with `part` in place of its
+// reservations.
+double relativeShare(const PlannerState &state, const TeamState &team,
+                     const Resources &part) {
+  return state.shareOf(part) / state.fairPart(team);
+}
+
+bool mayEvict(const PlannerState &state, const RequestState &claimant,
+              const TaskRef &ref, Instant now) {
+  const RequestState &victim = *ref.Request;
+  const TaskState &task = victim.Tasks[ref.Index];
+  if (task.IsStopping || &victim == &claimant)
+    return false;
+  const TeamState &team = *victim.Team;
+  PreemptView view;
+  view.ClaimantPriority = claimant.Work.Entry.Priority;
+  view.VictimPriority = victim.Work.Entry.Priority;
+  view.VictimClass = victim.Work.Entry.Class;
+  view.ClaimantShare = relativeShare(
+      state, *claimant.Team, claimant.Team->Reserved + claimant.Team->Held);
+  view.VictimShare = relativeShare(state, team, team.Reserved - team.Stopping);
+  view.VictimCanCheckpoint = victim.Work.Entry.CanCheckpoint;
+  view.VictimIsIdempotent = victim.Work.Entry.IsIdempotent;
+  view.ClaimantWaited = now - claimant.AcceptedAt;
+  view.VictimRan = now - task.Since;
+  return state.Hooks.MayPreempt(view);
+}
+
+double costOf(const TaskRef &ref, Instant now) {
+  const RequestState &victim = *ref.Request;
+  const auto ran =
+      static_cast<double>((now - victim.Tasks[ref.Index].Since).millis() + 1);
+  const double lost = victim.Work.Entry.CanCheckpoint ? CheckpointCost : 1.0;
+  return ran * lost * (victim.isGang() ? victim.Placed : 1);
+}
+
+// Chooses victims on a worker whose stop yields `deficit`, cheapest first.
+std::optional<Eviction> chooseVictims(const PlannerState &state,
+                                      const RequestState &claimant,
+                                      uint32_t slot, const Resources &deficit,
+                                      Instant now) {
+  Eviction eviction{slot, {}, 0};
+  if (deficit.fitsIn(Resources{}))
+    return eviction;
+  std::vector<TaskRef> candidates;
+  std::ranges::copy_if(
+      state.Workers[slot].Tasks, std::back_inserter(candidates),
+      [&](const TaskRef &ref) { return mayEvict(state, claimant, ref, now); });
+  std::ranges::stable_sort(candidates, {}, [now](const TaskRef &ref) {
+    return std::tuple(costOf(ref, now), ref.Request->Seq, ref.Index);
+  });
+  Resources yield;
+  for (const TaskRef &ref : candidates) {
+    yield += ref.Request->Tasks[ref.Index].Reserved;
+    eviction.Victims.push_back(ref);
+    eviction.Cost += costOf(ref, now);
+    if (deficit.fitsIn(yield))
+      return eviction;
+  }
+  return std::nullopt;
+}
+
+void evictAll(PlannerState &state, const RequestState &claimant,
+              const Eviction &eviction, std::vector<Action> &actions) {
+  const StopReason why =
+      claimant.isUrgent() ? StopReason::Urgent : StopReason::FairShare;
+  for (const TaskRef &ref : eviction.Victims)
+    evict(state, ref, why, actions);
+}
+
+// Stops other work for one task of the request. Returns false if the policy
+// names no victims.
+bool preemptForOne(PlannerState &state, RequestState &claimant,
+                   const Resources &size, Instant now,
+                   std::vector<Action> &actions) {
+  std::vector<uint32_t> slots;
+  const uint32_t start =
+      state.Hooks.SearchStart(state.Random(), state.Evictable.size());
+  state.Evictable.collect(size, start, PreemptCandidates, slots);
+  std::optional<Eviction> best;
+  for (uint32_t slot : slots) {
+    const Resources deficit =
+        clipped(size - comingRoom(state, state.Workers[slot]));
+    auto eviction = chooseVictims(state, claimant, slot, deficit, now);
+    if (eviction && (!best || eviction->Cost < best->Cost))
+      best = std::move(eviction);
+  }
+  if (!best)
+    return false;
+  state.hold(claimant, {best->Slot, size, now + HoldTime});
+  evictAll(state, claimant, *best, actions);
+  return true;
+}
+
+// A worker as a place for a reservation.
+struct HoldOption {
+  uint32_t Slot = NoWorker;
+  uint32_t Tasks = 0;
+  // Dominant share of the worker that has to become free first.
+  double Missing = 0;
+};
+
+std::vector<HoldOption> findHoldOptions(const PlannerState &state,
+                                        const StartNeed &need) {
+  std::vector<HoldOption> options;
+  for (uint32_t slot = 0; slot < state.Workers.size(); ++slot) {
+    const WorkerState &worker = state.Workers[slot];
+    if (!state.isUsable(worker))
+      continue;
+    const Resources room = worker.Holds - worker.Lasting - worker.Held;
+    const uint32_t tasks = countFitting(room, need.Size, need.Tasks);
+    if (tasks == 0)
+      continue;
+    const Resources missing =
+        clipped(need.Size * tasks - comingRoom(state, worker));
+    options.push_back({slot, tasks, dominantShare(missing, worker.Holds)});
+  }
+  std::ranges::stable_sort(options, {}, &HoldOption::Missing);
+  return options;
+}
+
+// Holds room for the whole need where it becomes free soonest.
+bool reserveRoom(PlannerState &state, RequestState &request,
+                 const StartNeed &need, Instant now) {
+  std::vector<Hold> holds;
+  uint32_t left = need.Tasks;
+  for (const HoldOption &option : findHoldOptions(state, need)) {
+    const uint32_t tasks = std::min(option.Tasks, left);
+    holds.push_back({option.Slot, need.Size * tasks, now + HoldTime});
+    left -= tasks;
+    if (left == 0)
+      break;
+  }
+  if (left > 0)
+    return false;
+  for (const Hold &hold : holds)
+    state.hold(request, hold);
+  ++state.Counters.Reservations;
+  return true;
+}
+
+// Stops what the policy allows on the workers where the request holds room.
+void preemptOnHolds(PlannerState &state, RequestState &claimant, Instant now,
+                    std::vector<Action> &actions) {
+  for (const Hold &hold : claimant.Holds) {
+    const Resources deficit =
+        clipped(Resources{} - comingRoom(state, state.Workers[hold.Slot]));
+    const auto eviction =
+        chooseVictims(state, claimant, hold.Slot, deficit, now);
+    if (eviction)
+      evictAll(state, claimant, *eviction, actions);
+  }
+}
+
+bool mayReserve(const PlannerState &state, const RequestState &request,
+                Instant now) {
+  if (!state.isAged(request, now) || !request.Holds.empty())
+    return false;
+  const TeamState &team = *request.Team;
+  if (relativeShare(state, team, team.Reserved) > ReservationBand)
+    return false;
+  const auto isReservation = [&](const auto &holder) {
+    return state.isAged(*holder.second, now);
+  };
+  const auto isSameTeam = [&](const auto &holder) {
+    return isReservation(holder) && holder.second->Team == &team;
+  };
+  return std::ranges::none_of(state.Holders, isSameTeam) &&
+         std::ranges::count_if(state.Holders, isReservation) < MaxReservations;
+}
+
+bool isInSlice(const RequestState &request, const Resources &more) {
+  const TeamState &team = *request.Team;
+  return (team.Reserved + team.Held + more).fitsIn(team.Slice);
+}
+
+void makeRoomForOne(PlannerState &state, RequestState &request, Instant now,
+                    std::vector<Action> &actions) {
+  const StartNeed need = startNeed(state, request);
+  const std::size_t wanted = request.isUrgent()
+                                 ? std::min(request.Queued.size(), MaxHolds)
+                                 : std::size_t{1};
+  for (std::size_t i = 0; i < wanted; ++i) {
+    if (request.Holds.size() >= std::min(request.Queued.size(), MaxHolds) ||
+        !isInSlice(request, need.total()))
+      return;
+    if (preemptForOne(state, request, need.Size, now, actions))
+      continue;
+    if (mayReserve(state, request, now))
+      reserveRoom(state, request, need, now);
+    return;
+  }
+}
+
+void makeRoomForGang(PlannerState &state, RequestState &request, Instant now,
+                     std::vector<Action> &actions) {
+  const StartNeed need = startNeed(state, request);
+  if (!request.Holds.empty() || !isInSlice(request, need.total()))
+    return;
+  if (!request.isUrgent() && !mayReserve(state, request, now))
+    return;
+  if (reserveRoom(state, request, need, now))
+    preemptOnHolds(state, request, now, actions);
+}
+
+// Rejects a blocked request that the zone can't hold any more.
+bool isStillPossible(PlannerState &state, RequestState &request, Instant now) {
+  if (request.HasRun || now - request.CheckedAt < RecheckInterval)
+    return true;
+  request.CheckedAt = now;
+  std::optional<Error> why = findImpossible(state, request);
+  if (!why)
+    return true;
+  rejectRequest(state, request, std::move(*why));
+  return false;
+}
+
+} // namespace
+
+void makeRoom(PlannerState &state, LaneState &lane, Instant now,
+              std::vector<Action> &actions) {
+  const bool isUrgent = lane.Priority == catalogue::Urgency::Urgent;
+  state.IsUrgentBlocked |= isUrgent;
+  const uint32_t reach = isUrgent ? UrgentReach : 1;
+  std::vector<RequestState *> requests;
+  for (const auto &[key, request] : lane.Queue) {
+    if (requests.size() == reach)
+      break;
+    requests.push_back(request);
+  }
+  for (RequestState *request : requests) {
+    if (!isStillPossible(state, *request, now))
+      continue;
+    if (!request->isGang())
+      makeRoomForOne(state, *request, now, actions);
+    else if (request->isComplete())
+      makeRoomForGang(state, *request, now, actions);
+  }
+}
+
+void evict(PlannerState &state, const TaskRef &task, StopReason why,
+           std::vector<Action> &actions) {
+  RequestState &request = *task.Request;
+  for (uint32_t i = 0; i < request.Tasks.size(); ++i) {
+    const TaskState &other = request.Tasks[i];
+    if (other.Stage != TaskStage::Placed || other.IsStopping ||
+        (i != task.Index && !request.isGang()))
+      continue;
+    state.markStopping(request, i);
+    const TaskId id = {request.Work.Request, i};
+    if (request.Work.Entry.CanCheckpoint)
+      actions.emplace_back(CheckpointTask{id, why});
+    else
+      actions.emplace_back(StopTask{id, why});
+  }
+}
+
+void expireHolds(PlannerState &state, Instant now) {
+  const auto isOver = [&](const Hold &hold) {
+    const WorkerState &worker = state.Workers[hold.Slot];
+    return hold.Until <= now || !worker.IsPresent || worker.IsLeaving ||
+           worker.History.Health == WorkerHealth::Quarantined;
+  };
+  std::vector<RequestState *> over;
+  for (const auto &[seq, request] : state.Holders)
+    if (std::ranges::any_of(request->Holds, isOver))
+      over.push_back(request);
+  for (RequestState *request : over)
+    state.dropHolds(*request);
+}
+
+} // namespace jujube::placement::internal
--- /dev/null
+++ b/jujube/placement/placing.cc
@@ -0,0 +1,341 @@
+#include "jujube/placement/placing.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "jujube/placement/making_room.h"
+#include "jujube/placement/queue.h"
+
+namespace jujube::placement::internal {
+namespace {
+
+// Searches for one task start at this many places, so that a sample of the
+// workers is not limited to neighbours.
+constexpr uint32_t SearchStarts = 4;
+
+// Most requests of a lane that are looked at for one that is ready.
+constexpr uint32_t MaxHeads = 64;
+
+// Part of a gang on one worker.
+struct GangPart {
+  uint32_t Slot = NoWorker;
+  uint32_t Tasks = 0;
+};
+
+std::vector<uint32_t> findCandidates(PlannerState &state,
+                                     const Resources &size) {
+  std::vector<uint32_t> slots;
+  const uint32_t workers = state.Free.size();
+  const uint32_t most = state.Config.MaxCandidates;
+  if (workers <= most) {
+    state.Free.collect(size, 0, most, slots);
+    return slots;
+  }
+  for (uint32_t i = 0; i < SearchStarts; ++i)
+    state.Free.collect(size, state.Hooks.SearchStart(state.Random(), workers),
+                       most / SearchStarts, slots);
+  std::ranges::sort(slots);
+  const auto repeated = std::ranges::unique(slots);
+  slots.erase(repeated.begin(), repeated.end());
+  return slots;
+}
+
+// How many placed tasks of the request share a worker or a rack with `slot`.
+void countNeighbours(const PlannerState &state, const RequestState &request,
+                     uint32_t slot, CandidateView &view) {
+  for (const TaskState &task : request.Tasks) {
+    if (task.Stage != TaskStage::Placed)
+      continue;
+    view.OnWorker += task.Worker == slot;
+    view.OnRack += state.Workers[task.Worker].Rack == state.Workers[slot].Rack;
+  }
+}
+
+double scoreOf(const PlannerState &state, const RequestState &request,
+               uint32_t index, uint32_t slot, const Resources &size) {
+  const WorkerState &worker = state.Workers[slot];
+  CandidateView view;
+  view.Slot = slot;
+  view.Holds = worker.Holds;
+  view.FreeAfter = state.freeOn(worker) - size;
+  view.Ask = size;
+  view.FailedHere = request.Tasks[index].FailedOn == slot;
+  view.Class = request.Work.Entry.Class;
+  if (!request.hasEnd())
+    countNeighbours(state, request, slot, view);
+  return state.Hooks.Score(view);
+}
+
+bool isKnownUnfit(const PlannerState &state, const Resources &size) {
+  return std::ranges::any_of(state.Unfit, [&size](const Resources &unfit) {
+    return unfit.fitsIn(size);
+  });
+}
+
+uint32_t findWorker(PlannerState &state, const RequestState &request,
+                    uint32_t index, const Resources &size) {
+  if (isKnownUnfit(state, size))
+    return NoWorker;
+  const std::vector<uint32_t> slots = findCandidates(state, size);
+  if (slots.empty()) {
+    state.Unfit.push_back(size);
+    return NoWorker;
+  }
+  std::vector<double> scores;
+  scores.reserve(slots.size());
+  std::ranges::transform(slots, std::back_inserter(scores), [&](uint32_t slot) {
+    return scoreOf(state, request, index, slot, size);
+  });
+  return slots[std::ranges::min_element(scores) - scores.begin()];
+}
+
+// Fills `tasks` tasks into the given workers, or fails.
+std::optional<std::vector<GangPart>>
+fillSlots(const PlannerState &state, const std::vector<uint32_t> &slots,
+          const StartNeed &need) {
+  std::vector<GangPart> parts;
+  uint32_t left = need.Tasks;
+  for (uint32_t slot : slots) {
+    const uint32_t n =
+        countFitting(state.Workers[slot].IndexedFree, need.Size, left);
+    if (n > 0)
+      parts.push_back({slot, n});
+    left -= n;
+    if (left == 0)
+      return parts;
+  }
+  return std::nullopt;
+}
+
+// The fullest rack that holds the whole gang.
+std::optional<std::vector<GangPart>> findInOneRack(const PlannerState &state,
+                                                   const StartNeed &need) {
+  std::optional<std::vector<GangPart>> best;
+  double bestRoom = 0;
+  for (const RackState &rack : state.Racks) {
+    if (!need.total().fitsIn(rack.Free))
+      continue;
+    const double room = state.shareOf(rack.Free);
+    if (best && room >= bestRoom)
+      continue;
+    if (auto parts = fillSlots(state, rack.Slots, need)) {
+      best = std::move(parts);
+      bestRoom = room;
+    }
+  }
+  return best;
+}
+
+std::optional<std::vector<GangPart>> findForGang(const PlannerState &state,
+                                                 const StartNeed &need) {
+  if (auto parts = findInOneRack(state, need))
+    return parts;
+  std::vector<uint32_t> slots;
+  state.Free.collect(need.Size, 0, state.Free.size(), slots);
+  // Racks with the most room first, so that few racks are used.
+  std::ranges::stable_sort(slots, [&state](uint32_t a, uint32_t b) {
+    const uint32_t rackA = state.Workers[a].Rack;
+    const uint32_t rackB = state.Workers[b].Rack;
+    const double roomA = state.shareOf(state.Racks[rackA].Free);
+    const double roomB = state.shareOf(state.Racks[rackB].Free);
+    return std::tie(roomB, rackA) < std::tie(roomA, rackB);
+  });
+  return fillSlots(state, slots, need);
+}
+
+void offer(PlannerState &state, RequestState &request, uint32_t index,
+           uint32_t slot, const Resources &size, Instant now,
+           std::vector<Action> &actions) {
+  takeQueued(state, request, index);
+  state.reserve(request, index, slot, size, now);
+  actions.emplace_back(
+      Offer{{request.Work.Request, index}, state.Workers[slot].Id, size});
+}
+
+bool placeGang(PlannerState &state, RequestState &request,
+               const StartNeed &need, Instant now,
+               std::vector<Action> &actions) {
+  const auto parts = findForGang(state, need);
+  if (!parts)
+    return false;
+  for (const GangPart &part : *parts)
+    for (uint32_t i = 0; i < part.Tasks; ++i)
+      offer(state, request, request.Queued.back(), part.Slot, need.Size, now,
+            actions);
+  return true;
+}
+
+bool placeOne(PlannerState &state, RequestState &request, const StartNeed &need,
+              Instant now, std::vector<Action> &actions) {
+  const uint32_t index = request.Queued.back();
+  const uint32_t slot = findWorker(state, request, index, need.Size);
+  if (slot == NoWorker)
+    return false;
+  offer(state, request, index, slot, need.Size, now, actions);
+  reorder(state, request);
+  return true;
+}
+
+// Gives up the request's holds for the search, and takes back those that are
+// still needed.
+bool placeWithHolds(PlannerState &state, RequestState &request,
+                    const StartNeed &need, Instant now,
+                    std::vector<Action> &actions) {
+  std::vector<Hold> holds = request.Holds;
+  state.dropHolds(request);
+  const std::size_t before = actions.size();
+  const bool isPlaced = request.isGang()
+                            ? placeGang(state, request, need, now, actions)
+                            : placeOne(state, request, need, now, actions);
+  if (isPlaced && !holds.empty()) {
+    const WorkerId &used = std::get<Offer>(actions[before]).Worker;
+    const auto it = std::ranges::find_if(holds, [&](const Hold &hold) {
+      return state.Workers[hold.Slot].Id == used;
+    });
+    holds.erase(it == holds.end() ? holds.begin() : it);
+  }
+  if (!request.Queued.empty())
+    for (const Hold &hold : holds)
+      state.hold(request, hold);
+  return isPlaced;
+}
+
+bool isInFrontier(const PlannerState &state, const RequestState &request) {
+  return state.Config.FrontierWidth == 0 || !request.hasEnd() ||
+         request.Placed > 0 ||
+         request.Team->Served < state.Config.FrontierWidth;
+}
+
+// True if the request may start as far as its own tasks and the frontier go.
+bool isReady(const PlannerState &state, const RequestState &request) {
+  if (request.isGang() && !request.isComplete())
+    return false;
+  return isInFrontier(state, request);
+}
+
+// True if an older request of the team waits for the rest of the slice.
+bool isSliceClaimed(const PlannerState &state, const RequestState &request) {
+  return request.Team->SliceClaimPlan == state.PlanNumber &&
+         !request.isUrgent() && request.Team->SliceClaim < request.Order;
+}
+
+// The first request of the lane that may start; requests that are not ready do
+// not block those behind them.
+RequestState *findHead(const PlannerState &state, const LaneState &lane) {
+  uint32_t looked = 0;
+  for (const auto &[key, request] : lane.Queue) {
+    if (isReady(state, *request))
+      return request;
+    if (++looked == MaxHeads)
+      break;
+  }
+  return nullptr;
+}
+
+// A lane that still has something to place in this plan.
+struct Contender {
+  LaneState *Lane = nullptr;
+  RequestState *Head = nullptr;
+  double Rank = 0;
+
+  auto key() const { return std::tuple(Rank, Head->Order); }
+};
+
+Contender contend(const PlannerState &state, LaneState &lane) {
+  RequestState *head = findHead(state, lane);
+  if (!head)
+    return {&lane};
+  const double share = state.shareOf(lane.Team->Reserved);
+  return {&lane, head,
+          state.Hooks.Rank({head->Work.Entry.Class, lane.Priority,
+                            share / lane.Team->Share})};
+}
+
+void dropIdle(std::vector<Contender> &contenders) {
+  std::erase_if(contenders, [](const Contender &c) { return !c.Head; });
+}
+
+std::vector<Contender> findContenders(const PlannerState &state) {
+  std::vector<Contender> contenders;
+  for (const auto &lane : state.Lanes)
+    if (!lane->Queue.empty())
+      contenders.push_back(contend(state, *lane));
+  dropIdle(contenders);
+  return contenders;
+}
+
+// A placement changes the ranks and heads of its team's lanes.
+void updateTeam(const PlannerState &state, const TeamState *team,
+                std::vector<Contender> &contenders) {
+  for (Contender &contender : contenders)
+    if (contender.Lane->Team == team)
+      contender = contend(state, *contender.Lane);
+  dropIdle(contenders);
+}
+
+// Deals with a head that could not be placed.
+void handleBlocked(PlannerState &state, RequestState &head,
+                   PlaceOutcome outcome, Instant now,
+                   std::vector<Action> &actions) {
+  if (outcome == PlaceOutcome::NoRoom) {
+    makeRoom(state, *head.Lane, now, actions);
+    return;
+  }
+  if (outcome != PlaceOutcome::SliceFull || !state.isAged(head, now) ||
+      isSliceClaimed(state, head))
+    return;
+  head.Team->SliceClaimPlan = state.PlanNumber;
+  head.Team->SliceClaim = head.Order;
+}
+
+} // namespace
+
+StartNeed startNeed(const PlannerState &state, const RequestState &request) {
+  const auto tasks = static_cast<uint32_t>(
+      request.isGang() ? request.Queued.size() : std::size_t{1});
+  const StartNeed learned = {state.sizeOf(request), tasks};
+  // A learned size does not keep work out of a slice that its ask fits in.
+  if (learned.total().fitsIn(request.Team->Slice))
+    return learned;
+  return {request.Work.Entry.Ask, tasks};
+}
+
+PlaceOutcome placeNext(PlannerState &state, RequestState &request, Instant now,
+                       std::vector<Action> &actions) {
+  const StartNeed need = startNeed(state, request);
+  const uint32_t limit = request.Work.Entry.MaxRunning;
+  if (limit > 0 && request.Entry->Placed + need.Tasks > limit)
+    return PlaceOutcome::EntryFull;
+  if (isSliceClaimed(state, request) ||
+      !(request.Team->Reserved + need.total()).fitsIn(request.Team->Slice))
+    return PlaceOutcome::SliceFull;
+  // A gang larger than a whole plan is offered in a plan of its own.
+  if (!actions.empty() && actions.size() + need.Tasks > state.Config.MaxActions)
+    return PlaceOutcome::OutOfActions;
+  return placeWithHolds(state, request, need, now, actions)
+             ? PlaceOutcome::Placed
+             : PlaceOutcome::NoRoom;
+}
+
+void placeWaiting(PlannerState &state, Instant now,
+                  std::vector<Action> &actions) {
+  std::vector<Contender> contenders = findContenders(state);
+  while (!contenders.empty()) {
+    const auto best = std::ranges::min_element(contenders, {}, &Contender::key);
+    RequestState &head = *best->Head;
+    const PlaceOutcome outcome = placeNext(state, head, now, actions);
+    if (outcome == PlaceOutcome::OutOfActions) {
+      state.WasCutShort = true;
+      return;
+    }
+    if (outcome == PlaceOutcome::Placed) {
+      updateTeam(state, head.Team, contenders);
+      continue;
+    }
+    handleBlocked(state, head, outcome, now, actions);
+    *best = contenders.back();
+    contenders.pop_back();
+  }
+}
+
+} // namespace jujube::placement::internal
--- /dev/null
+++ b/jujube/placement/planner.cc
@@ -0,0 +1,323 @@
+#include "jujube/placement/planner.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/placement/making_room.h"
+#include "jujube/placement/placing.h"
+#include "jujube/placement/queue.h"
+#include "jujube/placement/relief.h"
+#include "jujube/placement/state.h"
+
+namespace jujube::placement {
+namespace {
+
+using internal::PlannerState;
+using internal::RequestState;
+using internal::TaskStage;
+using internal::TaskState;
+using internal::TeamState;
+using internal::WorkerHealth;
+using internal::WorkerState;
+
+// Blocked work is looked at again after these spans even without an event.
+constexpr Duration BlockedInterval = Duration::seconds(1);
+constexpr Duration UrgentInterval = Duration::millis(20);
+
+Status checkOptions(const Options &options, const PlacementHooks &hooks) {
+  if (!hooks.Rank || !hooks.OrderKey || !hooks.ReserveSize || !hooks.Score ||
+      !hooks.MayPreempt || !hooks.SearchStart)
+    return Error{ErrorKind::InvalidArgument, "a placement hook is not set",
+                 "start from hooksFor() and replace single hooks"};
+  if (options.MaxActions == 0 || options.MaxCandidates < 4)
+    return Error{ErrorKind::InvalidArgument,
+                 absl::StrCat("bad planner options: MaxActions ",
+                              options.MaxActions, ", MaxCandidates ",
+                              options.MaxCandidates),
+                 "allow at least 1 action and 4 candidates"};
+  return Ok{};
+}
+
+// Takes over an announcement; returns true if work on the worker is affected.
+bool announce(PlannerState &state, uint32_t slot,
+              const fate::WorkerAnnouncement &news) {
+  WorkerState &worker = state.Workers[slot];
+  const bool wasLeaving = worker.IsLeaving;
+  if (worker.IsPresent)
+    state.Total -= worker.Holds;
+  worker.IsPresent = true;
+  worker.IsLeaving = news.IsLeaving;
+  worker.Holds = internal::clipped(news.Holds);
+  state.Total += worker.Holds;
+  state.LostWorkers.erase(slot);
+  state.Holds.set(slot, news.IsLeaving ? Resources{-1, -1, -1} : worker.Holds);
+  return (news.IsLeaving && !wasLeaving) ||
+         !worker.Reserved.fitsIn(worker.Holds);
+}
+
+void joinRack(PlannerState &state, uint32_t slot, const RackId &id) {
+  const auto [it, isNew] = state.RacksById.try_emplace(
+      id, static_cast<uint32_t>(state.Racks.size()));
+  if (isNew)
+    state.Racks.emplace_back();
+  WorkerState &worker = state.Workers[slot];
+  const bool wasThere =
+      std::ranges::count(state.Racks[it->second].Slots, slot) > 0;
+  if (wasThere)
+    return;
+  if (worker.Rack < state.Racks.size()) {
+    auto &before = state.Racks[worker.Rack];
+    if (std::erase(before.Slots, slot) > 0)
+      before.Free -= internal::clipped(worker.IndexedFree);
+  }
+  worker.Rack = it->second;
+  state.Racks[it->second].Slots.push_back(slot);
+  state.Racks[it->second].Free += internal::clipped(worker.IndexedFree);
+}
+
+void clearHistory(PlannerState &state, uint32_t slot) {
+  WorkerState &worker = state.Workers[slot];
+  state.Quarantined.erase({worker.History.QuarantinedUntil, slot});
+  worker.History = {};
+}
+
+// Lost workers stop counting towards what the zone could hold.
+void forgetLostWorkers(PlannerState &state, Instant now) {
+  std::vector<uint32_t> over;
+  std::ranges::copy_if(
+      state.LostWorkers, std::back_inserter(over), [&](uint32_t slot) {
+        return state.Workers[slot].LostAt + state.Config.ForgetWorkerAfter <=
+               now;
+      });
+  for (uint32_t slot : over) {
+    state.LostWorkers.erase(slot);
+    state.Holds.set(slot, {-1, -1, -1});
+  }
+}
+
+void countShares(PlannerState &state) {
+  state.ActiveShares = 0;
+  for (const auto &team : state.Teams)
+    if (team->QueuedTasks > 0 || team->Reserved != Resources{})
+      state.ActiveShares += team->Share;
+}
+
+void count(PlannerCounters &counters, const std::vector<Action> &actions) {
+  const auto countOf = [&actions]<typename T>(const T &) {
+    return static_cast<uint64_t>(
+        std::ranges::count_if(actions, [](const Action &action) {
+          return std::holds_alternative<T>(action);
+        }));
+  };
+  counters.Offers += countOf(Offer{});
+  counters.Stops += countOf(StopTask{});
+  counters.Checkpoints += countOf(CheckpointTask{});
+  counters.Throttles += countOf(ThrottleTask{});
+  counters.Rejections += countOf(RejectRequest{});
+}
+
+} // namespace
+
+Planner::Planner(std::unique_ptr<PlannerState> state)
+    : State(std::move(state)) {}
+Planner::~Planner() = default;
+Planner::Planner(Planner &&) noexcept = default;
+Planner &Planner::operator=(Planner &&) noexcept = default;
+
+Result<Planner> Planner::create(const Options &options, PlacementHooks hooks) {
+  if (Status status = checkOptions(options, hooks); !isOk(status))
+    return errorOf(status);
+  return Planner(std::make_unique<PlannerState>(options, std::move(hooks)));
+}
+
+void Planner::workerSeen(const fate::WorkerAnnouncement &news, Instant now) {
+  const uint32_t slot = State->slotOf(news.Worker);
+  WorkerState &worker = State->Workers[slot];
+  if (news.Start < worker.Start)
+    return;
+  const bool isSame = worker.IsPresent && worker.Start == news.Start &&
+                      worker.Holds == news.Holds &&
+                      worker.IsLeaving == news.IsLeaving;
+  if (isSame)
+    return;
+  State->FirstWorkerAt = std::min(State->FirstWorkerAt, now);
+  if (worker.Start < news.Start)
+    clearHistory(*State, slot);
+  worker.Start = news.Start;
+  joinRack(*State, slot, news.Rack);
+  if (announce(*State, slot, news))
+    State->Shrunk.push_back(slot);
+  State->refresh(slot);
+}
+
+void Planner::workerLost(const WorkerId &id, Instant now) {
+  const uint32_t slot = State->slotOf(id);
+  WorkerState &worker = State->Workers[slot];
+  if (!worker.IsPresent)
+    return;
+  worker.IsPresent = false;
+  worker.LostAt = now;
+  State->Total -= worker.Holds;
+  State->LostWorkers.insert(slot);
+  State->refresh(slot);
+}
+
+void Planner::setTeams(const std::vector<catalogue::Team> &teams) {
+  for (const auto &known : State->Teams)
+    known->IsConfigured = false;
+  for (const catalogue::Team &news : teams) {
+    TeamState &team = State->team(news.Id);
+    team.IsConfigured = true;
+    team.Share = std::max(news.Share, 1U);
+    team.Ceiling = news.Ceiling;
+  }
+}
+
+void Planner::setSlice(const TeamId &id, const Resources &slice) {
+  TeamState &team = State->team(id);
+  team.Slice = slice;
+  if (!team.Reserved.fitsIn(slice))
+    State->OverSlice.push_back(&team);
+}
+
+Resources Planner::wanted(const TeamId &id) const {
+  const auto it = State->TeamsById.find(id);
+  if (it == State->TeamsById.end())
+    return Resources{};
+  const TeamState &team = *it->second;
+  const Resources demand = team.Reserved + team.Queued;
+  return team.IsConfigured ? minOf(demand, team.Ceiling) : demand;
+}
+
+Resources Planner::used(const TeamId &id) const {
+  const auto it = State->TeamsById.find(id);
+  return it == State->TeamsById.end() ? Resources{} : it->second->Reserved;
+}
+
+void Planner::enqueue(const PendingRequest &request, Instant now) {
+  internal::enqueueTasks(
+      *State, internal::admit(*State, request.Work, request.AcceptedAt),
+      request.Tasks, now);
+}
+
+void Planner::requeue(const TaskId &task, Instant now) {
+  if (State->findTask(task))
+    internal::requeueTask(*State, *State->findRequest(task.Request), task.Index,
+                          now);
+}
+
+void Planner::restore(const fate::Submission &work, Instant acceptedAt,
+                      const Placed &placed) {
+  RequestState &request = internal::admit(*State, work, acceptedAt);
+  const uint32_t index = placed.Task.Index;
+  if (index >= request.Tasks.size())
+    request.Tasks.resize(index + 1);
+  if (request.Tasks[index].Stage != TaskStage::Absent)
+    return;
+  request.HasRun = true;
+  State->reserve(request, index, State->slotOf(placed.Worker), placed.Reserved,
+                 placed.Since);
+}
+
+void Planner::started(const TaskId &id, Instant now) {
+  TaskState *task = State->findTask(id);
+  if (!task || task->Stage != TaskStage::Placed)
+    return;
+  State->findRequest(id.Request)->HasRun = true;
+  task->Since = now;
+}
+
+void Planner::ended(const TaskId &id, EndKind kind, Instant now) {
+  TaskState *task = State->findTask(id);
+  if (!task || task->Stage != TaskStage::Placed)
+    return;
+  RequestState &request = *State->findRequest(id.Request);
+  internal::attribute(*State, request, id.Index, kind, now);
+  request.HasRun |= kind != EndKind::Refused;
+  State->release(request, id.Index);
+  if (kind == EndKind::Finished) {
+    task->Stage = TaskStage::Done;
+    ++request.Done;
+  }
+  internal::eraseIfOver(*State, request);
+}
+
+void Planner::usage(const TaskId &id, const Resources &measured) {
+  TaskState *task = State->findTask(id);
+  if (task && task->Stage == TaskStage::Placed)
+    internal::applyUsage(*State, *State->findRequest(id.Request), id.Index,
+                         measured);
+}
+
+void Planner::cancel(const RequestId &id) {
+  if (RequestState *request = State->findRequest(id))
+    internal::cancelRequest(*State, *request);
+}
+
+void Planner::forget(const RequestId &id) {
+  RequestState *request = State->findRequest(id);
+  if (request && request->Placed == 0)
+    internal::eraseRequest(*State, *request);
+}
+
+std::vector<Action> Planner::plan(Instant now) {
+  ++State->PlanNumber;
+  State->WasCutShort = false;
+  State->IsUrgentBlocked = false;
+  internal::endQuarantines(*State, now);
+  forgetLostWorkers(*State, now);
+  internal::runQueueTimers(*State, now);
+  internal::expireHolds(*State, now);
+  countShares(*State);
+  std::vector<Action> actions = std::move(State->Outbox);
+  State->Outbox.clear();
+  internal::relieve(*State, actions);
+  internal::placeWaiting(*State, now, actions);
+  std::ranges::move(State->Outbox, std::back_inserter(actions));
+  State->Outbox.clear();
+  count(State->Counters, actions);
+  return actions;
+}
+
+Instant Planner::nextPlanAt(Instant now) const {
+  if (State->WasCutShort || !State->Outbox.empty() || !State->Shrunk.empty() ||
+      !State->OverSlice.empty())
+    return now;
+  Instant next = Instant::never();
+  if (!State->DelayedTasks.empty())
+    next = std::get<Instant>(State->DelayedTasks.begin()->first);
+  if (!State->Deadlines.empty())
+    next = std::min(next, State->Deadlines.begin()->first.first);
+  if (!State->Quarantined.empty())
+    next = std::min(next, State->Quarantined.begin()->first);
+  if (!State->Unchecked.empty())
+    next = std::min(next, State->FirstWorkerAt + State->Config.SettleTime);
+  if (State->QueuedTasks > 0)
+    next = std::min(next, now + (State->IsUrgentBlocked ? UrgentInterval
+                                                        : BlockedInterval));
+  return next;
+}
+
+PlannerStatus Planner::status() const {
+  PlannerStatus status;
+  status.Workers = static_cast<uint32_t>(std::ranges::count_if(
+      State->Workers, [](const WorkerState &w) { return w.IsPresent; }));
+  status.QuarantinedWorkers = static_cast<uint32_t>(State->Quarantined.size());
+  status.QueuedTasks = State->QueuedTasks;
+  status.PlacedTasks = State->PlacedTasks;
+  status.Held = State->Total;
+  status.Reserved = State->TotalReserved;
+  return status;
+}
+
+const PlannerCounters &Planner::counters() const { return State->Counters; }
+
+std::vector<WorkerId> Planner::quarantined() const {
+  std::vector<WorkerId> ids;
+  for (const auto &[until, slot] : State->Quarantined)
+    ids.push_back(State->Workers[slot].Id);
+  return ids;
+}
+
+} // namespace jujube::placement
--- a/jujube/placement/planner.h
+++ b/jujube/placement/planner.h
@@ -74,11 +74,11 @@
   // that was not made.
   void ended(const TaskId &task, EndKind kind, Instant now);
   // Measured use of a running attempt, some seconds old.
-  void usage(const TaskId &task, const Resources &measured, Instant now);
+  void usage(const TaskId &task, const Resources &measured);
 
   // Drops the request's queued tasks; plan() returns StopTask for those placed.
   // Repeating it changes nothing.
-  void cancel(const RequestId &request, Instant now);
+  void cancel(const RequestId &request);
   // The request has its final outcome. Its attempts must have ended().
   void forget(const RequestId &request);
 
--- /dev/null
+++ b/jujube/placement/policy.cc
@@ -0,0 +1,160 @@
+#include "jujube/placement/policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujube::placement {
+namespace {
+
+using catalogue::Urgency;
+using catalogue::WorkClass;
+
+// Urgent lanes rank below every share.
+constexpr double UrgentRank = -1;
+// A longer expected run delays a request in its team's order by at most this,
+// so that short work goes first and long work still gets its turn.
+constexpr Duration LongestRunPenalty = Duration::seconds(60);
+// Hysteresis of fair shares: a claimant is below and a victim above its fair
+// part by this fraction, and both have lasted for a while.
+constexpr double ShareBand = 0.1;
+constexpr Duration ClaimPatience = Duration::seconds(2);
+constexpr Duration VictimMinRun = Duration::seconds(10);
+// Entries need this many measurements before their size is changed.
+constexpr uint64_t MinSamples = 8;
+// Margin over the highest measured use.
+constexpr double SizeMargin = 1.15;
+// Work that can be throttled keeps at least this part of its ask.
+constexpr double MinGrant = 0.25;
+
+// Scores: penalties are large against packing terms, which lie in [0, 3].
+constexpr double FailedHerePenalty = 1000;
+constexpr double SameWorkerPenalty = 100;
+constexpr double SameRackPenalty = 10;
+
+double fairRank(const LaneView &lane) {
+  return lane.Priority == Urgency::Urgent ? UrgentRank : lane.WeightedShare;
+}
+
+double noRank(const LaneView &) { return 0; }
+
+int64_t acceptedFirst(const QueuedView &work) {
+  return work.AcceptedAt.millis();
+}
+
+int64_t shortFirst(const QueuedView &work) {
+  return (work.AcceptedAt + std::min(work.ExpectedRun, LongestRunPenalty))
+      .millis();
+}
+
+double ratio(int64_t part, int64_t whole) {
+  return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
+                   : 0.0;
+}
+
+// Services keep away from other tasks of the same request.
+double spreadPenalty(const CandidateView &worker) {
+  const double failed = worker.FailedHere ? FailedHerePenalty : 0;
+  if (worker.Class != WorkClass::Service)
+    return failed;
+  return failed + SameWorkerPenalty * worker.OnWorker +
+         SameRackPenalty * worker.OnRack;
+}
+
+double freeFraction(const CandidateView &worker) {
+  return ratio(worker.FreeAfter.MilliCpu, worker.Holds.MilliCpu) +
+         ratio(worker.FreeAfter.MemoryMb, worker.Holds.MemoryMb) +
+         ratio(worker.FreeAfter.Accelerators, worker.Holds.Accelerators);
+}
+
+// Room of one resource that is left without the others can't be used.
+double imbalance(const CandidateView &worker) {
+  return std::abs(ratio(worker.FreeAfter.MilliCpu, worker.Holds.MilliCpu) -
+                  ratio(worker.FreeAfter.MemoryMb, worker.Holds.MemoryMb));
+}
+
+// Work that needs no accelerator keeps off the workers that have one free.
+double acceleratorWaste(const CandidateView &worker) {
+  return worker.Ask.Accelerators == 0 && worker.FreeAfter.Accelerators > 0 ? 3
+                                                                           : 0;
+}
+
+double scorePacking(const CandidateView &worker) {
+  return spreadPenalty(worker) + acceleratorWaste(worker) +
+         freeFraction(worker) + imbalance(worker);
+}
+
+double scoreBestFit(const CandidateView &worker) {
+  return freeFraction(worker);
+}
+
+double scoreFirstFit(const CandidateView &worker) { return worker.Slot; }
+
+// A victim has to be able to go on elsewhere.
+bool canMove(const PreemptView &view) {
+  return view.VictimClass != WorkClass::Service &&
+         view.VictimPriority == Urgency::Normal &&
+         (view.VictimCanCheckpoint ||
+          (view.VictimIsIdempotent && view.VictimClass == WorkClass::Batch));
+}
+
+bool preemptForShares(const PreemptView &view) {
+  if (!canMove(view))
+    return false;
+  if (view.ClaimantPriority == Urgency::Urgent)
+    return true;
+  return view.VictimCanCheckpoint && view.ClaimantShare < 1 - ShareBand &&
+         view.VictimShare > 1 + ShareBand &&
+         view.ClaimantWaited >= ClaimPatience && view.VictimRan >= VictimMinRun;
+}
+
+bool neverPreempt(const PreemptView &) { return false; }
+
+Resources scaled(const Resources &r, double factor) {
+  const auto up = [factor](int64_t n) {
+    return static_cast<int64_t>(std::ceil(static_cast<double>(n) * factor));
+  };
+  return {up(r.MilliCpu), up(r.MemoryMb), r.Accelerators};
+}
+
+Resources learnedSize(const SizeView &size) {
+  if (size.Samples < MinSamples)
+    return size.Ask;
+  const Resources measured = scaled(size.Peak, SizeMargin);
+  Resources reserve = maxOf(size.Ask, measured);
+  reserve.Accelerators = size.Ask.Accelerators;
+  // Only processor time can be throttled; memory is never taken away.
+  if (size.CanThrottle)
+    reserve.MilliCpu =
+        std::max(measured.MilliCpu, scaled(size.Ask, MinGrant).MilliCpu);
+  return reserve;
+}
+
+Resources askedSize(const SizeView &size) { return size.Ask; }
+
+uint32_t anywhere(uint64_t random, uint32_t slots) {
+  return slots > 0 ? static_cast<uint32_t>(random % slots) : 0;
+}
+
+uint32_t fromFirst(uint64_t, uint32_t) { return 0; }
+
+} // namespace
+
+PlacementHooks hooksFor(PolicyName name) {
+  switch (name) {
+  case PolicyName::Waiting:
+    return {fairRank,     shortFirst,       learnedSize,
+            scorePacking, preemptForShares, anywhere};
+  case PolicyName::Packing:
+    return {fairRank,     acceptedFirst,    learnedSize,
+            scorePacking, preemptForShares, fromFirst};
+  case PolicyName::FifoFirstFit:
+    return {noRank,        acceptedFirst, askedSize,
+            scoreFirstFit, neverPreempt,  fromFirst};
+  case PolicyName::BestFit:
+    return {noRank,       acceptedFirst, askedSize,
+            scoreBestFit, neverPreempt,  fromFirst};
+  }
+  return hooksFor(PolicyName::Waiting);
+}
+
+} // namespace jujube::placement
--- a/jujube/placement/policy.h
+++ b/jujube/placement/policy.h
@@ -31,15 +31,24 @@
   catalogue::Urgency Priority = catalogue::Urgency::Normal;
   // Dominant share of the team's reservations, divided by its share weight.
   double WeightedShare = 0;
-  // True once the head has waited longer than Options::AgingLimit.
-  bool IsAged = false;
 };
 
-// A request when it enters the queue.
+// What is known of the size of an entry's tasks.
+struct SizeView {
+  Resources Ask;
+  // Highest measured use, slowly forgotten; valid once Samples is not 0.
+  Resources Peak;
+  uint64_t Samples = 0;
+  bool CanThrottle = false;
+};
+
+// A request in the queue.
 struct QueuedView {
   Instant AcceptedAt;
   catalogue::WorkClass Class = catalogue::WorkClass::Batch;
   uint32_t Tasks = 1;
+  // Tasks that have been placed.
+  uint32_t Placed = 0;
   // Learned run time of the entry, else the declared one; zero if unknown.
   Duration ExpectedRun;
 };
@@ -82,6 +91,9 @@
   // Order among requests; lower goes first. A key that grows with the instant
   // of acceptance keeps every request from starving.
   std::function<int64_t(const QueuedView &)> OrderKey;
+  // What to reserve for a task. Less than the ask only for work that can be
+  // throttled.
+  std::function<Resources(const SizeView &)> ReserveSize;
   // The candidate with the lowest score gets the task.
   std::function<double(const CandidateView &)> Score;
   // True if the victim may be stopped for the claimant.
--- /dev/null
+++ b/jujube/placement/relief.h
@@ -0,0 +1,32 @@
+// Reactions to what has changed under running work: usage, smaller slices,
+// shrinking, leaving and failing workers.
+#ifndef JUJUBE_PLACEMENT_RELIEF_H_
+#define JUJUBE_PLACEMENT_RELIEF_H_
+
+#include <vector>
+
+#include "jujube/placement/state.h"
+
+namespace jujube::placement::internal {
+
+// Learns from measured use. A task that uses more than its reservation gets
+// more if there is room, else is throttled; it is stopped only if its worker
+// has less than is used on it.
+void applyUsage(PlannerState &state, RequestState &request, uint32_t index,
+                const Resources &measured);
+
+// Feeds an outcome into the history of the worker and the entry, and
+// quarantines the worker if it is to blame.
+void attribute(PlannerState &state, RequestState &request, uint32_t index,
+               EndKind kind, Instant now);
+
+// Ends quarantines that are over.
+void endQuarantines(PlannerState &state, Instant now);
+
+// Stops surplus work of teams whose slice became smaller, and work on workers
+// that are leaving or hold less than is reserved.
+void relieve(PlannerState &state, std::vector<Action> &actions);
+
+} // namespace jujube::placement::internal
+
+#endif // JUJUBE_PLACEMENT_RELIEF_H_
--- /dev/null
+++ b/jujube/placement/state.cc
@@ -0,0 +1,259 @@
+#include "jujube/placement/state.h"
+
+#include <algorithm>
+
+namespace jujube::placement::internal {
+namespace {
+
+constexpr Resources NoRoom = {-1, -1, -1};
+
+bool isEvictable(const RequestState &request) {
+  const catalogue::Entry &entry = request.Work.Entry;
+  return request.hasEnd() && !request.isUrgent() &&
+         (entry.CanCheckpoint || (entry.IsIdempotent && !request.isGang()));
+}
+
+bool isLasting(const RequestState &request) {
+  return !request.hasEnd() || request.isUrgent();
+}
+
+// Adds `sign` times a reservation of the request to the worker's sums.
+void book(WorkerState &worker, const RequestState &request,
+          const TaskState &task, int64_t sign) {
+  const Resources size = task.Reserved * sign;
+  worker.Reserved += size;
+  if (isLasting(request))
+    worker.Lasting += size;
+  if (task.IsStopping)
+    worker.Stopping += size;
+  else if (isEvictable(request))
+    worker.Evictable += size;
+}
+
+} // namespace
+
+PlannerState::PlannerState(const Options &options, PlacementHooks hooks)
+    : Config(options), Hooks(std::move(hooks)), Random(options.Seed) {}
+
+TeamState &PlannerState::team(const TeamId &id) {
+  TeamState *&found = TeamsById[id];
+  if (!found) {
+    Teams.push_back(std::make_unique<TeamState>());
+    found = Teams.back().get();
+    found->Id = id;
+  }
+  return *found;
+}
+
+EntryState &PlannerState::entry(const EntryId &id) {
+  std::unique_ptr<EntryState> &found = Entries[id];
+  if (!found) {
+    found = std::make_unique<EntryState>();
+    found->Id = id;
+  }
+  return *found;
+}
+
+uint32_t PlannerState::slotOf(const WorkerId &id) {
+  const auto [it, isNew] =
+      SlotsById.try_emplace(id, static_cast<uint32_t>(Workers.size()));
+  if (isNew) {
+    Workers.emplace_back();
+    Workers.back().Id = id;
+    Workers.back().IndexedFree = NoRoom;
+    Free.set(it->second, NoRoom);
+  }
+  return it->second;
+}
+
+LaneState &PlannerState::lane(const RequestState &request) {
+  LaneState *&found = LanesByKey[std::tuple(request.Team, request.Entry,
+                                            request.Work.Entry.Priority)];
+  if (!found) {
+    Lanes.push_back(std::make_unique<LaneState>());
+    found = Lanes.back().get();
+    found->Team = request.Team;
+    found->Entry = request.Entry;
+    found->Priority = request.Work.Entry.Priority;
+  }
+  return *found;
+}
+
+RequestState *PlannerState::findRequest(const RequestId &id) {
+  const auto it = Requests.find(id);
+  return it == Requests.end() ? nullptr : it->second.get();
+}
+
+TaskState *PlannerState::findTask(const TaskId &id) {
+  RequestState *request = findRequest(id.Request);
+  return request && id.Index < request->Tasks.size() ? &request->Tasks[id.Index]
+                                                     : nullptr;
+}
+
+bool PlannerState::isUsable(const WorkerState &worker) const {
+  if (!worker.IsPresent || worker.IsLeaving)
+    return false;
+  if (worker.History.Health == WorkerHealth::Quarantined)
+    return false;
+  if (worker.History.Health == WorkerHealth::Probation && !worker.Tasks.empty())
+    return false;
+  return worker.Reserved.fitsIn(worker.Holds);
+}
+
+Resources PlannerState::freeOn(const WorkerState &worker) const {
+  return worker.Holds - worker.Reserved - worker.Held;
+}
+
+void PlannerState::refresh(uint32_t slot) {
+  WorkerState &worker = Workers[slot];
+  const Resources free = isUsable(worker) ? clipped(freeOn(worker)) : NoRoom;
+  if (!free.fitsIn(worker.IndexedFree))
+    Unfit.clear();
+  if (!Racks.empty())
+    Racks[worker.Rack].Free += clipped(free) - clipped(worker.IndexedFree);
+  worker.IndexedFree = free;
+  Free.set(slot, free);
+  Evictable.set(
+      slot, free == NoRoom
+                ? NoRoom
+                : clipped(freeOn(worker) + worker.Evictable + worker.Stopping));
+}
+
+void PlannerState::reserve(RequestState &request, uint32_t index, uint32_t slot,
+                           const Resources &size, Instant now) {
+  TaskState &task = request.Tasks[index];
+  WorkerState &worker = Workers[slot];
+  task.Stage = TaskStage::Placed;
+  task.IsStopping = false;
+  task.Worker = slot;
+  task.Reserved = size;
+  task.Excess = Resources{};
+  task.Since = now;
+  worker.Tasks.push_back({&request, index});
+  book(worker, request, task, 1);
+  request.Team->Reserved += size;
+  TotalReserved += size;
+  if (request.Placed++ == 0 && request.hasEnd())
+    ++request.Team->Served;
+  ++request.Entry->Placed;
+  ++PlacedTasks;
+  refresh(slot);
+}
+
+void PlannerState::release(RequestState &request, uint32_t index) {
+  TaskState &task = request.Tasks[index];
+  const uint32_t slot = task.Worker;
+  WorkerState &worker = Workers[slot];
+  book(worker, request, task, -1);
+  worker.Excess -= task.Excess;
+  const auto it = std::ranges::find(worker.Tasks, TaskRef{&request, index});
+  *it = worker.Tasks.back();
+  worker.Tasks.pop_back();
+  request.Team->Reserved -= task.Reserved;
+  if (task.IsStopping) {
+    request.Team->Stopping -= task.Reserved;
+    --request.Stopping;
+  }
+  TotalReserved -= task.Reserved;
+  if (--request.Placed == 0 && request.hasEnd())
+    --request.Team->Served;
+  --request.Entry->Placed;
+  --PlacedTasks;
+  task.Stage = TaskStage::Ended;
+  task.IsStopping = false;
+  task.Worker = NoWorker;
+  task.Reserved = Resources{};
+  refresh(slot);
+}
+
+void PlannerState::resize(RequestState &request, uint32_t index,
+                          const Resources &size) {
+  TaskState &task = request.Tasks[index];
+  WorkerState &worker = Workers[task.Worker];
+  book(worker, request, task, -1);
+  const Resources change = size - task.Reserved;
+  task.Reserved = size;
+  book(worker, request, task, 1);
+  request.Team->Reserved += change;
+  if (task.IsStopping)
+    request.Team->Stopping += change;
+  TotalReserved += change;
+  refresh(task.Worker);
+}
+
+void PlannerState::markStopping(RequestState &request, uint32_t index) {
+  TaskState &task = request.Tasks[index];
+  if (task.IsStopping)
+    return;
+  WorkerState &worker = Workers[task.Worker];
+  book(worker, request, task, -1);
+  task.IsStopping = true;
+  ++request.Stopping;
+  book(worker, request, task, 1);
+  request.Team->Stopping += task.Reserved;
+  refresh(task.Worker);
+}
+
+void PlannerState::hold(RequestState &request, const Hold &hold) {
+  request.Holds.push_back(hold);
+  request.Team->Held += hold.Room;
+  Workers[hold.Slot].Held += hold.Room;
+  Holders[request.Seq] = &request;
+  refresh(hold.Slot);
+}
+
+void PlannerState::dropHolds(RequestState &request) {
+  std::vector<Hold> holds = std::move(request.Holds);
+  request.Holds.clear();
+  Holders.erase(request.Seq);
+  for (const Hold &hold : holds) {
+    request.Team->Held -= hold.Room;
+    Workers[hold.Slot].Held -= hold.Room;
+    refresh(hold.Slot);
+  }
+}
+
+Resources PlannerState::sizeOf(const RequestState &request) const {
+  const catalogue::Entry &entry = request.Work.Entry;
+  const Resources size =
+      Hooks.ReserveSize({entry.Ask, request.Entry->Peak, request.Entry->Samples,
+                         entry.CanThrottle});
+  // A learned size does not make work impossible that its ask allows.
+  return Holds.anyFits(size) ? size : entry.Ask;
+}
+
+Duration PlannerState::expectedRun(const RequestState &request) const {
+  return request.Entry->Run > Duration() ? request.Entry->Run
+                                         : request.Work.Entry.RunTime;
+}
+
+double PlannerState::shareOf(const Resources &part) const {
+  return dominantShare(part, Total);
+}
+
+double PlannerState::fairPart(const TeamState &team) const {
+  return ActiveShares > 0 ? static_cast<double>(team.Share) /
+                                static_cast<double>(ActiveShares)
+                          : 1.0;
+}
+
+bool PlannerState::isAged(const RequestState &request, Instant now) const {
+  return now - request.AcceptedAt >= Config.AgingLimit;
+}
+
+uint32_t countFitting(const Resources &room, const Resources &ask,
+                      uint32_t most) {
+  if (room.isNegative())
+    return 0;
+  const auto fitting = [most](int64_t have, int64_t need) {
+    return need > 0 ? std::min<int64_t>(have / need, most) : most;
+  };
+  return static_cast<uint32_t>(
+      std::min({fitting(room.MilliCpu, ask.MilliCpu),
+                fitting(room.MemoryMb, ask.MemoryMb),
+                fitting(room.Accelerators, ask.Accelerators)}));
+}
+
+Resources clipped(const Resources &r) { return maxOf(r, Resources{}); }
+
+} // namespace jujube::placement::internal
--- a/jujube/placement/types.h
+++ b/jujube/placement/types.h
@@ -152,7 +152,7 @@
   uint64_t Throttles = 0;
   uint64_t Rejections = 0;
   uint64_t Quarantines = 0;
-  uint64_t GangReservations = 0;
+  uint64_t Reservations = 0;
 };
 
 } // namespace jujube::placement
