HTTP front end: own acceptor and threads around the library's parser

The library's listener polls each idle connection every 10 ms, shares its port between processes and does not bound chunked or compressed bodies. The task now owns the listening socket, connections block in poll(2), and every body is bounded while it is read.

--- /dev/null
+++ b/jujube/http/connection_threads.h
@@ -0,0 +1,53 @@
+// Threads that serve one connection each, started when they are needed.
+#ifndef JUJUBE_HTTP_CONNECTION_THREADS_H_
+#define JUJUBE_HTTP_CONNECTION_THREADS_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "jujube/base/clock.h"
+#include "jujube/base/result.h"
+#include "jujube/runtime/file_descriptor.h"
+
+namespace jujube::http {
+
+// A bounded pool. A connection occupies its thread until it is closed, because
+// the HTTP library and the commands block; a thread without a connection ends
+// after a while, so that memory follows the load.
+class ConnectionThreads {
+public:
+  struct Options {
+    std::size_t MaxThreads = 640;
+    // Connections that wait for a thread; more are refused.
+    std::size_t MaxWaiting = 64;
+    Duration IdleThread = Duration::seconds(10);
+    // Serves a connection to its end, on a thread of the pool.
+    std::function<void(runtime::FileDescriptor)> Serve;
+    // Called when a connection has to wait for a thread.
+    std::function<void()> OnSaturated;
+    // Called once no thread is left after stop(); must not call the pool.
+    std::function<void()> OnStopped;
+  };
+
+  explicit ConnectionThreads(Options options);
+  // Stops and waits until all threads have ended.
+  ~ConnectionThreads();
+  ConnectionThreads(const ConnectionThreads &) = delete;
+  ConnectionThreads &operator=(const ConnectionThreads &) = delete;
+
+  // Hands a connection to a thread. Returns Overloaded, leaving `connection`
+  // as it was, if all threads are taken and too many connections wait.
+  Status serve(runtime::FileDescriptor &connection);
+
+  // Takes no more connections; serves those that it has.
+  void stop();
+
+private:
+  struct State;
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace jujube::http
+
+#endif // JUJUBE_HTTP_CONNECTION_THREADS_H_
--- /dev/null
+++ b/jujube/http/processor.cc
@@ -0,0 +1,193 @@
+#include "jujube/http/processor.h"
+
+#include <exception>
+#include <optional>
+#include <string>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace jujube::http {
+namespace {
+
+// Longer paths are refused before the library matches them.
+constexpr std::size_t MaxPath = 512;
+constexpr int StatusPayloadTooLarge = 413;
+
+bool hasBody(const httplib::Request &request) {
+  return request.has_header("Content-Length") ||
+         request.has_header("Transfer-Encoding");
+}
+
+bool isPost(const httplib::Request &request) {
+  return request.method == nameIn(MethodNames, Method::Post);
+}
+
+bool isTooLarge(const httplib::Request &request, std::size_t maxBody) {
+  uint64_t n = 0;
+  const std::string length = request.get_header_value("Content-Length");
+  return !length.empty() && (!absl::SimpleAtoi(length, &n) || n > maxBody);
+}
+
+Error bodyTooLarge(std::size_t maxBody) {
+  return Error{ErrorKind::BodyTooLarge, "the body is too large",
+               absl::StrCat("send at most ", maxBody, " bytes")};
+}
+
+// Why a request is refused before its body is read, if it is.
+std::optional<Error> refusal(const httplib::Request &request,
+                             std::size_t maxBody) {
+  if (request.path.size() > MaxPath)
+    return Error{ErrorKind::NotFound, "the path is too long",
+                 "see docs/API.md for the paths under /v1"};
+  const auto route = matchRoute(request.method, request.path);
+  if (!isOk(route))
+    return errorOf(route);
+  if (isPost(request) && isTooLarge(request, maxBody))
+    return bodyTooLarge(maxBody);
+  return std::nullopt;
+}
+
+// True if bytes of the request may stay unread on the connection. Bodies
+// whose length is not known beforehand are given up when they grow too large.
+bool mayLeaveBody(const httplib::Request &request, std::size_t maxBody) {
+  return hasBody(request) && (!isPost(request) || refusal(request, maxBody) ||
+                              request.has_header("Transfer-Encoding") ||
+                              request.has_header("Content-Encoding"));
+}
+
+void write(const HttpAnswer &answer, httplib::Response &response) {
+  response.status = answer.Status;
+  response.set_content(answer.Body, answer.ContentType);
+  if (answer.RetryAfter)
+    response.set_header("Retry-After",
+                        std::to_string(answer.RetryAfter->millis() / 1000));
+}
+
+// The error for a status that the library chose by itself.
+Error errorOfStatus(int status) {
+  if (status == StatusPayloadTooLarge)
+    return Error{ErrorKind::BodyTooLarge, "the body is too large",
+                 "send a smaller body"};
+  return Error{ErrorKind::InvalidArgument,
+               absl::StrCat("not a well-formed HTTP request, status ", status),
+               "send HTTP/1.1 with a valid request line, headers and body"};
+}
+
+HttpRequest toRequest(const httplib::Request &request, std::string body) {
+  HttpRequest parts{request.method, request.path};
+  for (const auto &[name, value] : request.params)
+    parts.Query[name] = value;
+  parts.Authorization = request.get_header_value("Authorization");
+  parts.Body = std::move(body);
+  return parts;
+}
+
+} // namespace
+
+Processor::Processor(Options options) : Settings(std::move(options)) {
+  set_payload_max_length(Settings.MaxBody);
+  set_keep_alive_timeout(Settings.KeepAlive.millis() / 1000);
+  set_pre_routing_handler(
+      [this](const httplib::Request &request, httplib::Response &response) {
+        return handleEarly(request, response) ? HandlerResponse::Handled
+                                              : HandlerResponse::Unhandled;
+      });
+  Post(".*",
+       [this](const httplib::Request &request, httplib::Response &response,
+              const httplib::ContentReader &reader) {
+         handlePost(request, response, reader);
+       });
+  set_error_handler([](const httplib::Request &, httplib::Response &response) {
+    if (response.body.empty()) {
+      const int status = response.status;
+      write(toAnswer(errorOfStatus(status)), response);
+      response.status = status;
+    }
+  });
+  set_exception_handler([](const httplib::Request &,
+                           httplib::Response &response, std::exception_ptr) {
+    write(toAnswer(Error{ErrorKind::Internal, "the request could not be served",
+                         "resend it with the same id"}),
+          response);
+  });
+}
+
+bool Processor::process(httplib::Stream &stream, bool isLast) {
+  const bool closeAfter = isLast || !Settings.IsHealthy();
+  bool isClosed = false;
+  // Stays true if the library refuses the request before it is prepared.
+  bool mustClose = true;
+  const auto prepare = [&](httplib::Request &request) {
+    // The library would answer ranges, compress answers and split multipart
+    // bodies; none is offered.
+    request.ranges.clear();
+    request.headers.erase("Accept-Encoding");
+    request.headers.erase("Content-Type");
+    mustClose = closeAfter || mayLeaveBody(request, Settings.MaxBody);
+    if (mustClose) {
+      request.headers.erase("Connection");
+      request.headers.emplace("Connection", "close");
+    }
+  };
+  const bool isServed = process_request(stream, closeAfter, isClosed, prepare);
+  return isServed && !isClosed && !mustClose;
+}
+
+bool Processor::handleEarly(const httplib::Request &request,
+                            httplib::Response &response) const {
+  if (std::optional<Error> error = refusal(request, Settings.MaxBody)) {
+    write(toAnswer(*error), response);
+    return true;
+  }
+  if (isPost(request) && hasBody(request))
+    return false;
+  handle(request, {}, response);
+  return true;
+}
+
+void Processor::handlePost(const httplib::Request &request,
+                           httplib::Response &response,
+                           const httplib::ContentReader &reader) const {
+  // Bounds also bodies that are sent in chunks or compressed.
+  std::string body;
+  bool isTooLong = false;
+  const bool isRead = reader([&](const char *data, size_t n) {
+    isTooLong = body.size() + n > Settings.MaxBody;
+    if (!isTooLong)
+      body.append(data, n);
+    return !isTooLong;
+  });
+  if (isTooLong)
+    write(toAnswer(bodyTooLarge(Settings.MaxBody)), response);
+  else if (isRead)
+    handle(request, std::move(body), response);
+}
+
+void Processor::handle(const httplib::Request &request, std::string body,
+                       httplib::Response &response) const {
+  write(answer(toRequest(request, std::move(body))), response);
+}
+
+HttpAnswer Processor::answer(const HttpRequest &request) const {
+  const Result<RouteMatch> match = matchRoute(request.Method, request.Path);
+  if (!isOk(match))
+    return toAnswer(errorOf(match));
+  const Route route = valueOf(match).Target;
+  if (route == Route::Health) {
+    if (Settings.IsHealthy())
+      return {200, "ok\n", "text/plain"};
+    return toAnswer(Error{ErrorKind::Unavailable, "this entry host is leaving",
+                          "use another entry host"});
+  }
+  Result<api::Command> command =
+      toCommand(valueOf(match), request, Settings.Limits);
+  if (!isOk(command))
+    return toAnswer(errorOf(command));
+  const Result<api::Reply> reply =
+      Settings.Execute(valueOf(std::move(command)));
+  return isOk(reply) ? toAnswer(route, valueOf(reply))
+                     : toAnswer(errorOf(reply));
+}
+
+} // namespace jujube::http
--- /dev/null
+++ b/jujube/http/server_test.cc
@@ -0,0 +1,320 @@
+// The server over loopback against an execute hook of the test.
+#include "jujube/http/server.h"
+
+#include <sys/resource.h>
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
+#include "httplib.h"
+#include "jujube/http/bodies.h"
+#include "jujube/http/json.h"
+#include "jujube/runtime/task.h"
+
+namespace jujube::http {
+namespace {
+
+constexpr absl::string_view Submission =
+    R"({"request":"pf.a1","entry":"invoices","payload":"march","tasks":2})";
+
+// A server on a free port, stopped at the end of the test.
+class TestServer {
+public:
+  explicit TestServer(api::ExecuteHook execute, ServerOptions options = {}) {
+    options.Listen = Address{"127.0.0.1", 0};
+    options.OnListening = [this](uint16_t port) { Port.set_value(port); };
+    auto spec = serverTask(std::move(options), std::move(execute),
+                           [this] { return IsHealthy.load(); });
+    BOOST_REQUIRE(isOk(spec));
+    auto task =
+        runtime::Task::start("http", Clock::monotonic(), valueOf(spec).Body,
+                             [this](const runtime::TaskExit &exit) {
+                               BOOST_TEST(isOk(exit.Outcome));
+                               HasEnded.Notify();
+                             });
+    BOOST_REQUIRE(isOk(task));
+    Running = valueOf(std::move(task));
+    Bound = Port.get_future().get();
+  }
+
+  httplib::Client client() const {
+    httplib::Client client("127.0.0.1", Bound);
+    client.set_tcp_nodelay(true);
+    client.set_read_timeout(20);
+    return client;
+  }
+  uint16_t port() const { return Bound; }
+  void stop() { Running->requestStop(); }
+  bool hasEnded() const { return HasEnded.HasBeenNotified(); }
+  void waitForEnd() { HasEnded.WaitForNotification(); }
+  std::atomic<bool> IsHealthy = true;
+
+private:
+  std::promise<uint16_t> Port;
+  absl::Notification HasEnded;
+  uint16_t Bound = 0;
+  std::unique_ptr<runtime::Task> Running;
+};
+
+api::ExecuteHook neverCalled() {
+  return [](const api::Command &) -> Result<api::Reply> {
+    BOOST_ERROR("the command should not have been executed");
+    return api::Reply(Ok{});
+  };
+}
+
+ErrorKind kindOf(const httplib::Result &answer) {
+  BOOST_REQUIRE(answer);
+  const auto body = fromJson<ErrorBody>(answer->body);
+  BOOST_REQUIRE(isOk(body));
+  BOOST_TEST(!valueOf(body).Problem.Remedy.empty());
+  return valueOf(body).Problem.Kind;
+}
+
+std::string bodyOf(std::size_t bytes) {
+  return absl::StrCat(R"({"request":"pf.a","entry":"e","payload":")",
+                      std::string(bytes, 'x'), R"("})");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerTest)
+
+BOOST_AUTO_TEST_CASE(TranslatesACommandAndItsReply) {
+  TestServer server([](const api::Command &command) -> Result<api::Reply> {
+    const auto &submit = std::get<api::Submit>(command);
+    BOOST_TEST(submit.PresentedKey == "k1.secret");
+    BOOST_TEST(submit.Payload == "march");
+    BOOST_TEST((submit.Tasks == 2U));
+    return fate::FateView{submit.Request, TeamId("events"), submit.Entry,
+                          fate::FateState::Queued};
+  });
+  httplib::Client client = server.client();
+  client.set_bearer_token_auth("k1.secret");
+  const auto answer =
+      client.Post("/v1/requests", std::string(Submission), "application/json");
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->status == 200);
+  const auto view = fromJson<fate::FateView>(answer->body);
+  BOOST_REQUIRE(isOk(view));
+  BOOST_TEST((valueOf(view).State == fate::FateState::Queued));
+  BOOST_TEST(valueOf(view).Request.str() == "pf.a1");
+}
+
+BOOST_AUTO_TEST_CASE(BadInputIsATypedErrorAndNothingIsExecuted) {
+  TestServer server(neverCalled());
+  httplib::Client client = server.client();
+  client.set_keep_alive(true);
+  const auto post = [&client](const std::string &path,
+                              const std::string &body) {
+    return kindOf(client.Post(path, body, "application/json"));
+  };
+  BOOST_TEST((post("/v1/requests", "{") == ErrorKind::MalformedBody));
+  BOOST_TEST((post("/v1/requests", "") == ErrorKind::MalformedBody));
+  BOOST_TEST((post("/v1/requests", bodyOf(65537)) == ErrorKind::BodyTooLarge));
+  BOOST_TEST((post("/v1/requests", std::string((1 << 20) + 1, ' ')) ==
+              ErrorKind::BodyTooLarge));
+  BOOST_TEST(
+      (post("/v1/requests/a%20b/cancel", "") == ErrorKind::InvalidArgument));
+  BOOST_TEST((post("/v1/nothing", "{}") == ErrorKind::NotFound));
+  BOOST_TEST((post("/v1/status", "{}") == ErrorKind::NotFound));
+  BOOST_TEST((post("/v1/entries/e/call",
+                   R"({"request":"a.b","payload":"","timeout_ms":0})") ==
+              ErrorKind::InvalidArgument));
+  BOOST_TEST((post("/v1/catalogue/edits?dry_run=2", "{}") ==
+              ErrorKind::InvalidArgument));
+  BOOST_TEST((kindOf(client.Get("/v1/requests/a.b?wait_ms=1e9")) ==
+              ErrorKind::InvalidArgument));
+  BOOST_TEST((kindOf(client.Get("/" + std::string(4000, 'a'))) ==
+              ErrorKind::NotFound));
+  BOOST_TEST((kindOf(client.Put("/v1/requests", "{}", "application/json")) ==
+              ErrorKind::NotFound));
+  client.set_default_headers({{"Authorization", "Basic YTpi"}});
+  BOOST_TEST(
+      (kindOf(client.Get("/v1/catalogue")) == ErrorKind::Unauthenticated));
+}
+
+// Bodies whose length is not declared, or that grow when they are unpacked.
+BOOST_AUTO_TEST_CASE(ChunkedAndCompressedBodiesAreBounded) {
+  TestServer server(neverCalled());
+  httplib::Client client = server.client();
+  const std::string chunk(1 << 16, ' ');
+  const auto chunked = client.Post(
+      "/v1/requests",
+      [&chunk, sent = 0](std::size_t, httplib::DataSink &sink) mutable {
+        if (++sent > 17)
+          sink.done();
+        else
+          sink.write(chunk.data(), chunk.size());
+        return true;
+      },
+      "application/json");
+  if (chunked)
+    BOOST_TEST((kindOf(chunked) == ErrorKind::BodyTooLarge));
+  client.set_compress(true);
+  BOOST_TEST(
+      (kindOf(client.Post("/v1/requests", std::string(8 << 20, ' '),
+                          "application/json")) == ErrorKind::BodyTooLarge));
+}
+
+// Headers that make the HTTP library's regular expressions recurse.
+BOOST_AUTO_TEST_CASE(LongHeadersDoNotOverflowTheStack) {
+  TestServer server([](const api::Command &) -> Result<api::Reply> {
+    return api::FleetStatus{};
+  });
+  httplib::Client client = server.client();
+  std::string ranges = "bytes=0-1";
+  while (ranges.size() < 8000)
+    ranges += ",2-3";
+  (void)client.Get("/v1/status", {{"Range", ranges}});
+  const auto answer = client.Get("/v1/status");
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(ErrorsOfCommandsHaveTheirStatus) {
+  TestServer server([](const api::Command &command) -> Result<api::Reply> {
+    if (std::holds_alternative<api::GetCatalogue>(command))
+      return Error{ErrorKind::StaleData, "too old", "retry"};
+    throw std::runtime_error("a fault of the hook");
+  });
+  httplib::Client client = server.client();
+  const auto stale = client.Get("/v1/catalogue");
+  BOOST_TEST((kindOf(stale) == ErrorKind::StaleData));
+  BOOST_TEST(stale->status == 503);
+  BOOST_TEST(stale->get_header_value("Retry-After") == "1");
+  const auto fault = client.Get("/v1/status");
+  BOOST_TEST((kindOf(fault) == ErrorKind::Internal));
+  BOOST_TEST(fault->status == 500);
+}
+
+BOOST_AUTO_TEST_CASE(StopFinishesRequestsInProgress) {
+  absl::Notification hasStarted;
+  absl::Notification mayEnd;
+  TestServer server([&](const api::Command &) -> Result<api::Reply> {
+    hasStarted.Notify();
+    mayEnd.WaitForNotification();
+    return api::FleetStatus{};
+  });
+  httplib::Client idle = server.client();
+  idle.set_keep_alive(true);
+  BOOST_REQUIRE(idle.Get("/healthz"));
+  auto pending = std::async(std::launch::async, [&server] {
+    return server.client().Get("/v1/status");
+  });
+  hasStarted.WaitForNotification();
+  server.stop();
+  // The listening socket is closed at once, the request goes on.
+  while (server.client().Get("/healthz"))
+    std::this_thread::yield();
+  BOOST_TEST(!server.hasEnded());
+  mayEnd.Notify();
+  const httplib::Result answer = pending.get();
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer->status == 200);
+  server.waitForEnd();
+}
+
+BOOST_AUTO_TEST_CASE(LeavingIsSeenByTheBalancerAndEndsKeepAlive) {
+  TestServer server(neverCalled());
+  httplib::Client client = server.client();
+  client.set_keep_alive(true);
+  const auto healthy = client.Get("/healthz");
+  BOOST_REQUIRE(healthy);
+  BOOST_TEST(healthy->status == 200);
+  BOOST_TEST(healthy->get_header_value("Connection") != "close");
+  server.IsHealthy = false;
+  const auto leaving = client.Get("/healthz");
+  BOOST_TEST((kindOf(leaving) == ErrorKind::Unavailable));
+  BOOST_TEST(leaving->status == 503);
+  BOOST_TEST(leaving->get_header_value("Connection") == "close");
+}
+
+// With all threads taken by idle connections a new one still gets through.
+BOOST_AUTO_TEST_CASE(IdleConnectionsMakeRoom) {
+  ServerOptions options;
+  options.MaxConnections = 2;
+  TestServer server(neverCalled(), options);
+  std::vector<std::unique_ptr<httplib::Client>> clients;
+  for (int i = 0; i < 6; ++i) {
+    auto &client = clients.emplace_back(
+        std::make_unique<httplib::Client>("127.0.0.1", server.port()));
+    client->set_keep_alive(true);
+    const auto answer = client->Get("/healthz");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->status == 200);
+  }
+}
+
+// Connections that wait take no processor time.
+BOOST_AUTO_TEST_CASE(IdleConnectionsDoNotSpin) {
+  TestServer server(neverCalled());
+  std::vector<std::unique_ptr<httplib::Client>> clients;
+  for (int i = 0; i < 50; ++i) {
+    auto &client = clients.emplace_back(
+        std::make_unique<httplib::Client>("127.0.0.1", server.port()));
+    client->set_keep_alive(true);
+    BOOST_REQUIRE(client->Get("/healthz"));
+  }
+  const auto switches = [] {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_nvcsw;
+  };
+  const auto before = switches();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  // A polling thread would wake some twenty times in that span.
+  BOOST_TEST(switches() - before < 50);
+}
+
+BOOST_AUTO_TEST_CASE(ServesTls) {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() /
+      absl::StrCat("jujube_tls_test_", getpid());
+  std::filesystem::create_directories(folder);
+  const std::string certificate = folder / "cert.pem";
+  const std::string key = folder / "key.pem";
+  BOOST_REQUIRE(
+      std::system(absl::StrCat("openssl req -x509 -newkey rsa:2048 -nodes "
+                               "-days 2 -subj /CN=127.0.0.1 -addext "
+                               "subjectAltName=IP:127.0.0.1 -keyout ",
+                               key, " -out ", certificate, " 2>/dev/null")
+                      .c_str()) == 0);
+  ServerOptions options;
+  options.Tls = TlsFiles{certificate, key};
+  TestServer server(
+      [](const api::Command &) -> Result<api::Reply> {
+        return api::FleetStatus{};
+      },
+      options);
+  httplib::SSLClient trusting("127.0.0.1", server.port());
+  trusting.set_ca_cert_path(certificate.c_str());
+  trusting.enable_server_certificate_verification(true);
+  trusting.set_keep_alive(true);
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = trusting.Get("/v1/status");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->status == 200);
+  }
+  httplib::SSLClient doubting("127.0.0.1", server.port());
+  doubting.enable_server_certificate_verification(true);
+  BOOST_TEST(!doubting.Get("/v1/status"));
+  ServerOptions broken;
+  broken.Listen = Address{"127.0.0.1", 0};
+  broken.Tls = TlsFiles{certificate, certificate};
+  const auto refused = serverTask(broken, neverCalled(), [] { return true; });
+  BOOST_REQUIRE(!isOk(refused));
+  BOOST_TEST(absl::StrContains(errorOf(refused).Message, certificate));
+  std::filesystem::remove_all(folder);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jujube::http
--- /dev/null
+++ b/jujube/http/stream.h
@@ -0,0 +1,94 @@
+// Byte streams over sockets for the HTTP library, plain and with TLS. They
+// block in poll(2) and gather the writes of one answer into one.
+#ifndef JUJUBE_HTTP_STREAM_H_
+#define JUJUBE_HTTP_STREAM_H_
+
+#include <openssl/ssl.h>
+
+#include <memory>
+#include <string>
+
+#include "httplib.h"
+#include "jujube/base/clock.h"
+
+namespace jujube::http {
+
+// A connected socket that the caller owns and that is non-blocking.
+class SocketStream : public httplib::Stream {
+public:
+  SocketStream(int fd, Duration timeout);
+  SocketStream(const SocketStream &) = delete;
+  SocketStream &operator=(const SocketStream &) = delete;
+
+  // Waits until a request can be read; false when `span` has passed or the
+  // peer has closed.
+  bool waitForRequest(Duration span);
+  // True if bytes are there to be read without waiting.
+  virtual bool hasInput() const;
+  // Sends what has been written; false if the connection is lost.
+  bool flush();
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char *ptr, size_t size) override;
+  ssize_t write(const char *ptr, size_t size) override;
+  void get_remote_ip_and_port(std::string &ip, int &port) const override;
+  void get_local_ip_and_port(std::string &ip, int &port) const override;
+  socket_t socket() const override { return Fd; }
+
+protected:
+  // Like recv(2) and send(2), after waiting at most the timeout.
+  virtual ssize_t receive(char *ptr, size_t size);
+  virtual ssize_t transmit(const char *ptr, size_t size);
+  bool waitFor(short events, Duration span) const;
+  Duration timeout() const { return Timeout; }
+
+private:
+  static constexpr std::size_t InputBytes = 4096;
+  // More output than this is sent before the answer is complete.
+  static constexpr std::size_t MaxOutput = std::size_t{64} << 10;
+
+  int Fd;
+  Duration Timeout;
+  std::string Input;
+  std::size_t InputUsed = 0;
+  std::string Output;
+};
+
+struct SslDeleter {
+  void operator()(SSL *ssl) const { SSL_free(ssl); }
+  void operator()(SSL_CTX *context) const { SSL_CTX_free(context); }
+};
+using SslPtr = std::unique_ptr<SSL, SslDeleter>;
+using SslContextPtr = std::unique_ptr<SSL_CTX, SslDeleter>;
+
+// The server's side of a TLS connection.
+class TlsStream : public SocketStream {
+public:
+  // Null if TLS can't be set up for the socket.
+  static std::unique_ptr<TlsStream> create(SSL_CTX *context, int fd,
+                                           Duration timeout);
+  // Sends the closing alert.
+  ~TlsStream() override;
+
+  // Completes the handshake; false if the peer does not.
+  bool accept();
+  bool hasInput() const override;
+
+protected:
+  ssize_t receive(char *ptr, size_t size) override;
+  ssize_t transmit(const char *ptr, size_t size) override;
+
+private:
+  TlsStream(SslPtr ssl, int fd, Duration timeout)
+      : SocketStream(fd, timeout), Ssl(std::move(ssl)) {}
+
+  // Repeats a TLS call until it is done, waiting as it asks.
+  template <typename Call> int complete(Call call);
+
+  SslPtr Ssl;
+};
+
+} // namespace jujube::http
+
+#endif // JUJUBE_HTTP_STREAM_H_
