--- a/jujube/http/processor.cc
+++ b/jujube/http/processor.cc
@@ -113,25 +113,28 @@
   });
 }
 
-bool Processor::process(httplib::Stream &stream, bool isLast) {
+Disposition Processor::process(httplib::Stream &stream, bool isLast) {
   const bool closeAfter = isLast || !Settings.IsHealthy();
   bool isClosed = false;
   // Stays true if the library refuses the request before it is prepared.
-  bool mustClose = true;
+  bool isUnread = true;
   const auto prepare = [&](httplib::Request &request) {
     // The library would answer ranges, compress answers and split multipart
     // bodies; none is offered.
     request.ranges.clear();
     request.headers.erase("Accept-Encoding");
     request.headers.erase("Content-Type");
-    mustClose = closeAfter || mayLeaveBody(request, Settings.MaxBody);
-    if (mustClose) {
+    isUnread = mayLeaveBody(request, Settings.MaxBody);
+    if (isUnread) {
       request.headers.erase("Connection");
       request.headers.emplace("Connection", "close");
     }
   };
   const bool isServed = process_request(stream, closeAfter, isClosed, prepare);
-  return isServed && !isClosed && !mustClose;
+  if (isUnread)
+    return Disposition::DrainAndClose;
+  return isServed && !isClosed && !closeAfter ? Disposition::Reuse
+                                              : Disposition::Close;
 }
 
 bool Processor::handleEarly(const httplib::Request &request,
--- a/jujube/http/processor.h
+++ b/jujube/http/processor.h
@@ -13,6 +13,15 @@
 
 namespace jujube::http {
 
+// What becomes of a connection after a request.
+enum class Disposition {
+  Reuse,
+  Close,
+  // Part of the request is unread: the answer would be lost if the connection
+  // were closed at once.
+  DrainAndClose,
+};
+
 // The HTTP library's parser and writer without its listener and threads.
 // Threads may share one; process() is safe to call from many at once.
 class Processor : private httplib::Server {
@@ -27,8 +36,8 @@
 
   explicit Processor(Options options);
 
-  // Serves one request. Returns false if the connection has to be closed.
-  bool process(httplib::Stream &stream, bool isLast);
+  // Serves one request. Closes the connection after it if `isLast`.
+  Disposition process(httplib::Stream &stream, bool isLast);
 
 private:
   void handle(const httplib::Request &request, std::string body,
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -58,15 +58,18 @@
 
 private:
   void serveStream(SocketStream &stream) {
-    bool isOpen = true;
-    while (isOpen) {
+    auto next = Disposition::Reuse;
+    while (next == Disposition::Reuse) {
       const bool mayWait = Idle.enter(stream.socket());
       const bool isThere =
           stream.waitForRequest(mayWait ? Plan.Options.KeepAlive : Duration());
       Idle.leave(stream.socket());
-      isOpen = isThere && Requests.process(stream, !mayWait);
-      isOpen = stream.flush() && isOpen;
+      next = isThere ? Requests.process(stream, !mayWait) : Disposition::Close;
+      if (!stream.flush())
+        return;
     }
+    if (next == Disposition::DrainAndClose)
+      stream.drain();
   }
 
   const Blueprint &Plan;
--- a/jujube/http/stream.cc
+++ b/jujube/http/stream.cc
@@ -12,6 +12,11 @@
 namespace jujube::http {
 namespace {
 
+// Bounds of what a refused request may still send.
+constexpr int MaxDrainReads = 1024;
+constexpr std::size_t DrainBytes = std::size_t{16} << 10;
+constexpr Duration DrainPause = Duration::seconds(1);
+
 using NameCall = int (*)(int, sockaddr *, socklen_t *);
 
 void describePeer(NameCall call, int fd, std::string &ip, int &port) {
@@ -57,6 +62,15 @@
   return true;
 }
 
+void SocketStream::drain() {
+  (void)shutdown(Fd, SHUT_WR);
+  std::string discarded(DrainBytes, '\0');
+  int reads = 0;
+  while (reads < MaxDrainReads && waitFor(POLLIN, DrainPause) &&
+         receive(discarded.data(), discarded.size()) > 0)
+    ++reads;
+}
+
 bool SocketStream::is_readable() const {
   return InputUsed < Input.size() || waitFor(POLLIN, Timeout);
 }
--- a/jujube/http/stream.h
+++ b/jujube/http/stream.h
@@ -25,6 +25,8 @@
   bool waitForRequest(Duration span);
   // True if bytes are there to be read without waiting.
   virtual bool hasInput() const;
+  // Discards a bounded amount of input until the peer closes.
+  void drain();
   // Sends what has been written; false if the connection is lost.
   bool flush();
 
