--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -8,7 +8,6 @@
 #include "glog/logging.h"
 #include "jujube/base/digest.h"
 #include "jujube/catalogue/follower.h"
-#include "jujube/keeper/journal_disk.h"
 
 namespace jujube::keeper {
 namespace {
@@ -49,23 +48,44 @@
 }
 
 Status FleetTask::openReplica(runtime::TaskContext &context) {
-  auto disk = JournalDisk::open(Settings.DataFolder);
+  auto disk = storage::Store::open({Settings.DataFolder}, Clock::wall().now());
   if (!isOk(disk))
     return errorOf(disk);
+  Disk = valueOf(std::move(disk));
+  LOG(INFO) << "event=journal_opened bytes=" << Disk->report().JournalBytes
+            << " torn_bytes=" << Disk->report().TornBytes;
   consensus::Options options;
   options.Self = {Settings.Self, Settings.Listen};
-  options.Start = valueOf(disk)->incarnation();
+  options.Start = Disk->start();
   options.Configured = Settings.Keepers;
   options.Rule = consensus::Formation::WhenAllBlank;
   auto log = replica::Replica::create(
-      context.loop(), options, valueOf(disk)->recovered(),
-      std::random_device()(), replicaHooks(), valueOf(disk)->hooks());
+      context.loop(), options, Disk->takeRecovered(), std::random_device()(),
+      replicaHooks(), diskHooks());
   if (!isOk(log))
     return errorOf(log);
   Log = valueOf(std::move(log));
   return Ok{};
 }
 
+replica::DiskHooks FleetTask::diskHooks() {
+  replica::DiskHooks hooks;
+  hooks.Write =
+      [this](const std::vector<consensus::Persist> &changes) -> Status {
+    for (const consensus::Persist &change : changes)
+      if (Status status = Disk->write(change); !isOk(status))
+        return status;
+    return Disk->sync();
+  };
+  hooks.SaveSnapshot = [this](const consensus::Snapshot &snapshot) {
+    return Disk->saveSnapshot(snapshot);
+  };
+  hooks.InstallSnapshot = [this](const consensus::Snapshot &snapshot) {
+    return Disk->installSnapshot(snapshot);
+  };
+  return hooks;
+}
+
 replica::ReplicaHooks FleetTask::replicaHooks() {
   replica::ReplicaHooks hooks;
   hooks.Apply = [this](const std::string &payload) {
@@ -265,28 +285,39 @@
 
 void FleetTask::answerReport(const wire::Envelope &request,
                              const limits::SliceReport &report) {
-  if (SliceLeases && Log->mayServe() &&
-      SliceLeases->renew(report.Zone, Loop.now()))
+  if (!SliceLeases || !Log->mayServe())
+    return;
+  if (SliceLeases->renew(report.Zone, Loop.now()))
     Messages.reply(request, wire::SliceNews{State.slices().replyTo(report)});
+  else
+    restartLease(report.Zone,
+                 [this, request, report] { answerReport(request, report); });
+}
+
+void FleetTask::restartLease(const ZoneId &zone,
+                             const std::function<void()> &then) {
+  if (!State.slices().holdsBorrowed(zone)) {
+    SliceLeases->reset(zone, Loop.now());
+    then();
+    return;
+  }
+  LOG(INFO) << "event=slices_reclaimed zone=" << zone.str();
+  propose(limits::SliceCommand(limits::ReclaimBorrowed{zone}),
+          [this, zone, then](const Status &status) {
+            if (!isOk(status) || !SliceLeases)
+              return;
+            SliceLeases->reset(zone, Loop.now());
+            then();
+          });
 }
 
 void FleetTask::reclaimEndedLeases() {
   if (!SliceLeases || !Log->mayServe())
     return;
-  for (const ZoneId &zone : State.slices().state().Zones) {
-    if (!SliceLeases->hasEnded(zone, Loop.now()))
-      continue;
-    if (!State.slices().holdsBorrowed(zone)) {
-      SliceLeases->reset(zone, Loop.now());
-      continue;
-    }
-    LOG(INFO) << "event=slices_reclaimed zone=" << zone.str();
-    propose(limits::SliceCommand(limits::ReclaimBorrowed{zone}),
-            [this, zone](const Status &status) {
-              if (isOk(status) && SliceLeases)
-                SliceLeases->reset(zone, Loop.now());
-            });
-  }
+  for (const limits::LedgerZone &line : State.slices().state().Zones)
+    if (SliceLeases->hasEnded(line.Zone, Loop.now()) &&
+        State.slices().holdsBorrowed(line.Zone))
+      restartLease(line.Zone, [] {});
 }
 
 } // namespace jujube::keeper
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -3,8 +3,10 @@
 #ifndef JUJUBE_KEEPER_FLEET_TASK_H_
 #define JUJUBE_KEEPER_FLEET_TASK_H_
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,7 @@
 #include "jujube/limits/lease_table.h"
 #include "jujube/replica/replica.h"
 #include "jujube/runtime/task.h"
+#include "jujube/storage/store.h"
 #include "jujube/wire/messenger.h"
 
 namespace jujube::keeper {
@@ -67,6 +70,7 @@
             wire::PacketMailbox outbox);
 
   Status openReplica(runtime::TaskContext &context);
+  replica::DiskHooks diskHooks();
   replica::ReplicaHooks replicaHooks();
   void changeRole(const consensus::RoleChanged &change);
 
@@ -94,6 +98,7 @@
   runtime::PollLoop &Loop;
   wire::Messenger Messages;
   FleetState State;
+  std::optional<storage::Store> Disk;
   std::unique_ptr<replica::Replica> Log;
   std::map<HostId, KnownHost> Hosts;
   std::vector<ParkedPoll> Polls;
--- a/jujube/replica/replica.cc
+++ b/jujube/replica/replica.cc
@@ -129,7 +129,7 @@
   Hooks.Restore(action.Base.Data);
   if (!Disk)
     return;
-  if (Status status = Disk->SaveSnapshot(action.Base); !isOk(status)) {
+  if (Status status = Disk->InstallSnapshot(action.Base); !isOk(status)) {
     fail(errorOf(status));
     return;
   }
--- a/jujube/replica/replica.h
+++ b/jujube/replica/replica.h
@@ -39,6 +39,8 @@
   std::function<Status(const std::vector<consensus::Persist> &)> Write;
   // Makes a snapshot durable and drops the journal up to it.
   std::function<Status(const consensus::Snapshot &)> SaveSnapshot;
+  // Replaces the whole journal by a leader's snapshot.
+  std::function<Status(const consensus::Snapshot &)> InstallSnapshot;
 };
 
 // Told how a proposal ended: Ok once it is applied; Unavailable if it may still
--- a/jujube/wire/domain_encoding.h
+++ b/jujube/wire/domain_encoding.h
@@ -121,6 +121,9 @@
 
 namespace jujube::api {
 
+template <typename Archive> void serialize(Archive &ar, CallLive &v) {
+  ar(v.PresentedKey, v.Request, v.Entry, v.Payload, v.Timeout);
+}
 template <typename Archive> void serialize(Archive &ar, EditReceipt &v) {
   ar(v.At, v.IsInForce);
 }
--- a/jujube/wire/leader_client.cc
+++ b/jujube/wire/leader_client.cc
@@ -47,19 +47,22 @@
 }
 
 void LeaderClient::callOnce(const Message &what, Duration timeout,
-                            const ReplyHook &done) {
+                            const ReplyHook &done, Channel via) {
   const Address to = leader();
-  Calls.call(to, what, timeout, [this, to, done](Result<Message> result) {
-    const auto *refusal =
-        isOk(result) ? std::get_if<Refusal>(&valueOf(result)) : nullptr;
-    if (isOk(result) && !refusal) {
-      done(std::move(result));
-      return;
-    }
-    if (!refusal || refusal->Why.Kind == ErrorKind::NotLeader)
-      follow(refusal, to);
-    done(refusal ? Result<Message>(refusal->Why) : std::move(result));
-  });
+  Calls.call(
+      to, what, timeout,
+      [this, to, done](Result<Message> result) {
+        const auto *refusal =
+            isOk(result) ? std::get_if<Refusal>(&valueOf(result)) : nullptr;
+        if (isOk(result) && !refusal) {
+          done(std::move(result));
+          return;
+        }
+        if (!refusal || refusal->Why.Kind == ErrorKind::NotLeader)
+          follow(refusal, to);
+        done(refusal ? Result<Message>(refusal->Why) : std::move(result));
+      },
+      via);
 }
 
 void LeaderClient::attempt(const std::shared_ptr<const Request> &request) {
--- a/jujube/wire/leader_client.h
+++ b/jujube/wire/leader_client.h
@@ -36,7 +36,8 @@
   // Sends a request once, to the member that is believed to lead. NotLeader and
   // timeouts come back as errors; the next call asks the leader that was named,
   // or the next member.
-  void callOnce(const Message &what, Duration timeout, const ReplyHook &done);
+  void callOnce(const Message &what, Duration timeout, const ReplyHook &done,
+                Channel via = Channel::Stream);
 
   Address leader() const;
   bool hasMembers() const { return !Members.empty(); }
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -72,6 +72,12 @@
 template <typename Archive> void serialize(Archive &ar, JournalLiveEnd &v) {
   ar(v.End);
 }
+template <typename Archive> void serialize(Archive &ar, PassLive &v) {
+  ar(v.Call);
+}
+template <typename Archive> void serialize(Archive &ar, LiveDone &v) {
+  ar(v.Answer);
+}
 template <typename Archive> void serialize(Archive &, ReadZone &) {}
 template <typename Archive> void serialize(Archive &ar, ZoneNews &v) {
   ar(v.Status, v.Metrics);
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -130,6 +130,15 @@
   fate::LiveEnded End;
 };
 
+// A draining entry host to another one: a live request that has not left yet,
+// answered by LiveDone.
+struct PassLive {
+  api::CallLive Call;
+};
+struct LiveDone {
+  api::LiveAnswer Answer;
+};
+
 // Entry host to a zone's leader, answered by ZoneNews.
 struct ReadZone {};
 struct ZoneNews {
--- a/jujube/wire/state_encoding.h
+++ b/jujube/wire/state_encoding.h
@@ -19,7 +19,8 @@
   ar(v.Object, v.Ended);
 }
 template <typename Archive> void serialize(Archive &ar, State &v) {
-  ar(v.Current, v.Tombstones, v.Outcomes, v.RecentEdits, v.History);
+  ar(v.Current, v.Deleted, v.WithdrawnKeys, v.Outcomes, v.RecentEdits,
+     v.History);
 }
 template <typename Archive> void serialize(Archive &ar, Update &v) {
   ar(v.From, v.To, v.Edits, v.Snapshot, v.IsConfirmed);
@@ -29,10 +30,6 @@
 
 namespace jujube::limits {
 
-template <typename Archive> void serialize(Archive &ar, SlicePolicy &v) {
-  ar(v.BorrowLease, v.WindDown, v.Drift, v.IdleKeep, v.TakeoverGrace,
-     v.GuaranteedPercent, v.FloorPercent);
-}
 template <typename Archive> void serialize(Archive &ar, Slice &v) {
   ar(v.Team, v.Version, v.Guaranteed, v.Borrowed);
 }
@@ -72,8 +69,11 @@
 template <typename Archive> void serialize(Archive &ar, LedgerTeam &v) {
   ar(v.Team, v.Ceiling, v.Slices);
 }
+template <typename Archive> void serialize(Archive &ar, LedgerZone &v) {
+  ar(v.Zone, v.LeaderTerm, v.Sequence);
+}
 template <typename Archive> void serialize(Archive &ar, LedgerState &v) {
-  ar(v.Policy, v.Latest, v.Zones, v.Teams);
+  ar(v.Latest, v.Zones, v.Teams);
 }
 
 } // namespace jujube::limits
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -195,7 +195,7 @@
 }
 
 void Scheduler::on(const fate::RequestCancelled &event, Moment at) {
-  Planner.cancel(event.Request, at.Now);
+  Planner.cancel(event.Request);
   const fate::RequestRecord *request = Book.findRequest(event.Request);
   for (const fate::TaskRecord &task : request->Tasks)
     if (task.IsLive)
@@ -204,7 +204,7 @@
 }
 
 void Scheduler::on(const fate::RequestRejected &event, Moment at) {
-  Planner.cancel(event.Request, at.Now);
+  Planner.cancel(event.Request);
   forgetIfEnded(event.Request, at);
 }
 
@@ -245,7 +245,7 @@
     auto more = Book.report(worker, start, report, at.Wall);
     std::ranges::move(more, std::back_inserter(events));
     if (report.Usage != Resources{})
-      Planner.usage(report.Task, report.Usage, at.Now);
+      Planner.usage(report.Task, report.Usage);
   }
   if (!events.empty())
     Hooks.Propose(std::move(events));
