--- /dev/null
+++ b/jujube/limits/slice_ledger.h
@@ -0,0 +1,145 @@
+// The keepers' side of ceilings: each team's ceiling split into slices of the
+// zones, whose sum never exceeds it.
+#ifndef JUJUBE_LIMITS_SLICE_LEDGER_H_
+#define JUJUBE_LIMITS_SLICE_LEDGER_H_
+
+#include <optional>
+#include <vector>
+
+#include "absl/container/btree_map.h"
+
+#include "jujube/base/result.h"
+#include "jujube/limits/types.h"
+
+namespace jujube::limits {
+
+// One slice and what its zone last said that it wants.
+struct SliceEntry {
+  ZoneId Zone;
+  Slice Held;
+  Resources Wanted;
+
+  bool operator==(const SliceEntry &) const = default;
+};
+
+// One team's line in the ledger.
+struct LedgerTeam {
+  TeamId Team;
+  Resources Ceiling;
+  std::vector<SliceEntry> Slices;
+
+  bool operator==(const LedgerTeam &) const = default;
+};
+
+// A zone and the last report that changed its lines.
+struct LedgerZone {
+  ZoneId Zone;
+  Term LeaderTerm;
+  uint64_t Sequence = 0;
+
+  bool operator==(const LedgerZone &) const = default;
+};
+
+// Everything that a snapshot of the ledger holds.
+struct LedgerState {
+  GrantVersion Latest;
+  std::vector<LedgerZone> Zones;
+  std::vector<LedgerTeam> Teams;
+
+  bool operator==(const LedgerState &) const = default;
+};
+
+// Replicated state machine of the fleet log; knows no time. When a lease has
+// ended is decided by the keepers' leader with a LeaseTable<ZoneId>, made when
+// it has applied its first own entry of the log. To answer a report:
+//   1. propose commandFor(report), if any, and wait until it is applied;
+//   2. if the table's renew() refuses and holdsBorrowed(): propose
+//      ReclaimBorrowed and wait until it is applied;
+//   3. if renew() refused, reset() the lease;
+//   4. send replyTo(report), under the leader lease of the keepers' group.
+// Once a second it proposes ReclaimBorrowed for every zone that is ended() and
+// holdsBorrowed().
+class SliceLedger {
+public:
+  explicit SliceLedger(SlicePolicy policy = {}) : Policy(policy) {}
+
+  void apply(const SliceCommand &command);
+
+  // The command that a report calls for, or nothing if it changes nothing:
+  // AddZone for an unknown zone, else ApplyReport with the lines that matter.
+  std::optional<SliceCommand> commandFor(const SliceReport &report) const;
+
+  // The answer to a report, from the applied state. Send it only after the
+  // report's command was applied.
+  SliceReply replyTo(const SliceReport &report) const;
+
+  bool hasZone(const ZoneId &zone) const { return Zones.contains(zone); }
+  bool holdsBorrowed(const ZoneId &zone) const;
+
+  // The ceiling as last set; zero for an unknown team.
+  Resources ceiling(const TeamId &team) const;
+  // The sum of the zones' slices.
+  Resources held(const TeamId &team) const;
+  // True if the zones hold no more than the ceiling.
+  bool isInForce(const TeamId &team) const;
+
+  LedgerState state() const;
+  static Result<SliceLedger> fromState(const LedgerState &state,
+                                       SlicePolicy policy = {});
+
+private:
+  struct Part {
+    Slice Held;
+    Resources Wanted;
+
+    // True if the zone wants more than it holds.
+    bool isWanting() const { return !Wanted.fitsIn(Held.total()); }
+  };
+  struct TeamLine {
+    Resources Ceiling;
+    absl::btree_map<ZoneId, Part> Parts;
+
+    Resources held() const;
+    bool isWanted() const;
+  };
+  struct ReportMark {
+    Term LeaderTerm;
+    uint64_t Sequence = 0;
+
+    auto operator<=>(const ReportMark &) const = default;
+  };
+
+  void on(const AddZone &command);
+  void on(const RetireZone &command);
+  void on(const SetCeiling &command);
+  void on(const ApplyReport &command);
+  void on(const ReclaimBorrowed &command);
+
+  const TeamLine *findTeam(const TeamId &team) const;
+  bool isOutdated(const SliceReport &report) const;
+  bool matters(const ZoneId &zone, const ReportLine &line) const;
+
+  // A zone's guaranteed part when nothing else speaks against it.
+  Resources entitlement(const TeamLine &line) const;
+  // What a zone should hold while there is too little for all.
+  Resources limitOf(const TeamLine &line, const ZoneId &zone) const;
+  // The part of limitOf() that does not depend on what is left over.
+  Resources baseOf(const TeamLine &line, const Part &part) const;
+  std::optional<Guidance> guidanceFor(const TeamId &team, const TeamLine &line,
+                                      const ZoneId &zone) const;
+
+  // Hands out what is free.
+  void distribute(TeamLine &line);
+  void restoreGuaranteed(TeamLine &line, Resources &unheld);
+  void lend(TeamLine &line, Resources &unheld);
+  void stamp(Slice &slice);
+
+  SlicePolicy Policy;
+  GrantVersion Latest;
+  absl::btree_map<ZoneId, ReportMark> Zones;
+  absl::btree_map<TeamId, TeamLine> Teams;
+};
+
+} // namespace jujube::limits
+
+#endif // JUJUBE_LIMITS_SLICE_LEDGER_H_
