--- /dev/null
+++ b/jujube/fate/fate_book.cc
@@ -0,0 +1,379 @@
+#include "jujube/fate/fate_book.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::fate {
+namespace {
+
+bool isGang(const RequestRecord &request) {
+  return request.Work.Entry.Class == catalogue::WorkClass::Gang;
+}
+
+// Live states that wait for another event, but may never see one.
+bool isWaiting(FateState state) {
+  return state == FateState::Queued || state == FateState::Unresolved;
+}
+
+bool isEndOfLive(FateState state) {
+  return isTerminal(state) || isWaiting(state);
+}
+
+} // namespace
+
+bool FateBook::apply(const Event &event) {
+  return std::visit([this](const auto &e) { return on(e); }, event);
+}
+
+bool FateBook::on(const RequestAccepted &event) {
+  const RequestId &id = event.Work.Request;
+  if (Requests.contains(id) || LiveRequests.contains(id) ||
+      event.Work.Tasks == 0)
+    return false;
+  RequestRecord &request = Requests[id];
+  request.Work = event.Work;
+  request.AcceptedAt = event.At;
+  request.Open = event.Work.Tasks;
+  request.Unstarted = event.Work.Tasks;
+  request.Tasks.resize(event.Work.Tasks);
+  index(request);
+  return true;
+}
+
+bool FateBook::on(const TaskOffered &event) {
+  const auto it = Requests.find(event.Task.Request);
+  if (it == Requests.end() || event.Task.Index >= it->second.Tasks.size())
+    return false;
+  RequestRecord &request = it->second;
+  TaskRecord &task = request.Tasks[event.Task.Index];
+  const bool isOnceOnly = !request.Work.Entry.IsIdempotent;
+  if (task.State != FateState::Queued || event.Token <= task.Token ||
+      (isOnceOnly && task.MayHaveRun))
+    return false;
+  task.State = FateState::Offered;
+  task.IsLive = true;
+  ++task.Attempts;
+  task.Token = event.Token;
+  task.Worker = event.Worker;
+  task.Start = event.Start;
+  task.Reserved = event.Reserved;
+  Used[request.Work.Team] += event.Reserved;
+  ByWorker[event.Worker].insert(event.Task);
+  return true;
+}
+
+bool FateBook::on(const TaskStarted &event) {
+  const auto ref = findOpenAttempt(event.Task, event.Token);
+  if (!ref || ref->Task.State != FateState::Offered)
+    return false;
+  ref->Task.State = FateState::Running;
+  noteRun(*ref, event.At);
+  return true;
+}
+
+bool FateBook::on(const TaskEnded &event) {
+  const auto ref = findOpenAttempt(event.Task, event.Token);
+  const bool isRefused = event.Phase == TaskPhase::Refused;
+  if (!ref || (isRefused && ref->Task.State == FateState::Running) ||
+      event.Phase == TaskPhase::Started || event.Phase == TaskPhase::Running)
+    return false;
+  release(*ref);
+  if (isRefused && ref->Task.State == FateState::Unresolved)
+    ref->Task.MayHaveRun = false;
+  if (!isRefused)
+    noteRun(*ref, event.At);
+  if (event.Phase == TaskPhase::Finished)
+    end(*ref, FateState::Finished, event.Text, event.At);
+  else if (event.Phase == TaskPhase::Failed && ref->Request.isStopping())
+    end(*ref, FateState::Failed, event.Text, event.At);
+  else
+    retry(*ref, event.Text, event.Phase == TaskPhase::Failed, event.At);
+  return true;
+}
+
+bool FateBook::on(const AttemptLost &event) {
+  const auto ref = findOpenAttempt(event.Task, event.Token);
+  if (!ref || (ref->Task.State == FateState::Unresolved && !event.IsForgotten))
+    return false;
+  const catalogue::Entry &entry = ref->Request.Work.Entry;
+  release(*ref);
+  noteRun(*ref, event.At);
+  if (entry.IsIdempotent || ref->Request.isStopping()) {
+    // Services outlive many workers, so a lost worker is no failure of theirs.
+    retry(*ref, event.Reason, entry.Class != catalogue::WorkClass::Service,
+          event.At);
+  } else if (event.IsForgotten) {
+    end(*ref, FateState::Failed,
+        absl::StrCat("outcome not known, it may have run: ", event.Reason),
+        event.At);
+  } else {
+    ref->Task.State = FateState::Unresolved;
+    ref->Task.Text = event.Reason;
+    ref->Task.LostAt = event.At;
+    Unresolved.emplace(event.At, event.Task);
+  }
+  return true;
+}
+
+bool FateBook::on(const RequestCancelled &event) {
+  const auto it = Requests.find(event.Request);
+  if (it == Requests.end() || it->second.IsCancelled || it->second.Open == 0)
+    return false;
+  it->second.IsCancelled = true;
+  endQueued(it->second, "cancelled by its caller", event.At);
+  return true;
+}
+
+bool FateBook::on(const RequestRejected &event) {
+  const auto it = Requests.find(event.Request);
+  if (it == Requests.end())
+    return false;
+  RequestRecord &request = it->second;
+  const std::string reason = event.Why.text();
+  bool isChanged = false;
+  for (uint32_t n = 0; n < request.Tasks.size(); ++n) {
+    TaskRecord &task = request.Tasks[n];
+    if (task.State != FateState::Queued || task.MayHaveRun)
+      continue;
+    const TaskId id{event.Request, n};
+    end({id, request, task}, FateState::NotRun, reason, event.At);
+    isChanged = true;
+  }
+  return isChanged;
+}
+
+bool FateBook::on(const LiveOffered &event) {
+  if (Requests.contains(event.Request))
+    return false;
+  const auto [it, isNew] = LiveRequests.try_emplace(event.Request);
+  LiveRecord &live = it->second;
+  if (!isNew && live.State != FateState::Queued)
+    return false;
+  if (!isNew)
+    unindex(live);
+  live = {event, FateState::Offered, event.At, ""};
+  index(live);
+  return true;
+}
+
+bool FateBook::on(const LiveEnded &event) {
+  const auto it = LiveRequests.find(event.Request);
+  if (it == LiveRequests.end() || !isEndOfLive(event.State))
+    return false;
+  LiveRecord &live = it->second;
+  const bool isCurrent = live.Offer.EntryHost == event.EntryHost &&
+                         live.Offer.Runner == event.Runner;
+  // What was refused can only be given up; nothing else is known of it.
+  const bool isPossible =
+      live.State != FateState::Queued || event.State == FateState::NotRun;
+  if (!isCurrent || !isPossible || isTerminal(live.State) ||
+      live.State == event.State)
+    return false;
+  unindex(live);
+  live.State = event.State;
+  live.ChangedAt = event.At;
+  live.Text = event.Text;
+  index(live);
+  return true;
+}
+
+bool FateBook::on(const FateForgotten &event) {
+  if (const auto it = Requests.find(event.Request); it != Requests.end()) {
+    if (it->second.Open != 0)
+      return false;
+    Ended.erase({it->second.EndedAt, event.Request});
+    Requests.erase(it);
+    return true;
+  }
+  const auto it = LiveRequests.find(event.Request);
+  if (it == LiveRequests.end() || !isTerminal(it->second.State))
+    return false;
+  unindex(it->second);
+  LiveRequests.erase(it);
+  return true;
+}
+
+bool FateBook::on(const limits::SliceUpdate &event) {
+  return Holdings.apply(event);
+}
+
+std::optional<FateBook::TaskRef>
+FateBook::findOpenAttempt(const TaskId &id, const AttemptToken &token) {
+  const auto it = Requests.find(id.Request);
+  if (it == Requests.end() || id.Index >= it->second.Tasks.size())
+    return std::nullopt;
+  TaskRecord &task = it->second.Tasks[id.Index];
+  if (!isOpenAttempt(task, token))
+    return std::nullopt;
+  return TaskRef{id, it->second, task};
+}
+
+bool FateBook::isOpenAttempt(const TaskRecord &task,
+                             const AttemptToken &token) {
+  return task.Token == token &&
+         (task.IsLive || task.State == FateState::Unresolved);
+}
+
+void FateBook::noteRun(TaskRef ref, Instant at) {
+  if (ref.Task.MayHaveRun)
+    return;
+  ref.Task.MayHaveRun = true;
+  if (ref.Task.HasStarted)
+    return;
+  ref.Task.HasStarted = true;
+  if (--ref.Request.Unstarted > 0)
+    return;
+  ref.Request.StartedAt = at;
+  StartBy.erase({startBy(ref.Request), ref.Id.Request});
+}
+
+void FateBook::release(TaskRef ref) {
+  if (ref.Task.State == FateState::Unresolved)
+    Unresolved.erase({ref.Task.LostAt, ref.Id});
+  if (!ref.Task.IsLive)
+    return;
+  ref.Task.IsLive = false;
+  Used[ref.Request.Work.Team] -= ref.Task.Reserved;
+  const auto it = ByWorker.find(ref.Task.Worker);
+  it->second.erase(ref.Id);
+  if (it->second.empty())
+    ByWorker.erase(it);
+}
+
+void FateBook::end(TaskRef ref, FateState state, std::string text, Instant at) {
+  RequestRecord &request = ref.Request;
+  ref.Task.State = state;
+  ref.Task.Text = std::move(text);
+  --request.Open;
+  const bool isIncomplete = isGang(request) && state != FateState::Finished;
+  if (isIncomplete && !request.IsCancelled && !request.IsAbandoned) {
+    request.IsAbandoned = true;
+    endQueued(request, "another task of the gang has ended", at);
+  }
+  if (request.Open == 0 && request.EndedAt == Instant::never())
+    close(request, at);
+}
+
+void FateBook::endStopped(TaskRef ref, std::string text, Instant at) {
+  FateState state = FateState::NotRun;
+  if (ref.Request.IsCancelled)
+    state = FateState::Cancelled;
+  else if (ref.Task.MayHaveRun)
+    state = FateState::Failed;
+  end(ref, state, std::move(text), at);
+}
+
+void FateBook::retry(TaskRef ref, const std::string &reason, bool isCounted,
+                     Instant at) {
+  const catalogue::Entry &entry = ref.Request.Work.Entry;
+  if (ref.Request.isStopping())
+    return endStopped(ref, reason, at);
+  if (isCounted)
+    ++ref.Task.Failures;
+  if (ref.Task.MayHaveRun && !entry.IsIdempotent)
+    return end(ref, FateState::Failed,
+               absl::StrCat("not idempotent, so not run again: ", reason), at);
+  if (ref.Task.Failures >= entry.MaxAttempts)
+    return end(ref, FateState::Failed, reason, at);
+  ref.Task.State = FateState::Queued;
+  ref.Task.Text = reason;
+}
+
+void FateBook::endQueued(RequestRecord &request, const std::string &reason,
+                         Instant at) {
+  for (uint32_t n = 0; n < request.Tasks.size(); ++n) {
+    TaskRecord &task = request.Tasks[n];
+    const TaskId id{request.Work.Request, n};
+    if (task.State == FateState::Queued)
+      endStopped({id, request, task}, reason, at);
+  }
+}
+
+void FateBook::close(RequestRecord &request, Instant at) {
+  const RequestId &id = request.Work.Request;
+  request.EndedAt = at;
+  std::string().swap(request.Work.Payload);
+  StartBy.erase({startBy(request), id});
+  Ended.emplace(at, id);
+}
+
+Instant FateBook::startBy(const RequestRecord &request) const {
+  return request.Work.StartWithin > Duration()
+             ? request.AcceptedAt + request.Work.StartWithin
+             : Instant::never();
+}
+
+void FateBook::index(const RequestRecord &request) {
+  const RequestId &id = request.Work.Request;
+  if (request.Open == 0)
+    Ended.emplace(request.EndedAt, id);
+  else if (request.Unstarted > 0 && startBy(request) != Instant::never())
+    StartBy.emplace(startBy(request), id);
+  for (uint32_t n = 0; n < request.Tasks.size(); ++n) {
+    const TaskRecord &task = request.Tasks[n];
+    if (task.IsLive) {
+      Used[request.Work.Team] += task.Reserved;
+      ByWorker[task.Worker].insert({id, n});
+    }
+    if (task.State == FateState::Unresolved)
+      Unresolved.emplace(task.LostAt, TaskId{id, n});
+  }
+}
+
+void FateBook::index(const LiveRecord &live) {
+  const RequestId &id = live.Offer.Request;
+  if (live.State == FateState::Offered)
+    ByEntryHost[live.Offer.EntryHost].insert(id);
+  else if (isWaiting(live.State))
+    LiveWaiting.emplace(live.ChangedAt, id);
+  else
+    Ended.emplace(live.ChangedAt, id);
+}
+
+void FateBook::unindex(const LiveRecord &live) {
+  const RequestId &id = live.Offer.Request;
+  LiveWaiting.erase({live.ChangedAt, id});
+  Ended.erase({live.ChangedAt, id});
+  const auto it = ByEntryHost.find(live.Offer.EntryHost);
+  if (it == ByEntryHost.end())
+    return;
+  it->second.erase(id);
+  if (it->second.empty())
+    ByEntryHost.erase(it);
+}
+
+BookState FateBook::state() const {
+  BookState state;
+  for (const auto &[id, request] : Requests)
+    state.Requests.push_back(request);
+  for (const auto &[id, live] : LiveRequests)
+    state.LiveRequests.push_back(live);
+  state.Holdings = Holdings.state();
+  return state;
+}
+
+Result<FateBook> FateBook::fromState(BookState state, FatePolicy policy) {
+  FateBook book(policy);
+  for (RequestRecord &request : state.Requests) {
+    if (request.Open > request.Tasks.size() || request.Tasks.empty())
+      return Error{ErrorKind::CorruptData,
+                   absl::StrCat("the snapshot's request ",
+                                request.Work.Request.str(),
+                                " has more open tasks than tasks"),
+                   "fetch the snapshot again from the zone's leader"};
+    book.index(request);
+    const RequestId id = request.Work.Request;
+    book.Requests.insert_or_assign(id, std::move(request));
+  }
+  for (LiveRecord &live : state.LiveRequests) {
+    book.index(live);
+    const RequestId id = live.Offer.Request;
+    book.LiveRequests.insert_or_assign(id, std::move(live));
+  }
+  book.Holdings.apply(state.Holdings);
+  return book;
+}
+
+} // namespace jujube::fate
--- a/jujube/fate/fate_book.h
+++ b/jujube/fate/fate_book.h
@@ -34,8 +34,8 @@
   bool IsLive = false;
   // True if some attempt may have started.
   bool MayHaveRun = false;
-  // True if the attempt is to be stopped for good.
-  bool IsStopping = false;
+  // True once an attempt was counted as started.
+  bool HasStarted = false;
   // Offers so far.
   uint32_t Attempts = 0;
   // Attempts that count against the entry's MaxAttempts.
@@ -44,6 +44,8 @@
   WorkerId Worker;
   Incarnation Start;
   Resources Reserved;
+  // When an unresolved attempt was lost.
+  Instant LostAt;
   // Answer of a finished task; otherwise the reason.
   std::string Text;
 
@@ -57,8 +59,18 @@
   Instant StartedAt = Instant::never();
   Instant EndedAt = Instant::never();
   bool IsCancelled = false;
+  // True once a task of a gang has ended without an answer: the others are
+  // stopped.
+  bool IsAbandoned = false;
+  // Tasks that have not ended.
+  uint32_t Open = 0;
+  // Tasks of which no attempt has started.
+  uint32_t Unstarted = 0;
   std::vector<TaskRecord> Tasks;
 
+  // True if its attempts are to be stopped for good.
+  bool isStopping() const { return IsCancelled || IsAbandoned; }
+
   bool operator==(const RequestRecord &) const = default;
 };
 
@@ -66,7 +78,8 @@
 struct LiveRecord {
   LiveOffered Offer;
   FateState State = FateState::Offered;
-  Instant EndedAt = Instant::never();
+  // When it reached `State`.
+  Instant ChangedAt;
   std::string Text;
 
   bool operator==(const LiveRecord &) const = default;
@@ -123,8 +136,8 @@
   // request or one of another team.
   Result<std::optional<Event>> cancel(const RequestId &id, const TeamId &team,
                                       Instant now) const;
-  // The event that gives up a request before it started, for example since no
-  // worker could hold it; nothing if no task is queued.
+  // The event that gives up the tasks of a request that surely have not run,
+  // for example since no worker could hold them; nothing if there are none.
   std::optional<Event> reject(const RequestId &id, Error why,
                               Instant now) const;
   // The offer of a queued task; nothing if it may not be offered.
@@ -162,6 +175,10 @@
   std::vector<TaskId> queuedTasks() const;
   // Attempts on a worker, in order of id.
   std::vector<Attempt> attemptsOn(const WorkerId &worker) const;
+  // Workers with attempts and entry hosts with live offers: a new leader counts
+  // their leases from its takeover.
+  std::vector<WorkerId> busyWorkers() const;
+  std::vector<HostId> busyEntryHosts() const;
   // Reserved by the team's attempts that may be running.
   Resources usedBy(const TeamId &team) const;
 
@@ -172,7 +189,15 @@
   static Result<FateBook> fromState(BookState state, FatePolicy policy = {});
 
 private:
-  using TimeIndex = absl::btree_set<std::pair<Instant, RequestId>>;
+  template <typename Id>
+  using TimeIndex = absl::btree_set<std::pair<Instant, Id>>;
+
+  // Both ids of a task, its request and itself.
+  struct TaskRef {
+    const TaskId &Id;
+    RequestRecord &Request;
+    TaskRecord &Task;
+  };
 
   bool on(const RequestAccepted &event);
   bool on(const TaskOffered &event);
@@ -186,36 +211,46 @@
   bool on(const FateForgotten &event);
   bool on(const limits::SliceUpdate &event);
 
-  RequestRecord *find(const RequestId &id);
-  TaskRecord *findCurrent(const TaskId &id, const AttemptToken &token);
+  // The task if `token` is its current attempt's, whose end is not known yet.
+  std::optional<TaskRef> findOpenAttempt(const TaskId &id,
+                                         const AttemptToken &token);
+  static bool isOpenAttempt(const TaskRecord &task, const AttemptToken &token);
+  // Notes that an attempt has, or may have, started.
+  void noteRun(TaskRef ref, Instant at);
   // The attempt does not run any more: frees what it reserved.
-  void release(const TaskId &id, const RequestRecord &request,
-               TaskRecord &task);
-  void enqueue(const TaskId &id, RequestRecord &request, TaskRecord &task);
-  void end(const TaskId &id, RequestRecord &request, TaskRecord &task,
-           FateState state, std::string text, Instant at);
-  // Ends queued tasks and stops attempts of the request.
-  void stopAll(const RequestId &id, RequestRecord &request, FateState queuedAs,
-               const std::string &text, Instant at);
-  void retry(const TaskId &id, RequestRecord &request, TaskRecord &task,
-             const std::string &reason, bool isCounted, Instant at);
+  void release(TaskRef ref);
+  void end(TaskRef ref, FateState state, std::string text, Instant at);
+  // Ends a task that is being stopped.
+  void endStopped(TaskRef ref, std::string text, Instant at);
+  // Queues the task again, or fails it if it may not run again.
+  void retry(TaskRef ref, const std::string &reason, bool isCounted,
+             Instant at);
+  // Ends the queued tasks of a request that is being stopped.
+  void endQueued(RequestRecord &request, const std::string &reason, Instant at);
   // Bookkeeping when the last task has ended.
-  void close(const RequestId &id, RequestRecord &request, Instant at);
-  void index(const RequestId &id, const RequestRecord &request);
-  void indexLive(const LiveRecord &live);
+  void close(RequestRecord &request, Instant at);
+  Instant startBy(const RequestRecord &request) const;
+  void index(const RequestRecord &request);
+  void index(const LiveRecord &live);
+  void unindex(const LiveRecord &live);
+
+  std::optional<Event> rejectOverdue(const RequestId &id, Instant now) const;
+  FateView viewOf(const RequestRecord &request) const;
+  FateView viewOf(const LiveRecord &live) const;
+  Attempt attemptOf(const RequestRecord &request, uint32_t n) const;
 
   FatePolicy Policy;
   absl::btree_map<RequestId, RequestRecord> Requests;
   absl::btree_map<RequestId, LiveRecord> LiveRequests;
   limits::SliceHoldings Holdings;
   // Derived from the above.
-  absl::btree_set<TaskId> Queued;
   absl::btree_map<WorkerId, absl::btree_set<TaskId>> ByWorker;
   absl::btree_map<HostId, absl::btree_set<RequestId>> ByEntryHost;
   absl::btree_map<TeamId, Resources> Used;
-  TimeIndex StartBy;
-  TimeIndex ResolveBy;
-  TimeIndex ForgetAt;
+  TimeIndex<RequestId> StartBy;
+  TimeIndex<TaskId> Unresolved;
+  TimeIndex<RequestId> LiveWaiting;
+  TimeIndex<RequestId> Ended;
 };
 
 } // namespace jujube::fate
--- /dev/null
+++ b/jujube/fate/fate_decisions.cc
@@ -0,0 +1,372 @@
+// The deciders and views of FateBook: they change nothing.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+#include "jujube/fate/fate_book.h"
+
+namespace jujube::fate {
+namespace {
+
+bool isEndPhase(TaskPhase phase) {
+  return phase != TaskPhase::Started && phase != TaskPhase::Running;
+}
+
+Error duplicate(const RequestId &id) {
+  return {ErrorKind::DuplicateRequest,
+          absl::StrCat("request id ", id.str(), " was used for other work"),
+          "submit this work with a new request id"};
+}
+
+Error unknown(const RequestId &id) {
+  return {ErrorKind::NotFound,
+          absl::StrCat("there is no request ", id.str(),
+                       " of this team, or its fate is no longer kept"),
+          "check the request id and the key"};
+}
+
+// States of a request by what its tasks show, the first that occurs.
+constexpr FateState Order[] = {FateState::Running,    FateState::Offered,
+                               FateState::Queued,     FateState::Accepted,
+                               FateState::Unresolved, FateState::Failed,
+                               FateState::Cancelled};
+
+FateState stateOfTasks(const std::vector<TaskRecord> &tasks) {
+  const auto occurs = [&](FateState state) {
+    return std::ranges::find(tasks, state, &TaskRecord::State) != tasks.end();
+  };
+  const auto it = std::ranges::find_if(Order, occurs);
+  if (it != std::end(Order))
+    return *it;
+  if (!occurs(FateState::NotRun))
+    return FateState::Finished;
+  // Part of the work has run, so the request as a whole is no NotRun.
+  return occurs(FateState::Finished) ? FateState::Failed : FateState::NotRun;
+}
+
+TaskView taskViewOf(const TaskRecord &task, uint32_t n) {
+  const bool isFinished = task.State == FateState::Finished;
+  return {n,
+          task.State,
+          task.Attempts,
+          task.Worker,
+          isFinished ? task.Text : "",
+          isFinished ? "" : task.Text};
+}
+
+} // namespace
+
+const RequestRecord *FateBook::findRequest(const RequestId &id) const {
+  const auto it = Requests.find(id);
+  return it == Requests.end() ? nullptr : &it->second;
+}
+
+const TaskRecord *FateBook::findTask(const TaskId &id) const {
+  const RequestRecord *request = findRequest(id.Request);
+  return request == nullptr || id.Index >= request->Tasks.size()
+             ? nullptr
+             : &request->Tasks[id.Index];
+}
+
+std::optional<FateView> FateBook::view(const RequestId &id) const {
+  if (const RequestRecord *request = findRequest(id))
+    return viewOf(*request);
+  const auto live = LiveRequests.find(id);
+  return live == LiveRequests.end()
+             ? std::nullopt
+             : std::optional<FateView>(viewOf(live->second));
+}
+
+std::optional<FateState> FateBook::stateOf(const RequestId &id) const {
+  if (const RequestRecord *request = findRequest(id))
+    return stateOfTasks(request->Tasks);
+  const auto live = LiveRequests.find(id);
+  return live == LiveRequests.end()
+             ? std::nullopt
+             : std::optional<FateState>(live->second.State);
+}
+
+FateView FateBook::viewOf(const RequestRecord &request) const {
+  FateView view{request.Work.Request,
+                request.Work.Team,
+                request.Work.Entry.Id,
+                stateOfTasks(request.Tasks),
+                {},
+                request.AcceptedAt,
+                request.StartedAt,
+                request.EndedAt};
+  for (uint32_t n = 0; n < request.Tasks.size(); ++n)
+    view.Tasks.push_back(taskViewOf(request.Tasks[n], n));
+  return view;
+}
+
+FateView FateBook::viewOf(const LiveRecord &live) const {
+  TaskRecord task;
+  task.State = live.State;
+  task.Attempts = 1;
+  task.Text = live.Text;
+  return {live.Offer.Request,
+          live.Offer.Team,
+          live.Offer.Entry,
+          live.State,
+          {taskViewOf(task, 0)},
+          live.Offer.At,
+          live.Offer.At,
+          isTerminal(live.State) ? live.ChangedAt : Instant::never()};
+}
+
+Result<std::optional<Event>> FateBook::submit(const Submission &work,
+                                              Instant now) const {
+  if (LiveRequests.contains(work.Request))
+    return duplicate(work.Request);
+  const RequestRecord *known = findRequest(work.Request);
+  if (known == nullptr)
+    return std::optional<Event>(RequestAccepted{work, now});
+  if (known->Work.Team != work.Team ||
+      known->Work.BodyDigest != work.BodyDigest)
+    return duplicate(work.Request);
+  return std::optional<Event>();
+}
+
+Result<std::optional<Event>>
+FateBook::cancel(const RequestId &id, const TeamId &team, Instant now) const {
+  const RequestRecord *request = findRequest(id);
+  if (request == nullptr && LiveRequests.contains(id))
+    return Error{ErrorKind::InvalidArgument,
+                 "a live request can't be cancelled",
+                 "give it a shorter timeout"};
+  if (request == nullptr || request->Work.Team != team)
+    return unknown(id);
+  if (request->Open == 0 || request->IsCancelled)
+    return std::optional<Event>();
+  return std::optional<Event>(RequestCancelled{id, now});
+}
+
+std::optional<Event> FateBook::reject(const RequestId &id, Error why,
+                                      Instant now) const {
+  const RequestRecord *request = findRequest(id);
+  const auto isUntouched = [](const TaskRecord &task) {
+    return task.State == FateState::Queued && !task.MayHaveRun;
+  };
+  if (request == nullptr || std::ranges::none_of(request->Tasks, isUntouched))
+    return std::nullopt;
+  return RequestRejected{id, std::move(why), now};
+}
+
+std::optional<Event> FateBook::offer(const TaskId &id, Term term,
+                                     const WorkerId &worker, Incarnation start,
+                                     const Resources &reserved,
+                                     Instant now) const {
+  const TaskRecord *task = findTask(id);
+  if (task == nullptr || task->State != FateState::Queued)
+    return std::nullopt;
+  const bool isOnceOnly =
+      !findRequest(id.Request)->Work.Entry.IsIdempotent && task->MayHaveRun;
+  if (isOnceOnly)
+    return std::nullopt;
+  const AttemptToken token{term, task->Attempts + uint64_t{1}};
+  return TaskOffered{id, token, worker, start, reserved, now};
+}
+
+std::vector<Event> FateBook::report(const WorkerId &worker, Incarnation start,
+                                    const TaskReport &report,
+                                    Instant now) const {
+  const TaskRecord *task = findTask(report.Task);
+  if (task == nullptr || task->Worker != worker || task->Start != start ||
+      !isOpenAttempt(*task, report.Token))
+    return {};
+  if (isEndPhase(report.Phase)) {
+    const bool isLateRefusal =
+        report.Phase == TaskPhase::Refused && task->State == FateState::Running;
+    if (isLateRefusal)
+      return {};
+    return {
+        TaskEnded{report.Task, report.Token, report.Phase, report.Text, now}};
+  }
+  if (task->State == FateState::Offered)
+    return {TaskStarted{report.Task, report.Token, now}};
+  return {};
+}
+
+std::optional<DirectiveKind>
+FateBook::answerTo(const WorkerId &worker, const TaskReport &report) const {
+  const TaskRecord *task = findTask(report.Task);
+  const bool isOpen = task != nullptr && task->Worker == worker &&
+                      isOpenAttempt(*task, report.Token);
+  if (isEndPhase(report.Phase)) {
+    const bool isLateRefusal = isOpen && report.Phase == TaskPhase::Refused &&
+                               task->State == FateState::Running;
+    return isOpen && !isLateRefusal ? std::nullopt
+                                    : std::optional(DirectiveKind::Acknowledge);
+  }
+  const bool mayRun =
+      isOpen && task->IsLive && !findRequest(report.Task.Request)->isStopping();
+  return mayRun ? std::nullopt : std::optional(DirectiveKind::Stop);
+}
+
+std::vector<Event> FateBook::workerExpired(const WorkerId &worker,
+                                           Instant now) const {
+  std::vector<Event> events;
+  const auto it = ByWorker.find(worker);
+  if (it == ByWorker.end())
+    return events;
+  for (const TaskId &id : it->second)
+    events.emplace_back(AttemptLost{
+        id, findTask(id)->Token, false,
+        absl::StrCat("the lease of worker ", worker.str(), " ran out"), now});
+  return events;
+}
+
+std::vector<Event> FateBook::workerRestarted(const WorkerId &worker,
+                                             Incarnation start,
+                                             Instant now) const {
+  std::vector<Event> events;
+  const auto lose = [&](const TaskId &id) {
+    const TaskRecord *task = findTask(id);
+    if (task->Worker == worker && task->Start < start)
+      events.emplace_back(AttemptLost{
+          id, task->Token, true,
+          absl::StrCat("worker ", worker.str(), " restarted"), now});
+  };
+  if (const auto it = ByWorker.find(worker); it != ByWorker.end())
+    std::ranges::for_each(it->second, lose);
+  for (const auto &[at, id] : Unresolved)
+    lose(id);
+  return events;
+}
+
+std::vector<Event> FateBook::hostLost(const HostId &host, Instant now) const {
+  std::vector<Event> events;
+  const auto it = ByEntryHost.find(host);
+  if (it == ByEntryHost.end())
+    return events;
+  for (const RequestId &id : it->second)
+    events.emplace_back(LiveEnded{id, host, LiveRequests.at(id).Offer.Runner,
+                                  FateState::Unresolved,
+                                  "its entry host is gone", now});
+  return events;
+}
+
+Result<std::optional<Event>>
+FateBook::offerLive(const LiveOffered &offer) const {
+  if (Requests.contains(offer.Request))
+    return duplicate(offer.Request);
+  const auto it = LiveRequests.find(offer.Request);
+  if (it == LiveRequests.end())
+    return std::optional<Event>(offer);
+  const LiveRecord &known = it->second;
+  if (known.Offer.Team != offer.Team ||
+      known.Offer.BodyDigest != offer.BodyDigest)
+    return duplicate(offer.Request);
+  if (known.State != FateState::Queued)
+    return std::optional<Event>();
+  return std::optional<Event>(offer);
+}
+
+std::vector<Event> FateBook::due(Instant now, std::size_t max) const {
+  std::vector<Event> events;
+  // Adds the events of the index's entries that are at least `age` old.
+  const auto collect = [&](const auto &index, Duration age, auto eventOf) {
+    for (const auto &[at, id] : index) {
+      if (events.size() >= max || at + age > now)
+        return;
+      if (std::optional<Event> event = eventOf(id))
+        events.push_back(*std::move(event));
+    }
+  };
+  collect(StartBy, Duration(),
+          [&](const RequestId &id) { return rejectOverdue(id, now); });
+  collect(Unresolved, Policy.ResolveWithin, [&](const TaskId &id) {
+    return std::optional<Event>(AttemptLost{
+        id, findTask(id)->Token, true, "its worker has not come back", now});
+  });
+  collect(LiveWaiting, Policy.ResolveWithin, [&](const RequestId &id) {
+    const LiveRecord &live = LiveRequests.at(id);
+    const bool isRefused = live.State == FateState::Queued;
+    return std::optional<Event>(
+        LiveEnded{id, live.Offer.EntryHost, live.Offer.Runner,
+                  isRefused ? FateState::NotRun : FateState::Failed,
+                  isRefused ? "refused and not offered again"
+                            : "outcome not known, it may have run",
+                  now});
+  });
+  collect(Ended, Policy.Retention, [](const RequestId &id) {
+    return std::optional<Event>(FateForgotten{id});
+  });
+  return events;
+}
+
+std::optional<Event> FateBook::rejectOverdue(const RequestId &id,
+                                             Instant now) const {
+  const RequestRecord *request = findRequest(id);
+  return reject(
+      id,
+      {ErrorKind::DeadlineExceeded,
+       absl::StrCat("it had not started ", request->Work.StartWithin.millis(),
+                    " ms after it was accepted"),
+       "submit it again with a longer limit"},
+      now);
+}
+
+Attempt FateBook::attemptOf(const RequestRecord &request, uint32_t n) const {
+  const TaskRecord &task = request.Tasks[n];
+  return {{request.Work.Request, n},
+          request.Work.Team,
+          request.Work.Entry.Id,
+          task.Token,
+          task.Worker,
+          task.Start,
+          task.Reserved,
+          task.State,
+          request.isStopping()};
+}
+
+std::vector<Attempt> FateBook::liveAttempts() const {
+  std::vector<Attempt> attempts;
+  for (const auto &[id, request] : Requests)
+    for (uint32_t n = 0; n < request.Tasks.size(); ++n)
+      if (request.Tasks[n].IsLive)
+        attempts.push_back(attemptOf(request, n));
+  return attempts;
+}
+
+std::vector<TaskId> FateBook::queuedTasks() const {
+  std::vector<TaskId> tasks;
+  for (const auto &[id, request] : Requests)
+    for (uint32_t n = 0; n < request.Tasks.size(); ++n)
+      if (request.Tasks[n].State == FateState::Queued)
+        tasks.push_back({id, n});
+  return tasks;
+}
+
+std::vector<Attempt> FateBook::attemptsOn(const WorkerId &worker) const {
+  std::vector<Attempt> attempts;
+  const auto it = ByWorker.find(worker);
+  if (it == ByWorker.end())
+    return attempts;
+  for (const TaskId &id : it->second)
+    attempts.push_back(attemptOf(Requests.at(id.Request), id.Index));
+  return attempts;
+}
+
+std::vector<WorkerId> FateBook::busyWorkers() const {
+  std::vector<WorkerId> workers;
+  for (const auto &[worker, tasks] : ByWorker)
+    workers.push_back(worker);
+  return workers;
+}
+
+std::vector<HostId> FateBook::busyEntryHosts() const {
+  std::vector<HostId> hosts;
+  for (const auto &[host, requests] : ByEntryHost)
+    hosts.push_back(host);
+  return hosts;
+}
+
+Resources FateBook::usedBy(const TeamId &team) const {
+  const auto it = Used.find(team);
+  return it == Used.end() ? Resources{} : it->second;
+}
+
+} // namespace jujube::fate
