--- /dev/null
+++ b/testing/standin_http.cc
@@ -0,0 +1,144 @@
+#include "testing/standin_http.h"
+
+#include <fstream>
+#include <iterator>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "httplib.h"
+
+namespace jujube::testing {
+namespace {
+
+constexpr time_t KeepAliveSeconds = 5;
+constexpr Duration ConnectTimeout = Duration::millis(500);
+
+void send(const StandinReply &reply, httplib::Response &response) {
+  response.status = reply.Status;
+  if (!reply.IsCut) {
+    response.set_content(reply.Body, "application/json");
+    return;
+  }
+  response.set_content_provider(
+      reply.Body.size(), "application/json",
+      [body = reply.Body](std::size_t, std::size_t, httplib::DataSink &sink) {
+        sink.write(body.data(), body.size() / 2);
+        return false;
+      });
+}
+
+httplib::Server::Handler handlerOf(StandinRoute route) {
+  return [route = std::move(route)](const httplib::Request &request,
+                                    httplib::Response &response) {
+    send(route(request.body), response);
+  };
+}
+
+} // namespace
+
+StandinServer::StandinServer() : Server(std::make_unique<httplib::Server>()) {}
+StandinServer::~StandinServer() = default;
+
+Result<std::shared_ptr<StandinServer>>
+StandinServer::bind(const Address &listen, std::size_t threads,
+                    std::map<std::string, StandinRoute> posts,
+                    std::map<std::string, StandinRoute> gets) {
+  std::shared_ptr<StandinServer> self(new StandinServer());
+  httplib::Server &server = *self->Server;
+  server.new_task_queue = [threads] {
+    return new httplib::ThreadPool(threads);
+  };
+  server.set_keep_alive_max_count(SIZE_MAX);
+  server.set_keep_alive_timeout(KeepAliveSeconds);
+  server.set_tcp_nodelay(true);
+  for (auto &[path, route] : posts)
+    server.Post(path, handlerOf(std::move(route)));
+  for (auto &[path, route] : gets)
+    server.Get(path, handlerOf(std::move(route)));
+  int port = listen.Port;
+  if (port == 0)
+    port = server.bind_to_any_port(listen.Ip);
+  else if (!server.bind_to_port(listen.Ip, port))
+    port = -1;
+  if (port < 0)
+    return Error{ErrorKind::Unavailable,
+                 absl::StrCat("can't listen on ", listen.str()),
+                 "choose a free port, or 0 for any"};
+  self->Bound = {listen.Ip, static_cast<uint16_t>(port)};
+  return self;
+}
+
+runtime::ChildSpec
+StandinServer::asChild(std::shared_ptr<StandinServer> self) const {
+  return {absl::StrCat("http-", Bound.Port),
+          [self = std::move(self)](runtime::TaskContext &context) {
+            return self->run(context);
+          }};
+}
+
+// The library blocks in its accept loop, so that it gets a thread of its own.
+Status StandinServer::run(runtime::TaskContext &context) {
+  auto acceptor = runtime::Task::start(
+      "http-accept", context.loop().clock(),
+      [this](runtime::TaskContext &) -> Status {
+        Server->listen_after_bind();
+        return Ok{};
+      },
+      [](const runtime::TaskExit &) {});
+  if (!isOk(acceptor))
+    return errorOf(acceptor);
+  const Status status = context.loop().run();
+  Server->stop();
+  valueOf(acceptor)->join();
+  return status;
+}
+
+EntryClient::EntryClient(std::vector<Address> entries, std::string fleetToken,
+                         std::size_t first)
+    : Entries(std::move(entries)), FleetToken(std::move(fleetToken)),
+      Current(Entries.empty() ? 0 : first % Entries.size()) {}
+EntryClient::~EntryClient() = default;
+
+Result<std::string> EntryClient::post(const std::string &path,
+                                      const std::string &body,
+                                      Duration timeout) {
+  if (Entries.empty())
+    return Error{ErrorKind::InvalidArgument, "no entry host is named",
+                 "list entry hosts with --entries"};
+  if (!Client) {
+    const Address &entry = Entries[Current];
+    Client = std::make_unique<httplib::Client>(entry.Ip, entry.Port);
+    Client->set_keep_alive(true);
+    Client->set_tcp_nodelay(true);
+    Client->set_connection_timeout(
+        std::chrono::milliseconds(ConnectTimeout.millis()));
+  }
+  Client->set_read_timeout(std::chrono::milliseconds(timeout.millis()));
+  const httplib::Headers headers{
+      {"Authorization", absl::StrCat("Bearer ", FleetToken)}};
+  const httplib::Result answer =
+      Client->Post(path, headers, body, "application/json");
+  if (answer && answer->status == 200)
+    return answer->body;
+  const std::string what = answer
+                               ? absl::StrCat(answer->status, " ", answer->body)
+                               : httplib::to_string(answer.error());
+  Error error{ErrorKind::Unavailable,
+              absl::StrCat(Entries[Current].str(), path, ": ", what),
+              "check the entry host and the fleet token"};
+  Client.reset();
+  Current = (Current + 1) % Entries.size();
+  return error;
+}
+
+Result<std::string> readTokenFile(const std::string &path) {
+  std::ifstream file(path);
+  if (!file)
+    return Error{ErrorKind::InvalidArgument,
+                 absl::StrCat("can't read token file ", path),
+                 "name a readable file with --fleet-token-file"};
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  return std::string(absl::StripAsciiWhitespace(text));
+}
+
+} // namespace jujube::testing
--- /dev/null
+++ b/testing/standin_http.h
@@ -0,0 +1,82 @@
+// HTTP plumbing of the stand-ins: a small server, and a client that goes on to
+// the next entry host when one does not answer.
+#ifndef TESTING_STANDIN_HTTP_H_
+#define TESTING_STANDIN_HTTP_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jujube/base/address.h"
+#include "jujube/base/clock.h"
+#include "jujube/base/result.h"
+#include "jujube/runtime/supervisor.h"
+
+namespace httplib {
+class Client;
+class Server;
+} // namespace httplib
+
+namespace jujube::testing {
+
+struct StandinReply {
+  int Status = 200;
+  std::string Body;
+  // The connection is closed in the middle of the body.
+  bool IsCut = false;
+};
+
+// Answers one request by its body; called on the server's threads.
+using StandinRoute = std::function<StandinReply(const std::string &body)>;
+
+// A server whose routes are fixed before it starts. It is bound at once, so
+// that its port can be announced.
+class StandinServer {
+public:
+  // `threads` bounds the connections that are served at once.
+  static Result<std::shared_ptr<StandinServer>>
+  bind(const Address &listen, std::size_t threads,
+       std::map<std::string, StandinRoute> posts,
+       std::map<std::string, StandinRoute> gets);
+  ~StandinServer();
+
+  const Address &address() const { return Bound; }
+  // The server as a task; it finishes the requests in progress when stopped.
+  runtime::ChildSpec asChild(std::shared_ptr<StandinServer> self) const;
+
+private:
+  StandinServer();
+  Status run(runtime::TaskContext &context);
+
+  Address Bound;
+  std::unique_ptr<httplib::Server> Server;
+};
+
+// Posts to one of several entry hosts; owned by one task.
+class EntryClient {
+public:
+  EntryClient(std::vector<Address> entries, std::string fleetToken,
+              std::size_t first);
+  ~EntryClient();
+
+  // Returns the body of a 200 answer; after anything else the next call goes to
+  // the next entry host.
+  Result<std::string> post(const std::string &path, const std::string &body,
+                           Duration timeout);
+
+private:
+  std::vector<Address> Entries;
+  std::string FleetToken;
+  std::size_t Current;
+  std::unique_ptr<httplib::Client> Client;
+};
+
+// Reads a token file; the surrounding white space is dropped.
+Result<std::string> readTokenFile(const std::string &path);
+
+} // namespace jujube::testing
+
+#endif // TESTING_STANDIN_HTTP_H_
--- /dev/null
+++ b/testing/standin_payload.h
@@ -0,0 +1,34 @@
+// What the payload of a request tells a stand-in to do.
+#ifndef TESTING_STANDIN_PAYLOAD_H_
+#define TESTING_STANDIN_PAYLOAD_H_
+
+#include <optional>
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "jujube/base/clock.h"
+
+namespace jujube::testing {
+
+// Payloads have the form "run_ms=200;answer=x;fail=1;once=1;team=t;cpu=500".
+// Keys that are not known are ignored.
+struct WorkOrder {
+  // Absent if the stand-in's own distribution decides; never() for
+  // "run_ms=forever".
+  std::optional<Duration> RunTime;
+  bool IsEndless = false;
+  std::string Answer = "ok";
+  bool Fails = false;
+  // The request is not idempotent: a second start is a violation.
+  bool IsOnce = false;
+  // Whom its use is counted for.
+  std::string Team;
+  // Measured use in thousandths of a processor; absent for what was granted.
+  std::optional<int64_t> MilliCpu;
+};
+
+WorkOrder parseWorkOrder(absl::string_view payload);
+
+} // namespace jujube::testing
+
+#endif // TESTING_STANDIN_PAYLOAD_H_
--- /dev/null
+++ b/testing/standin_runner_main.cc
@@ -0,0 +1,110 @@
+// standin-runner: emulates runners that serve live requests.
+#include <cstdio>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+#include "jujube/base/settings.h"
+#include "testing/standin_runner_tasks.h"
+
+namespace jujube::testing {
+namespace {
+
+std::vector<SettingSpec> specs() {
+  return {
+      {"entries", SettingKind::AddressList, "", "entry hosts of the zone",
+       true},
+      {"fleet-token-file", SettingKind::Text, "", "file with the fleet token",
+       true},
+      {"zone", SettingKind::Text, "", "availability zone", true},
+      {"entry", SettingKind::Text, "", "catalogue entry that is served", true},
+      {"name", SettingKind::Text, "runner", "prefix of the runners' ids"},
+      {"count", SettingKind::Integer, "1", "runners to emulate", false, 1, 200},
+      {"listen", SettingKind::AddressText, "127.0.0.1:0", "address to serve"},
+      {"threads", SettingKind::Integer, "60", "connections served at once",
+       false, 1, 4000},
+      {"slots", SettingKind::Integer, "8", "slots per runner", false, 1, 64},
+      {"mean-ms", SettingKind::Integer, "50", "mean service time", false, 1,
+       60000},
+      {"seed", SettingKind::Integer, "1", "seed of the service times"},
+      {"habit", SettingKind::Text, "none", namesIn(MisbehaviourNames)},
+      {"habit-permille", SettingKind::Integer, "1000",
+       "part of the requests that the habit applies to", false, 0, 1000},
+      {"silent-after", SettingKind::Millis, "0",
+       "announce and answer nothing from then on; 0 for never"},
+      {"leave-after", SettingKind::Millis, "0", "leave then; 0 for never"},
+  };
+}
+
+Duration neverIfZero(Duration span) {
+  return span == Duration() ? Duration::millis(Instant::never().millis())
+                            : span;
+}
+
+Result<RunnerFleetOptions> optionsFrom(const Settings &settings) {
+  const std::optional<Misbehaviour> habit =
+      valueIn(MisbehaviourNames, settings.text("habit"));
+  if (!habit)
+    return Error{ErrorKind::InvalidArgument,
+                 absl::StrCat("--habit ", settings.text("habit")),
+                 absl::StrCat("give one of ", namesIn(MisbehaviourNames))};
+  Result<std::string> token = readTokenFile(settings.text("fleet-token-file"));
+  if (!isOk(token))
+    return errorOf(token);
+  RunnerFleetOptions options;
+  const auto start = static_cast<uint64_t>(Clock::wall().now().millis());
+  for (int64_t i = 0; i < settings.integer("count"); ++i) {
+    StandinRunnerOptions runner;
+    runner.Announcement.Runner =
+        RunnerId(absl::StrCat(settings.text("name"), "-", i));
+    runner.Announcement.Start = {start};
+    runner.Announcement.Entry = EntryId(settings.text("entry"));
+    runner.Announcement.Zone = ZoneId(settings.text("zone"));
+    runner.Announcement.Slots =
+        static_cast<uint32_t>(settings.integer("slots"));
+    runner.MeanService = Duration::millis(settings.integer("mean-ms"));
+    runner.Habit = *habit;
+    runner.HabitPermille =
+        static_cast<uint32_t>(settings.integer("habit-permille"));
+    runner.Seed = static_cast<uint64_t>(settings.integer("seed") + i);
+    options.Runners.push_back(std::move(runner));
+  }
+  options.Entries = settings.addresses("entries");
+  options.FleetToken = valueOf(std::move(token));
+  options.Listen = settings.address("listen");
+  options.Threads = static_cast<std::size_t>(settings.integer("threads"));
+  options.SilentAfter = neverIfZero(settings.duration("silent-after"));
+  options.LeaveAfter = neverIfZero(settings.duration("leave-after"));
+  return options;
+}
+
+int fail(const Error &error, int code) {
+  (void)std::fprintf(stderr, "%s\n", error.text().c_str());
+  return code;
+}
+
+int run(int argc, char **argv) {
+  const std::variant<Settings, int> parsed =
+      parseOrExplain("standin-runner [flags]", specs(), argc, argv);
+  if (const int *code = std::get_if<int>(&parsed))
+    return *code;
+  Result<RunnerFleetOptions> options = optionsFrom(std::get<Settings>(parsed));
+  if (!isOk(options))
+    return fail(errorOf(options), UsageExitCode);
+  const Result<runtime::Supervisor> tree =
+      runnerTree(valueOf(std::move(options)));
+  if (!isOk(tree))
+    return fail(errorOf(tree), 1);
+  const Status status =
+      runtime::runUntilSignalled(valueOf(tree), Clock::monotonic());
+  return isOk(status) ? 0 : fail(errorOf(status), 1);
+}
+
+} // namespace
+} // namespace jujube::testing
+
+int main(int argc, char **argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  return jujube::testing::run(argc, argv);
+}
