Placement: ledger and stateful fuzzing of the planner

Cause: decisions are checked against independent books. Change: jujube/replay/ledger; RapidCheck drives planner and ledger; outdated actions on ended tasks are dropped; overuse is decided in plan().

--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -96,6 +96,31 @@
   }
 }
 
+// True for actions on a task whose attempt has ended since they were decided.
+bool isOutdated(PlannerState &state, const Action &action) {
+  const auto isPlaced = [&state](const TaskId &id) {
+    const TaskState *task = state.findTask(id);
+    return task && task->Stage == TaskStage::Placed;
+  };
+  if (const auto *stop = std::get_if<StopTask>(&action))
+    return !isPlaced(stop->Task);
+  if (const auto *checkpoint = std::get_if<CheckpointTask>(&action))
+    return !isPlaced(checkpoint->Task);
+  if (const auto *throttle = std::get_if<ThrottleTask>(&action))
+    return !isPlaced(throttle->Task);
+  return false;
+}
+
+// The decisions of events since the last plan that still apply.
+std::vector<Action> takeOutbox(PlannerState &state) {
+  std::vector<Action> actions = std::move(state.Outbox);
+  state.Outbox.clear();
+  std::erase_if(actions, [&state](const Action &action) {
+    return isOutdated(state, action);
+  });
+  return actions;
+}
+
 void countShares(PlannerState &state) {
   state.ActiveShares = 0;
   for (const auto &team : state.Teams)
@@ -270,8 +295,7 @@
   internal::runQueueTimers(*State, now);
   internal::expireHolds(*State, now);
   countShares(*State);
-  std::vector<Action> actions = std::move(State->Outbox);
-  State->Outbox.clear();
+  std::vector<Action> actions = takeOutbox(*State);
   internal::relieve(*State, actions);
   internal::placeWaiting(*State, now, actions);
   std::ranges::move(State->Outbox, std::back_inserter(actions));
@@ -282,7 +306,7 @@
 
 Instant Planner::nextPlanAt(Instant now) const {
   if (State->WasCutShort || !State->Outbox.empty() || !State->Shrunk.empty() ||
-      !State->OverSlice.empty())
+      !State->OverSlice.empty() || !State->Overusing.empty())
     return now;
   Instant next = Instant::never();
   if (!State->DelayedTasks.empty())
--- a/jujube/placement/relief.cc
+++ b/jujube/placement/relief.cc
@@ -36,9 +36,7 @@
            const Resources &more) {
   const TeamState &team = *request.Team;
   const WorkerState &worker = state.Workers[request.Tasks[index].Worker];
-  if (!state.isUsable(worker) && !worker.IsPresent)
-    return false;
-  if (!more.fitsIn(clipped(state.freeOn(worker))) ||
+  if (!worker.IsPresent || !more.fitsIn(clipped(state.freeOn(worker))) ||
       !(team.Reserved + more).fitsIn(team.Slice))
     return false;
   state.resize(request, index, request.Tasks[index].Reserved + more);
@@ -49,6 +47,11 @@
   return (worker.Reserved + worker.Excess).MemoryMb > worker.Holds.MemoryMb;
 }
 
+void setExcess(PlannerState &state, TaskState &task, const Resources &excess) {
+  state.Workers[task.Worker].Excess += excess - task.Excess;
+  task.Excess = excess;
+}
+
 bool canStop(const RequestState &request) {
   return request.Work.Entry.CanCheckpoint || request.Work.Entry.IsIdempotent;
 }
@@ -115,6 +118,27 @@
               StopReason::WorkerShrunk, actions);
 }
 
+// Deals with a task that uses more than its reservation.
+void relieveOveruse(PlannerState &state, const TaskId &id,
+                    std::vector<Action> &actions) {
+  TaskState *task = state.findTask(id);
+  if (!task || task->Stage != TaskStage::Placed || task->IsStopping ||
+      task->Excess == Resources{})
+    return;
+  RequestState &request = *state.findRequest(id.Request);
+  const WorkerState &worker = state.Workers[task->Worker];
+  if (widen(state, request, id.Index, task->Excess)) {
+    setExcess(state, *task, Resources{});
+    actions.emplace_back(ThrottleTask{id, task->Reserved});
+  } else if (request.Work.Entry.CanThrottle && !task->IsThrottled) {
+    task->IsThrottled = true;
+    actions.emplace_back(ThrottleTask{id, task->Reserved});
+  } else if (task->Excess.MemoryMb > 0 && isOverused(worker) &&
+             canStop(request)) {
+    evict(state, {&request, id.Index}, StopReason::Overuse, actions);
+  }
+}
+
 } // namespace
 
 void applyUsage(PlannerState &state, RequestState &request, uint32_t index,
@@ -123,27 +147,11 @@
     return;
   learnSize(*request.Entry, measured);
   TaskState &task = request.Tasks[index];
-  if (task.IsStopping)
-    return;
-  WorkerState &worker = state.Workers[task.Worker];
-  const bool wasOver = task.Excess != Resources{};
-  worker.Excess -= task.Excess;
-  task.Excess = Resources{};
   Resources excess = clipped(measured - task.Reserved);
   excess.Accelerators = 0;
-  if (excess == Resources{})
-    return;
-  const TaskId id = {request.Work.Request, index};
-  if (widen(state, request, index, excess)) {
-    state.Outbox.emplace_back(ThrottleTask{id, task.Reserved});
-    return;
-  }
-  task.Excess = excess;
-  worker.Excess += excess;
-  if (request.Work.Entry.CanThrottle && !wasOver)
-    state.Outbox.emplace_back(ThrottleTask{id, task.Reserved});
-  else if (excess.MemoryMb > 0 && isOverused(worker) && canStop(request))
-    evict(state, {&request, index}, StopReason::Overuse, state.Outbox);
+  setExcess(state, task, excess);
+  if (excess != Resources{})
+    state.Overusing.push_back({request.Work.Request, index});
 }
 
 void attribute(PlannerState &state, RequestState &request, uint32_t index,
@@ -192,6 +200,10 @@
   state.Shrunk.clear();
   for (uint32_t slot : slots)
     relieveWorker(state, slot, actions);
+  const std::vector<TaskId> tasks = std::move(state.Overusing);
+  state.Overusing.clear();
+  for (const TaskId &id : tasks)
+    relieveOveruse(state, id, actions);
 }
 
 } // namespace jujube::placement::internal
--- a/jujube/placement/relief.h
+++ b/jujube/placement/relief.h
@@ -9,9 +9,7 @@
 
 namespace jujube::placement::internal {
 
-// Learns from measured use. A task that uses more than its reservation gets
-// more if there is room, else is throttled; it is stopped only if its worker
-// has less than is used on it.
+// Learns from measured use, and notes tasks that use more than is reserved.
 void applyUsage(PlannerState &state, RequestState &request, uint32_t index,
                 const Resources &measured);
 
@@ -24,7 +22,9 @@
 void endQuarantines(PlannerState &state, Instant now);
 
 // Stops surplus work of teams whose slice became smaller, and work on workers
-// that are leaving or hold less than is reserved.
+// that are leaving or hold less than is reserved. A task that uses more than
+// its reservation gets more if there is room, else is throttled; it is stopped
+// only if its worker holds less than is used on it.
 void relieve(PlannerState &state, std::vector<Action> &actions);
 
 } // namespace jujube::placement::internal
--- a/jujube/placement/state.cc
+++ b/jujube/placement/state.cc
@@ -125,6 +125,7 @@
   WorkerState &worker = Workers[slot];
   task.Stage = TaskStage::Placed;
   task.IsStopping = false;
+  task.IsThrottled = false;
   task.Worker = slot;
   task.Reserved = size;
   task.Excess = Resources{};
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -103,6 +103,8 @@
 struct TaskState {
   TaskStage Stage = TaskStage::Absent;
   bool IsStopping = false;
+  // Told to keep to its reservation.
+  bool IsThrottled = false;
   uint32_t Worker = NoWorker;
   // The worker of the last attempt that failed.
   uint32_t FailedOn = NoWorker;
@@ -273,6 +275,7 @@
   std::vector<Action> Outbox;
   std::vector<TeamState *> OverSlice;
   std::vector<uint32_t> Shrunk;
+  std::vector<TaskId> Overusing;
 
   // Sizes that were found to fit nowhere since room last grew.
   std::vector<Resources> Unfit;
--- /dev/null
+++ b/testing/placement_oracle_test.cc
@@ -0,0 +1,297 @@
+// Stateful fuzzing of the planner against the ledger.
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/placement/planner.h"
+#include "jujube/replay/ledger.h"
+
+namespace jujube {
+namespace {
+
+using catalogue::Urgency;
+using catalogue::WorkClass;
+using placement::EndKind;
+using placement::Planner;
+
+enum class StepKind {
+  SeeWorker,
+  LoseWorker,
+  SetSlice,
+  Submit,
+  EndTask,
+  MeasureUsage,
+  Cancel,
+  Wait,
+  Plan,
+};
+
+inline constexpr NameTable<StepKind, 9> StepKindNames = {{
+    {StepKind::SeeWorker, "see_worker"},
+    {StepKind::LoseWorker, "lose_worker"},
+    {StepKind::SetSlice, "set_slice"},
+    {StepKind::Submit, "submit"},
+    {StepKind::EndTask, "end_task"},
+    {StepKind::MeasureUsage, "measure_usage"},
+    {StepKind::Cancel, "cancel"},
+    {StepKind::Wait, "wait"},
+    {StepKind::Plan, "plan"},
+}};
+static_assert(isComplete(StepKindNames));
+
+// One event with two numbers that say to whom and how.
+struct Step {
+  StepKind Kind = StepKind::Plan;
+  uint32_t A = 0;
+  uint32_t B = 0;
+};
+
+void showValue(const Step &step, std::ostream &out) {
+  out << nameIn(StepKindNames, step.Kind) << "(" << step.A << "," << step.B
+      << ")";
+}
+
+rc::Gen<Step> steps() {
+  return rc::gen::build<Step>(
+      rc::gen::set(&Step::Kind,
+                   rc::gen::map(rc::gen::inRange(0, 16),
+                                [](int n) {
+                                  // Submissions and plans come more often.
+                                  return n < 9    ? static_cast<StepKind>(n)
+                                         : n < 12 ? StepKind::Submit
+                                                  : StepKind::Plan;
+                                })),
+      rc::gen::set(&Step::A, rc::gen::inRange(0U, 1000U)),
+      rc::gen::set(&Step::B, rc::gen::inRange(0U, 1000U)));
+}
+
+constexpr uint32_t WorkerCount = 6;
+constexpr uint32_t TeamCount = 3;
+constexpr Resources FullWorker = {8000, 16000, 1};
+constexpr Resources Ceiling = {24000, 60000, 4};
+// Rounds of a second in which everything that is possible has to be done.
+constexpr int DrainRounds = 400;
+
+TeamId teamAt(uint32_t n) {
+  return TeamId(absl::StrCat("team", n % TeamCount));
+}
+
+WorkerId workerAt(uint32_t n) {
+  return WorkerId(absl::StrCat("w", n % WorkerCount));
+}
+
+// Entry number `n`: every mix of class, urgency and options.
+catalogue::Entry entryAt(uint32_t n) {
+  catalogue::Entry entry;
+  entry.Id = EntryId(absl::StrCat("entry", n % 24));
+  entry.Owner = teamAt(n % 24);
+  entry.Class = static_cast<WorkClass>(n % 4 % 3);
+  entry.Priority = n % 5 == 0 ? Urgency::Urgent : Urgency::Normal;
+  entry.Ask = {int64_t{500} << (n % 24 % 5), int64_t{1000} << (n % 3),
+               n % 7 == 0 ? 1 : 0};
+  entry.MaxRunning = n % 6 == 0 ? 4 : 0;
+  entry.CanCheckpoint = n % 2 == 0;
+  entry.CanThrottle = n % 3 == 0;
+  entry.IsIdempotent = n % 8 != 1;
+  return entry;
+}
+
+// A planner and a ledger that see the same events.
+class Pair {
+public:
+  explicit Pair(placement::PolicyName policy)
+      : Subject(valueOf(
+            Planner::create(options(policy), placement::hooksFor(policy)))) {
+    std::vector<catalogue::Team> teams;
+    for (uint32_t i = 0; i < TeamCount; ++i) {
+      teams.push_back({teamAt(i), i + 1, Ceiling});
+      setSlice(i, Ceiling);
+    }
+    Subject.setTeams(teams);
+  }
+
+  void run(const Step &step) {
+    switch (step.Kind) {
+    case StepKind::SeeWorker:
+      return see(step.A, sizeAt(step.B), step.B % 9 == 0, step.B % 4 == 0);
+    case StepKind::LoseWorker:
+      return lose(step.A);
+    case StepKind::SetSlice:
+      return setSlice(step.A, {1000 * (step.B % 25), 60000, 4});
+    case StepKind::Submit:
+      return submit(step.A, 1 + step.B % 5, step.B % 11 == 0);
+    case StepKind::EndTask:
+      return endOne(step.A, static_cast<EndKind>(step.B % 5));
+    case StepKind::MeasureUsage:
+      return measure(step.A, step.B);
+    case StepKind::Cancel:
+      return cancel(step.A);
+    case StepKind::Wait:
+      Now = Now + Duration::millis(int64_t{step.A} * step.B / 20);
+      return;
+    case StepKind::Plan:
+      return plan();
+    }
+  }
+
+  // Heals everything and finishes what runs until all is done.
+  void drain() {
+    for (uint32_t i = 0; i < TeamCount; ++i)
+      setSlice(i, Ceiling);
+    for (uint32_t i = 0; i < WorkerCount; ++i)
+      see(i, FullWorker, false, true);
+    for (int round = 0; round < DrainRounds && !isDone(); ++round) {
+      for (const auto &[id, isStopping] : placedTasks())
+        end(id, isStopping ? EndKind::Stopped : EndKind::Finished);
+      Now = Now + Duration::seconds(1);
+      plan();
+    }
+    RC_ASSERT(isDone());
+    RC_ASSERT(Subject.status().QueuedTasks == 0U);
+    RC_ASSERT(Subject.status().PlacedTasks == 0U);
+    RC_ASSERT(Subject.status().Reserved == Resources{});
+  }
+
+private:
+  static placement::Options options(placement::PolicyName policy) {
+    placement::Options options;
+    options.Policy = policy;
+    options.MaxActions = 16;
+    options.SettleTime = Duration();
+    return options;
+  }
+
+  static Resources sizeAt(uint32_t n) {
+    return n % 3 == 0 ? Resources{2000 + n * 4, 8000, 0} : FullWorker;
+  }
+
+  void see(uint32_t n, const Resources &holds, bool isLeaving, bool isNew) {
+    Incarnation &start = Starts[workerAt(n)];
+    if (isNew)
+      start = start.next();
+    const RackId rack(absl::StrCat("rack", n % WorkerCount / 2));
+    const fate::WorkerAnnouncement news = {workerAt(n), start, rack, holds,
+                                           isLeaving};
+    Subject.workerSeen(news, Now);
+    Books.workerSeen(news);
+  }
+
+  void lose(uint32_t n) {
+    if (!Starts.contains(workerAt(n)))
+      return;
+    Subject.workerLost(workerAt(n), Now);
+    Books.workerLost(workerAt(n));
+  }
+
+  void setSlice(uint32_t n, const Resources &slice) {
+    Subject.setSlice(teamAt(n), slice);
+    Books.setSlice(teamAt(n), slice);
+  }
+
+  void submit(uint32_t n, uint32_t tasks, bool hasDeadline) {
+    fate::Submission work;
+    work.Request = RequestId(absl::StrCat("z.r", Submitted++));
+    work.Entry = entryAt(n);
+    work.Team = work.Entry.Owner;
+    work.Tasks = tasks;
+    work.StartWithin = hasDeadline ? Duration::seconds(5) : Duration();
+    placement::PendingRequest pending = {work, Now, {}};
+    for (uint32_t i = 0; i < tasks; ++i)
+      pending.Tasks.push_back(i);
+    Books.submitted(work);
+    Subject.enqueue(pending, Now);
+    // A repeated hand-over changes nothing.
+    Subject.enqueue(pending, Now);
+  }
+
+  std::vector<std::pair<TaskId, bool>> placedTasks() const {
+    std::vector<std::pair<TaskId, bool>> placed;
+    for (const auto &[id, request] : Books.requests())
+      for (uint32_t i = 0; i < request.Tasks.size(); ++i)
+        if (request.Tasks[i].Book == replay::TaskBook::Placed)
+          placed.emplace_back(TaskId{id, i}, request.Tasks[i].IsStopping);
+    return placed;
+  }
+
+  void end(const TaskId &id, EndKind kind) {
+    Subject.ended(id, kind, Now);
+    Books.ended(id, kind);
+    if (kind == EndKind::Finished)
+      return;
+    Subject.requeue(id, Now);
+    Books.requeued(id);
+  }
+
+  void endOne(uint32_t n, EndKind kind) {
+    const auto placed = placedTasks();
+    if (!placed.empty())
+      end(placed[n % placed.size()].first, kind);
+  }
+
+  void measure(uint32_t n, uint32_t amount) {
+    const auto placed = placedTasks();
+    if (placed.empty())
+      return;
+    const TaskId id = placed[n % placed.size()].first;
+    Subject.started(id, Now);
+    Subject.usage(id, {amount * 8, amount * 16, 0});
+  }
+
+  void cancel(uint32_t n) {
+    if (Submitted == 0)
+      return;
+    const RequestId id(absl::StrCat("z.r", n % Submitted));
+    Subject.cancel(id);
+    Subject.cancel(id);
+    Books.cancelled(id);
+  }
+
+  void plan() {
+    const auto findings = Books.apply(Subject.plan(Now));
+    for (const replay::Finding &finding : findings)
+      RC_FAIL(absl::StrCat(nameIn(replay::ViolationNames, finding.What), " ",
+                           finding.Detail));
+    for (uint32_t i = 0; i < TeamCount; ++i)
+      RC_ASSERT(Subject.used(teamAt(i)) == Books.reservedBy(teamAt(i)));
+    RC_ASSERT(Subject.status().PlacedTasks == placedTasks().size());
+  }
+
+  bool isDone() const {
+    return std::ranges::all_of(Books.requests(), [](const auto &item) {
+      const replay::Ledger::Request &request = item.second;
+      const bool isOver = request.IsCancelled || request.IsRejected;
+      return std::ranges::all_of(
+          request.Tasks, [isOver](const replay::Ledger::Task &task) {
+            return task.Book == replay::TaskBook::Done ||
+                   (isOver && task.Book == replay::TaskBook::Idle);
+          });
+    });
+  }
+
+  Planner Subject;
+  replay::Ledger Books;
+  Instant Now;
+  uint32_t Submitted = 0;
+  std::map<WorkerId, Incarnation> Starts;
+};
+
+BOOST_AUTO_TEST_SUITE(PlacementOracleSuite)
+
+RC_BOOST_PROP(DecisionsKeepTheRules, ()) {
+  const auto policy = static_cast<placement::PolicyName>(*rc::gen::inRange(
+      0, static_cast<int>(placement::PolicyNameNames.size())));
+  const auto script = *rc::gen::container<std::vector<Step>>(steps());
+  Pair pair(policy);
+  for (const Step &step : script)
+    pair.run(step);
+  pair.drain();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube
