--- a/jujube/http/bodies.h
+++ b/jujube/http/bodies.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "jujube/base/clock.h"
 #include "jujube/base/ids.h"
 #include "jujube/base/result.h"
+#include "jujube/catalogue/types.h"
 
 namespace jujube::http {
 
@@ -33,6 +35,15 @@
   bool operator==(const CallBody &) const = default;
 };
 
+// What operators write in a file: the teams and entries that are wanted. Keys
+// are not part of it, because their secrets must not be.
+struct CatalogueFile {
+  std::vector<catalogue::Team> Teams;
+  std::vector<catalogue::Entry> Entries;
+
+  bool operator==(const CatalogueFile &) const = default;
+};
+
 // The body of every answer that reports an error.
 struct ErrorBody {
   Error Problem;
--- /dev/null
+++ b/jujube/http/client.cc
@@ -0,0 +1,159 @@
+#include "jujube/http/client.h"
+
+#include <algorithm>
+#include <array>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
+#include "httplib.h"
+#include "jujube/http/bodies.h"
+
+namespace jujube::http {
+namespace {
+
+constexpr Duration ConnectTimeout = Duration::seconds(2);
+constexpr int StatusOk = 200;
+
+// Errors that another server, or the same one later, may not have.
+constexpr std::array RetriedKinds = {
+    ErrorKind::Overloaded, ErrorKind::Unavailable, ErrorKind::NotLeader,
+    ErrorKind::StaleData};
+
+// Connections by address; shared by the copies of one hook.
+struct Connections {
+  std::string Authority;
+  std::map<Address, std::unique_ptr<httplib::Client>> Open;
+
+  httplib::Client &at(const Address &address) {
+    std::unique_ptr<httplib::Client> &client = Open[address];
+    if (!client)
+      client = connect(address);
+    return *client;
+  }
+
+  std::unique_ptr<httplib::Client> connect(const Address &address) const {
+    const absl::string_view scheme = Authority.empty() ? "http" : "https";
+    auto client = std::make_unique<httplib::Client>(
+        absl::StrCat(scheme, "://", address.str()));
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(true);
+    client->set_connection_timeout(ConnectTimeout.millis() / 1000);
+    if (!Authority.empty()) {
+      client->set_ca_cert_path(Authority.c_str());
+      client->enable_server_certificate_verification(true);
+    }
+    return client;
+  }
+};
+
+httplib::Result send(httplib::Client &client, const HttpCall &call) {
+  httplib::Headers headers;
+  if (!call.Token.empty())
+    headers.emplace("Authorization", absl::StrCat("Bearer ", call.Token));
+  if (call.Verb == Method::Get)
+    return client.Get(call.Target, headers);
+  return client.Post(call.Target, headers, call.Body, "application/json");
+}
+
+bool isNotConnected(httplib::Error error) {
+  return error == httplib::Error::Connection ||
+         error == httplib::Error::BindIPAddress ||
+         error == httplib::Error::ConnectionTimeout ||
+         error == httplib::Error::SSLConnection ||
+         error == httplib::Error::SSLLoadingCerts ||
+         error == httplib::Error::SSLServerVerification;
+}
+
+Error errorIn(const HttpReply &reply) {
+  Result<ErrorBody> body = fromJson<ErrorBody>(reply.Body);
+  if (isOk(body))
+    return valueOf(std::move(body)).Problem;
+  return Error{ErrorKind::Internal,
+               absl::StrCat("an answer with status ", reply.Status,
+                            " that is not of this system"),
+               "check that the server addresses are those of entry hosts"};
+}
+
+Error unreachable(const Address &address) {
+  return Error{ErrorKind::Unavailable,
+               absl::StrCat("no connection to ", address.str()),
+               "check the server addresses and that the entry host runs"};
+}
+
+Error lostAnswer(const Address &address) {
+  return Error{ErrorKind::DeadlineExceeded,
+               absl::StrCat("the answer of ", address.str(), " was lost"),
+               "ask for the fate, or resend with the same id if that is safe"};
+}
+
+} // namespace
+
+TransportHook makeTransport(std::string tlsAuthority) {
+  auto open = std::make_shared<Connections>();
+  open->Authority = std::move(tlsAuthority);
+  return [open](const Address &address,
+                const HttpCall &call) -> TransportOutcome {
+    httplib::Client &client = open->at(address);
+    client.set_read_timeout(std::chrono::milliseconds(call.Timeout.millis()));
+    const httplib::Result answer = send(client, call);
+    if (answer)
+      return HttpReply{answer->status, answer->body};
+    const bool isNotSent = isNotConnected(answer.error());
+    open->Open.erase(address);
+    return isNotSent ? TransportFailure::NotConnected
+                     : TransportFailure::NoAnswer;
+  };
+}
+
+Result<Client> Client::create(Options options) {
+  if (options.Servers.empty())
+    return Error{ErrorKind::InvalidArgument, "no entry host is known",
+                 "give --server IP:PORT,... or set JUJUBE_SERVER"};
+  if (!options.Sleep)
+    options.Sleep = [](Duration span) {
+      absl::SleepFor(absl::Milliseconds(span.millis()));
+    };
+  return Client(std::move(options));
+}
+
+std::optional<Result<std::string>> Client::tryAll(const HttpCall &call,
+                                                  Error &last) {
+  for (std::size_t i = 0; i < Settings.Servers.size(); ++i) {
+    const Address &server = Settings.Servers[Preferred];
+    const TransportOutcome outcome = Settings.Transport(server, call);
+    if (const auto *failure = std::get_if<TransportFailure>(&outcome)) {
+      const bool isSafe = *failure == TransportFailure::NotConnected;
+      if (!isSafe && !call.MayResend)
+        return lostAnswer(server);
+      // A typed error says more than a connection that failed after it.
+      if (IsUnreachable)
+        last = isSafe ? unreachable(server) : lostAnswer(server);
+    } else {
+      IsUnreachable = false;
+      const auto &reply = std::get<HttpReply>(outcome);
+      if (reply.Status == StatusOk)
+        return reply.Body;
+      last = errorIn(reply);
+      if (!call.MayResend ||
+          std::ranges::find(RetriedKinds, last.Kind) == RetriedKinds.end())
+        return last;
+    }
+    Preferred = (Preferred + 1) % Settings.Servers.size();
+  }
+  return std::nullopt;
+}
+
+Result<std::string> Client::call(const HttpCall &call) {
+  IsUnreachable = true;
+  Error last;
+  for (int round = 0; round < Settings.Rounds; ++round) {
+    if (round > 0)
+      Settings.Sleep(Settings.RoundPause * round);
+    if (std::optional<Result<std::string>> done = tryAll(call, last))
+      return *std::move(done);
+  }
+  return last;
+}
+
+} // namespace jujube::http
--- a/jujube/http/descriptions.h
+++ b/jujube/http/descriptions.h
@@ -131,6 +131,11 @@
   v.required("keys", x.Keys);
 }
 
+template <typename V> void fields(V &v, CatalogueFile &x) {
+  v.optional("teams", x.Teams);
+  v.optional("entries", x.Entries);
+}
+
 template <typename V> void fields(V &v, catalogue::HistoryLine &x) {
   v.required("at", x.At);
   v.required("edit", x.Edit);
--- a/jujube/http/json.cc
+++ b/jujube/http/json.cc
@@ -1,8 +1,14 @@
 #include "jujube/http/json.h"
 
+#include "absl/strings/str_replace.h"
 #include "jujube/http/descriptions.h"
 
 namespace jujube::http {
+namespace {
+
+constexpr int IndentColumns = 2;
+
+} // namespace
 
 template <typename T> Result<T> fromJson(absl::string_view body) {
   Result<internal::Json> json = internal::parseText(body);
@@ -15,6 +21,10 @@
   return value;
 }
 
+template <typename T> std::string toIndentedJson(const T &value) {
+  return internal::writeValue(value).dump(IndentColumns);
+}
+
 template <typename T> std::string toJson(const T &value) {
   // Text that is not UTF-8 outside of byte strings, such as a reason that a
   // library gave, is written with replacement characters.
@@ -22,9 +32,27 @@
       -1, ' ', false, internal::Json::error_handler_t::replace);
 }
 
+std::vector<FieldChange> changedFields(absl::string_view before,
+                                       absl::string_view after) {
+  const auto flatten = [](absl::string_view text) {
+    const internal::Json json =
+        internal::Json::parse(text.begin(), text.end(), nullptr, false);
+    return json.is_object() ? json.flatten() : internal::Json::object();
+  };
+  const internal::Json old = flatten(before);
+  const internal::Json current = flatten(after);
+  std::vector<FieldChange> changes;
+  for (const auto &[pointer, value] : current.items())
+    if (const auto it = old.find(pointer); it == old.end() || *it != value)
+      changes.push_back({absl::StrReplaceAll(pointer.substr(1), {{"/", "."}}),
+                         it == old.end() ? "" : it->dump(), value.dump()});
+  return changes;
+}
+
 #define JUJUBE_JSON(TYPE)                                                      \
   template Result<TYPE> fromJson<TYPE>(absl::string_view);                     \
-  template std::string toJson<TYPE>(const TYPE &);
+  template std::string toJson<TYPE>(const TYPE &);                             \
+  template std::string toIndentedJson<TYPE>(const TYPE &);
 
 JUJUBE_JSON(catalogue::Team)
 JUJUBE_JSON(catalogue::Entry)
@@ -43,6 +71,7 @@
 JUJUBE_JSON(SubmitBody)
 JUJUBE_JSON(CallBody)
 JUJUBE_JSON(DoneBody)
+JUJUBE_JSON(CatalogueFile)
 JUJUBE_JSON(ErrorBody)
 
 #undef JUJUBE_JSON
--- a/jujube/http/json.h
+++ b/jujube/http/json.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "jujube/api/commands.h"
@@ -28,7 +29,24 @@
 // Encodes a value on one line.
 template <typename T> std::string toJson(const T &value);
 
-// Both are instantiated for:
+// The same over several lines, for files that people edit.
+template <typename T> std::string toIndentedJson(const T &value);
+
+// A field that differs between two encoded values.
+struct FieldChange {
+  // For example "ceiling.milli_cpu".
+  std::string Name;
+  // Encoded; empty if the field was absent.
+  std::string Before;
+  std::string After;
+};
+
+// Returns the fields of `after` that `before` lacks or holds otherwise, by
+// name. Both are encoded values.
+std::vector<FieldChange> changedFields(absl::string_view before,
+                                       absl::string_view after);
+
+// The templates are instantiated for:
 //   catalogue::{Team, Entry, Key, Edit, Contents}
 //   std::vector<catalogue::HistoryLine>
 //   fate::{WorkerSync, SyncReply, FateView}
