jujubectl: catalogue, team, key, request and status commands

Edits and requests carry an id made once per invocation, so lost answers are followed by a resend; a live call is not, since only the system knows whether it may run twice.

--- /dev/null
+++ b/jujube/ctl/app.h
@@ -0,0 +1,88 @@
+// The command line of jujubectl: settings, commands and exit codes.
+#ifndef JUJUBE_CTL_APP_H_
+#define JUJUBE_CTL_APP_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "jujube/base/name_table.h"
+#include "jujube/base/settings.h"
+#include "jujube/ctl/commands.h"
+#include "jujube/http/client.h"
+
+namespace jujube::ctl {
+
+// What the command line can ask for.
+enum class Action {
+  CatalogueApply,
+  CatalogueGet,
+  CatalogueList,
+  CatalogueDelete,
+  CatalogueHistory,
+  TeamPut,
+  TeamList,
+  TeamDelete,
+  KeyIssue,
+  KeyWithdraw,
+  KeyList,
+  Submit,
+  Call,
+  Cancel,
+  Fate,
+  Status,
+  Histogram,
+};
+
+inline constexpr NameTable<Action, 17> ActionNames = {{
+    {Action::CatalogueApply, "catalogue apply"},
+    {Action::CatalogueGet, "catalogue get"},
+    {Action::CatalogueList, "catalogue list"},
+    {Action::CatalogueDelete, "catalogue delete"},
+    {Action::CatalogueHistory, "catalogue history"},
+    {Action::TeamPut, "team put"},
+    {Action::TeamList, "team list"},
+    {Action::TeamDelete, "team delete"},
+    {Action::KeyIssue, "key issue"},
+    {Action::KeyWithdraw, "key withdraw"},
+    {Action::KeyList, "key list"},
+    {Action::Submit, "submit"},
+    {Action::Call, "call"},
+    {Action::Cancel, "cancel"},
+    {Action::Fate, "fate"},
+    {Action::Status, "status"},
+    {Action::Histogram, "histogram"},
+}};
+static_assert(isComplete(ActionNames));
+
+// What jujubectl exits with.
+enum class ExitCode {
+  Done = 0,
+  // Refused with a typed error, or the work failed.
+  Refused = 1,
+  Usage = 2,
+  // No entry host could be reached.
+  Unreachable = 3,
+};
+
+// How the program reaches the world; tests set their own.
+struct AppHooks {
+  std::function<http::TransportHook(const std::string &tlsAuthority)> Connect;
+  std::function<void(const std::string &)> Print;
+  std::function<void(const std::string &)> PrintError;
+  std::function<void(const std::string &)> Progress;
+  std::function<std::string(std::size_t)> Random;
+  std::function<void(Duration)> Sleep;
+  EnvironmentHook Environment = readEnvironment;
+  Clock Time = Clock::monotonic();
+};
+
+// The hooks of the real program.
+AppHooks realHooks();
+
+// Runs one invocation.
+ExitCode runApp(const std::vector<std::string> &args, const AppHooks &hooks);
+
+} // namespace jujube::ctl
+
+#endif // JUJUBE_CTL_APP_H_
--- /dev/null
+++ b/jujube/ctl/catalogue_plan.cc
@@ -0,0 +1,100 @@
+#include "jujube/ctl/catalogue_plan.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/http/json.h"
+
+namespace jujube::ctl {
+namespace {
+
+template <typename T>
+const catalogue::Versioned<T> *
+findIn(const std::vector<catalogue::Versioned<T>> &objects, const T &wanted) {
+  const auto it = std::ranges::find_if(objects, [&wanted](const auto &object) {
+    return object.Value.Id == wanted.Id;
+  });
+  return it == objects.end() ? nullptr : &*it;
+}
+
+std::vector<std::string> detailsOf(const std::string &before,
+                                   const std::string &after) {
+  const std::vector<http::FieldChange> changes =
+      http::changedFields(before, after);
+  std::vector<std::string> lines;
+  std::ranges::transform(
+      changes, std::back_inserter(lines), [](const http::FieldChange &change) {
+        if (change.Before.empty())
+          return absl::StrCat(change.Name, ": ", change.After);
+        return absl::StrCat(change.Name, ": ", change.Before, " -> ",
+                            change.After);
+      });
+  return lines;
+}
+
+// Adds the edits that create or replace objects.
+template <typename Put, typename T>
+void planPuts(const std::vector<catalogue::Versioned<T>> &current,
+              const std::vector<T> &wanted, absl::string_view what,
+              std::vector<PlannedEdit> &plan) {
+  for (const T &value : wanted) {
+    const auto *old = findIn(current, value);
+    if (old && old->Value == value)
+      continue;
+    plan.push_back(
+        {Put{value}, old ? old->Changed : Revision{},
+         absl::StrCat(old ? "~ " : "+ ", what, " ", value.Id.str()),
+         detailsOf(old ? http::toJson(old->Value) : "", http::toJson(value))});
+  }
+}
+
+// Adds the edits that delete objects.
+template <typename Delete, typename T>
+void planDeletions(const std::vector<catalogue::Versioned<T>> &current,
+                   const std::vector<T> &wanted, absl::string_view what,
+                   std::vector<PlannedEdit> &plan) {
+  for (const auto &object : current) {
+    const bool isWanted =
+        std::ranges::any_of(wanted, [&object](const T &value) {
+          return value.Id == object.Value.Id;
+        });
+    if (!isWanted)
+      plan.push_back({Delete{object.Value.Id},
+                      object.Changed,
+                      absl::StrCat("- ", what, " ", object.Value.Id.str()),
+                      {}});
+  }
+}
+
+// The teams that keys do not hold in the catalogue.
+std::vector<catalogue::Versioned<catalogue::Team>>
+teamsWithoutKeys(const catalogue::Contents &current) {
+  std::vector<catalogue::Versioned<catalogue::Team>> teams;
+  std::ranges::copy_if(
+      current.Teams, std::back_inserter(teams), [&current](const auto &team) {
+        return std::ranges::none_of(current.Keys, [&team](const auto &key) {
+          return key.Value.Team == team.Value.Id;
+        });
+      });
+  return teams;
+}
+
+} // namespace
+
+std::vector<PlannedEdit> planEdits(const catalogue::Contents &current,
+                                   const http::CatalogueFile &wanted,
+                                   bool mayDelete) {
+  std::vector<PlannedEdit> plan;
+  planPuts<catalogue::PutTeam>(current.Teams, wanted.Teams, "team", plan);
+  planPuts<catalogue::PutEntry>(current.Entries, wanted.Entries, "entry", plan);
+  if (!mayDelete)
+    return plan;
+  planDeletions<catalogue::DeleteEntry>(current.Entries, wanted.Entries,
+                                        "entry", plan);
+  planDeletions<catalogue::DeleteTeam>(teamsWithoutKeys(current), wanted.Teams,
+                                       "team", plan);
+  return plan;
+}
+
+} // namespace jujube::ctl
--- /dev/null
+++ b/jujube/ctl/catalogue_plan.h
@@ -0,0 +1,33 @@
+// Which edits turn the catalogue into what a file says. Pure.
+#ifndef JUJUBE_CTL_CATALOGUE_PLAN_H_
+#define JUJUBE_CTL_CATALOGUE_PLAN_H_
+
+#include <string>
+#include <vector>
+
+#include "jujube/catalogue/edit.h"
+#include "jujube/http/bodies.h"
+
+namespace jujube::ctl {
+
+// An edit to be made and how it is shown.
+struct PlannedEdit {
+  catalogue::Change What;
+  // The revision that the edit builds on; 0 for a new object.
+  Revision Base;
+  // For example "~ team events", followed by a line for each changed field.
+  std::string Title;
+  std::vector<std::string> Details;
+};
+
+// Returns the edits in an order in which each is valid: teams, then entries
+// that they own, then deletions in reverse. Objects that the file lacks are
+// deleted only if `mayDelete`; a team that still has keys is not, since the
+// catalogue would refuse it.
+std::vector<PlannedEdit> planEdits(const catalogue::Contents &current,
+                                   const http::CatalogueFile &wanted,
+                                   bool mayDelete);
+
+} // namespace jujube::ctl
+
+#endif // JUJUBE_CTL_CATALOGUE_PLAN_H_
--- /dev/null
+++ b/jujube/ctl/work_commands.cc
@@ -0,0 +1,248 @@
+// Commands for requests, and for the state of the fleet.
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/ctl/commands.h"
+#include "jujube/ctl/table.h"
+#include "jujube/http/bodies.h"
+#include "jujube/http/json.h"
+#include "jujube/metrics/metrics.h"
+
+namespace jujube::ctl {
+namespace {
+
+// Longest wait of one call; longer waits are made of several.
+constexpr Duration MaxPoll = Duration::seconds(5);
+// What a call may take beyond the wait that it asks for.
+constexpr Duration AnswerSlack = Duration::seconds(10);
+
+Result<api::FleetStatus> readStatus(Session &session) {
+  return session.Api.callFor<api::FleetStatus>(
+      {http::Method::Get, "/v1/status"});
+}
+
+// The id of a new request: the one that was given, or one in the zone that was
+// given or that the server is in.
+Result<RequestId> newRequestId(Session &session) {
+  std::string text = session.Options.Id;
+  if (text.find('.') == std::string::npos) {
+    std::string zone = session.Options.Zone;
+    if (zone.empty()) {
+      const Result<api::FleetStatus> status = readStatus(session);
+      if (!isOk(status))
+        return errorOf(status);
+      zone = valueOf(status).Zone.str();
+    }
+    text = absl::StrCat(zone, ".", text);
+  }
+  return RequestId::parse(text);
+}
+
+Result<fate::FateView> readFate(Session &session, const RequestId &id,
+                                Duration wait) {
+  return session.Api.callFor<fate::FateView>(
+      {http::Method::Get,
+       absl::StrCat("/v1/requests/", id.str(), "?wait_ms=", wait.millis()),
+       session.Options.PresentedKey,
+       {},
+       wait + AnswerSlack});
+}
+
+std::string progressText(const fate::FateView &view) {
+  const auto ended = std::ranges::count_if(view.Tasks, [](const auto &task) {
+    return fate::isTerminal(task.State);
+  });
+  return absl::StrCat(view.Request.str(), " ",
+                      nameIn(fate::FateStateNames, view.State), ", ", ended,
+                      " of ", view.Tasks.size(), " tasks ended");
+}
+
+// Follows a request until it has ended or the session's wait is over.
+Result<fate::FateView> awaitEnd(Session &session, fate::FateView view) {
+  const Instant deadline = session.Time.now() + session.Options.Wait;
+  while (!fate::isTerminal(view.State) && session.Time.now() < deadline) {
+    session.Progress(progressText(view));
+    const Duration poll = std::min(MaxPoll, deadline - session.Time.now());
+    Result<fate::FateView> next = readFate(session, view.Request, poll);
+    if (!isOk(next))
+      return next;
+    view = valueOf(std::move(next));
+  }
+  return view;
+}
+
+std::string spanText(Instant from, Instant to) {
+  if (from == Instant::never() || to == Instant::never())
+    return "-";
+  return absl::StrCat((to - from).millis(), " ms");
+}
+
+std::string fateText(const fate::FateView &view) {
+  std::string text = absl::StrCat(
+      view.Request.str(), " ", nameIn(fate::FateStateNames, view.State),
+      "  team ", view.Team.str(), "  entry ", view.Entry.str(), "  waited ",
+      spanText(view.AcceptedAt, view.StartedAt), "  ran ",
+      spanText(view.StartedAt, view.EndedAt), "\n");
+  for (const fate::TaskView &task : view.Tasks) {
+    absl::StrAppend(&text, "  task ", task.Index, " ",
+                    nameIn(fate::FateStateNames, task.State), "  attempts ",
+                    task.Attempts);
+    if (!task.Worker.empty())
+      absl::StrAppend(&text, "  worker ", task.Worker.str());
+    if (!task.Reason.empty())
+      absl::StrAppend(&text, "  reason: ", task.Reason);
+    if (!task.Answer.empty())
+      absl::StrAppend(&text, "  answer: ", task.Answer);
+    absl::StrAppend(&text, "\n");
+  }
+  return text;
+}
+
+// Prints a fate; work that ended in another way than finished is a failure.
+Verdict printFate(Session &session, const fate::FateView &view) {
+  session.Print(session.Options.IsJson ? http::toJson(view) + "\n"
+                                       : fateText(view));
+  return fate::isTerminal(view.State) && view.State != fate::FateState::Finished
+             ? Verdict::WorkFailed
+             : Verdict::Done;
+}
+
+bool isSelected(const SessionOptions &options, const Arguments &args,
+                const metrics::HistogramValue &histogram) {
+  return (args.empty() || histogram.Name == args[0]) &&
+         (options.Team.empty() || histogram.For.Team == options.Team) &&
+         (options.Class.empty() || histogram.For.Class == options.Class);
+}
+
+} // namespace
+
+Result<Verdict> submit(Session &session, const Arguments &args) {
+  const Result<EntryId> entry = EntryId::parse(args[0]);
+  if (!isOk(entry))
+    return errorOf(entry);
+  const Result<RequestId> id = newRequestId(session);
+  if (!isOk(id))
+    return errorOf(id);
+  http::SubmitBody body{valueOf(id), valueOf(entry), session.Options.Payload};
+  if (session.Options.Tasks > 0)
+    body.Tasks = session.Options.Tasks;
+  body.StartWithin = session.Options.StartWithin;
+  auto view = session.Api.callFor<fate::FateView>(
+      {http::Method::Post, "/v1/requests", session.Options.PresentedKey,
+       http::toJson(body)});
+  if (isOk(view))
+    view = awaitEnd(session, valueOf(std::move(view)));
+  if (isOk(view))
+    return printFate(session, valueOf(view));
+  Error error = errorOf(view);
+  if (session.Api.isUnreachable())
+    error.Remedy = absl::StrCat("resend it with --id ", valueOf(id).str());
+  return error;
+}
+
+Result<Verdict> callLive(Session &session, const Arguments &args) {
+  const Result<EntryId> entry = EntryId::parse(args[0]);
+  if (!isOk(entry))
+    return errorOf(entry);
+  const Result<RequestId> id = newRequestId(session);
+  if (!isOk(id))
+    return errorOf(id);
+  const http::CallBody body{valueOf(id), session.Options.Payload,
+                            session.Options.Timeout};
+  // Only the system knows whether the work may run twice, so a lost answer is
+  // not followed by a resend.
+  http::HttpCall call{
+      http::Method::Post,
+      absl::StrCat("/v1/entries/", valueOf(entry).str(), "/call"),
+      session.Options.PresentedKey, http::toJson(body),
+      session.Options.Timeout + AnswerSlack};
+  call.MayResend = false;
+  const auto answer = session.Api.callFor<api::LiveAnswer>(call);
+  if (!isOk(answer))
+    return errorOf(answer);
+  session.Print(session.Options.IsJson ? http::toJson(valueOf(answer)) + "\n"
+                                       : valueOf(answer).Body + "\n");
+  return Verdict::Done;
+}
+
+Result<Verdict> cancel(Session &session, const Arguments &args) {
+  for (const std::string &text : args) {
+    const Result<RequestId> id = RequestId::parse(text);
+    if (!isOk(id))
+      return errorOf(id);
+    const auto view = session.Api.callFor<fate::FateView>(
+        {http::Method::Post, absl::StrCat("/v1/requests/", text, "/cancel"),
+         session.Options.PresentedKey});
+    if (!isOk(view))
+      return errorOf(view);
+    (void)printFate(session, valueOf(view));
+  }
+  return Verdict::Done;
+}
+
+Result<Verdict> showFate(Session &session, const Arguments &args) {
+  const Result<RequestId> id = RequestId::parse(args[0]);
+  if (!isOk(id))
+    return errorOf(id);
+  Result<fate::FateView> view = readFate(session, valueOf(id), Duration());
+  if (isOk(view))
+    view = awaitEnd(session, valueOf(std::move(view)));
+  if (!isOk(view))
+    return errorOf(view);
+  return printFate(session, valueOf(view));
+}
+
+Result<Verdict> showStatus(Session &session, const Arguments & /*args*/) {
+  const Result<api::FleetStatus> read = readStatus(session);
+  if (!isOk(read))
+    return errorOf(read);
+  const api::FleetStatus &status = valueOf(read);
+  if (session.Options.IsJson) {
+    session.Print(http::toJson(status) + "\n");
+    return Verdict::Done;
+  }
+  session.Print(
+      absl::StrCat("entry host ", status.Host.str(), " in ", status.Zone.str(),
+                   status.IsLeaving ? " (leaving)" : "",
+                   ", catalogue revision ", status.Catalogue.Value,
+                   " confirmed ", status.CatalogueAge.millis(), " ms ago\n\n"));
+  Table zones({"ZONE", "LEADER", "WORKERS", "QUARANTINED", "QUEUED", "RUNNING",
+               "RESERVED", "HELD"});
+  for (const api::ZoneStatus &zone : status.Zones)
+    zones.add({zone.Zone.str(),
+               zone.Leader.empty() ? "none known" : zone.Leader.str(),
+               absl::StrCat(zone.Workers),
+               absl::StrCat(zone.QuarantinedWorkers),
+               absl::StrCat(zone.QueuedTasks), absl::StrCat(zone.RunningTasks),
+               resourcesText(zone.Reserved), resourcesText(zone.Held)});
+  Table runners({"RUNNER", "ENTRY", "ZONE", "SLOTS", "IN FLIGHT", "LEAVING"});
+  for (const api::RunnerStatus &runner : status.Runners)
+    runners.add({runner.Runner.str(), runner.Entry.str(), runner.Zone.str(),
+                 absl::StrCat(runner.Slots), absl::StrCat(runner.InFlight),
+                 runner.IsLeaving ? "yes" : "no"});
+  session.Print(absl::StrCat(zones.text(), "\n", runners.text()));
+  return Verdict::Done;
+}
+
+Result<Verdict> showHistograms(Session &session, const Arguments &args) {
+  auto read = session.Api.callFor<metrics::Snapshot>(
+      {http::Method::Get, "/v1/metrics"});
+  if (!isOk(read))
+    return errorOf(read);
+  metrics::Snapshot &snapshot = valueOf(read);
+  std::erase_if(snapshot.Histograms, [&](const auto &histogram) {
+    return !isSelected(session.Options, args, histogram);
+  });
+  if (session.Options.IsJson) {
+    snapshot.Counters.clear();
+    session.Print(http::toJson(snapshot) + "\n");
+    return Verdict::Done;
+  }
+  if (snapshot.Histograms.empty())
+    session.Print("no observations yet\n");
+  for (const metrics::HistogramValue &histogram : snapshot.Histograms)
+    session.Print(absl::StrCat(metrics::renderBars(histogram), "\n"));
+  return Verdict::Done;
+}
+
+} // namespace jujube::ctl
--- a/jujube/http/json.cc
+++ b/jujube/http/json.cc
@@ -22,7 +22,8 @@
 }
 
 template <typename T> std::string toIndentedJson(const T &value) {
-  return internal::writeValue(value).dump(IndentColumns);
+  return internal::writeValue(value).dump(
+      IndentColumns, ' ', false, internal::Json::error_handler_t::replace);
 }
 
 template <typename T> std::string toJson(const T &value) {
