--- a/jujube/entry/live_desk.h
+++ b/jujube/entry/live_desk.h
@@ -40,44 +40,42 @@
     std::function<void(const api::CallLive &, const LiveHook &)> HandOver;
   };
 
-  static Result<std::unique_ptr<LiveDesk>> create(Options options,
-                                                  runtime::PollLoop &loop,
-                                                  ZoneDirectory &zones,
-                                                  RunnerLinkPool links,
-                                                  metrics::Metrics &metrics, Hooks hooks);
+  static Result<std::unique_ptr<LiveDesk>>
+  create(Options options, runtime::PollLoop &loop, ZoneDirectory &zones,
+         RunnerLinkPool links, metrics::Metrics &metrics, Hooks hooks);
 
   // Serves a request whose key was checked for `team`.
   void serve(const api::CallLive &call, const TeamId &team,
              const catalogue::Entry &entry, LiveHook done);
   // The kept answer of a request whose caller may have gone; nothing if this
   // host has none for the team.
-  std::optional<fate::FateView> find(const RequestId &id, const TeamId &team) const;
+  std::optional<fate::FateView> find(const RequestId &id,
+                                     const TeamId &team) const;
 
-  void setShares(const std::vector<catalogue::Team> &teams) { Router.setShares(teams); }
+  void setShares(const std::vector<catalogue::Team> &teams) {
+    Router.setShares(teams);
+  }
   // Does what is due; to be called at the end of each turn of the loop.
   void endTurn();
 
   void beginDrain();
-  bool isIdle() const { return Router.isIdle() && Calls.empty(); }
+  // True once no caller waits and nothing is on its way.
+  bool isIdle() const;
   std::vector<api::RunnerStatus> runners() const;
 
 private:
-  // A request that is not answered yet.
+  // A request whose final outcome is not known yet.
   struct Call {
     api::CallLive Request;
     TeamId Team;
     catalogue::Entry Entry;
     std::shared_ptr<const std::string> Payload;
+    // Empty once they were answered.
     std::vector<LiveHook> Waiters;
     Instant Since;
-    // The home zone's journal holds an offer without an end.
+    // The home zone's journal may hold an offer without an end.
     bool IsJournaled = false;
   };
-  // An answer that can still be fetched.
-  struct Kept {
-    RequestId Request;
-    fate::FateView View;
-  };
 
   LiveDesk(Options options, runtime::PollLoop &loop, ZoneDirectory &zones,
            RunnerLinkPool links, metrics::Metrics &metrics, Hooks hooks,
@@ -95,17 +93,20 @@
   void carryOut(const routing::ReportNow &action);
 
   void takeLinkEvent(LinkEvent event);
+  void journalOffer(const routing::JournalOffer &offer);
   void takeJournalReply(const routing::JournalOffer &offer,
                         const Result<wire::Message> &reply);
-  void journalOffer(const routing::JournalOffer &offer, const Call &call);
-  void journalEnd(const RequestId &id, const RunnerId &runner, fate::FateState state,
+  void journalEnd(Call &call, const RunnerId &runner, fate::FateState state,
                   const std::string &text, const std::function<void()> &then);
   void answer(const RequestId &id, const Result<api::LiveAnswer> &result);
+  // Ends a request: keeps its fate, journals it and answers its callers.
+  void conclude(const RequestId &id, const RunnerId &runner,
+                fate::FateState state, const std::string &text,
+                const Result<api::LiveAnswer> &result);
   // Answers with what the home zone's journal holds of an earlier offer.
   void answerFromJournal(const RequestId &id, const fate::FateView &view);
-  void keep(const RequestId &id, fate::FateState state, const std::string &text);
-  std::string takeBody(const RequestId &id, uint32_t attempt);
-  metrics::Labels labelsOf(const Call &call) const;
+  void keep(const Call &call, fate::FateState state, const std::string &text);
+  void dropAbandoned();
 
   Options Settings;
   runtime::PollLoop &Loop;
@@ -115,12 +116,11 @@
   Hooks Callbacks;
   routing::Router Router;
   std::map<RequestId, Call> Calls;
-  // Requests whose home zone still has to learn the end, by team and entry.
-  std::map<RequestId, Call> Concluded;
   std::map<std::pair<RequestId, uint32_t>, std::string> Bodies;
   std::map<RequestId, fate::FateView> Answers;
   std::deque<RequestId> AnswerOrder;
   std::optional<runtime::TimerId> Wake;
+  Instant NextCleanup;
 };
 
 } // namespace jujube::entry
--- a/jujube/wire/state_encoding.h
+++ b/jujube/wire/state_encoding.h
@@ -112,14 +112,15 @@
   ar(v.Request);
 }
 template <typename Archive> void serialize(Archive &ar, TaskRecord &v) {
-  ar(v.State, v.IsLive, v.MayHaveRun, v.IsStopping, v.Attempts, v.Failures,
-     v.Token, v.Worker, v.Start, v.Reserved, v.Text);
+  ar(v.State, v.IsLive, v.MayHaveRun, v.HasStarted, v.Attempts, v.Failures,
+     v.Token, v.Worker, v.Start, v.Reserved, v.LostAt, v.Text);
 }
 template <typename Archive> void serialize(Archive &ar, RequestRecord &v) {
-  ar(v.Work, v.AcceptedAt, v.StartedAt, v.EndedAt, v.IsCancelled, v.Tasks);
+  ar(v.Work, v.AcceptedAt, v.StartedAt, v.EndedAt, v.IsCancelled, v.IsAbandoned,
+     v.Open, v.Unstarted, v.Tasks);
 }
 template <typename Archive> void serialize(Archive &ar, LiveRecord &v) {
-  ar(v.Offer, v.State, v.EndedAt, v.Text);
+  ar(v.Offer, v.State, v.ChangedAt, v.Text);
 }
 template <typename Archive> void serialize(Archive &ar, BookState &v) {
   ar(v.Requests, v.LiveRequests, v.Holdings);
