--- /dev/null
+++ b/testing/state_slices.h
@@ -0,0 +1,109 @@
+// A keepers' ledger and zones over a faulty network, to check that no team ever
+// runs more than its ceiling.
+#ifndef TESTING_STATE_SLICES_H_
+#define TESTING_STATE_SLICES_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+#include "jujube/base/clock.h"
+#include "jujube/limits/lease_table.h"
+#include "jujube/limits/slice_ledger.h"
+#include "jujube/limits/zone_slices.h"
+
+namespace jujube::testing {
+
+inline constexpr uint32_t SliceZones = 3;
+inline constexpr uint32_t SliceTeams = 2;
+
+// How a zone's messages to and from the keepers fare.
+enum class LinkState { Clean, Lossy, Slow, Cut };
+
+// Steps the machines in ticks of real time. Every process has a clock of its
+// own, with another origin and a rate that differs within the drift bound.
+class SliceDriver {
+public:
+  explicit SliceDriver(uint32_t seed);
+
+  // Lets real time pass and checks the ceilings at every tick. Returns false
+  // as soon as a team runs more than its ceiling.
+  bool advance(Duration span);
+
+  void setLink(uint32_t zone, LinkState state) { Zones[zone].Link = state; }
+  // Tasks that the team has to run in the zone.
+  void setDemand(uint32_t zone, uint32_t team, uint32_t tasks);
+  // The zone's leader can't reach its workers: tasks stop by their lease only.
+  void setWorkersReachable(uint32_t zone, bool isReachable);
+  // The zone's leader dies; another takes over after the span.
+  void killLeader(uint32_t zone, Duration span);
+  // Another keeper takes over after the span.
+  void changeKeeper(Duration span);
+  // In tasks of the team.
+  void setCeiling(uint32_t team, uint32_t tasks);
+
+  uint32_t running(uint32_t zone, uint32_t team) const;
+  bool isInForce(uint32_t team) const;
+  const limits::SliceLedger &ledger() const { return Ledger; }
+
+private:
+  struct Zone {
+    ZoneId Id;
+    // Of its clock.
+    int64_t Origin = 0;
+    int64_t RatePermille = 1000;
+    LinkState Link = LinkState::Clean;
+    bool AreWorkersReachable = true;
+    Term LeaderTerm;
+    std::optional<limits::ZoneSlices> Leader;
+    Instant LeaderFrom;
+    limits::SliceHoldings Holdings;
+    std::vector<limits::SliceUpdate> Proposed;
+    // When the workers' leases were last renewed, on the zone's clock.
+    Instant LastRenewal;
+    std::array<uint32_t, SliceTeams> Demand{};
+    std::array<uint32_t, SliceTeams> Running{};
+  };
+  struct Message {
+    Instant DueAt;
+    uint32_t Zone;
+    std::variant<limits::SliceReport, limits::SliceReply> Body;
+  };
+
+  Instant localTime(const Zone &zone) const;
+  Instant keeperTime() const;
+  uint32_t random(uint32_t n);
+
+  void tickZone(Zone &zone);
+  void lead(Zone &zone, Instant now);
+  void stopExcess(Zone &zone, Instant now);
+  void startTasks(Zone &zone, Instant now);
+  void sendReport(Zone &zone, Instant now);
+  void takeOver(Zone &zone);
+  void commit(Zone &zone);
+  void tickKeeper();
+  void deliverDue();
+  void send(uint32_t zone, Message message);
+  void handle(const limits::SliceReport &report, uint32_t zone);
+  void handle(const limits::SliceReply &reply, uint32_t zone);
+  bool checkCeilings();
+
+  limits::SlicePolicy Policy;
+  std::minstd_rand Generator;
+  Instant Now;
+  int64_t Ticks = 0;
+  limits::SliceLedger Ledger;
+  limits::LeaseTable<ZoneId> Leases;
+  Instant KeeperFrom;
+  std::array<Zone, SliceZones> Zones;
+  // The largest ceiling that may still be in use.
+  std::array<Resources, SliceTeams> Bounds;
+  std::vector<Message> Messages;
+};
+
+} // namespace jujube::testing
+
+#endif // TESTING_STATE_SLICES_H_
