--- /dev/null
+++ b/testing/standin_worker.cc
@@ -0,0 +1,211 @@
+#include "testing/standin_worker.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace jujube::testing {
+namespace {
+
+using fate::Directive;
+using fate::DirectiveKind;
+using fate::TaskPhase;
+using fate::TaskReport;
+
+constexpr Duration FailAfter = Duration::millis(50);
+constexpr std::size_t MaxFences = 50000;
+
+std::string teamOf(const WorkOrder &order, const EntryId &entry) {
+  return order.Team.empty() ? entry.str() : order.Team;
+}
+
+} // namespace
+
+StandinWorker::StandinWorker(StandinWorkerOptions options)
+    : Options(std::move(options)) {}
+
+fate::WorkerSync StandinWorker::sync(Instant now) const {
+  fate::WorkerSync sync{Options.Announcement, Ended};
+  for (const auto &[id, task] : Running)
+    sync.Reports.push_back(
+        {id, task.Token, TaskPhase::Running, usageOf(task, now), ""});
+  return sync;
+}
+
+// Use as it was some time ago; zero while that was before the start.
+Resources StandinWorker::usageOf(const RunningTask &task, Instant now) const {
+  if (now - task.StartedAt < Options.UsageLag)
+    return {};
+  Resources usage = task.Grant;
+  usage.MilliCpu =
+      std::min(usage.MilliCpu, task.Order.MilliCpu.value_or(usage.MilliCpu));
+  return usage;
+}
+
+Resources StandinWorker::used() const {
+  return std::accumulate(Running.begin(), Running.end(), Resources{},
+                         [](const Resources &sum, const auto &row) {
+                           return sum + row.second.Grant;
+                         });
+}
+
+void StandinWorker::apply(const fate::SyncReply &reply, Instant sentAt,
+                          Instant now) {
+  if (reply.LeaderTerm < LeaderTerm) {
+    ++Stats.StaleReplies;
+    return;
+  }
+  LeaderTerm = reply.LeaderTerm;
+  LeaseUntil = std::max(LeaseUntil, sentAt + reply.Lease);
+  for (const Directive &directive : reply.Directives)
+    obey(directive, now);
+}
+
+void StandinWorker::obey(const Directive &directive, Instant now) {
+  switch (directive.Kind) {
+  case DirectiveKind::Start:
+    return start(directive, now);
+  case DirectiveKind::Stop:
+    return stop(directive, TaskPhase::Stopped, now);
+  case DirectiveKind::Checkpoint:
+    return stop(directive, TaskPhase::Checkpointed, now);
+  case DirectiveKind::Throttle:
+    return throttle(directive, now);
+  case DirectiveKind::Acknowledge:
+    std::erase_if(Ended, [&](const TaskReport &report) {
+      return report.Task == directive.Task && report.Token <= directive.Token;
+    });
+    return;
+  }
+}
+
+// Returns false for a token that is not newer than all seen for the task.
+bool StandinWorker::raiseFence(const TaskId &id, AttemptToken token) {
+  const auto [it, isNew] = Fences.try_emplace(id, token);
+  if (!isNew && token <= it->second)
+    return false;
+  it->second = token;
+  if (isNew)
+    FenceOrder.push_back(id);
+  if (FenceOrder.size() > MaxFences) {
+    Fences.erase(FenceOrder.front());
+    FenceOrder.pop_front();
+  }
+  return true;
+}
+
+void StandinWorker::start(const Directive &directive, Instant now) {
+  const TaskId &id = directive.Task;
+  const auto running = Running.find(id);
+  // A directive may arrive again after its attempt was acknowledged.
+  const auto fence = Fences.find(id);
+  if (fence != Fences.end() && fence->second == directive.Token)
+    return;
+  if (!raiseFence(id, directive.Token))
+    return report(id, directive.Token, TaskPhase::Refused, "stale token");
+  if (running != Running.end())
+    end(id, TaskPhase::Stopped, "a newer attempt came");
+  if (now >= LeaseUntil || Options.Announcement.IsLeaving)
+    return report(id, directive.Token, TaskPhase::Refused, "no lease");
+  if (!(used() + directive.Grant).fitsIn(Options.Announcement.Holds)) {
+    ++Stats.OverCapacity;
+    return report(id, directive.Token, TaskPhase::Refused, "no room");
+  }
+  RunningTask task{directive.Token, directive.Entry,
+                   parseWorkOrder(directive.Payload), directive.Grant, now};
+  const Duration runTime =
+      Options.FailsAll ? FailAfter
+                       : task.Order.RunTime.value_or(Options.DefaultRunTime);
+  task.EndsAt = task.Order.IsEndless && !Options.FailsAll ? Instant::never()
+                                                          : now + runTime;
+  Events.push_back(
+      {id, this->id(), teamOf(task.Order, task.Entry), task.Grant, true});
+  Running.emplace(id, std::move(task));
+  ++Stats.Started;
+  HasNews = true;
+}
+
+void StandinWorker::stop(const Directive &directive, TaskPhase phase,
+                         Instant now) {
+  (void)now;
+  const TaskId &id = directive.Task;
+  const auto running = Running.find(id);
+  if (running != Running.end() && running->second.Token <= directive.Token) {
+    raiseFence(id, directive.Token);
+    return end(id, phase, "on request");
+  }
+  // Confirmed also if it never came: the fence keeps it from starting later.
+  if (raiseFence(id, directive.Token))
+    report(id, directive.Token, TaskPhase::Stopped, "not running");
+}
+
+void StandinWorker::throttle(const Directive &directive, Instant now) {
+  const auto it = Running.find(directive.Task);
+  if (it == Running.end() || it->second.Token != directive.Token)
+    return;
+  RunningTask &task = it->second;
+  const int64_t before = std::max<int64_t>(task.Grant.MilliCpu, 1);
+  const int64_t after = std::max<int64_t>(directive.Grant.MilliCpu, 1);
+  if (task.EndsAt != Instant::never())
+    task.EndsAt = now + (task.EndsAt - now) * before / after;
+  const std::string team = teamOf(task.Order, task.Entry);
+  Events.push_back({it->first, id(), team, task.Grant, false});
+  task.Grant = directive.Grant;
+  Events.push_back({it->first, id(), team, task.Grant, true});
+}
+
+void StandinWorker::end(const TaskId &id, TaskPhase phase, std::string text) {
+  const auto it = Running.find(id);
+  const RunningTask &task = it->second;
+  Events.push_back(
+      {id, this->id(), teamOf(task.Order, task.Entry), task.Grant, false});
+  report(id, task.Token, phase, std::move(text));
+  Running.erase(it);
+}
+
+void StandinWorker::report(const TaskId &id, AttemptToken token,
+                           TaskPhase phase, std::string text) {
+  uint64_t &count = phase == TaskPhase::Finished  ? Stats.Finished
+                    : phase == TaskPhase::Failed  ? Stats.Failed
+                    : phase == TaskPhase::Refused ? Stats.Refused
+                                                  : Stats.Stopped;
+  ++count;
+  Ended.push_back({id, token, phase, {}, std::move(text)});
+  HasNews = true;
+}
+
+void StandinWorker::tick(Instant now) {
+  const bool isExpired = now >= LeaseUntil;
+  std::vector<TaskId> due;
+  for (const auto &[id, task] : Running)
+    if (isExpired || task.EndsAt <= now)
+      due.push_back(id);
+  for (const TaskId &id : due) {
+    const RunningTask &task = Running.at(id);
+    const WorkOrder order = task.Order;
+    if (task.EndsAt > now || task.EndsAt > LeaseUntil) {
+      ++Stats.LeaseStops;
+      end(id, TaskPhase::Stopped, "the lease ran out");
+    } else if (order.Fails || Options.FailsAll) {
+      end(id, TaskPhase::Failed, "failed on request");
+    } else {
+      end(id, TaskPhase::Finished, order.Answer);
+    }
+  }
+}
+
+Instant StandinWorker::nextWake() const {
+  if (Running.empty())
+    return Instant::never();
+  const auto ends = [](const auto &row) { return row.second.EndsAt; };
+  const auto first = std::ranges::min_element(Running, {}, ends);
+  return std::min(first->second.EndsAt, LeaseUntil);
+}
+
+bool StandinWorker::takeNews() { return std::exchange(HasNews, false); }
+
+std::vector<RunEvent> StandinWorker::takeEvents() {
+  return std::exchange(Events, {});
+}
+
+} // namespace jujube::testing
