Fake fleet for the routing decisions, with an oracle

Cause: slots, at most once, whole answers and leaving have to hold under loss, doubling, delay, cuts, restarts and changes of leader; that needs all parts together in simulated time.

--- /dev/null
+++ b/testing/routing_world.h
@@ -0,0 +1,171 @@
+// A fake fleet around the routing decisions: entry hosts with their routers,
+// zone leaders with their ledgers, runners, and messages that get lost,
+// doubled, delayed and cut off. Time is simulated; one seed gives one course of
+// events.
+#ifndef TESTING_ROUTING_WORLD_H_
+#define TESTING_ROUTING_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "jujube/routing/credit_ledger.h"
+#include "jujube/routing/router.h"
+#include "testing/event_queue.h"
+#include "testing/fake_runner.h"
+
+namespace jujube::testing {
+
+// Faults of messages, in thousandths of them.
+struct NetworkFaults {
+  uint32_t LossPermille = 0;
+  uint32_t DuplicatePermille = 0;
+  // Extra delay, drawn evenly, which reorders messages.
+  Duration MaxExtraDelay;
+};
+
+// The calls on an entry host's policy. The default is a Router; baselines set
+// their own.
+struct PolicyHooks {
+  using Actions = routing::RouterActions;
+  std::function<Actions(const routing::LiveRequest &, Instant)> Submit;
+  std::function<Actions(const routing::RunnerAnnouncement &, Instant)> Seen;
+  std::function<Actions(const RequestId &, uint32_t, routing::AttemptOutcome,
+                        Instant)>
+      Answered;
+};
+// Makes the policy of the entry host with this index.
+using PolicyFactory = std::function<PolicyHooks(std::size_t entryHost)>;
+
+struct WorldOptions {
+  std::size_t Zones = 3;
+  std::size_t EntryHostsPerZone = 3;
+  std::size_t RunnersPerZone = 17;
+  uint32_t Slots = 8;
+  uint64_t Seed = 1;
+  // One way, between hosts of the system.
+  Duration Latency = Duration::millis(1);
+  Duration JournalTime = Duration::millis(2);
+  Duration HeartbeatPeriod = Duration::millis(500);
+  NetworkFaults Faults;
+  // Clocks of entry hosts run fast or slow by up to this many thousandths.
+  int32_t MaxDriftPermille = 0;
+  ServiceHook ServiceOf;
+  routing::RouterOptions Router;
+  std::vector<catalogue::Team> Teams;
+  // If set, no credits are used.
+  PolicyFactory Baseline;
+};
+
+// What the callers saw of one request.
+struct RequestRecord {
+  routing::LiveRequest Request;
+  Instant SubmittedAt;
+  std::size_t EntryHost = 0;
+  // When its attempt that was delivered started on a runner.
+  Instant StartedAt = Instant::never();
+  Instant EndedAt = Instant::never();
+  // The newest conclusion; unset while none was told.
+  std::optional<routing::RouterAction> Conclusion;
+  uint32_t Conclusions = 0;
+};
+
+class RoutingWorld {
+public:
+  explicit RoutingWorld(WorldOptions options);
+
+  void submit(std::size_t entryHost, routing::LiveRequest request);
+  void at(Instant when, EventQueue::Handler handler) {
+    Events.callAt(when, std::move(handler));
+  }
+  void runUntil(Instant end) { Events.runUntil(end); }
+  Instant now() const { return Events.now(); }
+
+  // Faults. A killed entry host loses all it knows; its requests in flight go
+  // on. A new leader starts with an empty ledger of the next term.
+  void killEntryHost(std::size_t i);
+  void restartEntryHost(std::size_t i);
+  void drainEntryHost(std::size_t i);
+  void changeLeader(std::size_t zone);
+  // A zone that is cut off exchanges no messages with the others.
+  void cutOff(std::size_t zone, bool isCut) { Cut[zone] = isCut; }
+  void setFaults(const NetworkFaults &faults) { Options.Faults = faults; }
+  FakeRunner &runner(std::size_t i) { return *Runners[i]; }
+  std::size_t runnerCount() const { return Runners.size(); }
+  std::size_t entryHostCount() const { return EntryHosts.size(); }
+  std::size_t queued(std::size_t entryHost) const;
+
+  const std::map<RequestId, RequestRecord> &records() const { return Records; }
+  const RunnerOracle &oracle() const { return Oracle; }
+  uint64_t controlMessages() const { return ControlMessages; }
+  routing::RouterCounters counters() const;
+
+private:
+  struct EntryHost {
+    std::size_t Zone = 0;
+    routing::Holder Self;
+    std::unique_ptr<routing::Router> Router;
+    PolicyHooks Baseline;
+    // Its clock: an offset and a rate in thousandths.
+    Duration Offset;
+    int32_t DriftPermille = 0;
+    uint64_t Life = 0;
+    Instant WakeAt = Instant::never();
+  };
+  struct Zone {
+    std::unique_ptr<routing::CreditLedger> Ledger;
+    Term LedgerTerm{1};
+  };
+  using Handler = std::function<void()>;
+
+  // routing_world.cc: hosts and messages.
+  void addRunners(std::size_t zone);
+  void startRouter(std::size_t i);
+  void startLedger(std::size_t zone);
+  void heartbeat(std::size_t runner);
+  void hear(std::size_t entryHost,
+            const routing::RunnerAnnouncement &announcement);
+  bool isCutBetween(std::size_t a, std::size_t b) const;
+  void send(std::size_t from, std::size_t to, Handler handler);
+  Instant localTime(const EntryHost &host) const;
+
+  // routing_world_actions.cc: what entry hosts do.
+  void act(std::size_t i, routing::RouterActions actions);
+  void perform(std::size_t i, const routing::Dispatch &dispatch);
+  void perform(std::size_t i, const routing::JournalOffer &offer);
+  void perform(std::size_t i, const routing::Inquire &inquiry);
+  void perform(std::size_t i, const routing::HandOver &handOver);
+  void perform(std::size_t i, const routing::ReportNow &report);
+  void perform(std::size_t i, const routing::Deliver &deliver);
+  void perform(std::size_t i, const routing::Fail &fail);
+  void perform(std::size_t i, const routing::Shed &shed);
+  void perform(std::size_t i, const routing::MarkUnresolved &unresolved);
+  void conclude(const RequestId &id, routing::RouterAction action);
+  void finish(std::size_t i, uint64_t life, const RequestId &id,
+              uint32_t attempt, routing::AttemptOutcome outcome);
+  void wake(std::size_t i);
+  void violate(const std::string &what, const RequestId &id);
+
+  WorldOptions Options;
+  EventQueue Events;
+  std::mt19937_64 Random;
+  RunnerOracle Oracle;
+  std::vector<EntryHost> EntryHosts;
+  std::vector<Zone> Zones;
+  std::vector<std::unique_ptr<FakeRunner>> Runners;
+  std::map<RunnerId, std::size_t> RunnerIndex;
+  std::map<ZoneId, std::size_t> ZoneIndex;
+  std::map<std::size_t, bool> Cut;
+  std::map<RequestId, RequestRecord> Records;
+  std::map<std::pair<RequestId, uint32_t>, Instant> SentAt;
+  uint64_t ControlMessages = 0;
+};
+
+} // namespace jujube::testing
+
+#endif // TESTING_ROUTING_WORLD_H_
--- /dev/null
+++ b/testing/routing_world_actions.cc
@@ -0,0 +1,178 @@
+// What the entry hosts of the fake fleet do with their routers' actions.
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "testing/routing_world.h"
+
+namespace jujube::testing {
+namespace {
+
+using routing::AttemptOutcome;
+
+// How long a link waits beyond the runner's time for the answer.
+constexpr Duration AnswerGuard = Duration::millis(100);
+
+} // namespace
+
+void RoutingWorld::act(std::size_t i, routing::RouterActions actions) {
+  for (routing::RouterAction &action : actions)
+    std::visit([this, i](const auto &it) { perform(i, it); }, action);
+  wake(i);
+}
+
+void RoutingWorld::wake(std::size_t i) {
+  EntryHost &host = EntryHosts[i];
+  if (!host.Router)
+    return;
+  const Instant local = localTime(host);
+  const Duration wait =
+      std::max(host.Router->nextWake(local) - local, Duration::millis(1));
+  const Instant when = Events.now() + wait;
+  if (when >= host.WakeAt)
+    return;
+  host.WakeAt = when;
+  Events.callAt(when, [this, i, life = host.Life, when] {
+    EntryHost &woken = EntryHosts[i];
+    if (woken.WakeAt == when)
+      woken.WakeAt = Instant::never();
+    if (woken.Life == life && woken.Router)
+      act(i, woken.Router->tick(localTime(woken)));
+  });
+}
+
+void RoutingWorld::finish(std::size_t i, uint64_t life, const RequestId &id,
+                          uint32_t attempt, AttemptOutcome outcome) {
+  EntryHost &host = EntryHosts[i];
+  if (host.Life != life)
+    return;
+  if (host.Router)
+    act(i, host.Router->answered(id, attempt, outcome, localTime(host)));
+  else if (host.Baseline.Answered)
+    act(i, host.Baseline.Answered(id, attempt, outcome, localTime(host)));
+}
+
+void RoutingWorld::perform(std::size_t i, const routing::Dispatch &dispatch) {
+  const EntryHost &host = EntryHosts[i];
+  FakeRunner &runner = *Runners[RunnerIndex.at(dispatch.Runner)];
+  const std::size_t zone = ZoneIndex.at(runner.announcement().Zone);
+  const auto report = [this, i, life = host.Life,
+                       dispatch](AttemptOutcome outcome) {
+    finish(i, life, dispatch.Request, dispatch.Attempt, outcome);
+  };
+  if (localTime(host) >= dispatch.SendBefore || !runner.isAlive())
+    return Events.callAfter(Options.Latency * 2,
+                            [report] { report(AttemptOutcome::NotSent); });
+  Arrival arrival{Records.at(dispatch.Request).Request, dispatch.Attempt,
+                  dispatch.Timeout, nullptr};
+  arrival.Answer = [this, zone, to = host.Zone,
+                    report](AttemptOutcome outcome) {
+    send(zone, to, [report, outcome] { report(outcome); });
+  };
+  SentAt[{dispatch.Request, dispatch.Attempt}] = Events.now();
+  send(host.Zone, zone,
+       [&runner, arrival = std::move(arrival)] { runner.arrive(arrival); });
+  Events.callAfter(dispatch.Timeout + AnswerGuard,
+                   [report] { report(AttemptOutcome::Unknown); });
+}
+
+void RoutingWorld::perform(std::size_t i, const routing::JournalOffer &offer) {
+  Events.callAfter(
+      Options.JournalTime, [this, i, life = EntryHosts[i].Life, offer] {
+        EntryHost &host = EntryHosts[i];
+        if (host.Life == life)
+          act(i, host.Router->offerJournaled(offer.Request, offer.Attempt, Ok{},
+                                             localTime(host)));
+      });
+}
+
+void RoutingWorld::perform(std::size_t i, const routing::Inquire &inquiry) {
+  FakeRunner &runner = *Runners[RunnerIndex.at(inquiry.Runner)];
+  const std::size_t zone = ZoneIndex.at(runner.announcement().Zone);
+  const std::size_t from = EntryHosts[i].Zone;
+  send(from, zone,
+       [this, i, life = EntryHosts[i].Life, zone, from, &runner, inquiry] {
+         const std::optional<AttemptOutcome> outcome =
+             runner.inquire(inquiry.Request, inquiry.Attempt);
+         if (!outcome)
+           return;
+         send(zone, from, [this, i, life, inquiry, outcome] {
+           finish(i, life, inquiry.Request, inquiry.Attempt, *outcome);
+         });
+       });
+}
+
+void RoutingWorld::perform(std::size_t i, const routing::HandOver &handOver) {
+  const RequestRecord record = Records.at(handOver.Request);
+  const std::size_t first = i - i % Options.EntryHostsPerZone;
+  const std::size_t next = first + (i + 1 - first) % Options.EntryHostsPerZone;
+  routing::LiveRequest request = record.Request;
+  request.Deadline = request.Deadline - (Events.now() - record.SubmittedAt);
+  Events.callAfter(Options.Latency, [this, next, request, record] {
+    submit(next, request);
+    Records.at(request.Request).SubmittedAt = record.SubmittedAt;
+    Records.at(request.Request).Request = record.Request;
+  });
+}
+
+void RoutingWorld::perform(std::size_t i, const routing::ReportNow &report) {
+  EntryHost &host = EntryHosts[i];
+  const std::size_t zone = ZoneIndex.at(report.Zone);
+  ++ControlMessages;
+  const routing::EntryReport message =
+      host.Router->report(report.Zone, localTime(host));
+  send(host.Zone, zone, [this, i, zone, message] {
+    const auto grant = Zones[zone].Ledger->report(message, Events.now());
+    if (!grant)
+      return;
+    ++ControlMessages;
+    send(zone, EntryHosts[i].Zone, [this, i, grant] {
+      EntryHost &to = EntryHosts[i];
+      if (to.Router)
+        act(i, to.Router->granted(*grant, localTime(to)));
+    });
+  });
+}
+
+void RoutingWorld::violate(const std::string &what, const RequestId &id) {
+  Oracle.Violations.push_back(
+      absl::StrCat(Events.now().millis(), " ms: ", what, " ", id.str()));
+}
+
+void RoutingWorld::conclude(const RequestId &id, routing::RouterAction action) {
+  RequestRecord &record = Records.at(id);
+  const bool mayResolve =
+      record.Conclusion &&
+      std::holds_alternative<routing::MarkUnresolved>(*record.Conclusion);
+  if (record.Conclusion && !mayResolve)
+    violate("was concluded again:", id);
+  record.EndedAt = Events.now();
+  record.Conclusion = std::move(action);
+  ++record.Conclusions;
+}
+
+void RoutingWorld::perform(std::size_t, const routing::Deliver &deliver) {
+  if (!Oracle.Started.contains(deliver.Request))
+    violate("was answered without being run:", deliver.Request);
+  Records.at(deliver.Request).StartedAt =
+      SentAt.at({deliver.Request, deliver.Attempt});
+  conclude(deliver.Request, deliver);
+}
+
+void RoutingWorld::perform(std::size_t, const routing::Fail &fail) {
+  if (!Oracle.Started.contains(fail.Request))
+    violate("failed without being run:", fail.Request);
+  conclude(fail.Request, fail);
+}
+
+void RoutingWorld::perform(std::size_t, const routing::Shed &shed) {
+  if (Oracle.Started.contains(shed.Request) && !Options.Baseline)
+    violate("was told as not run, but ran:", shed.Request);
+  conclude(shed.Request, shed);
+}
+
+void RoutingWorld::perform(std::size_t,
+                           const routing::MarkUnresolved &unresolved) {
+  conclude(unresolved.Request, unresolved);
+}
+
+} // namespace jujube::testing
