--- /dev/null
+++ b/jujube/replay/generator.cc
@@ -0,0 +1,351 @@
+#include "jujube/replay/generator.h"
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::replay {
+namespace {
+
+using catalogue::Urgency;
+using catalogue::WorkClass;
+
+// Size of a deployment.
+struct Shape {
+  std::string Zone;
+  uint32_t Workers = 50;
+  Resources Worker;
+  uint32_t PerRack = 8;
+  // Racks whose workers have accelerators.
+  uint32_t AcceleratorRacks = 0;
+  // Sizes of tasks against those for 16 cores and 64 GB.
+  int64_t CpuScale = 1;
+  int64_t MemoryScale = 1;
+  std::vector<std::string> Teams;
+};
+
+// Teams' shares; a few are large.
+constexpr std::array<uint32_t, 6> Shares = {6, 4, 1, 1, 1, 1};
+
+// The course of a trace.
+constexpr Instant ArrivalsEnd = Instant::atMillis(2'700'000);
+constexpr Instant TraceEnd = Instant::atMillis(5'400'000);
+constexpr Instant FloodAt = Instant::atMillis(600'000);
+constexpr Instant PoisonAt = Instant::atMillis(300'000);
+constexpr Instant PoisonEnd = Instant::atMillis(1'800'000);
+constexpr Instant WaveAt = Instant::atMillis(1'400'000);
+constexpr Instant WaveCancelAt = Instant::atMillis(1'500'000);
+constexpr Instant RackLostAt = Instant::atMillis(1'900'000);
+constexpr Instant RackBackAt = Instant::atMillis(2'200'000);
+constexpr Instant LeavingAt = Instant::atMillis(2'300'000);
+constexpr Instant SliceCutAt = Instant::atMillis(2'400'000);
+constexpr Instant SliceBackAt = Instant::atMillis(2'600'000);
+
+constexpr uint32_t FloodRequests = 14;
+constexpr uint32_t FloodTasks = 100;
+constexpr uint32_t WaveRequests = 300;
+constexpr uint32_t LostRack = 2;
+constexpr std::array<uint32_t, 2> PoisonWorkers = {7, 23};
+constexpr std::array<uint32_t, 2> LeavingWorkers = {33, 41};
+
+// Goals that the traces state for both policies.
+constexpr int64_t UrgentWaitMs = 1400;
+constexpr int64_t MeanShareGapPoints = 6;
+constexpr int64_t PackingPercent = 85;
+
+Shape shapeOf(Deployment deployment) {
+  if (deployment == Deployment::Mkwawa)
+    return {"dar-coast",
+            50,
+            {64000, 131072, 0},
+            6,
+            2,
+            4,
+            2,
+            {"bells", "chimes", "brackets", "stock", "fitters", "ledger"}};
+  return {"tt-south",
+          50,
+          {16000, 65536, 0},
+          8,
+          0,
+          1,
+          1,
+          {"rentals", "panels", "crews", "deposits", "farms", "events"}};
+}
+
+class Generator {
+public:
+  Generator(Deployment deployment, uint64_t seed)
+      : Place(shapeOf(deployment)), Random(seed),
+        Name(absl::StrCat(nameIn(DeploymentNames, deployment), "-", seed)) {}
+
+  std::vector<Record> run() {
+    TraceHeader header;
+    header.Name = Name;
+    add(Instant(), header);
+    addTeams();
+    addWorkers();
+    addServices();
+    addSteadyWork();
+    addFlood();
+    addPoison();
+    addImpossible();
+    addCancelWave();
+    addLosses();
+    addExpectations();
+    add(TraceEnd, EndRecord{});
+    std::ranges::stable_sort(Records, {}, &Record::At);
+    return std::move(Records);
+  }
+
+private:
+  void add(Instant at, Event event) {
+    Records.push_back({at, std::move(event)});
+  }
+
+  uint32_t below(uint32_t n) { return static_cast<uint32_t>(Random() % n); }
+
+  // Uniform over [low, high] milliseconds.
+  Duration between(Duration low, Duration high) {
+    const auto range = static_cast<uint64_t>((high - low).millis() + 1);
+    return low + Duration::millis(static_cast<int64_t>(Random() % range));
+  }
+
+  Resources size(int64_t milliCpu, int64_t memoryMb,
+                 int64_t accelerators = 0) const {
+    return {milliCpu * Place.CpuScale, memoryMb * Place.MemoryScale,
+            accelerators};
+  }
+
+  Resources fleet() const {
+    return Place.Worker * Place.Workers +
+           Resources{0, 0, int64_t{4} * Place.AcceleratorRacks * Place.PerRack};
+  }
+
+  // Large teams are picked more often.
+  uint32_t pickTeam() {
+    const uint32_t n = below(14);
+    return n < 5 ? 0 : n < 9 ? 1 : n - 9 < 4 ? n - 7 : 5;
+  }
+
+  EntryId entryOf(uint32_t team, absl::string_view kind) const {
+    return EntryId(absl::StrCat(Place.Teams[team], "-", kind));
+  }
+
+  WorkerId workerId(uint32_t n) const {
+    return WorkerId(absl::StrCat("w", n < 10 ? "0" : "", n));
+  }
+
+  fate::WorkerAnnouncement worker(uint32_t n, uint64_t start) const {
+    const uint32_t rack = n / Place.PerRack;
+    Resources holds = Place.Worker;
+    holds.Accelerators = rack < Place.AcceleratorRacks ? 4 : 0;
+    return {workerId(n), Incarnation{start}, RackId(absl::StrCat("rack", rack)),
+            holds, false};
+  }
+
+  void addTeams() {
+    const Resources all = fleet();
+    for (uint32_t i = 0; i < Place.Teams.size(); ++i) {
+      const int64_t tenths = Shares[i] > 1 ? 8 : 3;
+      const Resources ceiling = {all.MilliCpu * tenths / 10,
+                                 all.MemoryMb * tenths / 10, all.Accelerators};
+      add(Instant(), TeamRecord{{TeamId(Place.Teams[i]), Shares[i], ceiling}});
+      addEntries(i);
+    }
+  }
+
+  void addEntry(uint32_t team, absl::string_view kind, WorkClass workClass,
+                const Resources &ask, Duration run,
+                const std::function<void(catalogue::Entry &)> &adjust) {
+    catalogue::Entry entry;
+    entry.Id = entryOf(team, kind);
+    entry.Owner = TeamId(Place.Teams[team]);
+    entry.Class = workClass;
+    entry.Ask = ask;
+    entry.RunTime = run;
+    adjust(entry);
+    add(Instant(), EntryRecord{entry});
+  }
+
+  void addEntries(uint32_t team) {
+    addEntry(team, "desk", WorkClass::Service, size(1000, 2000), Duration(),
+             [](catalogue::Entry &e) { e.MaxAttempts = 10; });
+    addEntry(team, "invoice", WorkClass::Batch, size(2000, 4000),
+             Duration::seconds(60),
+             [](catalogue::Entry &e) { e.CanCheckpoint = true; });
+    addEntry(team, "replay", WorkClass::Batch, size(4000, 6000),
+             Duration::seconds(20),
+             [](catalogue::Entry &e) { e.CanThrottle = true; });
+    addEntry(team, "plan", WorkClass::Gang,
+             size(2000, 6000, Place.AcceleratorRacks > 0 ? 1 : 0),
+             Duration::seconds(90),
+             [](catalogue::Entry &e) { e.CanCheckpoint = true; });
+    addEntry(team, "settle", WorkClass::Batch, size(500, 1000),
+             Duration::seconds(5), [](catalogue::Entry &e) {
+               e.Priority = Urgency::Urgent;
+               e.IsIdempotent = false;
+             });
+    addEntry(team, "broken", WorkClass::Batch, size(1000, 2000),
+             Duration::seconds(30),
+             [](catalogue::Entry &e) { e.MaxRunning = 20; });
+  }
+
+  void addWorkers() {
+    for (uint32_t i = 0; i < Place.Workers; ++i)
+      add(Instant(), WorkerRecord{worker(i, 1), false});
+  }
+
+  RequestId submit(Instant at, const EntryId &entry, uint32_t tasks,
+                   Duration run, const Resources &use) {
+    const RequestId id(absl::StrCat(Place.Zone, ".r", NextRequest++));
+    SubmitRecord record;
+    record.Request = id;
+    record.Entry = entry;
+    record.Tasks = tasks;
+    record.Run = run;
+    record.RunSpread = 40;
+    record.Use = use;
+    add(at, record);
+    return id;
+  }
+
+  void addServices() {
+    for (uint32_t i = 0; i < Place.Teams.size(); ++i)
+      submit(Instant::atMillis(6000), entryOf(i, "desk"),
+             Shares[i] > 1 ? 12 : 4, Duration(), size(600, 1500));
+  }
+
+  // Declared sizes are wrong: invoices use more memory than they ask, replays
+  // far less processor time.
+  void submitInvoice(Instant at, uint32_t team, uint32_t tasks) {
+    submit(at, entryOf(team, "invoice"), tasks,
+           between(Duration::seconds(30), Duration::seconds(150)),
+           size(1700, 4000 + 100 * below(13)));
+  }
+
+  void submitAny(Instant at) {
+    const uint32_t team = pickTeam();
+    const uint32_t kind = below(20);
+    if (kind < 9)
+      submit(at, entryOf(team, "settle"), 1,
+             between(Duration::seconds(2), Duration::seconds(8)),
+             size(400, 800));
+    else if (kind < 13)
+      submitInvoice(at, team, 5 + below(30));
+    else if (kind < 17)
+      submit(at, entryOf(team, "replay"), 2 + below(14),
+             between(Duration::seconds(20), Duration::seconds(60)),
+             size(1200, 5000));
+    else
+      submit(at, entryOf(team, "plan"), 4 + below(9),
+             between(Duration::seconds(60), Duration::seconds(120)),
+             size(1900, 5500, Place.AcceleratorRacks > 0 ? 1 : 0));
+  }
+
+  void addSteadyWork() {
+    for (Instant at = Instant::atMillis(10'000); at < ArrivalsEnd;
+         at = at + between(Duration::millis(100), Duration::millis(3300)))
+      submitAny(at);
+  }
+
+  // The nightly invoice runs of the two large teams and of a small one.
+  void addFlood() {
+    for (uint32_t i = 0; i < FloodRequests; ++i)
+      submitInvoice(FloodAt + Duration::seconds(i), i % 3 == 2 ? 1 : 0,
+                    FloodTasks);
+    for (uint32_t i = 0; i < 4; ++i)
+      submitInvoice(FloodAt + Duration::seconds(60 + i), 4, FloodTasks / 2);
+  }
+
+  void addPoison() {
+    for (uint32_t n : PoisonWorkers) {
+      add(PoisonAt, WorkerRecord{worker(n, 1), true});
+      add(PoisonEnd, WorkerRecord{worker(n, 2), false});
+      expect({OutcomeKind::Quarantined, "", workerId(n).str()});
+    }
+    for (uint32_t i = 0; i < 6; ++i) {
+      const RequestId id = submit(PoisonAt + Duration::seconds(60 + 20 * i),
+                                  entryOf(2, "broken"), 5,
+                                  Duration::seconds(30), size(800, 1500));
+      std::get<SubmitRecord>(Records.back().What).IsFailing = true;
+      expect({OutcomeKind::Fate, "", id.str(), "failed"});
+    }
+  }
+
+  void addImpossible() {
+    const auto reject = [this](absl::string_view kind, const Resources &ask,
+                               WorkClass workClass, uint32_t tasks) {
+      addEntry(0, kind, workClass, ask, Duration::seconds(60),
+               [](catalogue::Entry &) {});
+      const RequestId id = submit(Instant::atMillis(700'000), entryOf(0, kind),
+                                  tasks, Duration::seconds(60), ask);
+      expect({OutcomeKind::Fate, "", id.str(), "not_run"});
+    };
+    reject("too-wide", Place.Worker + Resources{1000, 0, 0}, WorkClass::Batch,
+           1);
+    reject("too-deep", Place.Worker * 3, WorkClass::Batch, 1);
+    reject("no-such-device", {1000, 1000, 16}, WorkClass::Batch, 1);
+    reject("gang-too-large", Place.Worker, WorkClass::Gang, Place.Workers + 1);
+  }
+
+  void addCancelWave() {
+    for (uint32_t i = 0; i < WaveRequests; ++i) {
+      const RequestId id = submit(WaveAt + Duration::millis(int64_t{50} * i),
+                                  entryOf(3, "invoice"), 4,
+                                  Duration::seconds(400), size(1700, 4000));
+      add(WaveCancelAt + Duration::millis(i), CancelRecord{id});
+      if (i % 50 == 49)
+        expect({OutcomeKind::Fate, "", id.str(), "cancelled"});
+    }
+  }
+
+  void addLosses() {
+    for (uint32_t i = 0; i < Place.PerRack; ++i) {
+      const uint32_t n = LostRack * Place.PerRack + i;
+      add(RackLostAt, LostRecord{workerId(n)});
+      add(RackBackAt, WorkerRecord{worker(n, 3), false});
+    }
+    for (uint32_t n : LeavingWorkers) {
+      WorkerRecord leaving{worker(n, 1), false};
+      leaving.Worker.IsLeaving = true;
+      add(LeavingAt, leaving);
+      add(LeavingAt + Duration::seconds(120), LostRecord{workerId(n)});
+    }
+    const Resources all = fleet();
+    const TeamId team(Place.Teams[1]);
+    add(SliceCutAt,
+        SliceRecord{team,
+                    {all.MilliCpu / 10, all.MemoryMb / 10, all.Accelerators}});
+    add(SliceBackAt, SliceRecord{team,
+                                 {all.MilliCpu * 8 / 10, all.MemoryMb * 8 / 10,
+                                  all.Accelerators}});
+  }
+
+  void expect(ExpectRecord record) { add(TraceEnd, std::move(record)); }
+
+  void addExpectations() {
+    for (uint32_t n : {1U, 12U, 30U, 45U})
+      expect({OutcomeKind::NeverQuarantined, "", workerId(n).str()});
+    expect({OutcomeKind::Unsettled, "", "", "", 0, 0});
+    expect({OutcomeKind::WaitP99, "", "urgent", "", 0, UrgentWaitMs});
+    expect({OutcomeKind::ShareGap, "", "", "", 0, MeanShareGapPoints});
+    expect({OutcomeKind::Packing, "", "", "", PackingPercent});
+  }
+
+  Shape Place;
+  std::mt19937_64 Random;
+  std::string Name;
+  std::vector<Record> Records;
+  uint32_t NextRequest = 1;
+};
+
+} // namespace
+
+std::vector<Record> generateTrace(Deployment deployment, uint64_t seed) {
+  return Generator(deployment, seed).run();
+}
+
+} // namespace jujube::replay
