--- a/jujube/entry/live_desk.cc
+++ b/jujube/entry/live_desk.cc
@@ -18,6 +18,8 @@
 // A request without a final outcome is forgotten after this span.
 constexpr Duration AbandonAfter = Duration::minutes(2);
 constexpr Duration CleanupPeriod = Duration::seconds(10);
+// Period of reports to zones of which no runner is known yet.
+constexpr Duration QuietReportPeriod = Duration::seconds(1);
 
 metrics::Labels labelsOf(const TeamId &team) { return {team.str(), "live"}; }
 
@@ -98,11 +100,21 @@
     run(Router.tick(now));
   if (now >= NextCleanup)
     dropAbandoned();
+  if (now >= NextQuietReports)
+    reportToQuietZones();
   if (Wake)
     Loop.cancel(*Wake);
   Wake = Loop.callAt(Router.nextWake(now), [this] { Wake.reset(); });
 }
 
+void LiveDesk::reportToQuietZones() {
+  NextQuietReports = Loop.now() + QuietReportPeriod;
+  const std::vector<ZoneId> known = Router.zones();
+  for (const ZoneId &zone : Zones.zones())
+    if (std::ranges::find(known, zone) == known.end())
+      carryOut(routing::ReportNow{zone});
+}
+
 void LiveDesk::dropAbandoned() {
   const Instant now = Loop.now();
   NextCleanup = now + CleanupPeriod;
--- a/jujube/entry/live_desk.h
+++ b/jujube/entry/live_desk.h
@@ -107,6 +107,9 @@
   void answerFromJournal(const RequestId &id, const fate::FateView &view);
   void keep(const Call &call, fate::FateState state, const std::string &text);
   void dropAbandoned();
+  // The router reports to zones whose runners it knows; the others' leaders
+  // tell of their runners in the answer.
+  void reportToQuietZones();
 
   Options Settings;
   runtime::PollLoop &Loop;
@@ -121,6 +124,7 @@
   std::deque<RequestId> AnswerOrder;
   std::optional<runtime::TimerId> Wake;
   Instant NextCleanup;
+  Instant NextQuietReports;
 };
 
 } // namespace jujube::entry
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -112,6 +112,7 @@
 }
 
 void Scheduler::setLimits(Instant now) {
+  NeedsPlan = true;
   NextLimits = now + LimitsPeriod;
   for (const catalogue::Team &team : Teams)
     Planner.setSlice(team.Id, limitOf(Slices.startable(team.Id, now),
@@ -163,6 +164,7 @@
 }
 
 void Scheduler::onApplied(const fate::Event &event, Moment at) {
+  NeedsPlan = true;
   std::visit([&](const auto &e) { on(e, at); }, event);
 }
 
@@ -278,6 +280,7 @@
 }
 
 void Scheduler::plan(Moment at) {
+  NeedsPlan = false;
   if (at.Now >= NextLimits)
     setLimits(at.Now);
   std::vector<fate::Event> events;
--- a/jujube/zone/scheduler.h
+++ b/jujube/zone/scheduler.h
@@ -64,6 +64,8 @@
   std::optional<fate::SyncReply> replyTo(const WorkerId &worker, bool isDue,
                                          Moment at);
 
+  // True if something changed since the last plan that may let work start.
+  bool needsPlan() const { return NeedsPlan; }
   // Offers what can be placed.
   void plan(Moment at);
   // Ends leases, overdue requests and fates; about ten times a second.
@@ -132,6 +134,7 @@
   std::set<WorkerId> Expiring;
   metrics::Metrics Metrics;
   Instant NextLimits;
+  bool NeedsPlan = true;
 };
 
 } // namespace jujube::zone
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -71,6 +71,8 @@
   Log->onTurnEnd([this] {
     if (!isServing())
       return;
+    if (Leading->needsPlan())
+      Leading->plan(moment());
     for (const WorkerId &worker : std::exchange(Woken, {}))
       answerSync(worker);
   });
@@ -272,7 +274,10 @@
     refuse(request, errorOf(status));
     return;
   }
-  Syncs[worker] = ParkedSync{request, Loop.now() + SyncHold};
+  ParkedSyncs &parked = Syncs[worker];
+  // One waiting sync is enough; the one that brought news is answered at once.
+  const Duration hold = parked.empty() ? SyncHold : Duration();
+  parked.push_back({request, Loop.now() + hold});
   Woken.insert(worker);
 }
 
@@ -280,18 +285,24 @@
   const auto it = Syncs.find(worker);
   if (it == Syncs.end())
     return;
-  const bool isDue = it->second.AnswerBy <= Loop.now();
+  ParkedSyncs &parked = it->second;
+  const auto next = std::ranges::min_element(parked, {}, &ParkedSync::AnswerBy);
+  const bool isDue = next->AnswerBy <= Loop.now();
   auto reply = Leading->replyTo(worker, isDue, moment());
   if (!reply)
     return;
-  Messages.reply(it->second.Request, wire::SyncDone{std::move(*reply)});
-  Syncs.erase(it);
+  Messages.reply(next->Request, wire::SyncDone{std::move(*reply)});
+  parked.erase(next);
+  if (parked.empty())
+    Syncs.erase(it);
 }
 
 void ZoneTask::answerOverdue() {
   const Instant now = Loop.now();
   for (const auto &[worker, parked] : Syncs)
-    if (parked.AnswerBy <= now)
+    if (std::ranges::any_of(parked, [now](const ParkedSync &sync) {
+          return sync.AnswerBy <= now;
+        }))
       Woken.insert(worker);
   std::erase_if(Asks, [&](const auto &item) {
     if (item.second.AnswerBy > now)
@@ -305,7 +316,8 @@
   const Error why{ErrorKind::NotLeader, "this scheduler does not lead any more",
                   "ask the leader"};
   for (const auto &[worker, parked] : std::exchange(Syncs, {}))
-    refuse(parked.Request, why);
+    for (const ParkedSync &sync : parked)
+      refuse(sync.Request, why);
   for (const auto &[id, parked] : std::exchange(Asks, {}))
     refuse(parked.Request, why);
 }
--- a/jujube/zone/zone_task.h
+++ b/jujube/zone/zone_task.h
@@ -44,6 +44,8 @@
     wire::Envelope Request;
     Instant AnswerBy;
   };
+  // A worker keeps one sync waiting and sends another when it has news.
+  using ParkedSyncs = std::vector<ParkedSync>;
   struct ParkedAsk {
     wire::Envelope Request;
     Instant AnswerBy;
@@ -100,7 +102,7 @@
   wire::CataloguePoller Catalogue;
   fate::FateBook Book;
   std::unique_ptr<replica::Replica> Log;
-  std::map<WorkerId, ParkedSync> Syncs;
+  std::map<WorkerId, ParkedSyncs> Syncs;
   std::multimap<RequestId, ParkedAsk> Asks;
   // While this scheduler leads.
   std::unique_ptr<Scheduler> Leading;
