A new zone leader rejects nothing before workers have announced themselves

Cause: blocked requests were checked against an empty zone, so that the first submissions after a change of leader ended as not run. Shown by scheduler_test.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -247,7 +247,8 @@
 
 // Rejects a blocked request that the zone can't hold any more.
 bool isStillPossible(PlannerState &state, RequestState &request, Instant now) {
-  if (request.HasRun || now - request.CheckedAt < RecheckInterval)
+  if (request.HasRun || now - request.CheckedAt < RecheckInterval ||
+      now < state.FirstWorkerAt + state.Config.SettleTime)
     return true;
   request.CheckedAt = now;
   std::optional<Error> why = findImpossible(state, request);
--- /dev/null
+++ b/jujube/zone/scheduler_test.cc
@@ -0,0 +1,233 @@
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "jujube/limits/slice_ledger.h"
+#include "jujube/zone/scheduler.h"
+
+namespace jujube::zone {
+namespace {
+
+using fate::FateState;
+using fate::TaskPhase;
+
+constexpr Resources WorkerSize{16000, 65536, 0};
+const TeamId Events("events");
+
+// One zone: the book stands for the group's journal, which outlives leaders;
+// proposals are committed at the end of each step.
+class Zone {
+public:
+  Zone() {
+    catalogue::Team team{Events, 1, Resources{100000, 400000, 0}};
+    (void)Entries.apply(
+        {EditId("e1"), Revision{}, catalogue::PutTeam{team}, "test"});
+    // The keepers gave the zone the whole ceiling.
+    const limits::Slice slice{
+        Events, limits::GrantVersion{1}, team.Ceiling, {}};
+    Book.apply(limits::SliceUpdate{limits::GrantVersion{1}, {slice}});
+    lead();
+  }
+
+  // A new leader takes over with what the journal holds.
+  void lead() {
+    ++LeaderTerm.Value;
+    Proposed.clear();
+    SchedulerHooks hooks;
+    hooks.Propose = [this](std::vector<fate::Event> events) {
+      Proposed.push_back(std::move(events));
+    };
+    hooks.WakeWorker = [](const WorkerId &) {};
+    hooks.RequestEnded = [](const RequestId &) {};
+    Leader = valueOf(Scheduler::create(Options, LeaderTerm, Book, Entries,
+                                       std::move(hooks), at()));
+    // Past the time for which a new leader waits for the keepers.
+    advance(Duration::seconds(3));
+  }
+
+  void advance(Duration span) {
+    Manual.advance(span);
+    settle();
+  }
+
+  // Plans and commits until nothing is proposed any more.
+  void settle() {
+    Leader->sweep(at());
+    Leader->plan(at());
+    while (!Proposed.empty()) {
+      const std::vector<fate::Event> events = std::move(Proposed.front());
+      Proposed.pop_front();
+      for (const fate::Event &event : events)
+        if (Book.apply(event))
+          Leader->onApplied(event, at());
+      Leader->plan(at());
+    }
+  }
+
+  RequestId submit(const std::string &name, bool isIdempotent = true) {
+    fate::Submission work;
+    work.Request = RequestId("ubungo." + name);
+    work.Team = Events;
+    work.Entry.Id = EntryId("invoices");
+    work.Entry.Owner = Events;
+    work.Entry.Ask = Resources{1000, 1000, 0};
+    work.Entry.IsIdempotent = isIdempotent;
+    Proposed.push_back({*valueOf(Book.submit(work, at().Wall))});
+    settle();
+    return work.Request;
+  }
+
+  // A worker's sync with reports; returns what the leader tells it.
+  std::vector<fate::Directive>
+  sync(const std::string &worker, uint64_t start,
+       std::vector<fate::TaskReport> reports = {}) {
+    const WorkerId id(worker);
+    const Status status = Leader->takeSync(
+        {{id, Incarnation{start}, RackId("rack"), WorkerSize, false},
+         std::move(reports)},
+        at());
+    settle();
+    if (!isOk(status))
+      return {};
+    auto reply = Leader->replyTo(id, true, at());
+    return reply ? reply->Directives : std::vector<fate::Directive>{};
+  }
+
+  FateState state(const RequestId &id) const { return *Book.stateOf(id); }
+
+  const ZoneOptions Options{.Zone = ZoneId("ubungo")};
+  fate::FateBook Book;
+  std::unique_ptr<Scheduler> Leader;
+
+private:
+  Moment at() const { return {Manual.now(), Manual.now()}; }
+
+  ManualClock Manual;
+  Term LeaderTerm;
+  catalogue::Catalogue Entries;
+  std::deque<std::vector<fate::Event>> Proposed;
+};
+
+fate::TaskReport reportOf(const fate::Directive &directive, TaskPhase phase,
+                          const std::string &text = "") {
+  return {directive.Task, directive.Token, phase, Resources{}, text};
+}
+
+BOOST_AUTO_TEST_SUITE(SchedulerSuite)
+
+BOOST_AUTO_TEST_CASE(RequestRunsOnAWorkerThatAnnouncedItself) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("a");
+  BOOST_TEST((zone.state(id) == FateState::Offered));
+  const auto start = zone.sync("w1", 1);
+  BOOST_REQUIRE(start.size() == 1U);
+  BOOST_TEST((start[0].Kind == fate::DirectiveKind::Start));
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  BOOST_TEST((zone.state(id) == FateState::Running));
+  const auto answers =
+      zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Finished, "total 12")});
+  BOOST_TEST((zone.state(id) == FateState::Finished));
+  BOOST_TEST(zone.Book.view(id)->Tasks[0].Answer == "total 12");
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].Kind == fate::DirectiveKind::Acknowledge));
+}
+
+BOOST_AUTO_TEST_CASE(NewLeaderRejectsNothingBeforeWorkersAnnounceThemselves) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId running = zone.submit("a");
+  zone.lead();
+  const RequestId id = zone.submit("b");
+  zone.advance(Duration::seconds(1));
+  BOOST_TEST((zone.state(id) == FateState::Queued));
+  zone.sync("w1", 1);
+  BOOST_TEST((zone.state(id) == FateState::Offered));
+  BOOST_TEST((zone.state(running) == FateState::Offered));
+}
+
+BOOST_AUTO_TEST_CASE(SilentWorkersTaskRunsAgainOnlyAfterItsLease) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("a");
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  zone.advance(zone.Options.WorkerLease);
+  zone.sync("w2", 1);
+  BOOST_TEST((zone.state(id) == FateState::Running));
+  zone.advance(zone.Options.WorkerDrift);
+  BOOST_TEST((zone.state(id) == FateState::Offered));
+  const auto again = zone.sync("w2", 1);
+  BOOST_REQUIRE(again.size() == 1U);
+  BOOST_TEST((again[0].Token > start[0].Token));
+  // The first worker returns and reports an end that no longer counts.
+  const auto answers =
+      zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Finished, "late")});
+  BOOST_TEST(std::ranges::none_of(answers, [](const auto &directive) {
+    return directive.Kind == fate::DirectiveKind::Start;
+  }));
+  BOOST_TEST((zone.state(id) == FateState::Offered));
+}
+
+BOOST_AUTO_TEST_CASE(LeaseOfARunningTaskOutlivesAChangeOfLeader) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("a");
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  zone.lead();
+  zone.sync("w2", 1);
+  BOOST_TEST((zone.state(id) == FateState::Running));
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Finished, "x")});
+  BOOST_TEST((zone.state(id) == FateState::Finished));
+}
+
+BOOST_AUTO_TEST_CASE(WorkThatIsNotIdempotentRunsAtMostOnce) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("a", false);
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  zone.advance(zone.Options.WorkerLease + zone.Options.WorkerDrift);
+  zone.sync("w2", 1);
+  zone.advance(Duration::seconds(30));
+  BOOST_TEST((zone.state(id) != FateState::Offered));
+  BOOST_TEST((zone.state(id) != FateState::NotRun));
+  BOOST_TEST(zone.sync("w2", 1).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RestartedWorkerLosesItsTasksAtOnce) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("a");
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  const auto again = zone.sync("w1", 2);
+  BOOST_REQUIRE(again.size() == 1U);
+  BOOST_TEST((again[0].Token > start[0].Token));
+  BOOST_TEST((zone.state(id) == FateState::Offered));
+}
+
+BOOST_AUTO_TEST_CASE(CancelledTaskIsStoppedAndEndsCancelled) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("a");
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  const auto event = zone.Book.cancel(id, Events, Instant());
+  BOOST_REQUIRE(valueOf(event).has_value());
+  zone.Book.apply(*valueOf(event));
+  zone.Leader->onApplied(*valueOf(event), {});
+  const auto orders = zone.sync("w1", 1);
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST((orders[0].Kind == fate::DirectiveKind::Stop));
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Stopped)});
+  BOOST_TEST((zone.state(id) == FateState::Cancelled));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::zone
