Routing: three faults found by the fleet's oracle, and its test

Cause: the RapidCheck test over the fake fleet showed (1) a restarted runner that was asked about an attempt of its former start answered 'not seen', and the request was told as not run; (2) a delayed report could make a new leader renew credits that had been given back; (3) a request delayed longer than the guard ran while its slot was counted as free. Change: dispatches and inquiries name the runner's start, and a runner started anew answers 'forgotten'; renewals never raise credits; the guard is 1 s and every lost attempt is inquired about, which frees its slot early.

--- a/jujube/entry/runner_exchange.cc
+++ b/jujube/entry/runner_exchange.cc
@@ -30,6 +30,7 @@
   case RunState::Refused:
     return AttemptOutcome::Refused;
   case RunState::Running:
+  case RunState::Forgotten:
     break;
   }
   return AttemptOutcome::Unknown;
@@ -111,11 +112,12 @@
     outcome.Body = "the credit ran out before it was sent";
     return outcome;
   }
-  HttpReply reply = post(
-      it.Http, std::string(RunPath),
-      encodeRunnerBody(RunCall{it.Runner, it.Request, it.Attempt, request.Entry,
-                               request.Team, *request.Payload, it.Timeout}),
-      it.Timeout + AnswerGuard);
+  HttpReply reply =
+      post(it.Http, std::string(RunPath),
+           encodeRunnerBody(RunCall{it.Runner, it.Start, it.Request, it.Attempt,
+                                    request.Entry, request.Team,
+                                    *request.Payload, it.Timeout}),
+           it.Timeout + AnswerGuard);
   outcome.Outcome = reply.Outcome;
   outcome.Body = std::move(reply.Body);
   if (reply.Outcome != AttemptOutcome::Answered)
@@ -143,7 +145,8 @@
   outcome.IsInquiry = true;
   const HttpReply reply =
       post(it.Http, std::string(InquirePath),
-           encodeRunnerBody(InquiryCall{it.Runner, it.Request, it.Attempt}),
+           encodeRunnerBody(
+               InquiryCall{it.Runner, it.Start, it.Request, it.Attempt}),
            InquiryTimeout);
   if (reply.Outcome != AttemptOutcome::Answered || reply.Status != RanStatus)
     return outcome;
--- a/jujube/entry/runner_protocol.cc
+++ b/jujube/entry/runner_protocol.cc
@@ -9,6 +9,7 @@
 
 template <typename V> void fields(V &v, RunCall &x) {
   v.required("runner", x.Runner);
+  v.required("start", x.Start);
   v.required("request", x.Request);
   v.required("attempt", x.Attempt);
   v.required("entry", x.Entry);
@@ -25,6 +26,7 @@
 
 template <typename V> void fields(V &v, InquiryCall &x) {
   v.required("runner", x.Runner);
+  v.required("start", x.Start);
   v.required("request", x.Request);
   v.required("attempt", x.Attempt);
 }
--- a/jujube/entry/runner_protocol.h
+++ b/jujube/entry/runner_protocol.h
@@ -27,6 +27,8 @@
 
 struct RunCall {
   RunnerId Runner;
+  // The start of the runner that it is meant for; another one refuses it.
+  Incarnation Start;
   RequestId Request;
   uint32_t Attempt = 1;
   EntryId Entry;
@@ -49,6 +51,8 @@
 
 struct InquiryCall {
   RunnerId Runner;
+  // The start of the runner that the attempt was sent to.
+  Incarnation Start;
   RequestId Request;
   uint32_t Attempt = 1;
 
@@ -56,13 +60,21 @@
 };
 
 // What a runner knows of an attempt.
-enum class RunState { Running, Answered, Failed, Refused };
+enum class RunState {
+  Running,
+  Answered,
+  Failed,
+  Refused,
+  // The runner was started anew since and has forgotten.
+  Forgotten,
+};
 
-inline constexpr NameTable<RunState, 4> RunStateNames = {{
+inline constexpr NameTable<RunState, 5> RunStateNames = {{
     {RunState::Running, "running"},
     {RunState::Answered, "answered"},
     {RunState::Failed, "failed"},
     {RunState::Refused, "refused"},
+    {RunState::Forgotten, "forgotten"},
 }};
 static_assert(isComplete(RunStateNames));
 
--- a/jujube/routing/actions.h
+++ b/jujube/routing/actions.h
@@ -41,6 +41,8 @@
 struct Dispatch {
   RequestId Request;
   RunnerId Runner;
+  // The start of the runner that it is meant for; another one refuses it.
+  Incarnation Start;
   Address Http;
   uint32_t Attempt = 1;
   // The runner has to end it within this span.
@@ -106,9 +108,12 @@
 // Ask the runner what became of a lost attempt, and report the reply with
 // Router::answered(). A runner that has not seen the attempt must refuse it
 // from then on, so that Refused is certain.
+// A runner that was started anew does not know, and says so.
 struct Inquire {
   RequestId Request;
   RunnerId Runner;
+  // The start of the runner that the attempt was sent to.
+  Incarnation Start;
   Address Http;
   uint32_t Attempt = 1;
 
--- a/jujube/routing/credit_ledger.cc
+++ b/jujube/routing/credit_ledger.cc
@@ -126,8 +126,8 @@
   holder.ReportedAt = now;
   holder.GoneAt = now + withDrift(Options.Lease + Options.MaxRequestTime);
   if (isWaiting(now))
-    return issue(holder, renewals(holder));
-  return issue(holder, allotments(report.From, holder, now));
+    return issue(holder, renewals(holder), true);
+  return issue(holder, allotments(report.From, holder, now), false);
 }
 
 CreditLedger::Wanted CreditLedger::renewals(const HolderState &holder) const {
@@ -217,18 +217,17 @@
   return fairSlots(demands, id, slots);
 }
 
-CreditGrant CreditLedger::issue(HolderState &holder, const Wanted &wanted) {
+CreditGrant CreditLedger::issue(HolderState &holder, const Wanted &wanted,
+                                bool isRenewal) {
   if (holder.Outstanding.size() >= MaxOutstanding) {
     holder.Outstanding.back().AnswersReport = holder.Last.Sequence;
     return holder.Outstanding.back();
   }
-  CreditGrant grant{holder.Last.From,
-                    Options.Zone,
-                    Options.LedgerTerm,
-                    ++holder.LastSerial,
-                    holder.Last.Sequence,
-                    Options.Lease,
-                    {}};
+  CreditGrant grant{
+      holder.Last.From,    Options.Zone,         Options.LedgerTerm,
+      ++holder.LastSerial, holder.Last.Sequence, Options.Lease,
+  };
+  grant.IsRenewal = isRenewal;
   for (const auto &[id, credits] : wanted)
     grant.Credits.push_back({id, credits});
   holder.Outstanding.push_back(grant);
--- a/jujube/routing/credit_ledger.h
+++ b/jujube/routing/credit_ledger.h
@@ -117,7 +117,7 @@
   void allotDesk(const EntryId &entry, const Holder &id,
                  const HolderState &holder, Instant now, Wanted &wanted) const;
   uint32_t target(const EntryId &entry, const Holder &id, Instant now) const;
-  CreditGrant issue(HolderState &holder, const Wanted &wanted);
+  CreditGrant issue(HolderState &holder, const Wanted &wanted, bool isRenewal);
 
   LedgerOptions Options;
   Instant StartedAt;
--- a/jujube/routing/messages.h
+++ b/jujube/routing/messages.h
@@ -85,6 +85,9 @@
   uint64_t AnswersReport = 0;
   // The credits run out this span after the answered report was sent.
   Duration Lease;
+  // True while the ledger waits out its predecessor: the holder keeps the
+  // lesser of its credits and these.
+  bool IsRenewal = false;
   std::vector<RunnerCredits> Credits;
 
   bool operator==(const CreditGrant &) const = default;
--- a/jujube/routing/router.h
+++ b/jujube/routing/router.h
@@ -85,6 +85,7 @@
   struct Attempt {
     uint32_t Number = 1;
     RunnerId Runner;
+    Incarnation RunnerStart;
     AttemptState State = AttemptState::Sent;
     Instant StartedAt;
     Duration Timeout;
--- a/jujube/routing/router_attempts.cc
+++ b/jujube/routing/router_attempts.cc
@@ -97,14 +97,19 @@
 Dispatch Router::dispatchOf(const Live &live, Attempt &attempt, Instant now) {
   const RunnerAnnouncement &runner = Table.find(attempt.Runner)->Announcement;
   attempt.State = AttemptState::Sent;
+  attempt.RunnerStart = runner.Start;
   attempt.StartedAt = now;
   attempt.Timeout = std::min(live.Request.Deadline - now,
                              Options.MaxRequestTime - Options.EndGuard);
   attempt.BusyUntil = now + attempt.Timeout + Options.EndGuard;
   ++Counters.Dispatched;
-  return Dispatch{live.Request.Request, attempt.Runner,
-                  runner.Http,          attempt.Number,
-                  attempt.Timeout,      Table.leaseEnd(runner.Zone)};
+  return Dispatch{live.Request.Request,
+                  attempt.Runner,
+                  runner.Start,
+                  runner.Http,
+                  attempt.Number,
+                  attempt.Timeout,
+                  Table.leaseEnd(runner.Zone)};
 }
 
 void Router::takeSlot(const Live &live, const Attempt &attempt) {
@@ -206,7 +211,7 @@
 void Router::lose(Live &live, Attempt &attempt, Instant now,
                   RouterActions &out) {
   attempt.State = AttemptState::Lost;
-  attempt.NextEvent = live.Request.IsIdempotent ? attempt.BusyUntil : now;
+  attempt.NextEvent = now;
   LostTimes.insert({attempt.NextEvent, {live.Request.Request, attempt.Number}});
   if (live.Conclusion)
     return;
@@ -261,7 +266,7 @@
 }
 
 void Router::retry(Live &live, Error why, Instant now, RouterActions &out) {
-  if (hasOpenAttempt(live))
+  if (live.IsQueued || hasOpenAttempt(live))
     return;
   const bool mayRetry = live.LastAttempt < Options.MaxAttempts &&
                         budgetOf(live.Request.Team).spend();
--- a/jujube/routing/router_options.h
+++ b/jujube/routing/router_options.h
@@ -42,8 +42,9 @@
   Duration MaxRequestTime = Duration::seconds(10);
   // Credits are not used in the last part of their lease.
   Duration LeaseGuard = Duration::millis(100);
-  // Allowance of a runner and the network for ending a request late.
-  Duration EndGuard = Duration::millis(200);
+  // Bound on the delay of a request on its way to a runner, and on the runner's
+  // lateness in ending it.
+  Duration EndGuard = Duration::seconds(1);
   // A runner not heard of for this span gets nothing new.
   Duration RunnerLease = Duration::seconds(3);
   Duration ReportPeriod = Duration::millis(200);
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -77,20 +77,21 @@
     Attempt &attempt = *findAttempt(id, number);
     if (now >= attempt.BusyUntil)
       releaseSlot(live, attempt);
-    const bool isOver = live.Request.IsIdempotent ||
-                        now >= attempt.StartedAt + Options.ResolveWithin;
-    if (isOver && !attempt.HoldsSlot) {
+    const bool isResolved = live.Request.IsIdempotent ||
+                            now >= attempt.StartedAt + Options.ResolveWithin;
+    if (isResolved && !attempt.HoldsSlot) {
       // A request that is tried again keeps the fact that it may have run.
       if (live.Conclusion)
         removeAttempt(live, number);
       forgetIfDone(id);
       continue;
     }
-    if (!isOver)
-      out.emplace_back(Inquire{id, attempt.Runner,
-                               Table.find(attempt.Runner)->Announcement.Http,
-                               number});
+    out.emplace_back(Inquire{id, attempt.Runner, attempt.RunnerStart,
+                             Table.find(attempt.Runner)->Announcement.Http,
+                             number});
     attempt.NextEvent = now + Options.InquiryPeriod;
+    if (attempt.HoldsSlot)
+      attempt.NextEvent = std::min(attempt.NextEvent, attempt.BusyUntil);
     LostTimes.insert({attempt.NextEvent, {id, number}});
   }
 }
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -74,7 +74,9 @@
       continue;
     const auto it =
         std::ranges::find(grant.Credits, id, &RunnerCredits::Runner);
-    const uint32_t credits = it == grant.Credits.end() ? 0 : it->Credits;
+    uint32_t credits = it == grant.Credits.end() ? 0 : it->Credits;
+    if (grant.IsRenewal)
+      credits = std::min(credits, runner.Credits);
     hasFreed = hasFreed || std::max(credits, runner.InFlight) <
                                std::max(runner.Credits, runner.InFlight);
     runner.Credits = credits;
--- a/testing/fake_runner.cc
+++ b/testing/fake_runner.cc
@@ -41,7 +41,7 @@
     return;
   }
   Seen[key] = std::nullopt;
-  if (Announcement.IsLeaving) {
+  if (Announcement.IsLeaving || arrival.Start != Announcement.Start) {
     Seen[key] = AttemptOutcome::Refused;
     return arrival.Answer(AttemptOutcome::Refused);
   }
@@ -91,9 +91,9 @@
   }
 }
 
-std::optional<AttemptOutcome> FakeRunner::inquire(const RequestId &id,
-                                                  uint32_t attempt) {
-  if (!IsAlive)
+std::optional<AttemptOutcome>
+FakeRunner::inquire(const RequestId &id, uint32_t attempt, Incarnation start) {
+  if (!IsAlive || start != Announcement.Start)
     return std::nullopt;
   return Seen.try_emplace({id, attempt}, AttemptOutcome::Refused).first->second;
 }
--- a/testing/fake_runner.h
+++ b/testing/fake_runner.h
@@ -46,6 +46,7 @@
 struct Arrival {
   routing::LiveRequest Request;
   uint32_t Attempt = 1;
+  Incarnation Start;
   Duration Timeout;
   std::function<void(routing::AttemptOutcome)> Answer;
 };
@@ -57,8 +58,9 @@
 
   void arrive(Arrival arrival);
   // The state of an attempt; one that was not seen is refused from then on.
-  std::optional<routing::AttemptOutcome> inquire(const RequestId &id,
-                                                 uint32_t attempt);
+  // Nothing while it runs, or if another start of the runner got it.
+  std::optional<routing::AttemptOutcome>
+  inquire(const RequestId &id, uint32_t attempt, Incarnation start);
   void leave();
   // Everything in progress is lost and nothing is answered until restart().
   void kill();
--- a/testing/routing_world_actions.cc
+++ b/testing/routing_world_actions.cc
@@ -63,7 +63,7 @@
     return Events.callAfter(Options.Latency * 2,
                             [report] { report(AttemptOutcome::NotSent); });
   Arrival arrival{Records.at(dispatch.Request).Request, dispatch.Attempt,
-                  dispatch.Timeout, nullptr};
+                  dispatch.Start, dispatch.Timeout, nullptr};
   arrival.Answer = [this, zone, to = host.Zone,
                     report](AttemptOutcome outcome) {
     send(zone, to, [report, outcome] { report(outcome); });
@@ -92,7 +92,7 @@
   send(from, zone,
        [this, i, life = EntryHosts[i].Life, zone, from, &runner, inquiry] {
          const std::optional<AttemptOutcome> outcome =
-             runner.inquire(inquiry.Request, inquiry.Attempt);
+             runner.inquire(inquiry.Request, inquiry.Attempt, inquiry.Start);
          if (!outcome)
            return;
          send(zone, from, [this, i, life, inquiry, outcome] {
--- a/testing/standin_runner.cc
+++ b/testing/standin_runner.cc
@@ -60,6 +60,8 @@
     ++Stats.AfterLeaving;
   if (Options.Announcement.IsLeaving)
     return refuse(call, "the runner is leaving", now);
+  if (call.Start != Options.Announcement.Start)
+    return refuse(call, "meant for another start of the runner", now);
   if (Records.contains({call.Request, call.Attempt}))
     return refuse(call, "the attempt is known already", now);
   if (InProgress >= Options.Announcement.Slots) {
@@ -103,6 +105,9 @@
 
 StandinReply StandinRunner::inquire(const entry::InquiryCall &call) {
   const AttemptKey key{call.Request, call.Attempt};
+  if (call.Start != Options.Announcement.Start)
+    return {200, entry::encodeRunnerBody(entry::InquiryAnswer{
+                     call.Request, call.Attempt, RunState::Forgotten, ""})};
   if (!Records.contains(key))
     remember(key, {RunState::Refused, RunState::Refused, "not seen before"});
   const Record &record = Records.at(key);
