--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -14,23 +14,24 @@
 constexpr uint32_t UrgentReach = 32;
 // Most holds of a request that is not a gang.
 constexpr std::size_t MaxHolds = 16;
-// Most aged requests that hold room at once, one for each team.
-constexpr std::ptrdiff_t MaxReservations = 8;
+// Most requests that hold room at once.
+constexpr std::size_t MaxHolders = 64;
+// Requests of other lanes for which room is made in one plan.
+constexpr uint32_t Reach = 4;
 // Workers that are compared for one preemption.
 constexpr uint32_t PreemptCandidates = 16;
 // A hold is chosen anew after this span.
-constexpr Duration HoldTime = Duration::seconds(60);
+constexpr Duration HoldTime = Duration::seconds(15);
 // How often a blocked request is checked for being impossible.
 constexpr Duration RecheckInterval = Duration::seconds(60);
 // Part of a task's progress that a stop with a checkpoint costs.
 constexpr double CheckpointCost = 0.1;
-// A team above its fair part by more than this reserves nothing.
-constexpr double ReservationBand = 1.1;
 
 // Tasks whose stop makes room on one worker.
 struct Eviction {
   uint32_t Slot = NoWorker;
   std::vector<TaskRef> Victims;
+  Resources Yield;
   // Processor time that is lost, in task-milliseconds.
   double Cost = 0;
 };
@@ -76,12 +77,12 @@
   return ran * lost * (victim.isGang() ? victim.Placed : 1);
 }
 
-// Chooses victims on a worker whose stop yields `deficit`, cheapest first.
-std::optional<Eviction> chooseVictims(const PlannerState &state,
-                                      const RequestState &claimant,
-                                      uint32_t slot, const Resources &deficit,
-                                      Instant now) {
-  Eviction eviction{slot, {}, 0};
+// Chooses victims on a worker whose stop yields `deficit`, cheapest first. They
+// may yield less than that.
+Eviction chooseVictims(const PlannerState &state, const RequestState &claimant,
+                       uint32_t slot, const Resources &deficit, Instant now) {
+  Eviction eviction;
+  eviction.Slot = slot;
   if (deficit.fitsIn(Resources{}))
     return eviction;
   std::vector<TaskRef> candidates;
@@ -91,15 +92,14 @@
   std::ranges::stable_sort(candidates, {}, [now](const TaskRef &ref) {
     return std::tuple(costOf(ref, now), ref.Request->Seq, ref.Index);
   });
-  Resources yield;
   for (const TaskRef &ref : candidates) {
-    yield += ref.Request->Tasks[ref.Index].Reserved;
+    if (deficit.fitsIn(eviction.Yield))
+      break;
+    eviction.Yield += ref.Request->Tasks[ref.Index].Reserved;
     eviction.Victims.push_back(ref);
     eviction.Cost += costOf(ref, now);
-    if (deficit.fitsIn(yield))
-      return eviction;
   }
-  return std::nullopt;
+  return eviction;
 }
 
 void evictAll(PlannerState &state, const RequestState &claimant,
@@ -123,8 +123,8 @@
   for (uint32_t slot : slots) {
     const Resources deficit =
         clipped(size - comingRoom(state, state.Workers[slot]));
-    auto eviction = chooseVictims(state, claimant, slot, deficit, now);
-    if (eviction && (!best || eviction->Cost < best->Cost))
+    Eviction eviction = chooseVictims(state, claimant, slot, deficit, now);
+    if (deficit.fitsIn(eviction.Yield) && (!best || eviction.Cost < best->Cost))
       best = std::move(eviction);
   }
   if (!best)
@@ -134,14 +134,15 @@
   return true;
 }
 
-// A worker as a place for a reservation.
+// Room for one more task of a reservation on a worker.
 struct HoldOption {
   uint32_t Slot = NoWorker;
-  uint32_t Tasks = 0;
   // Dominant share of the worker that has to become free first.
   double Missing = 0;
 };
 
+// Each worker offers as many options as it could hold tasks, each with more
+// missing than the one before.
 std::vector<HoldOption> findHoldOptions(const PlannerState &state,
                                         const StartNeed &need) {
   std::vector<HoldOption> options;
@@ -151,11 +152,10 @@
       continue;
     const Resources room = worker.Holds - worker.Lasting - worker.Held;
     const uint32_t tasks = countFitting(room, need.Size, need.Tasks);
-    if (tasks == 0)
-      continue;
-    const Resources missing =
-        clipped(need.Size * tasks - comingRoom(state, worker));
-    options.push_back({slot, tasks, dominantShare(missing, worker.Holds)});
+    const Resources coming = comingRoom(state, worker);
+    for (uint32_t i = 1; i <= tasks; ++i)
+      options.push_back(
+          {slot, dominantShare(clipped(need.Size * i - coming), worker.Holds)});
   }
   std::ranges::stable_sort(options, {}, &HoldOption::Missing);
   return options;
@@ -164,17 +164,17 @@
 // Holds room for the whole need where it becomes free soonest.
 bool reserveRoom(PlannerState &state, RequestState &request,
                  const StartNeed &need, Instant now) {
+  std::vector<HoldOption> options = findHoldOptions(state, need);
+  if (options.size() < need.Tasks)
+    return false;
+  options.resize(need.Tasks);
+  std::ranges::sort(options, {}, &HoldOption::Slot);
   std::vector<Hold> holds;
-  uint32_t left = need.Tasks;
-  for (const HoldOption &option : findHoldOptions(state, need)) {
-    const uint32_t tasks = std::min(option.Tasks, left);
-    holds.push_back({option.Slot, need.Size * tasks, now + HoldTime});
-    left -= tasks;
-    if (left == 0)
-      break;
+  for (const HoldOption &option : options) {
+    if (holds.empty() || holds.back().Slot != option.Slot)
+      holds.push_back({option.Slot, Resources{}, now + HoldTime});
+    holds.back().Room += need.Size;
   }
-  if (left > 0)
-    return false;
   for (const Hold &hold : holds)
     state.hold(request, hold);
   ++state.Counters.Reservations;
@@ -187,10 +187,8 @@
   for (const Hold &hold : claimant.Holds) {
     const Resources deficit =
         clipped(Resources{} - comingRoom(state, state.Workers[hold.Slot]));
-    const auto eviction =
-        chooseVictims(state, claimant, hold.Slot, deficit, now);
-    if (eviction)
-      evictAll(state, claimant, *eviction, actions);
+    evictAll(state, claimant,
+             chooseVictims(state, claimant, hold.Slot, deficit, now), actions);
   }
 }
 
@@ -198,17 +196,10 @@
                 Instant now) {
   if (!state.isAged(request, now) || !request.Holds.empty())
     return false;
+  // Holds count towards a team's share; one more is allowed up to it.
   const TeamState &team = *request.Team;
-  if (relativeShare(state, team, team.Reserved) > ReservationBand)
-    return false;
-  const auto isReservation = [&](const auto &holder) {
-    return state.isAged(*holder.second, now);
-  };
-  const auto isSameTeam = [&](const auto &holder) {
-    return isReservation(holder) && holder.second->Team == &team;
-  };
-  return std::ranges::none_of(state.Holders, isSameTeam) &&
-         std::ranges::count_if(state.Holders, isReservation) < MaxReservations;
+  return state.Holders.size() < MaxHolders &&
+         relativeShare(state, team, team.Reserved + team.Held) <= 1;
 }
 
 bool isInSlice(const RequestState &request, const Resources &more) {
@@ -237,12 +228,15 @@
 void makeRoomForGang(PlannerState &state, RequestState &request, Instant now,
                      std::vector<Action> &actions) {
   const StartNeed need = startNeed(state, request);
-  if (!request.Holds.empty() || !isInSlice(request, need.total()))
-    return;
-  if (!request.isUrgent() && !mayReserve(state, request, now))
-    return;
-  if (reserveRoom(state, request, need, now))
-    preemptOnHolds(state, request, now, actions);
+  if (request.Holds.empty()) {
+    if (!isInSlice(request, need.total()))
+      return;
+    if (!request.isUrgent() && !mayReserve(state, request, now))
+      return;
+    if (!reserveRoom(state, request, need, now))
+      return;
+  }
+  preemptOnHolds(state, request, now, actions);
 }
 
 // Rejects a blocked request that the zone can't hold any more.
@@ -263,7 +257,7 @@
               std::vector<Action> &actions) {
   const bool isUrgent = lane.Priority == catalogue::Urgency::Urgent;
   state.IsUrgentBlocked |= isUrgent;
-  const uint32_t reach = isUrgent ? UrgentReach : 1;
+  const uint32_t reach = isUrgent ? UrgentReach : Reach;
   std::vector<RequestState *> requests;
   for (const auto &[key, request] : lane.Queue) {
     if (requests.size() == reach)
--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -213,6 +213,20 @@
   return isInFrontier(state, request);
 }
 
+// True if a worker's holds are covered by free room.
+bool isRoomThere(const PlannerState &state, const Hold &hold) {
+  return !state.freeOn(state.Workers[hold.Slot]).isNegative();
+}
+
+// True if the room that the request holds is free.
+bool areHoldsReady(const PlannerState &state, const RequestState &request) {
+  const auto isThere = [&state](const Hold &hold) {
+    return isRoomThere(state, hold);
+  };
+  return request.isGang() ? std::ranges::all_of(request.Holds, isThere)
+                          : std::ranges::any_of(request.Holds, isThere);
+}
+
 // True if an older request of the team waits for the rest of the slice.
 bool isSliceClaimed(const PlannerState &state, const RequestState &request) {
   return request.Team->SliceClaimPlan == state.PlanNumber &&
@@ -312,11 +326,26 @@
   // A gang larger than a whole plan is offered in a plan of its own.
   if (!actions.empty() && actions.size() + need.Tasks > state.Config.MaxActions)
     return PlaceOutcome::OutOfActions;
+  // A gang with a reservation is looked at again when that is free or expires.
+  if (request.isGang() && !request.Holds.empty() &&
+      !areHoldsReady(state, request))
+    return PlaceOutcome::NoRoom;
   return placeWithHolds(state, request, need, now, actions)
              ? PlaceOutcome::Placed
              : PlaceOutcome::NoRoom;
 }
 
+void placeHolders(PlannerState &state, Instant now,
+                  std::vector<Action> &actions) {
+  std::vector<RequestState *> ready;
+  for (const auto &[seq, request] : state.Holders)
+    if (isReady(state, *request) && areHoldsReady(state, *request))
+      ready.push_back(request);
+  for (RequestState *request : ready)
+    if (placeNext(state, *request, now, actions) == PlaceOutcome::OutOfActions)
+      state.WasCutShort = true;
+}
+
 void placeWaiting(PlannerState &state, Instant now,
                   std::vector<Action> &actions) {
   std::vector<Contender> contenders = findContenders(state);
--- a/jujube/placement/placing.h
+++ b/jujube/placement/placing.h
@@ -45,6 +45,10 @@
 PlaceOutcome placeNext(PlannerState &state, RequestState &request, Instant now,
                        std::vector<Action> &actions);
 
+// Places requests whose held room has become free.
+void placeHolders(PlannerState &state, Instant now,
+                  std::vector<Action> &actions);
+
 // Serves the lanes in the order of the policy until nothing more fits or the
 // actions are used up.
 void placeWaiting(PlannerState &state, Instant now,
--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -297,6 +297,7 @@
   countShares(*State);
   std::vector<Action> actions = takeOutbox(*State);
   internal::relieve(*State, actions);
+  internal::placeHolders(*State, now, actions);
   internal::placeWaiting(*State, now, actions);
   std::ranges::move(State->Outbox, std::back_inserter(actions));
   State->Outbox.clear();
--- a/jujube/replay/generator.cc
+++ b/jujube/replay/generator.cc
@@ -61,7 +61,7 @@
             50,
             {64000, 131072, 0},
             6,
-            2,
+            4,
             4,
             2,
             {"bells", "chimes", "brackets", "stock", "fitters", "ledger"}};
