--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,184 @@
+// Measures placement decisions on one core: a zone of W workers that is nearly
+// full of running tasks, in which tasks end and others take their place.
+#include <ctime>
+
+#include <algorithm>
+#include <iostream>
+#include <random>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "jujube/base/settings.h"
+#include "jujube/placement/planner.h"
+
+namespace jujube {
+namespace {
+
+using catalogue::WorkClass;
+using placement::Planner;
+
+constexpr uint32_t TeamCount = 53;
+constexpr uint32_t EntriesPerTeam = 4;
+constexpr uint32_t TasksPerWorker = 22;
+constexpr uint32_t WorkersPerRack = 8;
+constexpr Resources WorkerSize = {64000, 131072, 0};
+// A fifth of the running tasks belong to services.
+constexpr uint32_t ServicePart = 5;
+constexpr uint32_t TasksPerRequest = 10;
+
+int64_t threadNanos() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return int64_t{now.tv_sec} * 1'000'000'000 + now.tv_nsec;
+}
+
+catalogue::Entry entryAt(uint32_t team, uint32_t n) {
+  catalogue::Entry entry;
+  entry.Id = EntryId(absl::StrCat("t", team, "-e", n));
+  entry.Owner = TeamId(absl::StrCat("t", team));
+  entry.Class = n == 0 ? WorkClass::Service : WorkClass::Batch;
+  entry.Ask = {1000 + 500 * int64_t{n}, 2000 + 1000 * int64_t{n}, 0};
+  entry.CanCheckpoint = n % 2 == 0;
+  return entry;
+}
+
+class Bench {
+public:
+  Bench(uint32_t workers, placement::PolicyName policy)
+      : Workers(workers), Subject(makePlanner(policy)) {
+    std::vector<catalogue::Team> teams;
+    const Resources all = WorkerSize * workers;
+    for (uint32_t i = 0; i < TeamCount; ++i) {
+      teams.push_back({TeamId(absl::StrCat("t", i)), 1 + i % 5, all});
+      Subject.setSlice(teams.back().Id, all);
+    }
+    Subject.setTeams(teams);
+    for (uint32_t i = 0; i < workers; ++i)
+      Subject.workerSeen({WorkerId(absl::StrCat("w", i)), Incarnation{1},
+                          RackId(absl::StrCat("r", i / WorkersPerRack)),
+                          WorkerSize, false},
+                         Now);
+  }
+
+  // Fills the zone; returns the processor time per placed task in nanoseconds.
+  double fill() {
+    const uint32_t tasks = Workers * TasksPerWorker;
+    for (uint32_t i = 0; i < tasks / TasksPerRequest; ++i)
+      submit(TasksPerRequest);
+    const int64_t before = threadNanos();
+    while (planOnce() > 0) {
+    }
+    return static_cast<double>(threadNanos() - before) /
+           static_cast<double>(std::max<std::size_t>(Placed.size(), 1));
+  }
+
+  // Ends one running task, submits another and plans, `rounds` times; returns
+  // the processor time of each decision in nanoseconds.
+  std::vector<int64_t> churn(uint32_t rounds) {
+    std::vector<int64_t> nanos;
+    nanos.reserve(rounds);
+    for (uint32_t i = 0; i < rounds; ++i) {
+      Now = Now + Duration::millis(1);
+      submit(1);
+      const std::size_t n = Random() % Placed.size();
+      const TaskId ended = Placed[n];
+      Placed[n] = Placed.back();
+      Placed.pop_back();
+      const int64_t before = threadNanos();
+      Subject.ended(ended, placement::EndKind::Finished, Now);
+      planOnce();
+      nanos.push_back(threadNanos() - before);
+    }
+    return nanos;
+  }
+
+  std::size_t placed() const { return Placed.size(); }
+  uint64_t queued() const { return Subject.status().QueuedTasks; }
+  uint64_t offers() const { return Subject.counters().Offers; }
+
+private:
+  static Planner makePlanner(placement::PolicyName policy) {
+    placement::Options options;
+    options.Policy = policy;
+    options.SettleTime = Duration();
+    return valueOf(Planner::create(options, placement::hooksFor(policy)));
+  }
+
+  void submit(uint32_t tasks) {
+    const uint32_t team = Submitted % TeamCount;
+    const uint32_t kind =
+        Submitted % ServicePart == 0 ? 0 : 1 + Submitted % (EntriesPerTeam - 1);
+    fate::Submission work;
+    work.Request = RequestId(absl::StrCat("zone.r", Submitted++));
+    work.Entry = entryAt(team, kind);
+    work.Team = work.Entry.Owner;
+    work.Tasks = tasks;
+    placement::PendingRequest pending{work, Now, {}};
+    for (uint32_t i = 0; i < tasks; ++i)
+      pending.Tasks.push_back(i);
+    Subject.enqueue(pending, Now);
+  }
+
+  std::size_t planOnce() {
+    std::size_t offers = 0;
+    for (const placement::Action &action : Subject.plan(Now)) {
+      const auto *offer = std::get_if<placement::Offer>(&action);
+      if (!offer)
+        continue;
+      Placed.push_back(offer->Task);
+      ++offers;
+    }
+    return offers;
+  }
+
+  uint32_t Workers;
+  Planner Subject;
+  Instant Now;
+  std::vector<TaskId> Placed;
+  std::mt19937_64 Random{7};
+  uint32_t Submitted = 0;
+};
+
+void report(uint32_t workers, placement::PolicyName policy, uint32_t rounds) {
+  Bench bench(workers, policy);
+  const double fillNanos = bench.fill();
+  const std::size_t running = bench.placed();
+  const uint64_t offersBefore = bench.offers();
+  std::vector<int64_t> nanos = bench.churn(rounds);
+  double total = 0;
+  for (int64_t n : nanos)
+    total += static_cast<double>(n);
+  std::ranges::sort(nanos);
+  const uint64_t offers = bench.offers() - offersBefore;
+  std::cout << absl::StrFormat(
+      "%-14s workers=%u running=%u queued=%u fill: %.1f us/placement (%.0f/s) "
+      "churn: offers=%u mean=%.1f us p50=%.1f us p99=%.1f us max=%.1f us "
+      "(%.0f/s)\n",
+      std::string(nameIn(placement::PolicyNameNames, policy)), workers, running,
+      bench.queued(), fillNanos / 1000, 1e9 / fillNanos, offers,
+      total / 1000 / rounds, nanos[nanos.size() / 2] / 1000.0,
+      nanos[nanos.size() * 99 / 100] / 1000.0, nanos.back() / 1000.0,
+      1e9 * static_cast<double>(offers) / total);
+}
+
+} // namespace
+} // namespace jujube
+
+int main(int argc, char **argv) {
+  using namespace jujube;
+  const auto settings =
+      parseOrExplain("placement-bench [flags]",
+                     {{"rounds", SettingKind::Integer, "20000",
+                       "decisions that are timed", false, 100, 10'000'000}},
+                     argc, argv);
+  if (const int *code = std::get_if<int>(&settings))
+    return *code;
+  const auto rounds =
+      static_cast<uint32_t>(std::get<Settings>(settings).integer("rounds"));
+  for (const placement::PolicyName policy :
+       {placement::PolicyName::Waiting, placement::PolicyName::Packing})
+    for (const uint32_t workers : {50U, 500U, 2900U})
+      report(workers, policy, rounds);
+  return 0;
+}
--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -16,8 +16,9 @@
 constexpr std::size_t MaxHolds = 16;
 // Most requests that hold room at once.
 constexpr std::size_t MaxHolders = 64;
-// Requests of other lanes for which room is made in one plan.
-constexpr uint32_t Reach = 4;
+// No room is reserved for aged work while this part of the zone is held: held
+// room stands idle until all of a reservation is free.
+constexpr double MaxHeldPart = 0.05;
 // Workers that are compared for one preemption.
 constexpr uint32_t PreemptCandidates = 16;
 // A hold is chosen anew after this span.
@@ -199,6 +200,7 @@
   // Holds count towards a team's share; one more is allowed up to it.
   const TeamState &team = *request.Team;
   return state.Holders.size() < MaxHolders &&
+         state.shareOf(state.TotalHeld) < MaxHeldPart &&
          relativeShare(state, team, team.Reserved + team.Held) <= 1;
 }
 
@@ -257,7 +259,7 @@
               std::vector<Action> &actions) {
   const bool isUrgent = lane.Priority == catalogue::Urgency::Urgent;
   state.IsUrgentBlocked |= isUrgent;
-  const uint32_t reach = isUrgent ? UrgentReach : Reach;
+  const uint32_t reach = isUrgent ? UrgentReach : 1;
   std::vector<RequestState *> requests;
   for (const auto &[key, request] : lane.Queue) {
     if (requests.size() == reach)
--- a/jujube/placement/policy.cc
+++ b/jujube/placement/policy.cc
@@ -11,12 +11,15 @@
 
 // Urgent lanes rank below every share.
 constexpr double UrgentRank = -1;
-// A longer expected run delays a request in its team's order by at most this,
-// so that short work goes first and long work still gets its turn.
-constexpr Duration LongestRunPenalty = Duration::seconds(60);
+// Small requests go first: a request stands in its team's order as if it had
+// been accepted later by its expected run time over all tasks. The bound gives
+// large requests their turn.
+constexpr Duration LongestWorkPenalty = Duration::minutes(30);
 // Hysteresis of fair shares: a claimant is below and a victim above its fair
-// part by this fraction, and both have lasted for a while.
-constexpr double ShareBand = 0.1;
+// part by a fraction, and both have lasted for a while. A narrow band keeps
+// closer to the shares and costs more checkpoints.
+constexpr double WideShareBand = 0.1;
+constexpr double NarrowShareBand = 0.02;
 constexpr Duration ClaimPatience = Duration::seconds(2);
 constexpr Duration VictimMinRun = Duration::seconds(10);
 // Entries need this many measurements before their size is changed.
@@ -41,9 +44,9 @@
   return work.AcceptedAt.millis();
 }
 
-int64_t shortFirst(const QueuedView &work) {
-  return (work.AcceptedAt + std::min(work.ExpectedRun, LongestRunPenalty))
-      .millis();
+int64_t smallFirst(const QueuedView &work) {
+  const Duration total = work.ExpectedRun * work.Tasks;
+  return (work.AcceptedAt + std::min(total, LongestWorkPenalty)).millis();
 }
 
 double ratio(int64_t part, int64_t whole) {
@@ -97,14 +100,22 @@
           (view.VictimIsIdempotent && view.VictimClass == WorkClass::Batch));
 }
 
-bool preemptForShares(const PreemptView &view) {
+bool preemptForShares(const PreemptView &view, double band) {
   if (!canMove(view))
     return false;
   if (view.ClaimantPriority == Urgency::Urgent)
     return true;
-  return view.VictimCanCheckpoint && view.ClaimantShare < 1 - ShareBand &&
-         view.VictimShare > 1 + ShareBand &&
-         view.ClaimantWaited >= ClaimPatience && view.VictimRan >= VictimMinRun;
+  return view.VictimCanCheckpoint && view.ClaimantShare < 1 - band &&
+         view.VictimShare > 1 + band && view.ClaimantWaited >= ClaimPatience &&
+         view.VictimRan >= VictimMinRun;
+}
+
+bool preemptRarely(const PreemptView &view) {
+  return preemptForShares(view, WideShareBand);
+}
+
+bool preemptReadily(const PreemptView &view) {
+  return preemptForShares(view, NarrowShareBand);
 }
 
 bool neverPreempt(const PreemptView &) { return false; }
@@ -142,11 +153,11 @@
 PlacementHooks hooksFor(PolicyName name) {
   switch (name) {
   case PolicyName::Waiting:
-    return {fairRank,     shortFirst,       learnedSize,
-            scorePacking, preemptForShares, anywhere};
+    return {fairRank,     smallFirst,    learnedSize,
+            scorePacking, preemptRarely, anywhere};
   case PolicyName::Packing:
-    return {fairRank,     acceptedFirst,    learnedSize,
-            scorePacking, preemptForShares, fromFirst};
+    return {fairRank,     acceptedFirst,  learnedSize,
+            scorePacking, preemptReadily, fromFirst};
   case PolicyName::FifoFirstFit:
     return {noRank,        acceptedFirst, askedSize,
             scoreFirstFit, neverPreempt,  fromFirst};
--- a/jujube/placement/state.cc
+++ b/jujube/placement/state.cc
@@ -198,6 +198,7 @@
 void PlannerState::hold(RequestState &request, const Hold &hold) {
   request.Holds.push_back(hold);
   request.Team->Held += hold.Room;
+  TotalHeld += hold.Room;
   Workers[hold.Slot].Held += hold.Room;
   Holders[request.Seq] = &request;
   refresh(hold.Slot);
@@ -209,6 +210,7 @@
   Holders.erase(request.Seq);
   for (const Hold &hold : holds) {
     request.Team->Held -= hold.Room;
+    TotalHeld -= hold.Room;
     Workers[hold.Slot].Held -= hold.Room;
     refresh(hold.Slot);
   }
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -262,6 +262,7 @@
   absl::btree_set<std::pair<Instant, uint32_t>> Quarantined;
   Resources Total;
   Resources TotalReserved;
+  Resources TotalHeld;
 
   // Delayed tasks by the end of their back-off, then by request and index.
   absl::btree_map<std::tuple<Instant, uint64_t, uint32_t>, RequestState *>
