--- /dev/null
+++ b/jujube/load/driver.h
@@ -0,0 +1,83 @@
+// The task that owns the schedule and the ledger of a run.
+#ifndef JUJUBE_LOAD_DRIVER_H_
+#define JUJUBE_LOAD_DRIVER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "jujube/load/messages.h"
+#include "jujube/load/run.h"
+#include "jujube/runtime/task.h"
+
+namespace jujube::load {
+
+// How far a run is.
+enum class Phase {
+  // Steps of the trace are taken.
+  Feeding,
+  // The last step was taken; final fates are waited for.
+  Draining,
+  // Every final fate is read once more, mostly from another entry host.
+  Confirming,
+  Done,
+};
+
+inline constexpr NameTable<Phase, 4> PhaseNames = {{
+    {Phase::Feeding, "feeding"},
+    {Phase::Draining, "draining"},
+    {Phase::Confirming, "confirming"},
+    {Phase::Done, "done"},
+}};
+static_assert(isComplete(PhaseNames));
+
+class Driver {
+public:
+  Driver(const RunOptions &options, std::vector<SenderMailbox> senders,
+         RunOutcome &outcome, std::function<void()> onEnd,
+         runtime::TaskContext &context);
+
+  // Watches `mailbox` and runs until the task is asked to stop.
+  Status run(const DriverMailbox &mailbox);
+
+private:
+  void handle(const JobDone &message);
+  void handle(FleetSample sample);
+
+  void scheduleSteps();
+  void takeDueSteps();
+  void take(const Step &step);
+  void takeCancel(const Step &step);
+  void enqueue(Job job);
+  void sendQueued();
+  void schedulePoll(std::size_t record);
+  void poll(std::size_t record);
+  void applyFault(const Fault &fault);
+  void checkSample(const FleetSample &sample);
+  void advance();
+  void confirmAll();
+  void finish();
+  Duration elapsed() const { return Context.now() - StartedAt; }
+
+  const RunOptions &Options;
+  std::vector<SenderMailbox> Senders;
+  RunOutcome &Outcome;
+  std::function<void()> OnEnd;
+  runtime::TaskContext &Context;
+  Instant StartedAt;
+  Phase Now = Phase::Feeding;
+  std::size_t NextStep = 0;
+  std::size_t NextZone = 0;
+  std::size_t InFlight = 0;
+  std::deque<Job> Queue;
+  std::deque<std::size_t> IdleSenders;
+  // Teams that were over their ceiling in the last sample.
+  std::set<std::string> OverCeiling;
+};
+
+} // namespace jujube::load
+
+#endif // JUJUBE_LOAD_DRIVER_H_
