--- /dev/null
+++ b/jujube/entry/entry_task.cc
@@ -0,0 +1,402 @@
+#include "jujube/entry/entry_task.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+#include "jujube/entry/access.h"
+
+namespace jujube::entry {
+namespace {
+
+constexpr Duration SubmitTimeout = Duration::seconds(6);
+// The keepers hold an edit's answer until it is in force.
+constexpr Duration EditTimeout = Duration::seconds(15);
+constexpr Duration EditAttemptTimeout = Duration::seconds(7);
+// A fate is waited for in steps, so that a change of leader is noticed.
+constexpr Duration FateStep = Duration::seconds(1);
+constexpr Duration SyncTimeout = Duration::seconds(4);
+constexpr Duration StatusTimeout = Duration::millis(800);
+constexpr Duration LongestLiveTimeout = Duration::seconds(10);
+
+Error unexpectedReply() {
+  return {ErrorKind::Internal, "a control host sent an unexpected reply",
+          "run the same version on all hosts"};
+}
+
+} // namespace
+
+EntryTask::EntryTask(const EntryOptions &options, runtime::TaskContext &context,
+                     wire::PacketMailbox outbox)
+    : Settings(options), Loop(context.loop()),
+      Messages(Loop, options.Self, options.Listen, std::move(outbox)),
+      Keepers(Loop, Messages),
+      Catalogue(
+          Loop, Keepers,
+          {[this] {
+             return wire::HostStatus{{Settings.Self, catalogue::HostRole::Entry,
+                                      Settings.Zone, Settings.Listen},
+                                     false,
+                                     Term{}};
+           },
+           [this] {
+             std::vector<catalogue::Team> teams;
+             for (const auto &team : Catalogue.catalogue().contents().Teams)
+               teams.push_back(team.Value);
+             Live->setShares(teams);
+           },
+           [this] { Zones.update(Catalogue.hosts()); }}),
+      Zones(Loop, Messages, options.Zone, options.ZonePeers) {}
+
+Result<std::unique_ptr<EntryTask>>
+EntryTask::create(const EntryOptions &options, runtime::TaskContext &context,
+                  wire::PacketMailbox outbox, RunnerLinkPool links) {
+  std::unique_ptr<EntryTask> task(
+      new EntryTask(options, context, std::move(outbox)));
+  EntryTask *raw = task.get();
+  const Incarnation start{static_cast<uint64_t>(Clock::wall().now().millis())};
+  auto live =
+      LiveDesk::create({options.Self, start, options.Zone}, raw->Loop,
+                       raw->Zones, std::move(links), raw->Metrics,
+                       {[raw](const api::CallLive &call, const LiveHook &done) {
+                         raw->handOver(call, done);
+                       }});
+  if (!isOk(live))
+    return errorOf(live);
+  raw->Live = valueOf(std::move(live));
+  raw->Loop.onTurnEnd([raw] { raw->Live->endTurn(); });
+  raw->Keepers.setMembers(options.Keepers);
+  raw->Catalogue.start();
+  return task;
+}
+
+void EntryTask::receive(const std::string &payload) {
+  const auto request = Messages.receive(payload);
+  if (!request)
+    return;
+  if (const auto *pass = std::get_if<wire::PassLive>(&request->What))
+    takePassedLive(*request, *pass);
+  else
+    Messages.reply(*request,
+                   wire::Refusal{{ErrorKind::InvalidArgument,
+                                  "entry hosts don't take this message",
+                                  "check which process listens there"},
+                                 Address{}});
+}
+
+void EntryTask::execute(PendingCommand command) {
+  const DoneHook done =
+      [this, done = std::move(command.Done)](Result<api::Reply> result) {
+        countRefusal(result);
+        done(std::move(result));
+      };
+  std::visit([&](const auto &what) { run(what, done); }, command.What);
+}
+
+void EntryTask::countRefusal(const Result<api::Reply> &result) {
+  if (!isOk(result))
+    Metrics.add("refused", {"", std::string(nameIn(ErrorKindNames,
+                                                   errorOf(result).Kind))});
+}
+
+void EntryTask::beginDrain() {
+  IsLeaving = true;
+  LOG(INFO) << "event=drain_started host=" << Settings.Self.str();
+  Live->beginDrain();
+}
+
+template <typename Reply, typename Convert>
+wire::ReplyHook EntryTask::forward(const DoneHook &done, Convert convert) {
+  return [done, convert](Result<wire::Message> result) {
+    if (!isOk(result)) {
+      done(errorOf(result));
+      return;
+    }
+    if (auto *reply = std::get_if<Reply>(&valueOf(result)))
+      done(api::Reply(convert(std::move(*reply))));
+    else
+      done(unexpectedReply());
+  };
+}
+
+Result<wire::LeaderClient *> EntryTask::homeOf(const RequestId &id) {
+  const auto zone = homeZone(id);
+  if (!isOk(zone))
+    return errorOf(zone);
+  if (wire::LeaderClient *client = Zones.find(valueOf(zone)))
+    return client;
+  return Error{ErrorKind::InvalidArgument,
+               absl::StrCat("request id ", id.str(),
+                            " names no known availability zone"),
+               absl::StrCat("begin the id with one of: ", Zones.zoneNames())};
+}
+
+Result<TeamId> EntryTask::teamOf(const std::string &presentedKey) const {
+  if (presentedKey.empty())
+    return TeamId();
+  return Catalogue.follower().authenticate(presentedKey, Loop.now());
+}
+
+void EntryTask::run(const api::Submit &command, const DoneHook &done) {
+  auto work = admit(Catalogue.follower(), command, Loop.now());
+  if (!isOk(work)) {
+    done(errorOf(work));
+    return;
+  }
+  const auto home = homeOf(command.Request);
+  if (!isOk(home)) {
+    done(errorOf(home));
+    return;
+  }
+  valueOf(home)->call(wire::SubmitWork{valueOf(std::move(work))}, SubmitTimeout,
+                      forward<wire::FateNews>(done, [](wire::FateNews news) {
+                        return std::move(news.View);
+                      }));
+}
+
+void EntryTask::run(const api::Cancel &command, const DoneHook &done) {
+  const auto team = teamOf(command.PresentedKey);
+  const auto home = homeOf(command.Request);
+  if (!isOk(team) || !isOk(home)) {
+    done(isOk(team) ? errorOf(home) : errorOf(team));
+    return;
+  }
+  valueOf(home)->call(wire::CancelWork{command.Request, valueOf(team)},
+                      SubmitTimeout,
+                      forward<wire::FateNews>(done, [](wire::FateNews news) {
+                        return std::move(news.View);
+                      }));
+}
+
+void EntryTask::run(const api::GetFate &command, const DoneHook &done) {
+  const auto team = teamOf(command.PresentedKey);
+  if (!isOk(team)) {
+    done(errorOf(team));
+    return;
+  }
+  if (auto kept = Live->find(command.Request, valueOf(team)))
+    done(api::Reply(std::move(*kept)));
+  else
+    askFate(command, valueOf(team), Loop.now() + command.Wait, done);
+}
+
+void EntryTask::askFate(const api::GetFate &command, const TeamId &team,
+                        Instant deadline, const DoneHook &done) {
+  const auto home = homeOf(command.Request);
+  if (!isOk(home)) {
+    done(errorOf(home));
+    return;
+  }
+  const Duration step = std::clamp(deadline - Loop.now(), Duration(), FateStep);
+  valueOf(home)->call(
+      wire::AskFate{command.Request, team, step}, SubmitTimeout,
+      [this, command, team, deadline, done](Result<wire::Message> result) {
+        auto *news = isOk(result)
+                         ? std::get_if<wire::FateNews>(&valueOf(result))
+                         : nullptr;
+        const bool isOver = !news || fate::isTerminal(news->View.State);
+        if (!isOver && Loop.now() < deadline)
+          askFate(command, team, deadline, done);
+        else if (news)
+          done(api::Reply(std::move(news->View)));
+        else
+          done(isOk(result) ? unexpectedReply() : errorOf(result));
+      });
+}
+
+void EntryTask::run(const api::CallLive &command, const DoneHook &done) {
+  const auto entry = findEntry(Catalogue.follower(), command.Entry);
+  if (!isOk(entry)) {
+    done(errorOf(entry));
+    return;
+  }
+  const auto team = actingTeam(Catalogue.follower(), valueOf(entry),
+                               command.PresentedKey, Loop.now());
+  const auto home = homeOf(command.Request);
+  if (!isOk(team) || !isOk(home)) {
+    done(isOk(team) ? errorOf(home) : errorOf(team));
+    return;
+  }
+  api::CallLive call = command;
+  call.Timeout = std::min(call.Timeout, LongestLiveTimeout);
+  Live->serve(call, valueOf(team), valueOf(entry),
+              [done](Result<api::LiveAnswer> answer) {
+                if (isOk(answer))
+                  done(api::Reply(valueOf(std::move(answer))));
+                else
+                  done(errorOf(answer));
+              });
+}
+
+void EntryTask::run(const api::EditCatalogue &command, const DoneHook &done) {
+  const Status allowed =
+      checkToken("operator", command.OperatorToken, Settings.OperatorToken);
+  if (!isOk(allowed)) {
+    done(errorOf(allowed));
+    return;
+  }
+  Keepers.call(
+      wire::ProposeEdit{command.Edit, command.IsDryRun}, EditTimeout,
+      forward<wire::EditDone>(
+          done, [](const wire::EditDone &edit) { return edit.Receipt; }),
+      EditAttemptTimeout);
+}
+
+void EntryTask::run(const api::GetCatalogue &command, const DoneHook &done) {
+  const Status allowed =
+      checkToken("operator", command.OperatorToken, Settings.OperatorToken);
+  if (isOk(allowed))
+    done(api::Reply(Catalogue.catalogue().contents()));
+  else
+    done(errorOf(allowed));
+}
+
+void EntryTask::run(const api::GetHistory &command, const DoneHook &done) {
+  const Status allowed =
+      checkToken("operator", command.OperatorToken, Settings.OperatorToken);
+  if (!isOk(allowed)) {
+    done(errorOf(allowed));
+    return;
+  }
+  Keepers.call(wire::ReadHistory{command.MaxLines}, SubmitTimeout,
+               forward<wire::HistoryPage>(done, [](wire::HistoryPage page) {
+                 return std::move(page.Lines);
+               }));
+}
+
+api::FleetStatus EntryTask::localStatus() const {
+  api::FleetStatus status;
+  status.Host = Settings.Self;
+  status.Zone = Settings.Zone;
+  status.Catalogue = Catalogue.follower().latest();
+  status.CatalogueAge = Catalogue.follower().age(Loop.now());
+  status.IsLeaving = IsLeaving;
+  status.Runners = Live->runners();
+  return status;
+}
+
+void EntryTask::run(const api::GetStatus &, const DoneHook &done) {
+  struct Gathering {
+    api::FleetStatus Status;
+    std::size_t Open = 0;
+  };
+  auto gathering = std::make_shared<Gathering>();
+  gathering->Status = localStatus();
+  const std::vector<ZoneId> zones = Zones.zones();
+  gathering->Open = zones.size();
+  for (const ZoneId &zone : zones) {
+    Zones.find(zone)->callOnce(
+        wire::ReadZone{}, StatusTimeout,
+        [gathering, zone, done](const Result<wire::Message> &reply) {
+          const auto *news = isOk(reply)
+                                 ? std::get_if<wire::ZoneNews>(&valueOf(reply))
+                                 : nullptr;
+          // A zone that can't be reached is listed without a leader.
+          api::ZoneStatus unknown;
+          unknown.Zone = zone;
+          gathering->Status.Zones.push_back(news ? news->Status : unknown);
+          if (--gathering->Open > 0)
+            return;
+          std::ranges::sort(gathering->Status.Zones, {},
+                            &api::ZoneStatus::Zone);
+          done(api::Reply(std::move(gathering->Status)));
+        });
+  }
+}
+
+void EntryTask::run(const api::GetMetrics &, const DoneHook &done) {
+  Zones.own().callOnce(
+      wire::ReadZone{}, StatusTimeout,
+      [this, done](const Result<wire::Message> &reply) {
+        metrics::Snapshot all = Metrics.snapshot();
+        const auto *news = isOk(reply)
+                               ? std::get_if<wire::ZoneNews>(&valueOf(reply))
+                               : nullptr;
+        if (news) {
+          std::ranges::copy(news->Metrics.Counters,
+                            std::back_inserter(all.Counters));
+          std::ranges::copy(news->Metrics.Histograms,
+                            std::back_inserter(all.Histograms));
+        }
+        done(api::Reply(std::move(all)));
+      });
+}
+
+void EntryTask::run(const api::SyncWorker &command, const DoneHook &done) {
+  const Status allowed =
+      checkToken("fleet", command.FleetToken, Settings.FleetToken);
+  if (!isOk(allowed)) {
+    done(errorOf(allowed));
+    return;
+  }
+  Zones.own().call(wire::SyncTasks{command.Sync}, SyncTimeout,
+                   forward<wire::SyncDone>(done, [](wire::SyncDone sync) {
+                     return std::move(sync.Reply);
+                   }));
+}
+
+void EntryTask::run(const api::AnnounceRunner &command, const DoneHook &done) {
+  const Status allowed =
+      checkToken("fleet", command.FleetToken, Settings.FleetToken);
+  if (!isOk(allowed)) {
+    done(errorOf(allowed));
+    return;
+  }
+  wire::LeaderClient *zone = Zones.find(command.Announcement.Zone);
+  if (!zone) {
+    done(Error{ErrorKind::InvalidArgument,
+               absl::StrCat("availability zone ",
+                            command.Announcement.Zone.str(), " is not known"),
+               absl::StrCat("announce one of: ", Zones.zoneNames())});
+    return;
+  }
+  zone->call(
+      wire::PassAnnouncement{command.Announcement}, SyncTimeout,
+      forward<wire::Done>(done, [](const wire::Done &) { return Ok{}; }));
+}
+
+void EntryTask::handOver(const api::CallLive &call, const LiveHook &done) {
+  const auto &hosts = Catalogue.hosts();
+  const auto isOther = [this](const wire::HostStatus &host) {
+    return host.Host.Role == catalogue::HostRole::Entry &&
+           host.Host.Id != Settings.Self;
+  };
+  const auto isNear = [&](const wire::HostStatus &host) {
+    return isOther(host) && host.Host.Zone == Settings.Zone;
+  };
+  auto it = std::ranges::find_if(hosts, isNear);
+  if (it == hosts.end())
+    it = std::ranges::find_if(hosts, isOther);
+  if (it == hosts.end()) {
+    done(Error{ErrorKind::Unavailable,
+               "this entry host is leaving; the request was not run",
+               "send it to another entry host"});
+    return;
+  }
+  Messages.call(
+      it->Host.Peer, wire::PassLive{call}, call.Timeout + SubmitTimeout,
+      [done](Result<wire::Message> reply) {
+        if (!isOk(reply))
+          done(errorOf(reply));
+        else if (auto *answer = std::get_if<wire::LiveDone>(&valueOf(reply)))
+          done(std::move(answer->Answer));
+        else if (auto *refusal = std::get_if<wire::Refusal>(&valueOf(reply)))
+          done(refusal->Why);
+        else
+          done(unexpectedReply());
+      });
+}
+
+void EntryTask::takePassedLive(const wire::Envelope &request,
+                               const wire::PassLive &pass) {
+  run(pass.Call, [this, request](Result<api::Reply> result) {
+    if (!isOk(result))
+      Messages.reply(request, wire::Refusal{errorOf(result), Address{}});
+    else if (auto *answer = std::get_if<api::LiveAnswer>(&valueOf(result)))
+      Messages.reply(request, wire::LiveDone{std::move(*answer)});
+  });
+}
+
+} // namespace jujube::entry
--- /dev/null
+++ b/jujube/entry/live_desk.cc
@@ -0,0 +1,364 @@
+#include "jujube/entry/live_desk.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/base/digest.h"
+
+namespace jujube::entry {
+namespace {
+
+// How long the home zone's leader may take to journal an offer or its end.
+constexpr Duration OfferTimeout = Duration::seconds(3);
+constexpr Duration EndTimeout = Duration::seconds(20);
+constexpr Duration ReportTimeout = Duration::millis(1000);
+// Answers that are kept for callers that are gone.
+constexpr std::size_t MaxAnswers = 2000;
+// A request without a final outcome is forgotten after this span.
+constexpr Duration AbandonAfter = Duration::minutes(2);
+constexpr Duration CleanupPeriod = Duration::seconds(10);
+
+metrics::Labels labelsOf(const TeamId &team) { return {team.str(), "live"}; }
+
+Error unresolvedError(const RequestId &id) {
+  return {ErrorKind::Unavailable,
+          absl::StrCat("request ", id.str(),
+                       " was sent and its outcome is not known"),
+          "ask for its fate by id; it is not sent again"};
+}
+
+} // namespace
+
+LiveDesk::LiveDesk(Options options, runtime::PollLoop &loop,
+                   ZoneDirectory &zones, RunnerLinkPool links,
+                   metrics::Metrics &metrics, Hooks hooks,
+                   routing::Router router)
+    : Settings(std::move(options)), Loop(loop), Zones(zones),
+      Links(std::move(links)), Metrics(metrics), Callbacks(std::move(hooks)),
+      Router(std::move(router)) {
+  Loop.watchMailbox<LinkEvent>(Links.events(), [this](LinkEvent event) {
+    takeLinkEvent(std::move(event));
+  });
+}
+
+Result<std::unique_ptr<LiveDesk>>
+LiveDesk::create(Options options, runtime::PollLoop &loop, ZoneDirectory &zones,
+                 RunnerLinkPool links, metrics::Metrics &metrics, Hooks hooks) {
+  routing::RouterOptions routing;
+  routing.Self = {options.Self, options.Start};
+  routing.Zone = options.Zone;
+  auto router = routing::Router::create(std::move(routing), loop.now());
+  if (!isOk(router))
+    return errorOf(router);
+  return std::unique_ptr<LiveDesk>(
+      new LiveDesk(std::move(options), loop, zones, std::move(links), metrics,
+                   std::move(hooks), valueOf(std::move(router))));
+}
+
+void LiveDesk::serve(const api::CallLive &request, const TeamId &team,
+                     const catalogue::Entry &entry, LiveHook done) {
+  const auto it = Calls.find(request.Request);
+  if (it != Calls.end()) {
+    Call &call = it->second;
+    if (call.Team != team || call.Request.Payload != request.Payload ||
+        call.Entry.Id != entry.Id)
+      done(Error{ErrorKind::DuplicateRequest,
+                 absl::StrCat("request id ", request.Request.str(),
+                              " was used for another request"),
+                 "use a new id for each request"});
+    else if (call.Waiters.empty())
+      done(unresolvedError(request.Request));
+    else
+      call.Waiters.push_back(std::move(done));
+    return;
+  }
+  Call &call = Calls[request.Request];
+  call = {request, team,
+          entry,   std::make_shared<const std::string>(request.Payload),
+          {},      Loop.now()};
+  call.Waiters.push_back(std::move(done));
+  Metrics.add("live_accepted", labelsOf(team));
+  run(Router.submit({request.Request, team, entry.Id, entry.IsIdempotent,
+                     Loop.now() + request.Timeout},
+                    Loop.now()));
+}
+
+std::optional<fate::FateView> LiveDesk::find(const RequestId &id,
+                                             const TeamId &team) const {
+  const auto it = Answers.find(id);
+  if (it == Answers.end() || it->second.Team != team)
+    return std::nullopt;
+  return it->second;
+}
+
+void LiveDesk::endTurn() {
+  const Instant now = Loop.now();
+  if (Router.nextWake(now) <= now)
+    run(Router.tick(now));
+  if (now >= NextCleanup)
+    dropAbandoned();
+  if (Wake)
+    Loop.cancel(*Wake);
+  Wake = Loop.callAt(Router.nextWake(now), [this] { Wake.reset(); });
+}
+
+void LiveDesk::dropAbandoned() {
+  const Instant now = Loop.now();
+  NextCleanup = now + CleanupPeriod;
+  std::erase_if(Calls, [now](const auto &item) {
+    return item.second.Waiters.empty() &&
+           item.second.Since + AbandonAfter <= now;
+  });
+  std::erase_if(Bodies, [this](const auto &item) {
+    return !Calls.contains(item.first.first);
+  });
+}
+
+void LiveDesk::beginDrain() { run(Router.beginDrain(Loop.now())); }
+
+bool LiveDesk::isIdle() const {
+  return Router.isIdle() && std::ranges::all_of(Calls, [](const auto &item) {
+           return item.second.Waiters.empty();
+         });
+}
+
+std::vector<api::RunnerStatus> LiveDesk::runners() const {
+  std::vector<api::RunnerStatus> all;
+  std::ranges::transform(
+      Router.runners().all(), std::back_inserter(all), [](const auto &item) {
+        const routing::RunnerAnnouncement &runner = item.second.Announcement;
+        return api::RunnerStatus{runner.Runner,        runner.Entry,
+                                 runner.Zone,          runner.Slots,
+                                 item.second.InFlight, runner.IsLeaving};
+      });
+  return all;
+}
+
+void LiveDesk::run(const routing::RouterActions &actions) {
+  for (const routing::RouterAction &action : actions)
+    std::visit([this](const auto &a) { carryOut(a); }, action);
+}
+
+void LiveDesk::carryOut(const routing::Dispatch &action) {
+  const auto it = Calls.find(action.Request);
+  const Status sent =
+      it == Calls.end()
+          ? Status(Error{ErrorKind::Internal, "the request is gone", ""})
+          : Links.send({action, it->second.Entry.Id, it->second.Team,
+                        it->second.Payload});
+  if (!isOk(sent))
+    run(Router.answered(action.Request, action.Attempt,
+                        routing::AttemptOutcome::NotSent, Loop.now()));
+}
+
+void LiveDesk::carryOut(const routing::Inquire &action) {
+  if (!isOk(Links.inquire({action})))
+    run(Router.answered(action.Request, action.Attempt,
+                        routing::AttemptOutcome::Unknown, Loop.now()));
+}
+
+void LiveDesk::takeLinkEvent(LinkEvent event) {
+  auto outcome = Links.handle(std::move(event));
+  if (!outcome)
+    return;
+  Bodies[{outcome->Request, outcome->Attempt}] = std::move(outcome->Body);
+  run(Router.answered(outcome->Request, outcome->Attempt, outcome->Outcome,
+                      Loop.now()));
+}
+
+void LiveDesk::carryOut(const routing::JournalOffer &offer) {
+  const auto it = Calls.find(offer.Request);
+  if (it == Calls.end()) {
+    run(Router.offerJournaled(
+        offer.Request, offer.Attempt,
+        Error{ErrorKind::Internal, "the request is gone", ""}, Loop.now()));
+    return;
+  }
+  // An earlier attempt surely did not run; the journal learns that first.
+  if (it->second.IsJournaled)
+    journalEnd(it->second, offer.Runner, fate::FateState::Queued, "refused",
+               [this, offer] { journalOffer(offer); });
+  else
+    journalOffer(offer);
+}
+
+void LiveDesk::journalOffer(const routing::JournalOffer &offer) {
+  const auto it = Calls.find(offer.Request);
+  const auto home = homeZone(offer.Request);
+  wire::LeaderClient *zone = isOk(home) ? Zones.find(valueOf(home)) : nullptr;
+  if (it == Calls.end() || !zone) {
+    takeJournalReply(offer,
+                     Error{ErrorKind::Unavailable, "the home zone is not known",
+                           "use an id of a zone that GET /v1/status lists"});
+    return;
+  }
+  Call &call = it->second;
+  call.IsJournaled = true;
+  fate::LiveOffered record{
+      offer.Request,
+      call.Team,
+      call.Entry.Id,
+      saltedDigest(call.Entry.Id.str(), call.Request.Payload),
+      Settings.Self,
+      offer.Runner,
+      call.Entry.IsIdempotent,
+      Clock::wall().now()};
+  zone->call(wire::JournalLive{std::move(record)}, OfferTimeout,
+             [this, offer](const Result<wire::Message> &reply) {
+               takeJournalReply(offer, reply);
+             });
+}
+
+void LiveDesk::takeJournalReply(const routing::JournalOffer &offer,
+                                const Result<wire::Message> &reply) {
+  Status status = Ok{};
+  if (!isOk(reply)) {
+    status = errorOf(reply);
+  } else if (const auto *news = std::get_if<wire::FateNews>(&valueOf(reply))) {
+    status = Error{ErrorKind::DuplicateRequest,
+                   "the request was offered before", "ask for its fate by id"};
+    answerFromJournal(offer.Request, news->View);
+  }
+  run(Router.offerJournaled(offer.Request, offer.Attempt, status, Loop.now()));
+}
+
+void LiveDesk::answerFromJournal(const RequestId &id,
+                                 const fate::FateView &view) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  // The offer in the journal is another one's.
+  it->second.IsJournaled = false;
+  const bool isAnswered =
+      view.State == fate::FateState::Finished && !view.Tasks.empty();
+  if (view.Team != it->second.Team)
+    answer(id, Error{ErrorKind::DuplicateRequest,
+                     absl::StrCat("request id ", id.str(), " is taken"),
+                     "use a new id for each request"});
+  else if (isAnswered)
+    answer(id, api::LiveAnswer{id, RunnerId(), view.Tasks.front().Answer});
+  else
+    answer(id,
+           Error{ErrorKind::Unavailable,
+                 absl::StrCat("request ", id.str(), " was sent before; it is ",
+                              nameIn(fate::FateStateNames, view.State)),
+                 "ask for its fate by id; it is not sent again"});
+}
+
+void LiveDesk::journalEnd(Call &call, const RunnerId &runner,
+                          fate::FateState state, const std::string &text,
+                          const std::function<void()> &then) {
+  const auto home = homeZone(call.Request.Request);
+  wire::LeaderClient *zone = isOk(home) ? Zones.find(valueOf(home)) : nullptr;
+  if (!call.IsJournaled || !zone)
+    return;
+  call.IsJournaled = state == fate::FateState::Unresolved;
+  zone->call(wire::JournalLiveEnd{{call.Request.Request, Settings.Self, runner,
+                                   state, text, Clock::wall().now()}},
+             EndTimeout, [then](const Result<wire::Message> &) { then(); });
+}
+
+void LiveDesk::keep(const Call &call, fate::FateState state,
+                    const std::string &text) {
+  fate::FateView view;
+  view.Request = call.Request.Request;
+  view.Team = call.Team;
+  view.Entry = call.Entry.Id;
+  view.State = state;
+  const bool isFinished = state == fate::FateState::Finished;
+  view.Tasks.push_back({0, state, 1, WorkerId(), isFinished ? text : "",
+                        isFinished ? "" : text});
+  if (Answers.insert_or_assign(view.Request, view).second)
+    AnswerOrder.push_back(view.Request);
+  if (AnswerOrder.size() > MaxAnswers) {
+    Answers.erase(AnswerOrder.front());
+    AnswerOrder.pop_front();
+  }
+}
+
+void LiveDesk::answer(const RequestId &id,
+                      const Result<api::LiveAnswer> &result) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  for (const LiveHook &waiter : std::exchange(it->second.Waiters, {}))
+    waiter(result);
+}
+
+void LiveDesk::conclude(const RequestId &id, const RunnerId &runner,
+                        fate::FateState state, const std::string &text,
+                        const Result<api::LiveAnswer> &result) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  Call &call = it->second;
+  const metrics::Labels labels = labelsOf(call.Team);
+  Metrics.add(absl::StrCat("live_", nameIn(fate::FateStateNames, state)),
+              labels);
+  Metrics.observe("live_total_ms", labels, (Loop.now() - call.Since).millis());
+  keep(call, state, text);
+  journalEnd(call, runner, state, text, [] {});
+  answer(id, result);
+  if (state != fate::FateState::Unresolved)
+    Calls.erase(id);
+}
+
+void LiveDesk::carryOut(const routing::Shed &action) {
+  Error why = action.Why;
+  absl::StrAppend(&why.Remedy, why.Remedy.empty() ? "" : "; ", "retry after ",
+                  action.RetryAfter.millis(), " ms");
+  conclude(action.Request, RunnerId(), fate::FateState::NotRun, why.Message,
+           why);
+}
+
+void LiveDesk::carryOut(const routing::Deliver &action) {
+  const auto body = Bodies.extract({action.Request, action.Attempt});
+  const std::string text = body.empty() ? "" : body.mapped();
+  conclude(action.Request, action.Runner, fate::FateState::Finished, text,
+           api::LiveAnswer{action.Request, action.Runner, text});
+}
+
+void LiveDesk::carryOut(const routing::Fail &action) {
+  conclude(action.Request, action.Runner, fate::FateState::Failed,
+           action.Why.Message, action.Why);
+}
+
+void LiveDesk::carryOut(const routing::MarkUnresolved &action) {
+  conclude(action.Request, action.Runner, fate::FateState::Unresolved,
+           action.Why.Message, unresolvedError(action.Request));
+}
+
+void LiveDesk::carryOut(const routing::HandOver &action) {
+  const auto it = Calls.find(action.Request);
+  if (it == Calls.end())
+    return;
+  Callbacks.HandOver(
+      it->second.Request,
+      [this, id = action.Request](const Result<api::LiveAnswer> &result) {
+        answer(id, result);
+        Calls.erase(id);
+      });
+}
+
+void LiveDesk::carryOut(const routing::ReportNow &action) {
+  wire::LeaderClient *zone = Zones.find(action.Zone);
+  if (!zone)
+    return;
+  zone->callOnce(
+      wire::ReportCredits{Router.report(action.Zone, Loop.now())},
+      ReportTimeout,
+      [this](const Result<wire::Message> &reply) {
+        const auto *news = isOk(reply)
+                               ? std::get_if<wire::CreditNews>(&valueOf(reply))
+                               : nullptr;
+        if (!news)
+          return;
+        for (const wire::AgedAnnouncement &runner : news->Runners)
+          run(Router.runnerSeen(runner.Runner, runner.Age, Loop.now()));
+        run(Router.granted(news->Grant, Loop.now()));
+      },
+      wire::Channel::Datagram);
+}
+
+} // namespace jujube::entry
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -89,6 +89,8 @@
   void answerEdit(const ParkedEdit &edit, bool isInForce);
   void answerReport(const wire::Envelope &request,
                     const limits::SliceReport &report);
+  // Starts a new lease after what the old one covered was taken back.
+  void restartLease(const ZoneId &zone, const std::function<void()> &then);
   // Answers what waited for a new revision or long enough.
   void answerParked();
   void reclaimEndedLeases();
--- a/jujube/wire/catalogue_poller.h
+++ b/jujube/wire/catalogue_poller.h
@@ -20,6 +20,8 @@
     std::function<HostStatus()> Describe;
     // The copy has a new revision.
     std::function<void()> OnNewRevision;
+    // hosts() was filled in anew.
+    std::function<void()> OnHosts = [] {};
   };
 
   CataloguePoller(runtime::PollLoop &loop, LeaderClient &keepers, Hooks hooks)
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -161,7 +161,8 @@
                  EditDone, ReadHistory, HistoryPage, ReportSlices, SliceNews,
                  SubmitWork, CancelWork, AskFate, FateNews, SyncTasks, SyncDone,
                  PassAnnouncement, ReportCredits, CreditNews, JournalLive,
-                 JournalLiveEnd, ReadZone, ZoneNews, Done, Refusal>;
+                 JournalLiveEnd, PassLive, LiveDone, ReadZone, ZoneNews, Done,
+                 Refusal>;
 
 // A message with what is needed to answer it.
 struct Envelope {
--- /dev/null
+++ b/programs/jujube_entry.cc
@@ -0,0 +1,78 @@
+// jujube-entry: an entry host for callers, operators, workers and runners.
+#include <string>
+#include <vector>
+
+#include "jujube/daemon/daemon.h"
+#include "jujube/entry/entry_tree.h"
+
+namespace jujube {
+namespace {
+
+const std::vector<SettingSpec> Specs = {
+    {"host", SettingKind::Text, "", "name of this entry host", true},
+    {"zone", SettingKind::Text, "", "availability zone", true},
+    {"listen", SettingKind::AddressText, "",
+     "address for the system's processes", true},
+    {"http", SettingKind::AddressText, "", "address for HTTP", true},
+    {"zone-peers", SettingKind::AddressList, "",
+     "addresses of the own zone's schedulers", true},
+    {"keepers", SettingKind::AddressList, "", "addresses of the keepers", true},
+    {"fleet-token-file", SettingKind::Text, "",
+     "file with the secret of the system's processes, workers and runners",
+     true},
+    {"operator-token-file", SettingKind::Text, "",
+     "file with the operators' secret", true},
+    {"tls-cert", SettingKind::Text, "",
+     "PEM certificate chain; empty for plain HTTP"},
+    {"tls-key", SettingKind::Text, "", "PEM private key of --tls-cert"},
+    {"links", SettingKind::Integer, "64",
+     "most live requests on their way to runners at once", false, 1, 1000},
+    {"leave-ms", SettingKind::Millis, "2000",
+     "how long the health check fails before connections are refused", false, 0,
+     600000},
+};
+
+Result<entry::EntryOptions> readOptions(const Settings &settings) {
+  entry::EntryOptions options;
+  auto self = HostId::parse(settings.text("host"));
+  if (!isOk(self))
+    return errorOf(self);
+  auto zone = ZoneId::parse(settings.text("zone"));
+  if (!isOk(zone))
+    return errorOf(zone);
+  auto fleet = daemon::readSecret(settings.text("fleet-token-file"));
+  if (!isOk(fleet))
+    return errorOf(fleet);
+  auto operators = daemon::readSecret(settings.text("operator-token-file"));
+  if (!isOk(operators))
+    return errorOf(operators);
+  options.Self = valueOf(self);
+  options.Zone = valueOf(zone);
+  options.FleetToken = valueOf(fleet);
+  options.OperatorToken = valueOf(operators);
+  options.Listen = settings.address("listen");
+  options.Http = settings.address("http");
+  options.ZonePeers = settings.addresses("zone-peers");
+  options.Keepers = settings.addresses("keepers");
+  options.Links = static_cast<std::size_t>(settings.integer("links"));
+  options.LeaveDelay = settings.duration("leave-ms");
+  if (!settings.text("tls-cert").empty())
+    options.Tls =
+        http::TlsFiles{settings.text("tls-cert"), settings.text("tls-key")};
+  return options;
+}
+
+Result<runtime::Supervisor> makeTree(const Settings &settings) {
+  const auto options = readOptions(settings);
+  if (!isOk(options))
+    return errorOf(options);
+  return entry::entryTree(valueOf(options));
+}
+
+} // namespace
+} // namespace jujube
+
+int main(int argc, char **argv) {
+  return jujube::daemon::runDaemon("jujube-entry [flags]", jujube::Specs,
+                                   jujube::makeTree, argc, argv);
+}
