--- a/jujube/wire/sockets.cc
+++ b/jujube/wire/sockets.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -83,6 +84,15 @@
   return fd;
 }
 
+Address localAddress(int fd) {
+  sockaddr_in bound{};
+  socklen_t n = sizeof bound;
+  getsockname(fd, reinterpret_cast<sockaddr *>(&bound), &n);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &bound.sin_addr, text.data(), text.size());
+  return {text.data(), ntohs(bound.sin_port)};
+}
+
 int pendingError(int fd) {
   int ec = 0;
   socklen_t n = sizeof ec;
--- a/jujube/wire/sockets.h
+++ b/jujube/wire/sockets.h
@@ -20,6 +20,9 @@
 // Accepts a connection as a non-blocking socket; not open if there is none.
 runtime::FileDescriptor acceptTcp(int listener);
 
+// Where a bound socket listens.
+Address localAddress(int fd);
+
 // The error that a connecting socket ended with; 0 if it is connected.
 int pendingError(int fd);
 
--- a/jujube/wire/transport_test.cc
+++ b/jujube/wire/transport_test.cc
@@ -47,15 +47,9 @@
   }
 };
 
+// A port that the kernel picked; it stays free after the socket is closed.
 Address freeAddress() {
-  // The kernel picks a port; it stays free after the socket is closed.
-  const auto fd = valueOf(listenTcp({"127.0.0.1", 0}));
-  sockaddr_storage raw{};
-  socklen_t n = sizeof raw;
-  getsockname(fd.get(), reinterpret_cast<sockaddr *>(&raw), &n);
-  uint16_t port = 0;
-  std::memcpy(&port, reinterpret_cast<const char *>(&raw) + 2, sizeof port);
-  return {"127.0.0.1", static_cast<uint16_t>((port >> 8) | (port << 8))};
+  return localAddress(valueOf(listenTcp({"127.0.0.1", 0})).get());
 }
 
 BOOST_AUTO_TEST_SUITE(TransportSuite)
--- /dev/null
+++ b/testing/cell.h
@@ -0,0 +1,103 @@
+// A cell of real processes on loopback, for tests of failures.
+#ifndef TESTING_CELL_H_
+#define TESTING_CELL_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jujube/api/commands.h"
+#include "jujube/base/address.h"
+#include "jujube/base/result.h"
+#include "jujube/http/client.h"
+
+namespace jujube::testing {
+
+struct CellOptions {
+  std::vector<std::string> Zones = {"san-fernando"};
+  int HostsPerZone = 3;
+  // Workers and runners that each zone's stand-in emulates; 0 for no stand-in.
+  int WorkersPerZone = 2;
+  int RunnersPerZone = 0;
+  int RunnerMeanMs = 20;
+};
+
+// Processes are called keeper-N, zone-ZONE-N, entry-ZONE-N, workers-ZONE and
+// runners-ZONE, with N from 1. All are killed when the cell is destroyed.
+class Cell {
+public:
+  // Starts the cell, and creates team "events" with a key and the entries
+  // "invoices" (batch), "refunds" (batch, not idempotent), "crew" (gang) and
+  // "yard-desk" (service). Fails if it does not serve within a minute.
+  static Result<std::unique_ptr<Cell>> start(CellOptions options);
+  ~Cell();
+
+  // Signals a process. SIGKILL also waits for its end.
+  void signal(const std::string &process, int number);
+  // Asks for an orderly end and returns the exit code.
+  int stop(const std::string &process);
+  // Starts a process again with the same settings.
+  void restart(const std::string &process);
+  // The process that leads the zone's group; empty if there is none.
+  std::string leaderOf(const std::string &zone);
+
+  // A client of the given entry hosts, or of all.
+  http::Client client(const std::vector<std::string> &entries = {}) const;
+
+  Result<fate::FateView> submit(const std::string &id, const std::string &entry,
+                                const std::string &payload, uint32_t tasks = 1);
+  // Waits up to `wait` for the end of the request.
+  Result<fate::FateView> fate(const std::string &id,
+                              Duration wait = Duration());
+  Result<api::LiveAnswer> call(const std::string &id,
+                               const std::string &payload,
+                               const std::string &entryHost = "");
+  Result<api::EditReceipt> edit(const catalogue::Edit &edit,
+                                const std::string &entryHost = "");
+  Result<catalogue::Contents> catalogue(const std::string &entryHost);
+  Result<api::FleetStatus> status(const std::string &entryHost = "");
+  // GET /stats of a stand-in.
+  Result<std::string> stats(const std::string &standIn);
+
+  const std::string &key() const { return PresentedKey; }
+  void useKey(std::string key) { PresentedKey = std::move(key); }
+
+private:
+  struct Process {
+    std::vector<std::string> Args;
+    pid_t Pid = 0;
+    Address Listen;
+    Address Http;
+  };
+
+  explicit Cell(CellOptions options);
+
+  void plan();
+  void planZone(const std::string &zone, const std::string &keepers);
+  void planStandIns(const std::string &zone, const std::string &entries);
+  Status prepare();
+  std::string writeSecret(const std::string &name);
+  void reap(Process &process);
+  template <typename T>
+  Result<T> send(const http::HttpCall &call, const std::string &entryHost);
+
+  CellOptions Options;
+  std::string Folder;
+  std::string FleetToken;
+  std::string OperatorToken;
+  std::string PresentedKey;
+  std::map<std::string, Process> Processes;
+  std::vector<std::string> StartOrder;
+};
+
+// Calls `isTrue` until it returns true or a minute has passed; returns whether
+// it did.
+bool eventually(const std::function<bool()> &isTrue);
+
+} // namespace jujube::testing
+
+#endif // TESTING_CELL_H_
