--- a/jujube/catalogue/force_tracker.cc
+++ b/jujube/catalogue/force_tracker.cc
@@ -18,6 +18,17 @@
     follower.Sent.push_back({to, now});
 }
 
+void ForceTracker::onPoll(const HostId &host, Revision has) {
+  const auto it = Followers.find(host);
+  if (it == Followers.end())
+    return; // It was not sent a confirmation yet.
+  Follower &follower = it->second;
+  follower.Has = std::max(follower.Has, has);
+  std::erase_if(follower.Sent, [&follower](const Confirmation &sent) {
+    return sent.To < follower.Has;
+  });
+}
+
 bool ForceTracker::isInForce(Revision revision, Instant now) const {
   const bool isPredecessorOver = now >= Takeover + Grace;
   const auto holds = [&](const auto &row) {
--- a/jujube/catalogue/force_tracker.h
+++ b/jujube/catalogue/force_tracker.h
@@ -24,6 +24,9 @@
   // Call it before the reply leaves.
   void onReply(const HostId &host, Revision has, Revision to, Instant now);
 
+  // A poll of a follower that has applied `has` arrived.
+  void onPoll(const HostId &host, Revision has);
+
   bool isInForce(Revision revision, Instant now) const;
 
   // Followers seen within the bound.
--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -184,6 +184,7 @@
 void FleetTask::handle(const wire::Envelope &request,
                        const wire::PollCatalogue &poll) {
   noteHost(poll.Self);
+  Force->onPoll(poll.Self.Host.Id, poll.Have);
   ParkedPoll parked{request, Loop.now() + PollHold};
   if (poll.Have != State.catalogue().latest())
     answerPoll(parked);
--- a/testing/cell_test.cc
+++ b/testing/cell_test.cc
@@ -14,8 +14,6 @@
 namespace jujube::testing {
 namespace {
 
-using fate::FateState;
-
 const std::string Zone = "san-fernando";
 
 template <typename T> void requireOk(const Result<T> &result) {
@@ -33,8 +31,11 @@
   return absl::StrCat(Zone, ".", name, "-", n);
 }
 
-FateState stateOf(const Result<fate::FateView> &fate) {
-  return isOk(fate) ? valueOf(fate).State : FateState::Unresolved;
+// The state's name, or the error.
+std::string stateOf(const Result<fate::FateView> &fate) {
+  return isOk(fate)
+             ? std::string(nameIn(fate::FateStateNames, valueOf(fate).State))
+             : errorOf(fate).text();
 }
 
 // The value of a number in a stand-in's stats.
@@ -69,9 +70,8 @@
     requireOk(fate);
   }
   for (int i = 0; i < Requests; ++i)
-    BOOST_TEST(
-        (stateOf(cell->fate(requestId("load", i), Duration::seconds(30))) ==
-         FateState::Finished));
+    BOOST_TEST(stateOf(cell->fate(requestId("load", i),
+                                  Duration::seconds(30))) == "finished");
   BOOST_TEST(statOf(*cell, "workers-" + Zone, "concurrent_duplicates") == "0");
 }
 
@@ -91,9 +91,8 @@
     BOOST_TEST(isOk(
         cell->submit(requestId("paused", i), "refunds", "run_ms=20;once=1")));
   for (int i = 0; i < 20; ++i)
-    BOOST_TEST(
-        (stateOf(cell->fate(requestId("paused", i), Duration::seconds(30))) ==
-         FateState::Finished));
+    BOOST_TEST(stateOf(cell->fate(requestId("paused", i),
+                                  Duration::seconds(30))) == "finished");
   BOOST_TEST(statOf(*cell, "workers-" + Zone, "concurrent_duplicates") == "0");
 }
 
@@ -114,9 +113,8 @@
   const std::string second = cell->leaderOf(Zone);
   cell->signal(second, SIGKILL);
   cell->restart(second);
-  BOOST_TEST(eventually([&] {
-    return stateOf(cell->fate(requestId("kept", 1))) == FateState::Finished;
-  }));
+  BOOST_TEST(eventually(
+      [&] { return stateOf(cell->fate(requestId("kept", 1))) == "finished"; }));
   BOOST_TEST(eventually([&] {
     return isOk(cell->submit(requestId("kept", 2), "invoices", "run_ms=50"));
   }));
@@ -249,7 +247,7 @@
     cell->restart(absl::StrCat("keeper-", i));
   BOOST_TEST(eventually([&] {
     return stateOf(cell->fate(requestId("before", 1), Duration::seconds(5))) ==
-           FateState::Finished;
+           "finished";
   }));
   BOOST_TEST(statOf(*cell, "workers-" + Zone, "concurrent_duplicates") == "0");
   BOOST_TEST(statOf(*cell, "workers-" + Zone, "lease_stops") == "0");
