Recovery of diskless groups: consent of learners, proofs that a group is dead

Cause: the driver found groups that were given up although they could recover, and groups that neither recovered nor ended. Change: a survivor needs the votes of all voters that are left and the consent of all learners; probe replies tell who may still be elected.

--- a/jujube/consensus/finder.cc
+++ b/jujube/consensus/finder.cc
@@ -11,15 +11,6 @@
 // Answers older than this many probe periods don't count.
 constexpr int64_t FreshPeriods = 3;
 
-// True if the incarnation that the settings' group lists for this host can't
-// take part in the group any more, as its successor was seen or it is bound to
-// another group.
-bool isLost(const Sighting &seen, const GroupId &own, Incarnation listed) {
-  if (seen.Start != listed)
-    return seen.Start > listed;
-  return !seen.Group.isBlank() && seen.Group != own;
-}
-
 } // namespace
 
 void GroupFinder::recordReply(const HostId &from, const Message &message,
@@ -29,8 +20,8 @@
   Sighting &seen = Sightings[from];
   if (message.FromStart < seen.Start)
     return;
-  seen = Sighting{message.FromStart, message.Group, reply.At, reply.IsServing,
-                  now};
+  seen = Sighting{message.FromStart, message.Group,      reply.At,
+                  reply.IsServing,   reply.CanBeElected, now};
 }
 
 std::map<HostId, Sighting> GroupFinder::fresh(const Options &settings,
@@ -87,29 +78,46 @@
 }
 
 bool GroupFinder::isGroupDead(const Options &settings, const GroupId &own,
-                              const Membership &members, Instant now) const {
+                              const Membership &members, bool canBeElected,
+                              Instant now) const {
   const std::map<HostId, Sighting> recent = fresh(settings, now);
-  if (members.Members.empty())
-    return !recent.empty();
-  const auto alive = std::ranges::count_if(
-      votersOf(members), [&recent, &own](const Member &voter) {
-        const auto it = recent.find(voter.Host);
-        return it == recent.end() || !isLost(it->second, own, voter.Start);
-      });
-  return static_cast<std::size_t>(alive) <
-         quorumSize(members, settings.Configured.size());
+  const auto isPossibleMember = [&](const Peer &peer) {
+    const auto it = recent.find(peer.Host);
+    if (it == recent.end() || it->second.Group == own)
+      return true;
+    // A member that is listed already may still bind to the group.
+    const Member *listed = findMember(members, peer.Host);
+    return it->second.Group.isBlank() && listed != nullptr &&
+           listed->Start == it->second.Start;
+  };
+  const auto possible =
+      std::ranges::count_if(settings.Configured, isPossibleMember);
+  if (static_cast<std::size_t>(possible) <
+      majorityOf(settings.Configured.size()))
+    return true;
+  return std::ranges::all_of(settings.Configured, [&](const Peer &peer) {
+    if (peer.Host == settings.Self.Host)
+      return !canBeElected;
+    const auto it = recent.find(peer.Host);
+    return it != recent.end() &&
+           (it->second.Group != own || !it->second.CanBeElected);
+  });
 }
 
-std::set<HostId> GroupFinder::endedMembers(const Options &settings,
-                                           const Membership &members,
-                                           Instant now) const {
-  std::set<HostId> ended;
+std::set<HostId> GroupFinder::lostMembers(const Options &settings,
+                                          const GroupId &own,
+                                          const Membership &members,
+                                          Instant now) const {
+  std::set<HostId> lost;
   for (const auto &[host, seen] : fresh(settings, now)) {
     const Member *member = findMember(members, host);
-    if (member != nullptr && seen.Start > member->Start)
-      ended.insert(host);
+    if (member == nullptr || seen.Start < member->Start)
+      continue;
+    const bool isBoundElsewhere = !seen.Group.isBlank() && seen.Group != own;
+    if (seen.Start > member->Start || isBoundElsewhere)
+      lost.insert(host);
   }
-  return ended;
+  return lost;
 }
 
 } // namespace jujube::consensus
--- a/jujube/consensus/finder.h
+++ b/jujube/consensus/finder.h
@@ -21,6 +21,7 @@
   GroupId Group;
   Address At;
   bool IsServing = false;
+  bool CanBeElected = false;
   Instant SeenAt;
 };
 
@@ -41,14 +42,17 @@
   // A group other than `own` that holds its lease, if one was seen.
   std::optional<GroupId> servingGroup(const Options &settings,
                                       const GroupId &own, Instant now) const;
-  // True if so many voters were restarted or are bound to other groups that
-  // `own` can't have a quorum any more.
+  // True if `own` can't have a quorum any more: too many hosts were restarted
+  // or are bound to other groups, or all hosts answered and none of the group
+  // can be elected. `members` need not be the membership in force;
+  // `canBeElected` is for this host.
   bool isGroupDead(const Options &settings, const GroupId &own,
-                   const Membership &members, Instant now) const;
-  // The members whose host was seen in a later incarnation, which proves that
-  // the listed one has ended.
-  std::set<HostId> endedMembers(const Options &settings,
-                                const Membership &members, Instant now) const;
+                   const Membership &members, bool canBeElected,
+                   Instant now) const;
+  // The members whose listed incarnation will never vote again: its host was
+  // seen in a later one, or bound to another group.
+  std::set<HostId> lostMembers(const Options &settings, const GroupId &own,
+                               const Membership &members, Instant now) const;
 
 private:
   std::map<HostId, Sighting> fresh(const Options &settings, Instant now) const;
--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -142,13 +142,18 @@
   void startPreVote(Instant now);
   void startElection(bool isTransfer, Instant now);
   void becomeLeader(Instant now);
+  void dropLostVoters(Instant now);
   void failProposals();
   bool refusesVotes(Instant now) const;
   bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
   void requestVotes(Body body, Term at);
-  void countVote(const HostId &from, const Message &message);
+  void countVote(const HostId &from, const Message &message, bool isGranted,
+                 bool hasConsent);
   bool hasWon(Instant now) const;
-  bool isLastVoter(const std::set<HostId> &ended) const;
+  bool isQuorumOf(const std::set<HostId> &votes) const;
+  bool canRecover(const std::set<HostId> &votes,
+                  const std::set<HostId> &consents, Instant now) const;
+  bool canBeElected(Instant now) const;
   void onLeaderContact(const HostId &from, Instant now);
   void handle(const HostId &from, const Message &m, const PreVoteRequest &body,
               Instant now);
@@ -190,7 +195,6 @@
   void promoteLearners(Instant now);
   void replaceSilentVoter(Instant now);
   bool isRemainderQuorum(const HostId &without, Instant now) const;
-  bool isLastVoterPossible(Instant now) const;
   void probe(Instant now);
   void seekGroup(Instant now);
   void foundGroup(Membership members, Instant now);
@@ -215,6 +219,8 @@
   // Of the event being handled.
   Instant Now;
   std::set<HostId> Votes;
+  // Members that don't vote and have nothing against the election.
+  std::set<HostId> Consents;
 
   // Leader only.
   std::map<HostId, Progress> Peers;
@@ -224,7 +230,8 @@
   // Once committed, this leader may serve.
   LogIndex ReadyIndex;
   bool HasUnsent = false;
-  // Elected as the only voter left; its first change has to restore a quorum.
+  // Elected by all voters that are left, fewer than a quorum; its first changes
+  // have to restore one.
   bool IsRecovering = false;
   std::size_t UncommittedBytes = 0;
 
--- a/jujube/consensus/node_election.cc
+++ b/jujube/consensus/node_election.cc
@@ -84,6 +84,7 @@
 void Node::startPreVote(Instant now) {
   CurrentRole = Role::PreCandidate;
   Votes = {Settings.Self.Host};
+  Consents.clear();
   if (hasWon(now))
     return startElection(/*isTransfer=*/false, now);
   requestVotes(PreVoteRequest{Entries.last(), Entries.lastTerm()},
@@ -98,6 +99,7 @@
   Hard.VotedForStart = Settings.Start;
   HasNewHard = true;
   Votes = {Settings.Self.Host};
+  Consents.clear();
   ElectionAt = now + voteRefusal(Settings) / 2 + randomDelay();
   if (hasWon(now))
     return becomeLeader(now);
@@ -105,41 +107,58 @@
                Hard.Current);
 }
 
-void Node::countVote(const HostId &from, const Message &message) {
+void Node::countVote(const HostId &from, const Message &message, bool isGranted,
+                     bool hasConsent) {
   const Member *member = findMember(Entries.membership(), from);
-  if (member != nullptr && member->Start == message.FromStart)
+  if (member == nullptr || member->Start != message.FromStart)
+    return;
+  if (isGranted)
     Votes.insert(from);
+  if (hasConsent)
+    Consents.insert(from);
+}
+
+bool Node::isQuorumOf(const std::set<HostId> &votes) const {
+  return countVoters(Entries.membership(), votes) >= quorum();
 }
 
-// True if every quorum needs this host, every other voter has ended or granted
-// its vote, and every learner, which may have become a voter since, granted its
-// vote.
-bool Node::isLastVoter(const std::set<HostId> &ended) const {
+// True if those that granted their votes intersect every quorum, every other
+// voter is lost, and every learner confirmed that it has not become a voter.
+bool Node::canRecover(const std::set<HostId> &votes,
+                      const std::set<HostId> &consents, Instant now) const {
   const Membership &members = Entries.membership();
-  return Settings.Rule == Formation::WhenMajorityBlank &&
-         voterCount(members) == quorum() &&
-         std::ranges::all_of(members.Members, [&](const Member &member) {
-           return Votes.contains(member.Host) ||
-                  (member.IsVoter && ended.contains(member.Host));
-         });
+  if (Settings.Rule != Formation::WhenMajorityBlank ||
+      countVoters(members, votes) + quorum() <= voterCount(members))
+    return false;
+  const std::set<HostId> lost =
+      Finder.lostMembers(Settings, Hard.Group, members, now);
+  return std::ranges::all_of(members.Members, [&](const Member &member) {
+    const std::set<HostId> &others = member.IsVoter ? lost : consents;
+    return votes.contains(member.Host) || others.contains(member.Host);
+  });
 }
 
 bool Node::hasWon(Instant now) const {
+  return isQuorumOf(Votes) || canRecover(Votes, Consents, now);
+}
+
+// True if this host would win, provided that all members grant their votes that
+// are not known to be lost.
+bool Node::canBeElected(Instant now) const {
+  if (!isVoter())
+    return false;
   const Membership &members = Entries.membership();
-  const auto granted =
-      std::ranges::count_if(members.Members, [this](const Member &member) {
-        return member.IsVoter && Votes.contains(member.Host);
-      });
-  if (static_cast<std::size_t>(granted) >= quorum())
-    return true;
-  return isLastVoter(Finder.endedMembers(Settings, members, now));
+  const std::set<HostId> lost =
+      Finder.lostMembers(Settings, Hard.Group, members, now);
+  std::set<HostId> votes;
+  for (const Member &member : members.Members)
+    if (!lost.contains(member.Host))
+      votes.insert(member.Host);
+  return isQuorumOf(votes) || canRecover(votes, votes, now);
 }
 
 void Node::becomeLeader(Instant now) {
-  const auto granted =
-      std::ranges::count_if(votersOf(Entries.membership()),
-                            [this](auto &m) { return Votes.contains(m.Host); });
-  IsRecovering = static_cast<std::size_t>(granted) < quorum();
+  IsRecovering = !isQuorumOf(Votes);
   CurrentRole = Role::Leader;
   Leader = Settings.Self.Host;
   ElectedAt = now;
@@ -149,23 +168,34 @@
   syncProgress();
   appendLocal(EntryKind::Noop, {}, {});
   ReadyIndex = Entries.last();
+  if (IsRecovering)
+    dropLostVoters(now);
   updateCommit();
   sendAll(now);
 }
 
+void Node::dropLostVoters(Instant now) {
+  Membership next = Entries.membership();
+  const std::set<HostId> lost =
+      Finder.lostMembers(Settings, Hard.Group, next, now);
+  std::erase_if(next.Members, [&](const Member &member) {
+    return member.IsVoter && lost.contains(member.Host);
+  });
+  changeMembership(std::move(next));
+}
+
 void Node::handle(const HostId &from, const Message &m,
                   const PreVoteRequest &body, Instant now) {
-  const bool isGranted = !refusesVotes(now) && m.At > Hard.Current &&
-                         isUpToDate(body.LastIndex, body.LastTerm);
-  reply(from, m, PreVoteReply{m.At, isGranted});
+  const bool isOpen = !refusesVotes(now) && m.At > Hard.Current;
+  const bool isGranted = isOpen && isUpToDate(body.LastIndex, body.LastTerm);
+  reply(from, m, PreVoteReply{m.At, isGranted, isOpen && !isVoter()});
 }
 
 void Node::handle(const HostId &from, const Message &m,
                   const PreVoteReply &body, Instant now) {
-  if (CurrentRole != Role::PreCandidate || !body.IsGranted ||
-      body.For != Hard.Current.next())
+  if (CurrentRole != Role::PreCandidate || body.For != Hard.Current.next())
     return;
-  countVote(from, m);
+  countVote(from, m, body.IsGranted, body.HasConsent);
   if (hasWon(now))
     startElection(/*isTransfer=*/false, now);
 }
@@ -173,7 +203,7 @@
 void Node::handle(const HostId &from, const Message &m, const VoteRequest &body,
                   Instant now) {
   if (m.At < Hard.Current || (refusesVotes(now) && !body.IsTransfer))
-    return reply(from, m, VoteReply{false});
+    return reply(from, m, VoteReply{});
   if (m.At > Hard.Current)
     becomeFollower(m.At, HostId(), now);
   const bool hasVoted = !Hard.VotedFor.empty();
@@ -188,14 +218,14 @@
     HasNewHard = true;
     ElectionAt = now + voteRefusal(Settings) + randomDelay();
   }
-  reply(from, m, VoteReply{isGranted});
+  reply(from, m, VoteReply{isGranted, !isVoter()});
 }
 
 void Node::handle(const HostId &from, const Message &m, const VoteReply &body,
                   Instant now) {
   if (CurrentRole != Role::Candidate || m.At != Hard.Current || !body.IsGranted)
     return;
-  countVote(from, m);
+  countVote(from, m, body.IsGranted, body.HasConsent);
   if (hasWon(now))
     becomeLeader(now);
 }
--- a/jujube/consensus/node_membership.cc
+++ b/jujube/consensus/node_membership.cc
@@ -199,25 +199,15 @@
   const bool isReplaced =
       Finder.servingGroup(Settings, Hard.Group, now).has_value();
   const bool isDead =
-      isDiskless && hasWaited && !(isVoter() && isLastVoterPossible(now)) &&
-      Finder.isGroupDead(Settings, Hard.Group, Entries.membership(), now);
+      isDiskless && hasWaited &&
+      Finder.isGroupDead(Settings, Hard.Group, Entries.membership(),
+                         canBeElected(now), now);
   if (!isReplaced && !isDead)
     return;
   IsSuperseded = true;
   Out.emplace_back(Superseded{Hard.Group});
 }
 
-// True if this host may still recover the group alone.
-bool Node::isLastVoterPossible(Instant now) const {
-  const Membership &members = Entries.membership();
-  const std::set<HostId> ended = Finder.endedMembers(Settings, members, now);
-  return voterCount(members) == quorum() &&
-         std::ranges::all_of(members.Members, [&](const Member &member) {
-           return member.Host == Settings.Self.Host ||
-                  member.IsVoter == ended.contains(member.Host);
-         });
-}
-
 void Node::foundGroup(Membership members, Instant now) {
   bindTo(GroupId{Settings.Self.Host, Settings.Start});
   Hard.Current = Term{1};
@@ -242,8 +232,9 @@
     return;
   const bool mayJoin = m.Group.isBlank() || m.Group == Hard.Group;
   if (CurrentRole == Role::Leader && mayJoin)
-    Standbys[from] = Sighting{m.FromStart, m.Group, body.At, false, now};
-  ProbeReply answer{body.Nonce, Settings.Self.At, mayServe(now)};
+    Standbys[from] = Sighting{m.FromStart, m.Group, body.At, false, false, now};
+  ProbeReply answer{body.Nonce, Settings.Self.At, mayServe(now),
+                    canBeElected(now)};
   sendSynced(from, body.At, m.FromStart, answer);
   if (CurrentRole == Role::Leader)
     admitStandbys(now);
--- a/jujube/consensus/quorum.cc
+++ b/jujube/consensus/quorum.cc
@@ -22,6 +22,14 @@
       std::ranges::count_if(members.Members, &Member::IsVoter));
 }
 
+std::size_t countVoters(const Membership &members,
+                        const std::set<HostId> &hosts) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(members.Members, [&](const Member &member) {
+        return member.IsVoter && hosts.contains(member.Host);
+      }));
+}
+
 std::size_t quorumSize(const Membership &members, std::size_t configured) {
   return std::max(majorityOf(voterCount(members)), majorityOf(configured));
 }
--- a/jujube/consensus/quorum.h
+++ b/jujube/consensus/quorum.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <set>
 #include <vector>
 
 #include "jujube/base/ids.h"
@@ -19,6 +20,9 @@
 // The voters, in the order of the membership.
 std::vector<Member> votersOf(const Membership &members);
 std::size_t voterCount(const Membership &members);
+// The voters among `hosts`.
+std::size_t countVoters(const Membership &members,
+                        const std::set<HostId> &hosts);
 
 // Members that have to agree: a majority of the voters, and never fewer than a
 // majority of the configured hosts. The floor keeps two groups from having a
--- a/jujube/consensus/types.h
+++ b/jujube/consensus/types.h
@@ -156,6 +156,8 @@
   // The term of the election that was asked about.
   Term For;
   bool IsGranted = false;
+  // See VoteReply.
+  bool HasConsent = false;
   bool operator==(const PreVoteReply &) const = default;
 };
 
@@ -170,6 +172,9 @@
 };
 struct VoteReply {
   bool IsGranted = false;
+  // The member is not a voter by its own log, whose entries therefore are no
+  // reason against the candidate.
+  bool HasConsent = false;
   bool operator==(const VoteReply &) const = default;
 };
 
@@ -232,6 +237,8 @@
   Address At;
   // The member holds the lease of its group.
   bool IsServing = false;
+  // As far as the member knows, enough of its group is left to elect it.
+  bool CanBeElected = false;
   bool operator==(const ProbeReply &) const = default;
 };
 
--- a/testing/consensus_driver.cc
+++ b/testing/consensus_driver.cc
@@ -35,8 +35,8 @@
 
 ConsensusDriver::ConsensusDriver(DriverOptions options)
     : Settings(std::move(options)), Random(Settings.Seed),
-      Hosts(Settings.Hosts + Settings.Standbys) {
-  const int64_t bound = consensus::Options().MaxDriftPerMille;
+      Hosts(Settings.Hosts + Settings.Standbys), Oracle(!Settings.IsDurable) {
+  const int64_t bound = Settings.DriftPerMille;
   for (std::size_t i = 0; i < Hosts.size(); ++i) {
     Hosts[i].DriftPerMille = upTo(2 * bound) - bound;
     Hosts[i].OffsetMs = upTo(1'000'000);
@@ -44,6 +44,30 @@
   }
 }
 
+std::string ConsensusDriver::describe() const {
+  std::string text;
+  for (const Host &host : Hosts) {
+    absl::StrAppend(&text, "\n", idOf(indexOf(host)).str(), "#",
+                    host.Start.Value);
+    if (!host.Node)
+      continue;
+    const consensus::Node &node = *host.Node;
+    absl::StrAppend(&text, " ", nameIn(consensus::RoleNames, node.role()),
+                    " term ", node.term().Value, " of ",
+                    node.group().Founder.str(), "#", node.group().Start.Value,
+                    " commit ", node.commitIndex().Value, "/",
+                    node.lastIndex().Value);
+    for (const consensus::Member &member : node.membership().Members)
+      absl::StrAppend(&text, member.IsVoter ? " voter " : " learner ",
+                      member.Host.str(), "#", member.Start.Value);
+  }
+  return text;
+}
+
+std::size_t ConsensusDriver::indexOf(const Host &host) const {
+  return static_cast<std::size_t>(&host - Hosts.data());
+}
+
 HostId ConsensusDriver::idOf(std::size_t i) const {
   return HostId(absl::StrCat("host", i));
 }
@@ -67,6 +91,7 @@
   options.MaxAppendBytes = 1024;
   options.SnapshotChunkBytes = 128;
   options.RetainBytes = 512;
+  options.MaxDriftPerMille = Settings.DriftPerMille;
   if (Settings.Adjust)
     Settings.Adjust(options);
   return options;
@@ -330,23 +355,35 @@
   return std::nullopt;
 }
 
-bool ConsensusDriver::isWhole() const {
+bool ConsensusDriver::isRepaired() const {
   const std::optional<std::size_t> leader = server();
   if (!leader)
     return false;
   const consensus::Node &node = *Hosts[*leader].Node;
   const consensus::Membership &members = node.membership();
-  if (!node.isQuiet() || consensus::voterCount(members) != Settings.Hosts)
+  if (node.commitIndex() < node.log().membershipIndex() ||
+      consensus::voterCount(members) != Settings.Hosts)
     return false;
-  return std::ranges::all_of(Hosts, [&](const Host &host) {
-    if (!host.Node)
-      return false;
-    const consensus::Member *member = consensus::findMember(
-        members, idOf(static_cast<std::size_t>(&host - Hosts.data())));
-    if (member == nullptr)
-      return true;
-    return member->Start == host.Start && host.State == Hosts[*leader].State;
-  });
+  return std::ranges::all_of(
+      consensus::votersOf(members), [this](const consensus::Member &voter) {
+        return std::ranges::any_of(Hosts, [&](const Host &host) {
+          return host.Node && idOf(indexOf(host)) == voter.Host &&
+                 host.Start == voter.Start;
+        });
+      });
+}
+
+bool ConsensusDriver::isWhole() const {
+  if (!isRepaired())
+    return false;
+  const Host &leader = Hosts[*server()];
+  const consensus::Membership &members = leader.Node->membership();
+  return leader.Node->isQuiet() &&
+         std::ranges::all_of(Hosts, [&](const Host &host) {
+           const bool isMember =
+               consensus::findMember(members, idOf(indexOf(host))) != nullptr;
+           return host.Node && (!isMember || host.State == leader.State);
+         });
 }
 
 } // namespace jujube::testing
--- a/testing/consensus_driver.h
+++ b/testing/consensus_driver.h
@@ -36,6 +36,8 @@
   Duration MaxDelay = Duration::millis(5);
   Duration MaxLongDelay = Duration::seconds(3);
   Duration MaxSyncDelay = Duration::millis(10);
+  // Bound that the nodes know; each clock's drift is drawn within it.
+  int64_t DriftPerMille = 10;
   // Changes the options of every node before it is created.
   std::function<void(consensus::Options &)> Adjust;
 };
@@ -74,9 +76,13 @@
 
   // The host that may serve now.
   std::optional<std::size_t> server() const;
-  // True if one host serves, all `Hosts` hosts are voters of its group, and all
-  // have applied everything.
+  // True if one host serves and, by a committed membership, all `Hosts` hosts
+  // are voters as they run.
+  bool isRepaired() const;
+  // True if it is repaired and all members have applied everything.
   bool isWhole() const;
+  // A line for each host, for messages of failed tests.
+  std::string describe() const;
   uint64_t acknowledgedCount() const { return Acknowledged; }
   uint64_t deliveredCount() const { return Delivered; }
   const ConsensusOracle &oracle() const { return Oracle; }
@@ -106,6 +112,7 @@
     consensus::Message What;
   };
 
+  std::size_t indexOf(const Host &host) const;
   Instant localTime(const Host &host) const;
   void step();
   void deliverDue();
@@ -126,7 +133,6 @@
   std::vector<Host> Hosts;
   std::multimap<Instant, Envelope> Network;
   std::set<std::pair<std::size_t, std::size_t>> Cuts;
-  std::set<std::size_t> Replaced;
   uint64_t LastProposal = 0;
   uint64_t Acknowledged = 0;
   uint64_t Delivered = 0;
--- a/testing/consensus_driver_oracle.h
+++ b/testing/consensus_driver_oracle.h
@@ -29,6 +29,10 @@
 // Collects what the members do and keeps the first violation.
 class ConsensusOracle {
 public:
+  // Groups that recover from less than a quorum drop several voters at once.
+  explicit ConsensusOracle(bool allowsRecovery)
+      : AllowsRecovery(allowsRecovery) {}
+
   void onLeader(const consensus::GroupId &group, Term term, const HostId &host,
                 Incarnation start);
   // `state` is the member's state after it applied `entry`.
@@ -62,6 +66,7 @@
 
   void checkMembership(Group &group, const consensus::LogEntry &entry);
 
+  bool AllowsRecovery;
   std::map<consensus::GroupId, Group> Groups;
   std::optional<std::string> Violation;
 };
