A group that is short of hosts does not recover

Cause: after a split founding, three groups of five hosts re-elected themselves without end, as each election reset the wait before giving up. Change: recovery needs a majority of hosts that are members or may still join.

--- a/jujube/consensus/finder.cc
+++ b/jujube/consensus/finder.cc
@@ -104,6 +104,19 @@
   });
 }
 
+bool GroupFinder::isShortOfHosts(const Options &settings, const GroupId &own,
+                                 Instant now) const {
+  const std::map<HostId, Sighting> recent = fresh(settings, now);
+  const auto possible =
+      std::ranges::count_if(settings.Configured, [&](const Peer &peer) {
+        const auto it = recent.find(peer.Host);
+        return it == recent.end() || it->second.Group.isBlank() ||
+               it->second.Group == own;
+      });
+  return static_cast<std::size_t>(possible) <
+         majorityOf(settings.Configured.size());
+}
+
 std::set<HostId> GroupFinder::lostMembers(const Options &settings,
                                           const GroupId &own,
                                           const Membership &members,
--- a/jujube/consensus/finder.h
+++ b/jujube/consensus/finder.h
@@ -49,6 +49,10 @@
   bool isGroupDead(const Options &settings, const GroupId &own,
                    const Membership &members, bool canBeElected,
                    Instant now) const;
+  // True if fewer than a majority of the hosts are members of `own` or could
+  // still be admitted to it.
+  bool isShortOfHosts(const Options &settings, const GroupId &own,
+                      Instant now) const;
   // The members whose listed incarnation will never vote again: its host was
   // seen in a later one, or bound to another group.
   std::set<HostId> lostMembers(const Options &settings, const GroupId &own,
--- a/jujube/consensus/node_election.cc
+++ b/jujube/consensus/node_election.cc
@@ -128,7 +128,8 @@
                       const std::set<HostId> &consents, Instant now) const {
   const Membership &members = Entries.membership();
   if (Settings.Rule != Formation::WhenMajorityBlank ||
-      countVoters(members, votes) + quorum() <= voterCount(members))
+      countVoters(members, votes) + quorum() <= voterCount(members) ||
+      Finder.isShortOfHosts(Settings, Hard.Group, now))
     return false;
   const std::set<HostId> lost =
       Finder.lostMembers(Settings, Hard.Group, members, now);
@@ -223,7 +224,7 @@
 
 void Node::handle(const HostId &from, const Message &m, const VoteReply &body,
                   Instant now) {
-  if (CurrentRole != Role::Candidate || m.At != Hard.Current || !body.IsGranted)
+  if (CurrentRole != Role::Candidate || m.At != Hard.Current)
     return;
   countVote(from, m, body.IsGranted, body.HasConsent);
   if (hasWon(now))
