--- a/jujube/wire/catalogue_poller.cc
+++ b/jujube/wire/catalogue_poller.cc
@@ -30,6 +30,7 @@
   const Revision before = Follower.latest();
   (void)Follower.receive(news->News, sentAt);
   Hosts = news->Hosts;
+  Callbacks.OnHosts();
   if (Follower.latest() > before)
     Callbacks.OnNewRevision();
   poll();
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -130,6 +130,15 @@
   fate::LiveEnded End;
 };
 
+// A draining entry host to another one: a live request that has not left yet,
+// answered by LiveDone.
+struct PassLive {
+  api::CallLive Call;
+};
+struct LiveDone {
+  api::LiveAnswer Answer;
+};
+
 // Entry host to a zone's leader, answered by ZoneNews.
 struct ReadZone {};
 struct ZoneNews {
@@ -152,7 +161,8 @@
                  EditDone, ReadHistory, HistoryPage, ReportSlices, SliceNews,
                  SubmitWork, CancelWork, AskFate, FateNews, SyncTasks, SyncDone,
                  PassAnnouncement, ReportCredits, CreditNews, JournalLive,
-                 JournalLiveEnd, ReadZone, ZoneNews, Done, Refusal>;
+                 JournalLiveEnd, PassLive, LiveDone, ReadZone, ZoneNews, Done,
+                 Refusal>;
 
 // A message with what is needed to answer it.
 struct Envelope {
--- /dev/null
+++ b/programs/jujube_keeper.cc
@@ -0,0 +1,48 @@
+// jujube-keeper: one member of the group that keeps the fleet log.
+#include <string>
+#include <vector>
+
+#include "jujube/daemon/daemon.h"
+#include "jujube/keeper/keeper_tree.h"
+
+namespace jujube {
+namespace {
+
+const std::vector<SettingSpec> Specs = {
+    {"host", SettingKind::Text, "", "name of this keeper in --keepers", true},
+    {"keepers", SettingKind::Text, "", "all keepers as HOST=IP:PORT,...", true},
+    {"data", SettingKind::Text, "", "folder for the journal and snapshots",
+     true},
+    {"fleet-token-file", SettingKind::Text, "",
+     "file with the secret of the system's processes", true},
+};
+
+Result<runtime::Supervisor> makeTree(const Settings &settings) {
+  keeper::KeeperOptions options;
+  auto self = HostId::parse(settings.text("host"));
+  if (!isOk(self))
+    return errorOf(self);
+  auto keepers = daemon::parsePeers(settings.text("keepers"));
+  if (!isOk(keepers))
+    return errorOf(keepers);
+  auto listen = daemon::addressOf(valueOf(keepers), valueOf(self));
+  if (!isOk(listen))
+    return errorOf(listen);
+  auto token = daemon::readSecret(settings.text("fleet-token-file"));
+  if (!isOk(token))
+    return errorOf(token);
+  options.Self = valueOf(self);
+  options.Listen = valueOf(listen);
+  options.Keepers = valueOf(keepers);
+  options.DataFolder = settings.text("data");
+  options.FleetToken = valueOf(token);
+  return keeper::keeperTree(options);
+}
+
+} // namespace
+} // namespace jujube
+
+int main(int argc, char **argv) {
+  return jujube::daemon::runDaemon("jujube-keeper [flags]", jujube::Specs,
+                                   jujube::makeTree, argc, argv);
+}
