--- a/testing/state_slices.cc
+++ b/testing/state_slices.cc
@@ -64,6 +64,10 @@
   Zones[zone].AreWorkersReachable = isReachable;
 }
 
+void SliceDriver::setJournalStalled(uint32_t zone, bool isStalled) {
+  Zones[zone].IsJournalStalled = isStalled;
+}
+
 void SliceDriver::killLeader(uint32_t zone, Duration span) {
   Zones[zone].Leader.reset();
   Zones[zone].LeaderFrom = Now + span;
@@ -112,7 +116,9 @@
   commit(zone);
   if (zone.Leader->isSettled(now)) {
     stopExcess(zone, now);
-    startTasks(zone, now);
+    // An offer is committed before it leaves.
+    if (!zone.IsJournalStalled)
+      startTasks(zone, now);
   }
   const std::vector<TeamDemand> demands = demandsOf(zone);
   if (Ticks % TicksPerReport == 0 || zone.Leader->hasNews(demands))
@@ -165,13 +171,14 @@
   for (const SliceUpdate &update : zone.Proposed)
     zone.Holdings.apply(update);
   zone.Proposed.clear();
+  zone.IsJournalStalled = false;
   zone.LeaderTerm = zone.LeaderTerm.next();
   zone.Leader.emplace(zone.Id, zone.LeaderTerm, Policy, localTime(zone),
                       zone.Holdings);
 }
 
 void SliceDriver::commit(Zone &zone) {
-  if (zone.Proposed.empty() || random(4) == 0)
+  if (zone.IsJournalStalled || zone.Proposed.empty() || random(4) == 0)
     return;
   for (const SliceUpdate &update : zone.Proposed)
     zone.Holdings.apply(update);
@@ -197,10 +204,16 @@
   const auto isDue = [this](const Message &m) { return m.DueAt <= Now; };
   std::ranges::copy_if(Messages, std::back_inserter(due), isDue);
   std::erase_if(Messages, isDue);
-  for (const Message &message : due)
-    if (Zones[message.Zone].Link != LinkState::Cut)
+  for (Message &message : due) {
+    if (Zones[message.Zone].Link != LinkState::Cut) {
       std::visit([&](const auto &body) { handle(body, message.Zone); },
                  message.Body);
+    } else if (random(2) == 0) {
+      // A connection may hold a message until the partition is over.
+      message.DueAt = Now + Duration::seconds(5);
+      Messages.push_back(std::move(message));
+    }
+  }
 }
 
 void SliceDriver::send(uint32_t zone, Message message) {
--- a/testing/state_slices.h
+++ b/testing/state_slices.h
@@ -38,6 +38,8 @@
   void setDemand(uint32_t zone, uint32_t team, uint32_t tasks);
   // The zone's leader can't reach its workers: tasks stop by their lease only.
   void setWorkersReachable(uint32_t zone, bool isReachable);
+  // The zone's group commits nothing.
+  void setJournalStalled(uint32_t zone, bool isStalled);
   // The zone's leader dies; another takes over after the span.
   void killLeader(uint32_t zone, Duration span);
   // Another keeper takes over after the span.
@@ -57,6 +59,7 @@
     int64_t RatePermille = 1000;
     LinkState Link = LinkState::Clean;
     bool AreWorkersReachable = true;
+    bool IsJournalStalled = false;
     Term LeaderTerm;
     std::optional<limits::ZoneSlices> Leader;
     Instant LeaderFrom;
--- a/testing/state_slices_test.cc
+++ b/testing/state_slices_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 void runStep(SliceDriver &driver, Step step) {
-  const uint32_t kind = step.take(12);
+  const uint32_t kind = step.take(13);
   const uint32_t zone = step.take(SliceZones);
   const uint32_t team = step.take(SliceTeams);
   switch (kind) {
@@ -33,6 +33,9 @@
   case 8:
     driver.setWorkersReachable(zone, step.flip());
     break;
+  case 9:
+    driver.setJournalStalled(zone, step.flip());
+    break;
   default:
     RC_ASSERT(driver.advance(Duration::millis(250 + step.take(12'000))));
   }
@@ -47,6 +50,7 @@
   for (uint32_t zone = 0; zone < SliceZones; ++zone) {
     driver.setLink(zone, LinkState::Clean);
     driver.setWorkersReachable(zone, true);
+    driver.setJournalStalled(zone, false);
   }
   // Once the faults are over, every ceiling comes into force.
   RC_ASSERT(driver.advance(Duration::seconds(120)));
