--- /dev/null
+++ b/testing/state_fates.cc
@@ -0,0 +1,309 @@
+#include "testing/state_fates.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::testing {
+namespace {
+
+using fate::Directive;
+using fate::DirectiveKind;
+using fate::Event;
+using fate::FateState;
+using fate::TaskPhase;
+using fate::TaskReport;
+
+constexpr Duration Tick = Duration::millis(500);
+constexpr Duration Lease = Duration::seconds(10);
+constexpr Duration Drift = Duration::seconds(1);
+constexpr std::size_t MaxDue = 100;
+// What a worker does with its tasks.
+constexpr uint32_t GoOn = 0;
+constexpr uint32_t Finish = 1;
+constexpr uint32_t Refuse = 3;
+
+RequestId requestId(uint32_t n) { return RequestId(absl::StrCat("zone.r", n)); }
+
+fate::Submission workOf(uint32_t n) {
+  fate::Submission work;
+  work.Request = requestId(n);
+  work.Team = TeamId("events");
+  work.Entry.Id = EntryId("entry");
+  work.Entry.Owner = work.Team;
+  work.Entry.IsIdempotent = n % 2 == 1;
+  work.Entry.Class =
+      n % 3 == 0 ? catalogue::WorkClass::Gang : catalogue::WorkClass::Batch;
+  work.Entry.Ask = {100, 100, 0};
+  work.Tasks = 1 + n % 3;
+  work.StartWithin = Duration::seconds(n % 4 == 0 ? 60 : 0);
+  work.BodyDigest = absl::StrCat("digest", n);
+  return work;
+}
+
+} // namespace
+
+bool FateDriver::Held::isRunning() const {
+  return Phase == TaskPhase::Started || Phase == TaskPhase::Running;
+}
+
+FateDriver::FateDriver(uint32_t seed)
+    : Generator(seed), Leases(Lease, Drift, Now) {
+  for (uint32_t n = 0; n < FateWorkers; ++n) {
+    Workers[n].Id = WorkerId(absl::StrCat("worker", n));
+    Workers[n].RatePermille = 950 + 50 * int64_t{n};
+  }
+}
+
+uint32_t FateDriver::random(uint32_t n) {
+  return static_cast<uint32_t>(Generator()) % n;
+}
+
+Instant FateDriver::localTime(const Worker &worker) const {
+  return Instant::atMillis(Now.millis() * worker.RatePermille / 1000);
+}
+
+Instant FateDriver::delay(const Worker &worker) {
+  const uint32_t most = worker.IsCut ? 40'000 : 600;
+  return Now + Duration::millis(random(most));
+}
+
+void FateDriver::submit(uint32_t n) { propose(Book.submit(workOf(n), Now)); }
+
+void FateDriver::cancel(uint32_t n) {
+  propose(Book.cancel(requestId(n), TeamId("events"), Now));
+}
+
+void FateDriver::propose(const Result<std::optional<Event>> &event) {
+  if (isOk(event) && valueOf(event).has_value())
+    Proposed.push_back(*valueOf(event));
+}
+
+void FateDriver::propose(std::vector<Event> events) {
+  std::ranges::move(events, std::back_inserter(Proposed));
+}
+
+void FateDriver::commit() {
+  for (const Event &event : std::exchange(Proposed, {}))
+    Book.apply(event);
+}
+
+void FateDriver::changeLeader() {
+  Proposed.resize(random(static_cast<uint32_t>(Proposed.size() + 1)),
+                  fate::FateForgotten{});
+  commit();
+  Book = valueOf(fate::FateBook::fromState(Book.state()));
+  LeaderTerm = LeaderTerm.next();
+  Leases = {Lease, Drift, Now};
+}
+
+void FateDriver::restartWorker(uint32_t n) {
+  Workers[n].Start = Workers[n].Start.next();
+  Workers[n].Tasks.clear();
+  Workers[n].Highest.clear();
+}
+
+void FateDriver::setCut(uint32_t n, bool isCut) { Workers[n].IsCut = isCut; }
+
+void FateDriver::setMood(uint32_t n, uint32_t mood) { Workers[n].Mood = mood; }
+
+std::string FateDriver::advance(Duration span) {
+  const Instant end = Now + span;
+  while (Now < end) {
+    Now = Now + Tick;
+    for (uint32_t n = 0; n < FateWorkers; ++n)
+      tickWorker(n);
+    deliver();
+    tickLeader();
+    if (std::string broken = checkRules(); !broken.empty())
+      return broken;
+  }
+  return "";
+}
+
+std::string FateDriver::settle() {
+  for (Worker &worker : Workers) {
+    worker.IsCut = false;
+    worker.Mood = Finish;
+  }
+  if (std::string broken = advance(Duration::minutes(15)); !broken.empty())
+    return broken;
+  for (uint32_t n = 0; n < FateRequests; ++n) {
+    const auto state = Book.stateOf(requestId(n));
+    if (state.has_value() && !fate::isTerminal(*state))
+      return absl::StrCat("request ", n, " never ends");
+  }
+  return "";
+}
+
+void FateDriver::tickLeader() {
+  if (random(4) != 0)
+    commit();
+  for (const WorkerId &worker : Book.busyWorkers())
+    if (Leases.hasEnded(worker, Now))
+      propose(Book.workerExpired(worker, Now));
+  propose(Book.due(Now, MaxDue));
+  offerQueued();
+}
+
+void FateDriver::offerQueued() {
+  for (const TaskId &id : Book.queuedTasks()) {
+    const Worker &worker = Workers[random(FateWorkers)];
+    // A worker is known once it has synced with this leader.
+    if (Leases.endOf(worker.Id) <= Now)
+      continue;
+    if (auto offer = Book.offer(id, LeaderTerm, worker.Id, worker.Start,
+                                {100, 100, 0}, Now))
+      Proposed.push_back(*std::move(offer));
+  }
+}
+
+void FateDriver::tickWorker(uint32_t n) {
+  Worker &worker = Workers[n];
+  const Instant now = localTime(worker);
+  if (now >= worker.LeaseEnd)
+    stopAll(worker);
+  for (auto &[id, held] : worker.Tasks) {
+    if (!held.isRunning() || worker.Mood == GoOn || random(4) != 0)
+      continue;
+    held.Phase =
+        worker.Mood == Finish ? TaskPhase::Finished : TaskPhase::Failed;
+    held.Text = absl::StrCat("answer ", random(1000));
+    if (held.Phase == TaskPhase::Finished)
+      Answers[id][held.Token] = held.Text;
+  }
+  Sync sync{n, delay(worker), now, worker.Start, {}};
+  for (const auto &[id, held] : worker.Tasks)
+    sync.Reports.push_back({id, held.Token, held.Phase, {}, held.Text});
+  Syncs.push_back(sync);
+  if (random(5) == 0) {
+    sync.DueAt = delay(worker);
+    Syncs.push_back(std::move(sync));
+  }
+}
+
+void FateDriver::stopAll(Worker &worker) {
+  for (auto &[id, held] : worker.Tasks)
+    if (held.isRunning())
+      held.Phase = TaskPhase::Stopped;
+}
+
+void FateDriver::deliver() {
+  const auto take = [this](auto &messages) {
+    const auto later = std::ranges::stable_partition(
+        messages, [this](const auto &m) { return m.DueAt > Now; });
+    std::remove_reference_t<decltype(messages)> due(later.begin(), later.end());
+    messages.erase(later.begin(), later.end());
+    return due;
+  };
+  for (const Sync &sync : take(Syncs))
+    if (random(5) != 0)
+      handle(sync);
+  for (const Reply &reply : take(Replies))
+    if (random(5) != 0)
+      handle(reply);
+}
+
+void FateDriver::handle(const Sync &sync) {
+  const Worker &worker = Workers[sync.Worker];
+  propose(Book.workerRestarted(worker.Id, sync.Start, Now));
+  for (const TaskReport &report : sync.Reports)
+    propose(Book.report(worker.Id, sync.Start, report, Now));
+  // A lease that ended starts anew only after the attempts under it were lost.
+  if (!Leases.renew(worker.Id, Now)) {
+    if (!Book.attemptsOn(worker.Id).empty())
+      return;
+    Leases.reset(worker.Id, Now);
+  }
+  Replies.push_back({sync.Worker, delay(worker), sync.SentAt, sync.Start,
+                     directivesFor(worker, sync)});
+}
+
+std::vector<Directive> FateDriver::directivesFor(const Worker &worker,
+                                                 const Sync &sync) const {
+  std::vector<Directive> directives;
+  for (const fate::Attempt &attempt : Book.attemptsOn(worker.Id)) {
+    if (attempt.Start != sync.Start)
+      continue;
+    if (attempt.IsStopping)
+      directives.push_back({DirectiveKind::Stop, attempt.Task, attempt.Token});
+    else if (attempt.State == FateState::Offered)
+      directives.push_back({DirectiveKind::Start, attempt.Task, attempt.Token});
+  }
+  for (const TaskReport &report : sync.Reports)
+    if (const auto kind = Book.answerTo(worker.Id, report))
+      directives.push_back({*kind, report.Task, report.Token});
+  return directives;
+}
+
+void FateDriver::handle(const Reply &reply) {
+  Worker &worker = Workers[reply.Worker];
+  const Instant end = reply.SentAt + Lease;
+  // A reply to another start, or one that comes after its own lease, is void.
+  if (reply.Start != worker.Start || end <= localTime(worker))
+    return;
+  worker.LeaseEnd = std::max(worker.LeaseEnd, end);
+  for (const Directive &directive : reply.Directives)
+    obey(worker, directive);
+}
+
+void FateDriver::obey(Worker &worker, const Directive &directive) {
+  const auto it = worker.Tasks.find(directive.Task);
+  const bool isHeld =
+      it != worker.Tasks.end() && it->second.Token == directive.Token;
+  AttemptToken &highest = worker.Highest[directive.Task];
+  if (directive.Kind == DirectiveKind::Acknowledge) {
+    if (isHeld && !it->second.isRunning())
+      worker.Tasks.erase(it);
+  } else if (directive.Kind == DirectiveKind::Stop) {
+    if (isHeld && it->second.isRunning())
+      it->second.Phase = TaskPhase::Stopped;
+    else if (directive.Token > highest)
+      worker.Tasks[directive.Task] = {directive.Token, TaskPhase::Refused, ""};
+    highest = std::max(highest, directive.Token);
+  } else if (directive.Token > highest) {
+    highest = directive.Token;
+    const bool isRefused = worker.Mood == Refuse;
+    worker.Tasks[directive.Task] = {
+        directive.Token, isRefused ? TaskPhase::Refused : TaskPhase::Started,
+        ""};
+    if (!isRefused)
+      ++Starts[directive.Task];
+  }
+}
+
+std::string FateDriver::checkRules() {
+  std::map<TaskId, uint32_t> places;
+  for (const Worker &worker : Workers)
+    for (const auto &[id, held] : worker.Tasks)
+      if (held.isRunning() && ++places[id] > 1)
+        return "a task runs in two places";
+  for (uint32_t n = 0; n < FateRequests; ++n) {
+    const fate::RequestRecord *request = Book.findRequest(requestId(n));
+    if (request == nullptr)
+      continue;
+    for (uint32_t k = 0; k < request->Tasks.size(); ++k)
+      if (std::string broken = checkTask({requestId(n), k}, *request);
+          !broken.empty())
+        return broken;
+  }
+  return "";
+}
+
+std::string FateDriver::checkTask(const TaskId &id,
+                                  const fate::RequestRecord &request) {
+  const fate::TaskRecord &task = request.Tasks[id.Index];
+  if (!request.Work.Entry.IsIdempotent && Starts[id] > 1)
+    return "work that is not idempotent ran twice";
+  if (!fate::isTerminal(task.State))
+    return "";
+  if (task.State == FateState::NotRun && Starts[id] > 0)
+    return "a task that ran is said not to have run";
+  if (task.State == FateState::Finished && Answers[id][task.Token] != task.Text)
+    return "the answer is not the task's own";
+  const auto [it, isNew] = Ended.try_emplace(id, task);
+  return it->second == task ? "" : "an ended task changed";
+}
+
+} // namespace jujube::testing
