--- /dev/null
+++ b/jujube/fate/fate_test.cc
@@ -0,0 +1,182 @@
+#include <boost/test/unit_test.hpp>
+
+#include "jujube/fate/fate_book.h"
+
+namespace jujube::fate {
+namespace {
+
+const RequestId Request("ubungo.7f");
+const TaskId Task{Request, 0};
+const WorkerId Worker("w1");
+const TeamId Team("events");
+constexpr Resources Ask{100, 100, 0};
+
+Submission workOf(bool isIdempotent) {
+  Submission work;
+  work.Request = Request;
+  work.Team = Team;
+  work.Entry.Id = EntryId("invoices");
+  work.Entry.IsIdempotent = isIdempotent;
+  work.Payload = "payload";
+  work.BodyDigest = "digest";
+  return work;
+}
+
+Instant at(int64_t ms) { return Instant::atMillis(ms); }
+
+// A book with one task offered to the worker.
+FateBook offered(bool isIdempotent) {
+  FateBook book;
+  BOOST_TEST(book.apply(RequestAccepted{workOf(isIdempotent), at(1)}));
+  const auto offer =
+      book.offer(Task, Term{1}, Worker, Incarnation{1}, Ask, at(2));
+  BOOST_REQUIRE(offer.has_value());
+  BOOST_TEST(book.apply(*offer));
+  return book;
+}
+
+TaskReport reportOf(TaskPhase phase, const std::string &text = "") {
+  return {Task, {Term{1}, 1}, phase, {}, text};
+}
+
+void applyAll(FateBook &book, const std::vector<Event> &events) {
+  for (const Event &event : events)
+    BOOST_TEST(book.apply(event));
+}
+
+FateState stateOf(const FateBook &book) { return *book.stateOf(Request); }
+
+BOOST_AUTO_TEST_SUITE(FateSuite)
+
+BOOST_AUTO_TEST_CASE(ResendGetsTheFirstFate) {
+  const FateBook book = offered(true);
+  BOOST_TEST(!valueOf(book.submit(workOf(true), at(9))).has_value());
+  Submission other = workOf(true);
+  other.BodyDigest = "other";
+  BOOST_TEST(
+      (errorOf(book.submit(other, at(9))).Kind == ErrorKind::DuplicateRequest));
+  BOOST_TEST((errorOf(book.cancel(Request, TeamId("x"), at(9))).Kind ==
+              ErrorKind::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(FinishedTaskKeepsItsAnswerAndFreesItsReservation) {
+  FateBook book = offered(true);
+  BOOST_TEST((book.usedBy(Team) == Ask));
+  const TaskReport finished = reportOf(TaskPhase::Finished, "answer");
+  BOOST_TEST(!book.answerTo(Worker, finished).has_value());
+  applyAll(book, book.report(Worker, Incarnation{1}, finished, at(5)));
+  const FateView view = *book.view(Request);
+  BOOST_TEST((view.State == FateState::Finished));
+  BOOST_TEST(view.Tasks.at(0).Answer == "answer");
+  BOOST_TEST((view.EndedAt == at(5)));
+  BOOST_TEST((book.usedBy(Team) == Resources{}));
+  BOOST_TEST((book.answerTo(Worker, finished) == DirectiveKind::Acknowledge));
+  BOOST_TEST(book.findRequest(Request)->Work.Payload.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LostOfferIsRetriedOnlyIfIdempotent) {
+  FateBook repeatable = offered(true);
+  applyAll(repeatable, repeatable.workerExpired(Worker, at(20)));
+  BOOST_TEST((stateOf(repeatable) == FateState::Queued));
+  BOOST_TEST((repeatable.answerTo(Worker, reportOf(TaskPhase::Running)) ==
+              DirectiveKind::Stop));
+
+  FateBook once = offered(false);
+  applyAll(once, once.workerExpired(Worker, at(20)));
+  BOOST_TEST((stateOf(once) == FateState::Unresolved));
+  BOOST_TEST((once.usedBy(Team) == Resources{}));
+  BOOST_TEST(!once.offer(Task, Term{1}, Worker, Incarnation{1}, Ask, at(21))
+                  .has_value());
+  const FatePolicy policy;
+  BOOST_TEST(once.due(at(19) + policy.ResolveWithin, 9).empty());
+  FateBook forgotten = once;
+  applyAll(forgotten, once.due(at(20) + policy.ResolveWithin, 9));
+  BOOST_TEST((stateOf(forgotten) == FateState::Failed));
+  // The worker comes back and tells.
+  applyAll(once, once.report(Worker, Incarnation{1},
+                             reportOf(TaskPhase::Finished, "late"), at(99)));
+  BOOST_TEST((stateOf(once) == FateState::Finished));
+}
+
+BOOST_AUTO_TEST_CASE(RefusedOfferLeavesNotRunPossible) {
+  FateBook book = offered(false);
+  applyAll(book, book.report(Worker, Incarnation{1},
+                             reportOf(TaskPhase::Refused), at(5)));
+  BOOST_TEST((stateOf(book) == FateState::Queued));
+  const auto rejection = book.reject(
+      Request, {ErrorKind::ImpossibleRequest, "too large", "ask less"}, at(6));
+  BOOST_REQUIRE(rejection.has_value());
+  BOOST_TEST(book.apply(*rejection));
+  BOOST_TEST((stateOf(book) == FateState::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(OverdueStartAndRetention) {
+  FateBook book;
+  Submission work = workOf(true);
+  work.StartWithin = Duration::seconds(1);
+  book.apply(RequestAccepted{work, at(0)});
+  BOOST_TEST(book.due(at(999), 9).empty());
+  applyAll(book, book.due(at(1000), 9));
+  BOOST_TEST((stateOf(book) == FateState::NotRun));
+  const FatePolicy policy;
+  applyAll(book, book.due(at(1000) + policy.Retention, 9));
+  BOOST_TEST(!book.view(Request).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(GangEndsTogether) {
+  FateBook book;
+  Submission work = workOf(true);
+  work.Entry.Class = catalogue::WorkClass::Gang;
+  work.Entry.MaxAttempts = 1;
+  work.Tasks = 2;
+  book.apply(RequestAccepted{work, at(1)});
+  book.apply(*book.offer(Task, Term{1}, Worker, Incarnation{1}, Ask, at(2)));
+  book.apply(
+      *book.offer({Request, 1}, Term{1}, Worker, Incarnation{1}, Ask, at(2)));
+  applyAll(book, book.report(Worker, Incarnation{1},
+                             reportOf(TaskPhase::Failed, "bad"), at(3)));
+  BOOST_TEST(book.attemptsOn(Worker).at(0).IsStopping);
+  applyAll(book, book.report(Worker, Incarnation{1},
+                             {{Request, 1}, {Term{1}, 1}, TaskPhase::Stopped},
+                             at(4)));
+  BOOST_TEST((stateOf(book) == FateState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(LiveRequestIsOfferedOnceUnlessRefused) {
+  FateBook book;
+  const LiveOffered offer{
+      Request,         Team,           EntryId("desk"), "d",
+      HostId("entry"), RunnerId("r1"), false,           at(1)};
+  BOOST_TEST(book.apply(*valueOf(book.offerLive(offer))));
+  BOOST_TEST(!valueOf(book.offerLive(offer)).has_value());
+  const auto end = [&](FateState state, const std::string &text) {
+    return LiveEnded{Request, offer.EntryHost, offer.Runner, state, text,
+                     at(2)};
+  };
+  BOOST_TEST(book.apply(end(FateState::Queued, "refused")));
+  BOOST_TEST(book.apply(*valueOf(book.offerLive(offer))));
+  applyAll(book, book.hostLost(offer.EntryHost, at(3)));
+  BOOST_TEST((stateOf(book) == FateState::Unresolved));
+  BOOST_TEST(!valueOf(book.offerLive(offer)).has_value());
+  BOOST_TEST(book.apply(end(FateState::Finished, "answer")));
+  BOOST_TEST(!book.apply(end(FateState::Failed, "")));
+  BOOST_TEST(book.view(Request)->Tasks.at(0).Answer == "answer");
+}
+
+BOOST_AUTO_TEST_CASE(BookSurvivesItsSnapshot) {
+  FateBook book = offered(false);
+  const auto restored = FateBook::fromState(book.state());
+  BOOST_REQUIRE(isOk(restored));
+  BOOST_TEST((valueOf(restored).state() == book.state()));
+  BOOST_TEST((valueOf(restored).usedBy(Team) == Ask));
+  BOOST_TEST(valueOf(restored).workerExpired(Worker, at(9)).size() == 1U);
+  BookState bad = book.state();
+  bad.Requests.at(0).Tasks.clear();
+  BOOST_TEST(
+      (errorOf(FateBook::fromState(bad)).Kind == ErrorKind::CorruptData));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::fate
