--- a/jujube/routing/credit_ledger.cc
+++ b/jujube/routing/credit_ledger.cc
@@ -166,6 +166,7 @@
     const uint32_t slots = runner.Announcement.Slots;
     const auto use = holder.Uses.find(id);
     Place place{id, slots > others ? slots - others : 0};
+    place.Limit = std::min(place.Room, holder.Last.MaxPerRunner);
     if (use != holder.Uses.end()) {
       place.Limit = std::min(place.Room, use->second.Limit);
       place.InFlight = use->second.InFlight;
--- a/jujube/routing/fair_slots.cc
+++ b/jujube/routing/fair_slots.cc
@@ -8,8 +8,9 @@
 namespace jujube::routing {
 namespace {
 
-// Half of what is left over stays with the ledger for sudden demand.
-constexpr double ReservedPart = 0.5;
+// Part of what is left over that holders get; the rest stays with the ledger
+// for sudden demand.
+constexpr double ReservedPart = 0.75;
 // Spare slots of a holder: this many, or this part of its demand.
 constexpr double MinReserve = 2;
 constexpr double ReservePart = 0.5;
--- a/jujube/routing/messages.h
+++ b/jujube/routing/messages.h
@@ -49,7 +49,8 @@
 };
 
 // Periodic message of an entry host to the leader of one availability zone.
-// Runners and teams that are not listed count as zero.
+// Runners that are not listed are not used, and their limit is MaxPerRunner;
+// teams that are not listed demand nothing.
 struct EntryReport {
   Holder From;
   ZoneId Zone;
@@ -60,6 +61,8 @@
   // The grant that was applied last.
   Term AppliedTerm;
   uint64_t AppliedGrant = 0;
+  // The most credits on a runner that is not listed.
+  uint32_t MaxPerRunner = 0;
   std::vector<RunnerUse> Runners;
   std::vector<TeamDemand> Demand;
 
--- a/jujube/routing/router.cc
+++ b/jujube/routing/router.cc
@@ -110,9 +110,9 @@
                  "retry later, or ask for a larger share"},
                 MinRetryAfter};
   const Duration wait = expectedWait(desk, request, now);
-  const Duration typical =
-      desk.Typical.hasLearned() ? desk.Typical.latency(now) : Duration();
-  const bool isLate = now + wait + typical > request.Deadline;
+  const Duration likely =
+      desk.Typical.hasLearned() ? desk.Typical.likelyLatency() : Duration();
+  const bool isLate = now + wait + likely > request.Deadline;
   if (!isLate && wait <= Options.MaxQueueWait)
     return std::nullopt;
   return Shed{request.Request,
@@ -140,9 +140,9 @@
 void Router::enqueue(Live &live, bool isFirst, Instant now) {
   const LiveRequest &request = live.Request;
   Desk &desk = deskOf(request.Entry);
-  const Duration typical =
-      desk.Typical.hasLearned() ? desk.Typical.latency(now) : Duration();
-  live.ExpiresAt = request.Deadline - typical;
+  const Duration likely =
+      desk.Typical.hasLearned() ? desk.Typical.likelyLatency() : Duration();
+  live.ExpiresAt = request.Deadline - likely;
   live.IsQueued = true;
   Expiries.emplace(live.ExpiresAt, request.Request);
   const uint32_t share = shareOf(request.Team);
--- a/jujube/routing/router_options.h
+++ b/jujube/routing/router_options.h
@@ -49,16 +49,16 @@
   Duration RunnerLease = Duration::seconds(3);
   Duration ReportPeriod = Duration::millis(200);
   // Least span between two reports to a zone.
-  Duration ReportGap = Duration::millis(20);
+  Duration ReportGap = Duration::millis(10);
   // The most requests in flight on one runner, for the connection budget.
   uint32_t MaxPerRunner = 6;
   uint32_t MaxQueuedPerTeam = 1000;
   // Once a request has waited this long, others that are expected to wait more
   // than MaxQueueWait or past their deadline are shed at once.
   Duration ShedGrace = Duration::millis(100);
-  Duration MaxQueueWait = Duration::seconds(2);
+  Duration MaxQueueWait = Duration::millis(400);
   // Other zones are asked for credits once a request has waited this long...
-  Duration SpillAfter = Duration::millis(40);
+  Duration SpillAfter = Duration::millis(10);
   // ...and no more once none has for this span.
   Duration SpillHold = Duration::seconds(1);
   // Least age of a request that is hedged.
--- a/jujube/routing/runner_health.cc
+++ b/jujube/routing/runner_health.cc
@@ -6,7 +6,8 @@
 namespace jujube::routing {
 namespace {
 
-// Mean deviations above the mean at which a latency is unusual.
+// Mean deviations above the mean.
+constexpr double LikelyDeviations = 2;
 constexpr double UnusualDeviations = 4;
 
 bool isFailure(AttemptOutcome outcome) {
@@ -75,9 +76,17 @@
   return Duration::millis(std::max<int64_t>(1, std::llround(faded)));
 }
 
+Duration RunnerHealth::latencyAt(double deviations) const {
+  return Duration::millis(
+      std::max<int64_t>(1, std::llround(MeanMs + deviations * DeviationMs)));
+}
+
+Duration RunnerHealth::likelyLatency() const {
+  return latencyAt(LikelyDeviations);
+}
+
 Duration RunnerHealth::unusualLatency() const {
-  return Duration::millis(std::max<int64_t>(
-      1, std::llround(MeanMs + UnusualDeviations * DeviationMs)));
+  return latencyAt(UnusualDeviations);
 }
 
 } // namespace jujube::routing
--- a/jujube/routing/runner_health.h
+++ b/jujube/routing/runner_health.h
@@ -62,6 +62,8 @@
   // Fades while nothing is observed, so that a runner that was slow is tried
   // again.
   Duration latency(Instant now) const;
+  // Mean plus two mean deviations: most answers come within it.
+  Duration likelyLatency() const;
   // Mean plus four mean deviations: later answers are unusual.
   Duration unusualLatency() const;
   bool hasLearned() const { return Observations >= Options.MinObservations; }
@@ -69,6 +71,7 @@
 
 private:
   void suspend(Instant now);
+  Duration latencyAt(double deviations) const;
 
   HealthOptions Options;
   HealthState State = HealthState::Healthy;
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -98,6 +98,7 @@
   report.Sequence = lease.LastSequence;
   report.AppliedTerm = lease.LedgerTerm;
   report.AppliedGrant = lease.Serial;
+  report.MaxPerRunner = Options.MaxPerRunner;
   const bool isValid = now < lease.Until;
   lease.Credits = isValid ? lease.Credits : 0;
   for (auto &[id, runner] : Runners) {
@@ -105,8 +106,10 @@
       continue;
     // Credits whose lease has run out are gone for good.
     runner.Credits = isValid ? runner.Credits : 0;
-    report.Runners.push_back({id, std::max(runner.Credits, runner.InFlight),
-                              runner.InFlight, limitOf(runner, now)});
+    const RunnerUse use{id, std::max(runner.Credits, runner.InFlight),
+                        runner.InFlight, limitOf(runner, now)};
+    if (use.Held > 0 || use.Limit != Options.MaxPerRunner)
+      report.Runners.push_back(use);
   }
   return report;
 }
--- a/testing/fake_runner.cc
+++ b/testing/fake_runner.cc
@@ -69,8 +69,7 @@
                                      ? AttemptOutcome::Failed
                                      : AttemptOutcome::Answered;
   const Duration time = std::min(service.Time, arrival.Timeout);
-  if (isLate)
-    Oracle.WastedMs += time.millis();
+  Oracle.Runs[{id, arrival.Attempt}] = {Events.now(), time};
   Events.callAfter(time,
                    [this, life = Life, outcome, arrival = std::move(arrival)] {
                      if (life == Life)
--- a/testing/fake_runner.h
+++ b/testing/fake_runner.h
@@ -26,6 +26,12 @@
 };
 using ServiceHook = std::function<Service(const RunnerId &runner)>;
 
+// When an attempt was started by a runner, and for how long it took a slot.
+struct Run {
+  Instant StartedAt;
+  Duration Time;
+};
+
 // What the oracle saw, over all runners.
 struct RunnerOracle {
   // Broken promises, in words.
@@ -36,8 +42,7 @@
   uint64_t Starts = 0;
   // Requests that found all slots taken and waited on the runner.
   uint64_t Excess = 0;
-  // Work whose result nobody waited for any more, in milliseconds.
-  int64_t WastedMs = 0;
+  std::map<std::pair<RequestId, uint32_t>, Run> Runs;
   // Starts beyond the slots are violations; baselines let them wait instead.
   bool ChecksSlots = true;
 };
--- a/testing/routing_world.cc
+++ b/testing/routing_world.cc
@@ -23,7 +23,7 @@
 
 RoutingWorld::RoutingWorld(WorldOptions options)
     : Options(std::move(options)), Random(Options.Seed) {
-  // Far enough from 0 that a new leader's wait is over for the first ledgers.
+  Oracle.ChecksSlots = !Options.Baseline;
   Zones.resize(Options.Zones);
   for (std::size_t zone = 0; zone < Options.Zones; ++zone) {
     ZoneIndex[zoneId(zone)] = zone;
@@ -134,16 +134,20 @@
   return a != b && (isCut(a) || isCut(b));
 }
 
-void RoutingWorld::send(std::size_t from, std::size_t to, Handler handler) {
+void RoutingWorld::send(std::size_t from, std::size_t to, Handler handler,
+                        bool mayDouble) {
   std::uniform_int_distribution<uint32_t> draw(1, 1000);
   const NetworkFaults &faults = Options.Faults;
   if (isCutBetween(from, to) || draw(Random) <= faults.LossPermille)
     return;
-  const int copies = draw(Random) <= faults.DuplicatePermille ? 2 : 1;
+  const bool isDoubled = draw(Random) <= faults.DuplicatePermille;
+  const int copies = isDoubled && mayDouble ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     const int64_t extra = std::uniform_int_distribution<int64_t>(
         0, faults.MaxExtraDelay.millis())(Random);
-    Events.callAfter(Options.Latency + Duration::millis(extra), handler);
+    Events.callAfter((from == to ? Duration() : Options.Latency) +
+                         Duration::millis(extra),
+                     handler);
   }
 }
 
--- a/testing/routing_world.h
+++ b/testing/routing_world.h
@@ -48,7 +48,7 @@
   std::size_t RunnersPerZone = 17;
   uint32_t Slots = 8;
   uint64_t Seed = 1;
-  // One way, between hosts of the system.
+  // One way, between zones; less than a millisecond within one.
   Duration Latency = Duration::millis(1);
   Duration JournalTime = Duration::millis(2);
   Duration HeartbeatPeriod = Duration::millis(500);
@@ -67,8 +67,8 @@
   routing::LiveRequest Request;
   Instant SubmittedAt;
   std::size_t EntryHost = 0;
-  // When its attempt that was delivered started on a runner.
-  Instant StartedAt = Instant::never();
+  // The attempt that was delivered.
+  uint32_t DeliveredAttempt = 0;
   Instant EndedAt = Instant::never();
   // The newest conclusion; unset while none was told.
   std::optional<routing::RouterAction> Conclusion;
@@ -131,7 +131,8 @@
   void hear(std::size_t entryHost,
             const routing::RunnerAnnouncement &announcement);
   bool isCutBetween(std::size_t a, std::size_t b) const;
-  void send(std::size_t from, std::size_t to, Handler handler);
+  void send(std::size_t from, std::size_t to, Handler handler,
+            bool mayDouble = true);
   Instant localTime(const EntryHost &host) const;
 
   // routing_world_actions.cc: what entry hosts do.
@@ -162,7 +163,7 @@
   std::map<ZoneId, std::size_t> ZoneIndex;
   std::map<std::size_t, bool> Cut;
   std::map<RequestId, RequestRecord> Records;
-  std::map<std::pair<RequestId, uint32_t>, Instant> SentAt;
+
   uint64_t ControlMessages = 0;
 };
 
--- a/testing/routing_world_actions.cc
+++ b/testing/routing_world_actions.cc
@@ -68,9 +68,12 @@
                     report](AttemptOutcome outcome) {
     send(zone, to, [report, outcome] { report(outcome); });
   };
-  SentAt[{dispatch.Request, dispatch.Attempt}] = Events.now();
-  send(host.Zone, zone,
-       [&runner, arrival = std::move(arrival)] { runner.arrive(arrival); });
+
+  // A connection delivers a request at most once.
+  send(
+      host.Zone, zone,
+      [&runner, arrival = std::move(arrival)] { runner.arrive(arrival); },
+      false);
   Events.callAfter(dispatch.Timeout + AnswerGuard,
                    [report] { report(AttemptOutcome::Unknown); });
 }
@@ -153,8 +156,7 @@
 void RoutingWorld::perform(std::size_t, const routing::Deliver &deliver) {
   if (!Oracle.Started.contains(deliver.Request))
     violate("was answered without being run:", deliver.Request);
-  Records.at(deliver.Request).StartedAt =
-      SentAt.at({deliver.Request, deliver.Attempt});
+  Records.at(deliver.Request).DeliveredAttempt = deliver.Attempt;
   conclude(deliver.Request, deliver);
 }
 
