--- /dev/null
+++ b/programs/jujube_zone.cc
@@ -0,0 +1,64 @@
+// jujube-zone: one member of the scheduler of an availability zone.
+#include <string>
+#include <vector>
+
+#include "jujube/daemon/daemon.h"
+#include "jujube/zone/zone_tree.h"
+
+namespace jujube {
+namespace {
+
+const std::vector<SettingSpec> Specs = {
+    {"host", SettingKind::Text, "", "name of this scheduler in --peers", true},
+    {"zone", SettingKind::Text, "", "availability zone", true},
+    {"peers", SettingKind::Text, "",
+     "the zone's schedulers as HOST=IP:PORT,...", true},
+    {"keepers", SettingKind::AddressList, "", "addresses of the keepers", true},
+    {"fleet-token-file", SettingKind::Text, "",
+     "file with the secret of the system's processes", true},
+    {"policy", SettingKind::Text, "waiting", "placement policy"},
+    {"worker-lease-ms", SettingKind::Millis, "6000",
+     "a worker stops its tasks this long after its last answered sync", false,
+     2000, 600000},
+};
+
+Result<runtime::Supervisor> makeTree(const Settings &settings) {
+  zone::ZoneOptions options;
+  auto self = HostId::parse(settings.text("host"));
+  if (!isOk(self))
+    return errorOf(self);
+  auto zone = ZoneId::parse(settings.text("zone"));
+  if (!isOk(zone))
+    return errorOf(zone);
+  auto peers = daemon::parsePeers(settings.text("peers"));
+  if (!isOk(peers))
+    return errorOf(peers);
+  auto listen = daemon::addressOf(valueOf(peers), valueOf(self));
+  if (!isOk(listen))
+    return errorOf(listen);
+  auto token = daemon::readSecret(settings.text("fleet-token-file"));
+  if (!isOk(token))
+    return errorOf(token);
+  const auto policy = valueIn(placement::PolicyNameNames, settings.text("policy"));
+  if (!policy)
+    return Error{ErrorKind::InvalidArgument,
+                 "--policy has the value '" + settings.text("policy") + "'",
+                 "give one of: " + namesIn(placement::PolicyNameNames)};
+  options.Self = valueOf(self);
+  options.Zone = valueOf(zone);
+  options.Listen = valueOf(listen);
+  options.Peers = valueOf(peers);
+  options.Keepers = settings.addresses("keepers");
+  options.FleetToken = valueOf(token);
+  options.Policy = *policy;
+  options.WorkerLease = settings.duration("worker-lease-ms");
+  return zone::zoneTree(options);
+}
+
+} // namespace
+} // namespace jujube
+
+int main(int argc, char **argv) {
+  return jujube::daemon::runDaemon("jujube-zone [flags]", jujube::Specs,
+                                   jujube::makeTree, argc, argv);
+}
