--- /dev/null
+++ b/jujube/routing/router_test.cc
@@ -0,0 +1,268 @@
+#include "jujube/routing/router.h"
+
+#include <variant>
+
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::routing {
+namespace {
+
+const ZoneId Zone("kariakoo");
+const EntryId Desk("fitting-desk");
+
+Instant at(int64_t ms) { return Instant::atMillis(ms); }
+
+// A router with one runner, or two, and credits on each from instant 0.
+struct Fixture {
+  explicit Fixture(uint32_t credits = 2, int runners = 1,
+                   RouterOptions options = {}) {
+    options.Self = {HostId("entry1"), {1}};
+    options.Zone = Zone;
+    It = std::make_unique<Router>(valueOf(Router::create(options, at(0))));
+    for (int n = 1; n <= runners; ++n)
+      see(n);
+    grant(credits, runners, at(0));
+  }
+
+  void see(int n, bool isLeaving = false, Instant now = at(0)) {
+    RunnerAnnouncement runner;
+    runner.Runner = RunnerId(absl::StrCat("r", n));
+    runner.Start = {1};
+    runner.Entry = Desk;
+    runner.Zone = Zone;
+    runner.IsLeaving = isLeaving;
+    (void)It->runnerSeen(runner, Duration(), now);
+  }
+
+  RouterActions grant(uint32_t credits, int runners, Instant now) {
+    const EntryReport report = It->report(Zone, now);
+    CreditGrant grant{report.From,     Zone,
+                      Term{1},         ++Serial,
+                      report.Sequence, Duration::seconds(2)};
+    for (int n = 1; n <= runners; ++n)
+      grant.Credits.push_back({RunnerId(absl::StrCat("r", n)), credits});
+    return It->granted(grant, now);
+  }
+
+  RouterActions submit(int n, bool isIdempotent, Instant now,
+                       Instant deadline = at(5000), int team = 1) {
+    return It->submit(
+        {id(n), TeamId(absl::StrCat("t", team)), Desk, isIdempotent, deadline},
+        now);
+  }
+
+  static RequestId id(int n) { return RequestId(absl::StrCat("kariakoo.", n)); }
+
+  std::unique_ptr<Router> It;
+  uint64_t Serial = 0;
+};
+
+// The first action of a type.
+template <typename T> const T *find(const RouterActions &actions) {
+  for (const RouterAction &action : actions)
+    if (const T *it = std::get_if<T>(&action))
+      return it;
+  return nullptr;
+}
+
+BOOST_AUTO_TEST_SUITE(RouterSuite)
+
+BOOST_AUTO_TEST_CASE(RefusesGuardsAsLongAsTheirSpan) {
+  RouterOptions bad;
+  bad.EndGuard = bad.MaxRequestTime;
+  BOOST_TEST(!isOk(Router::create(bad, at(0))));
+}
+
+BOOST_AUTO_TEST_CASE(UnknownEntryIsShedWithARemedy) {
+  Fixture fixture;
+  const RouterActions actions = fixture.It->submit(
+      {Fixture::id(1), TeamId("t"), EntryId("other"), true, at(1000)}, at(0));
+  const Shed *shed = find<Shed>(actions);
+  BOOST_REQUIRE(shed != nullptr);
+  BOOST_TEST((shed->Why.Kind == ErrorKind::Unavailable));
+  BOOST_TEST(!shed->Why.Remedy.empty());
+  BOOST_TEST(shed->RetryAfter.millis() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(NotIdempotentIsJournaledBeforeItLeaves) {
+  Fixture fixture;
+  const RouterActions offered = fixture.submit(1, false, at(10));
+  BOOST_TEST(find<Dispatch>(offered) == nullptr);
+  BOOST_REQUIRE(find<JournalOffer>(offered) != nullptr);
+  const RouterActions sent =
+      fixture.It->offerJournaled(Fixture::id(1), 1, Ok{}, at(12));
+  BOOST_REQUIRE(find<Dispatch>(sent) != nullptr);
+  // Once more changes nothing.
+  BOOST_TEST(find<Dispatch>(fixture.It->offerJournaled(Fixture::id(1), 1, Ok{},
+                                                       at(13))) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(FailedJournalMeansNotRun) {
+  Fixture fixture;
+  (void)fixture.submit(1, false, at(10));
+  const RouterActions actions = fixture.It->offerJournaled(
+      Fixture::id(1), 1, Error{ErrorKind::StorageFailed, "no disk", "add one"},
+      at(12));
+  BOOST_TEST(find<Shed>(actions) != nullptr);
+  BOOST_TEST(fixture.It->isIdle());
+}
+
+BOOST_AUTO_TEST_CASE(UnknownOutcomeIsNeverRetriedUnlessIdempotent) {
+  Fixture fixture(2, 2);
+  (void)fixture.submit(1, false, at(0));
+  (void)fixture.It->offerJournaled(Fixture::id(1), 1, Ok{}, at(1));
+  const RouterActions lost =
+      fixture.It->answered(Fixture::id(1), 1, AttemptOutcome::Unknown, at(100));
+  BOOST_TEST(find<MarkUnresolved>(lost) != nullptr);
+  BOOST_TEST(find<Dispatch>(lost) == nullptr);
+  BOOST_TEST(find<JournalOffer>(lost) == nullptr);
+  const RouterActions inquiry = fixture.It->tick(at(101));
+  BOOST_TEST(find<Inquire>(inquiry) != nullptr);
+  const RouterActions resolved = fixture.It->answered(
+      Fixture::id(1), 1, AttemptOutcome::Answered, at(150));
+  BOOST_TEST(find<Deliver>(resolved) != nullptr);
+
+  (void)fixture.submit(2, true, at(200));
+  const RouterActions retried =
+      fixture.It->answered(Fixture::id(2), 1, AttemptOutcome::Unknown, at(300));
+  const Dispatch *second = find<Dispatch>(retried);
+  BOOST_REQUIRE(second != nullptr);
+  BOOST_TEST(second->Attempt == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAreTakenOnceAndByAttempt) {
+  Fixture fixture;
+  (void)fixture.submit(1, true, at(0));
+  BOOST_TEST(
+      fixture.It->answered(Fixture::id(1), 2, AttemptOutcome::Answered, at(5))
+          .empty());
+  const RouterActions first =
+      fixture.It->answered(Fixture::id(1), 1, AttemptOutcome::Answered, at(10));
+  BOOST_TEST(find<Deliver>(first) != nullptr);
+  const RouterActions second =
+      fixture.It->answered(Fixture::id(1), 1, AttemptOutcome::Answered, at(11));
+  BOOST_TEST(find<Deliver>(second) == nullptr);
+  BOOST_TEST(fixture.It->counters().DiscardedAnswers == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingLeavesAfterTheLeaseOfItsCredit) {
+  Fixture fixture;
+  BOOST_TEST(find<Dispatch>(fixture.submit(1, true, at(1800))) != nullptr);
+  BOOST_TEST(find<Dispatch>(fixture.submit(2, true, at(1900))) == nullptr);
+  const RouterActions renewed = fixture.grant(2, 1, at(1950));
+  BOOST_TEST(find<Dispatch>(renewed) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(DelayedGrantDoesNotOutliveItsReport) {
+  Fixture fixture(0);
+  const EntryReport report = fixture.It->report(Zone, at(100));
+  CreditGrant late{report.From,         Zone, Term{1}, 99, report.Sequence,
+                   Duration::seconds(2)};
+  late.Credits = {{RunnerId("r1"), 8}};
+  (void)fixture.It->granted(late, at(2100));
+  BOOST_TEST(find<Dispatch>(fixture.submit(1, true, at(2101))) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingRunnerGetsNothingNew) {
+  Fixture fixture;
+  fixture.see(1, true, at(10));
+  const RouterActions actions = fixture.submit(1, true, at(20));
+  BOOST_TEST(find<Dispatch>(actions) == nullptr);
+  BOOST_TEST(find<Shed>(actions) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(TeamsAreServedByShareNotByArrival) {
+  Fixture fixture(1);
+  fixture.It->setShares({{TeamId("t1"), 1, {}}, {TeamId("t2"), 3, {}}});
+  (void)fixture.submit(100, true, at(0), at(60000), 1);
+  for (int n = 0; n < 20; ++n)
+    (void)fixture.submit(n, true, at(0), at(60000), 1);
+  for (int n = 20; n < 40; ++n)
+    (void)fixture.submit(n, true, at(0), at(60000), 2);
+  int served = 0;
+  RequestId last = Fixture::id(100);
+  for (int i = 1; i <= 16; ++i) {
+    const RouterActions next =
+        fixture.It->answered(last, 1, AttemptOutcome::Answered, at(0));
+    last = find<Dispatch>(next)->Request;
+    for (int n = 20; n < 40; ++n)
+      served += last == Fixture::id(n) ? 1 : 0;
+  }
+  BOOST_TEST(served == 12);
+}
+
+BOOST_AUTO_TEST_CASE(ExpiredRequestsAreShedBeforePlacement) {
+  Fixture fixture(1);
+  (void)fixture.submit(1, true, at(0));
+  (void)fixture.submit(2, true, at(0), at(300));
+  const RouterActions expired = fixture.It->tick(at(300));
+  const Shed *shed = find<Shed>(expired);
+  BOOST_REQUIRE(shed != nullptr);
+  BOOST_TEST((shed->Request == Fixture::id(2)));
+  BOOST_TEST((shed->Why.Kind == ErrorKind::DeadlineExceeded));
+}
+
+BOOST_AUTO_TEST_CASE(RetriesEndWithTheBudgetOfTheTeam) {
+  RouterOptions options;
+  options.Retries.Burst = 1;
+  options.Retries.PerRequest = 0;
+  Fixture fixture(4, 1, options);
+  (void)fixture.submit(1, true, at(0));
+  BOOST_TEST(find<Dispatch>(fixture.It->answered(Fixture::id(1), 1,
+                                                 AttemptOutcome::Refused,
+                                                 at(1))) != nullptr);
+  (void)fixture.submit(2, true, at(2));
+  const RouterActions refused =
+      fixture.It->answered(Fixture::id(2), 1, AttemptOutcome::Refused, at(3));
+  BOOST_TEST(find<Dispatch>(refused) == nullptr);
+  BOOST_TEST(find<Shed>(refused) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ResendAfterTheConclusionIsToldTheSame) {
+  Fixture fixture;
+  (void)fixture.submit(1, false, at(0));
+  (void)fixture.It->offerJournaled(Fixture::id(1), 1, Ok{}, at(1));
+  BOOST_TEST(fixture.submit(1, false, at(2)).empty());
+  (void)fixture.It->answered(Fixture::id(1), 1, AttemptOutcome::Unknown,
+                             at(50));
+  BOOST_TEST(find<MarkUnresolved>(fixture.submit(1, false, at(60))) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(DrainHandsOverTheQueueAndFinishesTheRest) {
+  Fixture fixture(1);
+  (void)fixture.submit(1, true, at(0));
+  (void)fixture.submit(2, true, at(0));
+  const RouterActions drained = fixture.It->beginDrain(at(10));
+  BOOST_REQUIRE(find<HandOver>(drained) != nullptr);
+  BOOST_TEST((find<HandOver>(drained)->Request == Fixture::id(2)));
+  BOOST_TEST(find<HandOver>(fixture.submit(3, true, at(11))) != nullptr);
+  BOOST_TEST(!fixture.It->isIdle());
+  BOOST_TEST(find<Deliver>(fixture.It->answered(Fixture::id(1), 1,
+                                                AttemptOutcome::Answered,
+                                                at(20))) != nullptr);
+  BOOST_TEST(fixture.It->isIdle());
+}
+
+// One failing runner is suspended; if all fail alike, none is blamed.
+BOOST_AUTO_TEST_CASE(FailuresAreBlamedOnTheRunnerThatStandsOut) {
+  RunnerHealth outlier;
+  RunnerHealth common;
+  for (int i = 0; i < 20; ++i) {
+    outlier.observe(AttemptOutcome::Failed, Duration::millis(5), at(i), 0.1);
+    common.observe(AttemptOutcome::Failed, Duration::millis(5), at(i), 1.0);
+  }
+  BOOST_TEST((outlier.stateAt(at(20)) == HealthState::Suspended));
+  BOOST_TEST((common.stateAt(at(20)) == HealthState::Healthy));
+  BOOST_TEST((outlier.stateAt(at(2000)) == HealthState::Probation));
+  for (int i = 0; i < 5; ++i)
+    outlier.observe(AttemptOutcome::Answered, Duration::millis(50),
+                    at(2000 + i));
+  BOOST_TEST((outlier.stateAt(at(2010)) == HealthState::Healthy));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::routing
--- a/jujube/wire/routing_encoding.h
+++ b/jujube/wire/routing_encoding.h
@@ -18,13 +18,14 @@
 }
 template <typename Archive> void serialize(Archive &ar, EntryReport &v) {
   ar(v.From, v.Zone, v.Sequence, v.UpFor, v.AppliedTerm, v.AppliedGrant,
-     v.Runners, v.Demand);
+     v.MaxPerRunner, v.Runners, v.Demand);
 }
 template <typename Archive> void serialize(Archive &ar, RunnerCredits &v) {
   ar(v.Runner, v.Credits);
 }
 template <typename Archive> void serialize(Archive &ar, CreditGrant &v) {
-  ar(v.To, v.Zone, v.LedgerTerm, v.Serial, v.AnswersReport, v.Lease, v.Credits);
+  ar(v.To, v.Zone, v.LedgerTerm, v.Serial, v.AnswersReport, v.Lease,
+     v.IsRenewal, v.Credits);
 }
 
 } // namespace jujube::routing
