--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -57,13 +57,17 @@
     const RequestId id = HedgeTimes.begin()->second;
     HedgeTimes.erase(HedgeTimes.begin());
     Live &live = Requests.at(id);
-    const bool isBusy = !deskOf(live.Request.Entry).Queue.empty();
-    if (isBusy || live.IsQueued || !hasOpenAttempt(live) ||
-        live.LastAttempt >= Options.MaxAttempts)
+    if (live.LastAttempt >= Options.MaxAttempts)
       continue;
-    const std::optional<RunnerId> runner = pick(live, now);
-    if (!runner || !budgetOf(live.Request.Team).spend())
+    // Waiting requests go first; the hedge is tried again later.
+    const bool isBusy = !deskOf(live.Request.Entry).Queue.empty();
+    const std::optional<RunnerId> runner =
+        isBusy || !hasOpenAttempt(live) ? std::nullopt : pick(live, now);
+    if (!runner || !budgetOf(live.Request.Team).spend()) {
+      live.HedgeAt = now + Options.HedgeAfter;
+      HedgeTimes.emplace(live.HedgeAt, id);
       continue;
+    }
     ++Counters.Hedged;
     launch(live, *runner, now, out);
   }
--- a/testing/fake_runner.cc
+++ b/testing/fake_runner.cc
@@ -32,7 +32,8 @@
   if (!IsAlive)
     return;
   const AttemptKey key{arrival.Request.Request, arrival.Attempt};
-  if (LeftAt <= Events.now() && Events.now() - LeftAt > LeaveGrace)
+  const bool hasLeft = LeftAt <= Events.now() - LeaveGrace;
+  if (hasLeft)
     violate("got work after it left:", key.first);
   // A copy of an attempt that is known is dropped; a fenced one is refused.
   if (const auto seen = Seen.find(key); seen != Seen.end()) {
@@ -41,7 +42,7 @@
     return;
   }
   Seen[key] = std::nullopt;
-  if (Announcement.IsLeaving || arrival.Start != Announcement.Start) {
+  if (hasLeft || arrival.Start != Announcement.Start) {
     Seen[key] = AttemptOutcome::Refused;
     return arrival.Answer(AttemptOutcome::Refused);
   }
@@ -69,7 +70,8 @@
                                      ? AttemptOutcome::Failed
                                      : AttemptOutcome::Answered;
   const Duration time = std::min(service.Time, arrival.Timeout);
-  Oracle.Runs[{id, arrival.Attempt}] = {Events.now(), time};
+  Oracle.Runs[{id, arrival.Attempt}] = {Announcement.Runner, Events.now(),
+                                        time};
   Events.callAfter(time,
                    [this, life = Life, outcome, arrival = std::move(arrival)] {
                      if (life == Life)
--- a/testing/fake_runner.h
+++ b/testing/fake_runner.h
@@ -28,6 +28,7 @@
 
 // When an attempt was started by a runner, and for how long it took a slot.
 struct Run {
+  RunnerId Runner;
   Instant StartedAt;
   Duration Time;
 };
--- a/testing/standin_runner.cc
+++ b/testing/standin_runner.cc
@@ -56,10 +56,11 @@
 
 StandinRunner::Plan StandinRunner::arrive(const entry::RunCall &call,
                                           Instant now) {
-  if (LeftAt <= now && now - LeftAt > LeaveGrace)
+  // Entry hosts learn of the leave meanwhile.
+  if (LeftAt <= now - LeaveGrace) {
     ++Stats.AfterLeaving;
-  if (Options.Announcement.IsLeaving)
-    return refuse(call, "the runner is leaving", now);
+    return refuse(call, "the runner has left", now);
+  }
   if (call.Start != Options.Announcement.Start)
     return refuse(call, "meant for another start of the runner", now);
   if (Records.contains({call.Request, call.Attempt}))
--- a/testing/standin_runner_main.cc
+++ b/testing/standin_runner_main.cc
@@ -30,6 +30,8 @@
       {"habit", SettingKind::Text, "none", namesIn(MisbehaviourNames)},
       {"habit-permille", SettingKind::Integer, "1000",
        "part of the requests that the habit applies to", false, 0, 1000},
+      {"start", SettingKind::Integer, "0",
+       "number of this start; 0 for the wall time"},
       {"silent-after", SettingKind::Millis, "0",
        "announce and answer nothing from then on; 0 for never"},
       {"leave-after", SettingKind::Millis, "0", "leave then; 0 for never"},
@@ -52,7 +54,9 @@
   if (!isOk(token))
     return errorOf(token);
   RunnerFleetOptions options;
-  const auto start = static_cast<uint64_t>(Clock::wall().now().millis());
+  const int64_t given = settings.integer("start");
+  const auto start =
+      static_cast<uint64_t>(given > 0 ? given : Clock::wall().now().millis());
   for (int64_t i = 0; i < settings.integer("count"); ++i) {
     StandinRunnerOptions runner;
     runner.Announcement.Runner =
--- a/testing/standin_runner_tasks.cc
+++ b/testing/standin_runner_tasks.cc
@@ -193,7 +193,7 @@
 
 } // namespace
 
-Result<runtime::Supervisor> runnerTree(RunnerFleetOptions options) {
+Result<RunnerService> runnerService(RunnerFleetOptions options) {
   const auto mailbox = runtime::makeMailbox<RunnerMessage>(MailboxCapacity);
   auto server = StandinServer::bind(
       options.Listen, options.Threads,
@@ -204,22 +204,34 @@
         }}});
   if (!isOk(server))
     return errorOf(server);
+  const Address http = valueOf(server)->address();
   for (StandinRunnerOptions &runner : options.Runners)
-    runner.Announcement.Http = valueOf(server)->address();
+    runner.Announcement.Http = http;
   const auto shared =
       std::make_shared<const RunnerFleetOptions>(std::move(options));
+  return RunnerService{http,
+                       mailbox,
+                       {{"runners",
+                         [shared, mailbox](TaskContext &context) {
+                           return runFleet(*shared, mailbox, context);
+                         }},
+                        valueOf(server)->asChild(valueOf(server))}};
+}
+
+Result<runtime::Supervisor> runnerTree(RunnerFleetOptions options) {
+  const auto shared = std::make_shared<const RunnerFleetOptions>(options);
+  Result<RunnerService> service = runnerService(std::move(options));
+  if (!isOk(service))
+    return errorOf(service);
   // The announcer stops first, the runners last, so that what is in progress
   // finishes.
-  return runtime::Supervisor::create(
-      {"standin-runner"},
-      {{"runners",
-        [shared, mailbox](TaskContext &context) {
-          return runFleet(*shared, mailbox, context);
-        }},
-       valueOf(server)->asChild(valueOf(server)),
-       {"announcer", [shared, mailbox](TaskContext &context) {
-          return Announcer(*shared, mailbox).run(context);
-        }}});
+  std::vector<runtime::ChildSpec> children =
+      std::move(valueOf(service).Children);
+  children.push_back({"announcer", [shared, mailbox = valueOf(service).Mailbox](
+                                       TaskContext &context) {
+                        return Announcer(*shared, mailbox).run(context);
+                      }});
+  return runtime::Supervisor::create({"standin-runner"}, std::move(children));
 }
 
 } // namespace jujube::testing
--- a/testing/standin_runner_tasks.h
+++ b/testing/standin_runner_tasks.h
@@ -50,6 +50,14 @@
 using RunnerMessage =
     std::variant<RunArrived, InquiryArrived, StatsAsked, AnnouncementsAsked>;
 
+// The tasks that serve runners, without announcing them, and their address.
+struct RunnerService {
+  Address Http;
+  runtime::MailboxPtr<RunnerMessage> Mailbox;
+  std::vector<runtime::ChildSpec> Children;
+};
+Result<RunnerService> runnerService(RunnerFleetOptions options);
+
 // The process's tree. GET /stats on the listening address serves the counts.
 // When it is asked to stop, the runners leave, finish what is in progress and
 // end. Fails if the address can't be bound.
