Placement: serve lanes by a heap, bound the room making of a plan

Change: sizes that fit nowhere are kept until room for them appears; contenders are kept in a heap; room is made for a few lanes per plan.

--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -26,6 +26,9 @@
 // A fifth of the running tasks belong to services.
 constexpr uint32_t ServicePart = 5;
 constexpr uint32_t TasksPerRequest = 10;
+// Percent of TasksPerWorker that are submitted: all fit, or a queue is left.
+constexpr uint32_t UsualLoad = 100;
+constexpr uint32_t OverLoad = 200;
 
 int64_t threadNanos() {
   timespec now{};
@@ -61,9 +64,10 @@
                          Now);
   }
 
-  // Fills the zone; returns the processor time per placed task in nanoseconds.
-  double fill() {
-    const uint32_t tasks = Workers * TasksPerWorker;
+  // Submits `load` percent of the usual number of tasks and places what fits;
+  // returns the processor time per placed task in nanoseconds.
+  double fill(uint32_t load) {
+    const uint32_t tasks = Workers * TasksPerWorker * load / 100;
     for (uint32_t i = 0; i < tasks / TasksPerRequest; ++i)
       submit(TasksPerRequest);
     const int64_t before = threadNanos();
@@ -140,9 +144,10 @@
   uint32_t Submitted = 0;
 };
 
-void report(uint32_t workers, placement::PolicyName policy, uint32_t rounds) {
+void report(uint32_t workers, placement::PolicyName policy, uint32_t load,
+            uint32_t rounds) {
   Bench bench(workers, policy);
-  const double fillNanos = bench.fill();
+  const double fillNanos = bench.fill(load);
   const std::size_t running = bench.placed();
   const uint64_t offersBefore = bench.offers();
   std::vector<int64_t> nanos = bench.churn(rounds);
@@ -152,11 +157,12 @@
   std::ranges::sort(nanos);
   const uint64_t offers = bench.offers() - offersBefore;
   std::cout << absl::StrFormat(
-      "%-14s workers=%u running=%u queued=%u fill: %.1f us/placement (%.0f/s) "
+      "%-8s load=%u%% workers=%u running=%u queued=%u fill: %.1f us/placement "
+      "(%.0f/s) "
       "churn: offers=%u mean=%.1f us p50=%.1f us p99=%.1f us max=%.1f us "
       "(%.0f/s)\n",
-      std::string(nameIn(placement::PolicyNameNames, policy)), workers, running,
-      bench.queued(), fillNanos / 1000, 1e9 / fillNanos, offers,
+      std::string(nameIn(placement::PolicyNameNames, policy)), load, workers,
+      running, bench.queued(), fillNanos / 1000, 1e9 / fillNanos, offers,
       total / 1000 / rounds, nanos[nanos.size() / 2] / 1000.0,
       nanos[nanos.size() * 99 / 100] / 1000.0, nanos.back() / 1000.0,
       1e9 * static_cast<double>(offers) / total);
@@ -179,6 +185,7 @@
   for (const placement::PolicyName policy :
        {placement::PolicyName::Waiting, placement::PolicyName::Packing})
     for (const uint32_t workers : {50U, 500U, 2900U})
-      report(workers, policy, rounds);
+      for (const uint32_t load : {UsualLoad, OverLoad})
+        report(workers, policy, load, rounds);
   return 0;
 }
--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <optional>
 
-#include "jujube/placement/making_room.h"
 #include "jujube/placement/queue.h"
 
 namespace jujube::placement::internal {
@@ -13,9 +12,6 @@
 // workers is not limited to neighbours.
 constexpr uint32_t SearchStarts = 4;
 
-// Most requests of a lane that are looked at for one that is ready.
-constexpr uint32_t MaxHeads = 64;
-
 // Part of a gang on one worker.
 struct GangPart {
   uint32_t Slot = NoWorker;
@@ -206,104 +202,27 @@
          request.Team->Served < state.Config.FrontierWidth;
 }
 
-// True if the request may start as far as its own tasks and the frontier go.
+} // namespace
+
 bool isReady(const PlannerState &state, const RequestState &request) {
   if (request.isGang() && !request.isComplete())
     return false;
   return isInFrontier(state, request);
 }
 
-// True if a worker's holds are covered by free room.
-bool isRoomThere(const PlannerState &state, const Hold &hold) {
-  return !state.freeOn(state.Workers[hold.Slot]).isNegative();
-}
-
-// True if the room that the request holds is free.
 bool areHoldsReady(const PlannerState &state, const RequestState &request) {
   const auto isThere = [&state](const Hold &hold) {
-    return isRoomThere(state, hold);
+    return !state.freeOn(state.Workers[hold.Slot]).isNegative();
   };
   return request.isGang() ? std::ranges::all_of(request.Holds, isThere)
                           : std::ranges::any_of(request.Holds, isThere);
 }
 
-// True if an older request of the team waits for the rest of the slice.
 bool isSliceClaimed(const PlannerState &state, const RequestState &request) {
   return request.Team->SliceClaimPlan == state.PlanNumber &&
          !request.isUrgent() && request.Team->SliceClaim < request.Order;
 }
 
-// The first request of the lane that may start; requests that are not ready do
-// not block those behind them.
-RequestState *findHead(const PlannerState &state, const LaneState &lane) {
-  uint32_t looked = 0;
-  for (const auto &[key, request] : lane.Queue) {
-    if (isReady(state, *request))
-      return request;
-    if (++looked == MaxHeads)
-      break;
-  }
-  return nullptr;
-}
-
-// A lane that still has something to place in this plan.
-struct Contender {
-  LaneState *Lane = nullptr;
-  RequestState *Head = nullptr;
-  double Rank = 0;
-
-  auto key() const { return std::tuple(Rank, Head->Order); }
-};
-
-Contender contend(const PlannerState &state, LaneState &lane) {
-  RequestState *head = findHead(state, lane);
-  if (!head)
-    return {&lane};
-  const double share = state.shareOf(lane.Team->Reserved);
-  return {&lane, head,
-          state.Hooks.Rank({head->Work.Entry.Class, lane.Priority,
-                            share / lane.Team->Share})};
-}
-
-void dropIdle(std::vector<Contender> &contenders) {
-  std::erase_if(contenders, [](const Contender &c) { return !c.Head; });
-}
-
-std::vector<Contender> findContenders(const PlannerState &state) {
-  std::vector<Contender> contenders;
-  for (const auto &lane : state.Lanes)
-    if (!lane->Queue.empty())
-      contenders.push_back(contend(state, *lane));
-  dropIdle(contenders);
-  return contenders;
-}
-
-// A placement changes the ranks and heads of its team's lanes.
-void updateTeam(const PlannerState &state, const TeamState *team,
-                std::vector<Contender> &contenders) {
-  for (Contender &contender : contenders)
-    if (contender.Lane->Team == team)
-      contender = contend(state, *contender.Lane);
-  dropIdle(contenders);
-}
-
-// Deals with a head that could not be placed.
-void handleBlocked(PlannerState &state, RequestState &head,
-                   PlaceOutcome outcome, Instant now,
-                   std::vector<Action> &actions) {
-  if (outcome == PlaceOutcome::NoRoom) {
-    makeRoom(state, *head.Lane, now, actions);
-    return;
-  }
-  if (outcome != PlaceOutcome::SliceFull || !state.isAged(head, now) ||
-      isSliceClaimed(state, head))
-    return;
-  head.Team->SliceClaimPlan = state.PlanNumber;
-  head.Team->SliceClaim = head.Order;
-}
-
-} // namespace
-
 StartNeed startNeed(const PlannerState &state, const RequestState &request) {
   const auto tasks = static_cast<uint32_t>(
       request.isGang() ? request.Queued.size() : std::size_t{1});
@@ -335,36 +254,4 @@
              : PlaceOutcome::NoRoom;
 }
 
-void placeHolders(PlannerState &state, Instant now,
-                  std::vector<Action> &actions) {
-  std::vector<RequestState *> ready;
-  for (const auto &[seq, request] : state.Holders)
-    if (isReady(state, *request) && areHoldsReady(state, *request))
-      ready.push_back(request);
-  for (RequestState *request : ready)
-    if (placeNext(state, *request, now, actions) == PlaceOutcome::OutOfActions)
-      state.WasCutShort = true;
-}
-
-void placeWaiting(PlannerState &state, Instant now,
-                  std::vector<Action> &actions) {
-  std::vector<Contender> contenders = findContenders(state);
-  while (!contenders.empty()) {
-    const auto best = std::ranges::min_element(contenders, {}, &Contender::key);
-    RequestState &head = *best->Head;
-    const PlaceOutcome outcome = placeNext(state, head, now, actions);
-    if (outcome == PlaceOutcome::OutOfActions) {
-      state.WasCutShort = true;
-      return;
-    }
-    if (outcome == PlaceOutcome::Placed) {
-      updateTeam(state, head.Team, contenders);
-      continue;
-    }
-    handleBlocked(state, head, outcome, now, actions);
-    *best = contenders.back();
-    contenders.pop_back();
-  }
-}
-
 } // namespace jujube::placement::internal
--- a/jujube/placement/placing.h
+++ b/jujube/placement/placing.h
@@ -40,20 +40,18 @@
 };
 StartNeed startNeed(const PlannerState &state, const RequestState &request);
 
+// True if the request may start as far as its own tasks and the frontier go.
+bool isReady(const PlannerState &state, const RequestState &request);
+// True if the room that the request holds is free.
+bool areHoldsReady(const PlannerState &state, const RequestState &request);
+// True if an older request of the team waits for the rest of the slice.
+bool isSliceClaimed(const PlannerState &state, const RequestState &request);
+
 // Places one task of a request, or the whole gang; appends the offers.
-// Precondition: tasks are queued, and those of a gang are complete.
+// Precondition: tasks are queued, and isReady().
 PlaceOutcome placeNext(PlannerState &state, RequestState &request, Instant now,
                        std::vector<Action> &actions);
 
-// Places requests whose held room has become free.
-void placeHolders(PlannerState &state, Instant now,
-                  std::vector<Action> &actions);
-
-// Serves the lanes in the order of the policy until nothing more fits or the
-// actions are used up.
-void placeWaiting(PlannerState &state, Instant now,
-                  std::vector<Action> &actions);
-
 } // namespace jujube::placement::internal
 
 #endif // JUJUBE_PLACEMENT_PLACING_H_
--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -5,9 +5,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "jujube/placement/making_room.h"
-#include "jujube/placement/placing.h"
 #include "jujube/placement/queue.h"
 #include "jujube/placement/relief.h"
+#include "jujube/placement/serving.h"
 #include "jujube/placement/state.h"
 
 namespace jujube::placement {
--- /dev/null
+++ b/jujube/placement/serving.cc
@@ -0,0 +1,132 @@
+#include "jujube/placement/serving.h"
+
+#include <algorithm>
+#include <optional>
+#include <queue>
+#include <tuple>
+
+#include "jujube/placement/making_room.h"
+#include "jujube/placement/placing.h"
+
+namespace jujube::placement::internal {
+namespace {
+
+// Most requests of a lane that are looked at for one that is ready.
+constexpr uint32_t MaxHeads = 64;
+// How often room is made for a blocked lane that is not urgent.
+constexpr Duration RoomInterval = Duration::millis(250);
+// Lanes that are not urgent and for which one plan makes room; the others have
+// their turn in the next plans.
+constexpr uint32_t MaxRoomsMade = 8;
+
+// The first request of the lane that may start; requests that are not ready do
+// not block those behind them.
+RequestState *findHead(const PlannerState &state, const LaneState &lane) {
+  uint32_t looked = 0;
+  for (const auto &[key, request] : lane.Queue) {
+    if (isReady(state, *request))
+      return request;
+    if (++looked == MaxHeads)
+      break;
+  }
+  return nullptr;
+}
+
+// A lane that may have something to place, as its team stood at `Version`.
+struct Contender {
+  LaneState *Lane = nullptr;
+  RequestState *Head = nullptr;
+  double Rank = 0;
+  uint64_t Version = 0;
+
+  auto key() const { return std::tuple(Rank, Head->Order); }
+  bool operator<(const Contender &rhs) const { return rhs.key() < key(); }
+};
+
+// The contender with the lowest rank is on top. A placement outdates the
+// entries of its team's lanes; new ones are pushed and old ones skipped.
+using Contenders = std::priority_queue<Contender>;
+
+void contend(const PlannerState &state, LaneState &lane, Contenders &all) {
+  if (lane.Queue.empty() || lane.BlockedPlan == state.PlanNumber)
+    return;
+  RequestState *head = findHead(state, lane);
+  if (!head)
+    return;
+  const double share = state.shareOf(lane.Team->Reserved);
+  const double rank = state.Hooks.Rank(
+      {head->Work.Entry.Class, lane.Priority, share / lane.Team->Share});
+  all.push({&lane, head, rank, lane.Team->Version});
+}
+
+// Bounds the time that a plan spends on blocked lanes.
+bool mayMakeRoom(PlannerState &state, const RequestState &head, Instant now) {
+  if (head.isUrgent())
+    return true;
+  if (now - head.Lane->RoomMadeAt < RoomInterval ||
+      state.RoomsMade >= MaxRoomsMade)
+    return false;
+  ++state.RoomsMade;
+  head.Lane->RoomMadeAt = now;
+  return true;
+}
+
+// Deals with a head that could not be placed.
+void handleBlocked(PlannerState &state, RequestState &head,
+                   PlaceOutcome outcome, Instant now,
+                   std::vector<Action> &actions) {
+  LaneState &lane = *head.Lane;
+  lane.BlockedPlan = state.PlanNumber;
+  if (outcome == PlaceOutcome::NoRoom) {
+    if (mayMakeRoom(state, head, now))
+      makeRoom(state, lane, now, actions);
+    return;
+  }
+  if (outcome != PlaceOutcome::SliceFull || !state.isAged(head, now) ||
+      isSliceClaimed(state, head))
+    return;
+  head.Team->SliceClaimPlan = state.PlanNumber;
+  head.Team->SliceClaim = head.Order;
+}
+
+} // namespace
+
+void placeHolders(PlannerState &state, Instant now,
+                  std::vector<Action> &actions) {
+  std::vector<RequestState *> ready;
+  for (const auto &[seq, request] : state.Holders)
+    if (isReady(state, *request) && areHoldsReady(state, *request))
+      ready.push_back(request);
+  for (RequestState *request : ready)
+    if (placeNext(state, *request, now, actions) == PlaceOutcome::OutOfActions)
+      state.WasCutShort = true;
+}
+
+void placeWaiting(PlannerState &state, Instant now,
+                  std::vector<Action> &actions) {
+  state.RoomsMade = 0;
+  Contenders contenders;
+  for (const auto &lane : state.Lanes)
+    contend(state, *lane, contenders);
+  while (!contenders.empty()) {
+    const Contender best = contenders.top();
+    contenders.pop();
+    TeamState &team = *best.Lane->Team;
+    if (best.Version != team.Version)
+      continue;
+    const PlaceOutcome outcome = placeNext(state, *best.Head, now, actions);
+    if (outcome == PlaceOutcome::OutOfActions) {
+      state.WasCutShort = true;
+      return;
+    }
+    if (outcome != PlaceOutcome::Placed) {
+      handleBlocked(state, *best.Head, outcome, now, actions);
+      continue;
+    }
+    ++team.Version;
+    for (LaneState *lane : team.Lanes)
+      contend(state, *lane, contenders);
+  }
+}
+
+} // namespace jujube::placement::internal
--- a/jujube/placement/state.cc
+++ b/jujube/placement/state.cc
@@ -75,6 +75,7 @@
     found->Team = request.Team;
     found->Entry = request.Entry;
     found->Priority = request.Work.Entry.Priority;
+    found->Team->Lanes.push_back(found);
   }
   return *found;
 }
@@ -107,8 +108,8 @@
 void PlannerState::refresh(uint32_t slot) {
   WorkerState &worker = Workers[slot];
   const Resources free = isUsable(worker) ? clipped(freeOn(worker)) : NoRoom;
-  if (!free.fitsIn(worker.IndexedFree))
-    Unfit.clear();
+  std::erase_if(Unfit,
+                [&free](const Resources &size) { return size.fitsIn(free); });
   if (!Racks.empty())
     Racks[worker.Rack].Free += clipped(free) - clipped(worker.IndexedFree);
   worker.IndexedFree = free;
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -57,6 +57,9 @@
   // position.
   uint64_t SliceClaimPlan = 0;
   OrderKey SliceClaim;
+  std::vector<LaneState *> Lanes;
+  // Counts the placements, which change the ranks of its lanes.
+  uint64_t Version = 0;
 };
 
 struct EntryState {
@@ -75,6 +78,10 @@
   EntryState *Entry = nullptr;
   catalogue::Urgency Priority = catalogue::Urgency::Normal;
   absl::btree_map<OrderKey, RequestState *> Queue;
+  // The last plan in which its head could not be placed.
+  uint64_t BlockedPlan = 0;
+  // When room was last made for it.
+  Instant RoomMadeAt = Instant::atMillis(INT64_MIN / 4);
 };
 
 enum class TaskStage {
@@ -289,6 +296,8 @@
   Instant FirstWorkerAt = Instant::never();
   bool WasCutShort = false;
   bool IsUrgentBlocked = false;
+  // Lanes for which room was made in this plan.
+  uint32_t RoomsMade = 0;
   PlannerCounters Counters;
 };
 
