--- /dev/null
+++ b/jujube/daemon/daemon.cc
@@ -0,0 +1,86 @@
+#include "jujube/daemon/daemon.h"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "glog/logging.h"
+
+namespace jujube::daemon {
+
+Result<std::string> readSecret(const std::string &path) {
+  struct stat info {};
+  if (stat(path.c_str(), &info) != 0)
+    return Error{
+        ErrorKind::InvalidArgument, absl::StrCat("no file ", path),
+        "create it with a random line, for example from openssl rand -hex 24"};
+  if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0)
+    return Error{ErrorKind::PermissionDenied,
+                 absl::StrCat("others may read the secret in ", path),
+                 absl::StrCat("chmod 600 ", path)};
+  std::ifstream file(path);
+  std::string line;
+  std::getline(file, line);
+  if (line.size() < MinSecretChars)
+    return Error{ErrorKind::InvalidArgument,
+                 absl::StrCat("the secret in ", path, " is too short"),
+                 absl::StrCat("use at least ", MinSecretChars, " characters")};
+  return line;
+}
+
+Result<std::vector<consensus::Peer>> parsePeers(absl::string_view text) {
+  std::vector<consensus::Peer> peers;
+  for (absl::string_view item :
+       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(item, absl::MaxSplits('=', 1));
+    auto host = HostId::parse(parts.first);
+    auto address = Address::parse(parts.second);
+    if (!isOk(host) || !isOk(address))
+      return Error{ErrorKind::InvalidArgument,
+                   absl::StrCat("'", item, "' is not a member"),
+                   "write members as HOST=IP:PORT,HOST=IP:PORT"};
+    peers.push_back({valueOf(std::move(host)), valueOf(std::move(address))});
+  }
+  return peers;
+}
+
+Result<Address> addressOf(const std::vector<consensus::Peer> &peers,
+                          const HostId &self) {
+  const auto it = std::ranges::find(peers, self, &consensus::Peer::Host);
+  if (it != peers.end())
+    return it->At;
+  return Error{
+      ErrorKind::InvalidArgument,
+      absl::StrCat("host ", self.str(), " is not in the list of members"),
+      "add HOST=IP:PORT of this host to the list"};
+}
+
+int runDaemon(absl::string_view usage, const std::vector<SettingSpec> &specs,
+              const TreeHook &makeTree, int argc, char **argv) {
+  auto parsed = parseOrExplain(usage, specs, argc, argv);
+  if (const int *code = std::get_if<int>(&parsed))
+    return *code;
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  auto tree = makeTree(std::get<Settings>(parsed));
+  if (!isOk(tree)) {
+    std::cerr << errorOf(tree).text() << "\n";
+    return UsageExitCode;
+  }
+  const Status status =
+      runtime::runUntilSignalled(valueOf(tree), Clock::monotonic());
+  if (isOk(status)) {
+    LOG(INFO) << "event=stopped";
+    return 0;
+  }
+  LOG(ERROR) << "event=gave_up error=\"" << errorOf(status).text() << "\"";
+  return 1;
+}
+
+} // namespace jujube::daemon
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -112,6 +112,7 @@
 }
 
 void Scheduler::setLimits(Instant now) {
+  NeedsPlan = true;
   NextLimits = now + LimitsPeriod;
   for (const catalogue::Team &team : Teams)
     Planner.setSlice(team.Id, limitOf(Slices.startable(team.Id, now),
@@ -163,6 +164,7 @@
 }
 
 void Scheduler::onApplied(const fate::Event &event, Moment at) {
+  NeedsPlan = true;
   std::visit([&](const auto &e) { on(e, at); }, event);
 }
 
@@ -195,7 +197,7 @@
 }
 
 void Scheduler::on(const fate::RequestCancelled &event, Moment at) {
-  Planner.cancel(event.Request, at.Now);
+  Planner.cancel(event.Request);
   const fate::RequestRecord *request = Book.findRequest(event.Request);
   for (const fate::TaskRecord &task : request->Tasks)
     if (task.IsLive)
@@ -204,7 +206,7 @@
 }
 
 void Scheduler::on(const fate::RequestRejected &event, Moment at) {
-  Planner.cancel(event.Request, at.Now);
+  Planner.cancel(event.Request);
   forgetIfEnded(event.Request, at);
 }
 
@@ -245,7 +247,7 @@
     auto more = Book.report(worker, start, report, at.Wall);
     std::ranges::move(more, std::back_inserter(events));
     if (report.Usage != Resources{})
-      Planner.usage(report.Task, report.Usage, at.Now);
+      Planner.usage(report.Task, report.Usage);
   }
   if (!events.empty())
     Hooks.Propose(std::move(events));
@@ -278,6 +280,7 @@
 }
 
 void Scheduler::plan(Moment at) {
+  NeedsPlan = false;
   if (at.Now >= NextLimits)
     setLimits(at.Now);
   std::vector<fate::Event> events;
