--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -196,18 +196,10 @@
   return isPlaced;
 }
 
-bool isInFrontier(const PlannerState &state, const RequestState &request) {
-  return state.Config.FrontierWidth == 0 || !request.hasEnd() ||
-         request.Placed > 0 ||
-         request.Team->Served < state.Config.FrontierWidth;
-}
-
 } // namespace
 
-bool isReady(const PlannerState &state, const RequestState &request) {
-  if (request.isGang() && !request.isComplete())
-    return false;
-  return isInFrontier(state, request);
+bool isReady(const RequestState &request) {
+  return !request.isGang() || request.isComplete();
 }
 
 bool areHoldsReady(const PlannerState &state, const RequestState &request) {
--- a/jujube/placement/placing.h
+++ b/jujube/placement/placing.h
@@ -40,8 +40,9 @@
 };
 StartNeed startNeed(const PlannerState &state, const RequestState &request);
 
-// True if the request may start as far as its own tasks and the frontier go.
-bool isReady(const PlannerState &state, const RequestState &request);
+// True if the request may start as far as its own tasks go: those of a gang
+// start together.
+bool isReady(const RequestState &request);
 // True if the room that the request holds is free.
 bool areHoldsReady(const PlannerState &state, const RequestState &request);
 // True if an older request of the team waits for the rest of the slice.
--- a/jujube/placement/serving.cc
+++ b/jujube/placement/serving.cc
@@ -21,10 +21,10 @@
 
 // The first request of the lane that may start; requests that are not ready do
 // not block those behind them.
-RequestState *findHead(const PlannerState &state, const LaneState &lane) {
+RequestState *findHead(const LaneState &lane) {
   uint32_t looked = 0;
   for (const auto &[key, request] : lane.Queue) {
-    if (isReady(state, *request))
+    if (isReady(*request))
       return request;
     if (++looked == MaxHeads)
       break;
@@ -50,7 +50,7 @@
 void contend(const PlannerState &state, LaneState &lane, Contenders &all) {
   if (lane.Queue.empty() || lane.BlockedPlan == state.PlanNumber)
     return;
-  RequestState *head = findHead(state, lane);
+  RequestState *head = findHead(lane);
   if (!head)
     return;
   const double share = state.shareOf(lane.Team->Reserved);
@@ -95,7 +95,7 @@
                   std::vector<Action> &actions) {
   std::vector<RequestState *> ready;
   for (const auto &[seq, request] : state.Holders)
-    if (isReady(state, *request) && areHoldsReady(state, *request))
+    if (isReady(*request) && areHoldsReady(state, *request))
       ready.push_back(request);
   for (RequestState *request : ready)
     if (placeNext(state, *request, now, actions) == PlaceOutcome::OutOfActions)
--- a/jujube/placement/state.cc
+++ b/jujube/placement/state.cc
@@ -135,8 +135,7 @@
   book(worker, request, task, 1);
   request.Team->Reserved += size;
   TotalReserved += size;
-  if (request.Placed++ == 0 && request.hasEnd())
-    ++request.Team->Served;
+  ++request.Placed;
   ++request.Entry->Placed;
   ++PlacedTasks;
   refresh(slot);
@@ -157,8 +156,7 @@
     --request.Stopping;
   }
   TotalReserved -= task.Reserved;
-  if (--request.Placed == 0 && request.hasEnd())
-    --request.Team->Served;
+  --request.Placed;
   --request.Entry->Placed;
   --PlacedTasks;
   task.Stage = TaskStage::Ended;
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -51,8 +51,6 @@
   Resources Held;
   Resources Queued;
   uint64_t QueuedTasks = 0;
-  // Batch and gang requests with placed tasks, for the frontier.
-  uint32_t Served = 0;
   // The plan in which an aged request waits for the rest of the slice, and its
   // position.
   uint64_t SliceClaimPlan = 0;
--- a/jujube/placement/types.h
+++ b/jujube/placement/types.h
@@ -40,8 +40,6 @@
   // First and longest wait before a failed task is placed again.
   Duration BackoffMin = Duration::millis(500);
   Duration BackoffMax = Duration::minutes(2);
-  // Batch and gang requests of a team that are served at once; 0 for no limit.
-  uint32_t FrontierWidth = 0;
 };
 
 // Work that is accepted and not yet placed.
--- a/programs/jujube_replay.cc
+++ b/programs/jujube_replay.cc
@@ -29,10 +29,6 @@
        "policies to replay, separated by commas, or 'all'"},
       {"seed", SettingKind::Integer, "1",
        "seed of the planner's search, or of --generate", false, 0},
-      {"frontier", SettingKind::Integer, "0",
-       "batch and gang requests of a team that are served at once; 0 for no "
-       "limit",
-       false, 0, 1'000'000},
       {"interleave", SettingKind::Switch, "false",
        "serve the requests of an entry in turn instead of in order"},
       {"generate", SettingKind::Text, "",
@@ -90,8 +86,6 @@
   ReplayOptions options;
   options.Planner.Policy = policy;
   options.Planner.Seed = static_cast<uint64_t>(settings.integer("seed"));
-  options.Planner.FrontierWidth =
-      static_cast<uint32_t>(settings.integer("frontier"));
   options.Hooks = placement::hooksFor(policy);
   if (settings.isOn("interleave"))
     options.Hooks.OrderKey = inTurn;
