--- a/jujube/api/commands.h
+++ b/jujube/api/commands.h
@@ -126,6 +126,8 @@
   ZoneId Zone;
   // The control host that leads the zone's group; empty if none is known.
   HostId Leader;
+  // Members of the group that count towards its majority and are caught up.
+  uint32_t Voters = 0;
   uint32_t Workers = 0;
   uint32_t QuarantinedWorkers = 0;
   uint64_t QueuedTasks = 0;
--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -96,6 +96,8 @@
   LogIndex commitIndex() const { return Commit; }
   LogIndex lastIndex() const { return Entries.last(); }
   const Membership &membership() const { return Entries.membership(); }
+  // Voters that lately acknowledged this leader, with itself; 0 on other roles.
+  std::size_t responsiveVoters(Instant now) const;
   const HardState &hardState() const { return Hard; }
   const Log &log() const { return Entries; }
 
@@ -194,6 +196,7 @@
   void admit(const HostId &host, const Sighting &seen, Instant now);
   void promoteLearners(Instant now);
   void replaceSilentVoter(Instant now);
+  std::size_t countResponsive(const Membership &members, Instant now) const;
   bool isRemainderQuorum(const HostId &without, Instant now) const;
   void probe(Instant now);
   void seekGroup(Instant now);
--- a/jujube/consensus/node_membership.cc
+++ b/jujube/consensus/node_membership.cc
@@ -72,19 +72,30 @@
   changeMembership(std::move(next));
 }
 
-bool Node::isRemainderQuorum(const HostId &without, Instant now) const {
-  Membership rest = Entries.membership();
-  std::erase_if(rest.Members,
-                [&](const Member &member) { return member.Host == without; });
-  const auto responsive =
-      std::ranges::count_if(votersOf(rest), [&](const Member &member) {
+std::size_t Node::countResponsive(const Membership &members,
+                                  Instant now) const {
+  const auto n =
+      std::ranges::count_if(votersOf(members), [&](const Member &member) {
         if (member.Host == Settings.Self.Host)
           return true;
         const auto it = Peers.find(member.Host);
         return it != Peers.end() &&
                now - it->second.LastHeard <= voteRefusal(Settings);
       });
-  return static_cast<std::size_t>(responsive) >=
+  return static_cast<std::size_t>(n);
+}
+
+std::size_t Node::responsiveVoters(Instant now) const {
+  return CurrentRole == Role::Leader
+             ? countResponsive(Entries.membership(), now)
+             : 0;
+}
+
+bool Node::isRemainderQuorum(const HostId &without, Instant now) const {
+  Membership rest = Entries.membership();
+  std::erase_if(rest.Members,
+                [&](const Member &member) { return member.Host == without; });
+  return countResponsive(rest, now) >=
          quorumSize(rest, Settings.Configured.size());
 }
 
--- a/jujube/ctl/work_commands.cc
+++ b/jujube/ctl/work_commands.cc
@@ -206,12 +206,12 @@
                    status.IsLeaving ? " (leaving)" : "",
                    ", catalogue revision ", status.Catalogue.Value,
                    " confirmed ", status.CatalogueAge.millis(), " ms ago\n\n"));
-  Table zones({"ZONE", "LEADER", "WORKERS", "QUARANTINED", "QUEUED", "RUNNING",
-               "RESERVED", "HELD"});
+  Table zones({"ZONE", "LEADER", "VOTERS", "WORKERS", "QUARANTINED", "QUEUED",
+               "RUNNING", "RESERVED", "HELD"});
   for (const api::ZoneStatus &zone : status.Zones)
     zones.add({zone.Zone.str(),
                zone.Leader.empty() ? "none known" : zone.Leader.str(),
-               absl::StrCat(zone.Workers),
+               absl::StrCat(zone.Voters), absl::StrCat(zone.Workers),
                absl::StrCat(zone.QuarantinedWorkers),
                absl::StrCat(zone.QueuedTasks), absl::StrCat(zone.RunningTasks),
                resourcesText(zone.Reserved), resourcesText(zone.Held)});
--- a/jujube/http/descriptions.h
+++ b/jujube/http/descriptions.h
@@ -263,6 +263,7 @@
   v.required("zone", x.Zone);
   v.optional("leader", x.Leader);
   v.required("workers", x.Workers);
+  v.required("voters", x.Voters);
   v.required("quarantined_workers", x.QuarantinedWorkers);
   v.required("queued_tasks", x.QueuedTasks);
   v.required("running_tasks", x.RunningTasks);
--- a/jujube/replica/replica.h
+++ b/jujube/replica/replica.h
@@ -65,6 +65,8 @@
   // True while this replica leads and what it has applied is the latest state.
   bool mayServe() const { return Node.mayServe(Loop.now()); }
   Term term() const { return Node.term(); }
+  // Voters of the group that have lately acknowledged this leader, with itself.
+  std::size_t voters() const { return Node.responsiveVoters(Loop.now()); }
   const HostId &leader() const { return Node.leader(); }
   // Port 0 while no leader is known.
   Address leaderAddress() const {
--- a/jujube/wire/domain_encoding.h
+++ b/jujube/wire/domain_encoding.h
@@ -131,7 +131,7 @@
   ar(v.Request, v.Runner, v.Body);
 }
 template <typename Archive> void serialize(Archive &ar, ZoneStatus &v) {
-  ar(v.Zone, v.Leader, v.Workers, v.QuarantinedWorkers, v.QueuedTasks,
+  ar(v.Zone, v.Leader, v.Voters, v.Workers, v.QuarantinedWorkers, v.QueuedTasks,
      v.RunningTasks, v.Held, v.Reserved);
 }
 
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -369,10 +369,17 @@
 
 api::ZoneStatus ZoneTask::status() const {
   const placement::PlannerStatus planner = Leading->status();
-  return {Settings.Zone,       Settings.Self,
-          planner.Workers,     planner.QuarantinedWorkers,
-          planner.QueuedTasks, planner.PlacedTasks,
-          planner.Held,        planner.Reserved};
+  api::ZoneStatus status;
+  status.Zone = Settings.Zone;
+  status.Leader = Settings.Self;
+  status.Voters = static_cast<uint32_t>(Log->voters());
+  status.Workers = planner.Workers;
+  status.QuarantinedWorkers = planner.QuarantinedWorkers;
+  status.QueuedTasks = planner.QueuedTasks;
+  status.RunningTasks = planner.PlacedTasks;
+  status.Held = planner.Held;
+  status.Reserved = planner.Reserved;
+  return status;
 }
 
 void ZoneTask::pollSlices() {
--- a/testing/cell_test.cc
+++ b/testing/cell_test.cc
@@ -52,6 +52,12 @@
                                valueOf(stats).find_first_of(",}", from) - from);
 }
 
+// Voters of the zone's group that its leader hears from.
+uint32_t votersOf(Cell &cell) {
+  const auto fleet = cell.status();
+  return isOk(fleet) ? valueOf(fleet).Zones.front().Voters : 0;
+}
+
 BOOST_AUTO_TEST_SUITE(CellSuite)
 
 BOOST_AUTO_TEST_CASE(KilledLeaderUnderLoadLosesNoRequestAndRunsNoneTwice) {
@@ -108,8 +114,8 @@
     return !now.empty() && now != first;
   }));
   cell->restart(first);
-  // The replacement counts once it has caught up; before that the group has to
-  // refuse to go on rather than forget.
+  // The repair is done once the replacement has caught up and counts again.
+  BOOST_REQUIRE(eventually([&] { return votersOf(*cell) == 3U; }));
   const std::string second = cell->leaderOf(Zone);
   cell->signal(second, SIGKILL);
   cell->restart(second);
