Unit tests of single nodes; lint

Cause: mutations of the vote rules passed the driver, since pre-vote covers for them. Change: each rule of voting, acknowledging and committing has its own test.

--- /dev/null
+++ b/jujube/consensus/consensus_test.cc
@@ -0,0 +1,302 @@
+// Rules of a single node, and of the parts it is made of. How nodes act
+// together is tested on the driver in testing/.
+#include "jujube/consensus/node.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "jujube/consensus/quorum.h"
+
+namespace jujube::consensus {
+namespace {
+
+constexpr Instant Begin = Instant::atMillis(10'000);
+
+HostId hostId(int i) { return HostId("host" + std::to_string(i)); }
+
+Member memberAt(int i, bool isVoter = true) {
+  return Member{hostId(i), Incarnation{1},
+                Address{"127.0.0.1", static_cast<uint16_t>(i)}, isVoter};
+}
+
+Membership votersUpTo(int n) {
+  Membership members;
+  for (int i = 1; i <= n; ++i)
+    members.Members.push_back(memberAt(i));
+  return members;
+}
+
+Options optionsOf(int hosts) {
+  Options options;
+  for (int i = 1; i <= hosts; ++i)
+    options.Configured.push_back(Peer{hostId(i), memberAt(i).At});
+  options.Self = options.Configured.front();
+  options.Start = Incarnation{1};
+  return options;
+}
+
+LogEntry entryAt(uint64_t index, uint64_t term) {
+  return LogEntry{LogIndex{index}, Term{term}, EntryKind::Command, "x", {}};
+}
+
+const GroupId Group{hostId(1), Incarnation{1}};
+
+// host1 of a group of three, with entries of term 1 and `extra` ones.
+DurableState stateOfThree(std::vector<LogEntry> extra = {}) {
+  DurableState state;
+  state.Hard = HardState{Group, Term{2}, HostId(), Incarnation{}};
+  state.Entries.push_back(
+      LogEntry{LogIndex{1}, Term{1}, EntryKind::Membership, {}, votersUpTo(3)});
+  for (LogEntry &entry : extra)
+    state.Entries.push_back(std::move(entry));
+  return state;
+}
+
+Node nodeWith(DurableState state, Options options = optionsOf(3)) {
+  return valueOf(Node::create(std::move(options), std::move(state),
+                              std::mt19937_64(1), Begin));
+}
+
+Message messageOf(uint64_t term, Body body) {
+  return Message{Group, Term{term}, Incarnation{1}, Incarnation{1},
+                 std::move(body)};
+}
+
+Message heartbeat(uint64_t term) {
+  return messageOf(term, AppendRequest{LogIndex{1}, Term{1}, {}, {}, 0});
+}
+
+// The bodies of one kind that are sent by `actions`.
+template <typename T> std::vector<T> sent(const Actions &actions) {
+  std::vector<T> bodies;
+  for (const Action &action : actions)
+    if (const auto *send = std::get_if<Send>(&action))
+      if (const T *body = std::get_if<T>(&send->What.What))
+        bodies.push_back(*body);
+  return bodies;
+}
+
+template <typename T> const T *only(const Actions &actions) {
+  const T *found = nullptr;
+  for (const Action &action : actions)
+    if (const T *it = std::get_if<T>(&action))
+      found = it;
+  return found;
+}
+
+// Handles the message and syncs what it changed.
+Actions deliver(Node &node, int from, const Message &message, Instant now) {
+  Actions actions = node.receive(hostId(from), message, now);
+  if (const auto *persist = only<Persist>(actions)) {
+    Actions more = node.persisted(persist->Serial, now);
+    actions.insert(actions.end(), more.begin(), more.end());
+  }
+  return actions;
+}
+
+// Runs the node's timers until it has started an election, and wins it with
+// the vote of host2.
+Instant elect(Node &node) {
+  Instant now = Begin;
+  while (node.role() != Role::PreCandidate) {
+    now = node.nextWake();
+    (void)node.tick(now);
+  }
+  const Term next = node.term().next();
+  deliver(node, 2,
+          messageOf(node.term().Value, PreVoteReply{next, true, false}), now);
+  deliver(node, 2, messageOf(next.Value, VoteReply{true, false}), now);
+  return now;
+}
+
+BOOST_AUTO_TEST_SUITE(ConsensusTest)
+
+BOOST_AUTO_TEST_CASE(QuorumNeverFallsBelowAMajorityOfTheConfigured) {
+  BOOST_TEST(quorumSize(votersUpTo(3), 3) == 2U);
+  BOOST_TEST(quorumSize(votersUpTo(2), 3) == 2U);
+  BOOST_TEST(quorumSize(votersUpTo(1), 3) == 2U);
+  BOOST_TEST(quorumSize(votersUpTo(5), 3) == 3U);
+  const auto number = [](const Member &member) -> int {
+    return member.At.Port;
+  };
+  BOOST_TEST(quorumValue<int>(votersUpTo(3), 2, number, -1) == 2);
+  BOOST_TEST(quorumValue<int>(votersUpTo(1), 2, number, -1) == -1);
+}
+
+BOOST_AUTO_TEST_CASE(OptionsThatBreakTheLeaseAreRefused) {
+  BOOST_TEST(isOk(checkOptions(optionsOf(3))));
+  Options even = optionsOf(2);
+  even.Rule = Formation::WhenMajorityBlank;
+  Options shortLease = optionsOf(3);
+  shortLease.Lease = shortLease.Heartbeat;
+  Options drift = optionsOf(3);
+  drift.MaxDriftPerMille = 600;
+  Options twice = optionsOf(3);
+  twice.Configured.push_back(twice.Self);
+  Options stranger = optionsOf(3);
+  stranger.Self.Host = HostId("stranger");
+  for (const Options &options : {even, shortLease, drift, twice, stranger}) {
+    const Status status = checkOptions(options);
+    BOOST_REQUIRE(!isOk(status));
+    BOOST_TEST(!errorOf(status).Remedy.empty());
+  }
+  // 400 ms * 1.01 / 0.99, rounded up, and a margin for whole milliseconds.
+  BOOST_TEST(voteRefusal(optionsOf(3)).millis() == 411);
+}
+
+BOOST_AUTO_TEST_CASE(LogKeepsTermsAndMembershipOverCompaction) {
+  Log log(stateOfThree({entryAt(2, 1), entryAt(3, 2), entryAt(4, 2)}));
+  log.append(
+      LogEntry{LogIndex{5}, Term{2}, EntryKind::Membership, {}, votersUpTo(2)});
+  BOOST_TEST(log.beforeTermOf(LogIndex{5}).Value == 2U);
+  log.compact(LogIndex{3}, "state", 2 * sizeOf(entryAt(3, 2)));
+  BOOST_TEST(log.first().Value == 2U);
+  BOOST_TEST(log.termAt(LogIndex{1})->Value == 1U);
+  BOOST_TEST(!log.termAt(LogIndex{0}).has_value());
+  BOOST_TEST((log.base()->Members == votersUpTo(3)));
+  log.truncateFrom(LogIndex{5});
+  BOOST_TEST((log.membership() == votersUpTo(3)));
+  BOOST_TEST(log.slice(LogIndex{3}, 1).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StateWithAGapIsRefused) {
+  DurableState state = stateOfThree({entryAt(3, 1)});
+  const Result<Node> node =
+      Node::create(optionsOf(3), std::move(state), std::mt19937_64(1), Begin);
+  BOOST_REQUIRE(!isOk(node));
+  BOOST_TEST((errorOf(node).Kind == ErrorKind::CorruptData));
+}
+
+// A vote is refused while the leader may rely on this member, also by one that
+// has just started, unless the leader itself gave up its lease.
+BOOST_AUTO_TEST_CASE(VotesWaitForTheLease) {
+  const Duration wait = voteRefusal(optionsOf(3));
+  const auto isGranted = [](Node &node, Instant now, bool isTransfer) {
+    const Message ask =
+        messageOf(3, VoteRequest{LogIndex{9}, Term{2}, isTransfer});
+    return sent<VoteReply>(deliver(node, 2, ask, now)).front().IsGranted;
+  };
+  Node started = nodeWith(stateOfThree());
+  const Instant last = Begin + wait - Duration::millis(1);
+  BOOST_TEST(!isGranted(started, last, false));
+  BOOST_TEST(started.term().Value == 2U);
+  deliver(started, 3, heartbeat(2), last);
+  BOOST_TEST(!isGranted(started, last + wait - Duration::millis(1), false));
+  BOOST_TEST(isGranted(started, last + wait, false));
+  Node transferred = nodeWith(stateOfThree());
+  deliver(transferred, 3, heartbeat(2), Begin);
+  BOOST_TEST(isGranted(transferred, Begin, true));
+}
+
+BOOST_AUTO_TEST_CASE(OneVotePerTermIsSyncedBeforeItIsSent) {
+  Node node = nodeWith(stateOfThree());
+  const Instant now = Begin + voteRefusal(optionsOf(3));
+  const Message ask = messageOf(3, VoteRequest{LogIndex{1}, Term{1}, false});
+  const Actions first = node.receive(hostId(2), ask, now);
+  const auto *persist = only<Persist>(first);
+  BOOST_REQUIRE(persist != nullptr);
+  BOOST_TEST((persist->State->VotedFor == hostId(2)));
+  BOOST_TEST(sent<VoteReply>(first).empty());
+  const Actions then = node.persisted(persist->Serial, now);
+  BOOST_TEST(sent<VoteReply>(then).front().IsGranted);
+  BOOST_TEST(!sent<VoteReply>(deliver(node, 3, ask, now)).front().IsGranted);
+  // A later incarnation of the host that got the vote is another candidate.
+  Message again = ask;
+  again.FromStart = Incarnation{2};
+  BOOST_TEST(!sent<VoteReply>(deliver(node, 2, again, now)).front().IsGranted);
+}
+
+BOOST_AUTO_TEST_CASE(OutdatedLogGetsNoVote) {
+  Node node = nodeWith(stateOfThree({entryAt(2, 1), entryAt(3, 2)}));
+  const Instant now = Begin + voteRefusal(optionsOf(3));
+  const auto isGranted = [&](uint64_t term, uint64_t index, uint64_t at) {
+    const Message ask =
+        messageOf(term, VoteRequest{LogIndex{index}, Term{at}, false});
+    return sent<VoteReply>(deliver(node, 2, ask, now)).front().IsGranted;
+  };
+  BOOST_TEST(!isGranted(3, 9, 1));
+  BOOST_TEST(!isGranted(4, 2, 2));
+  BOOST_TEST(isGranted(5, 3, 2));
+}
+
+BOOST_AUTO_TEST_CASE(AcknowledgementsWaitForTheSync) {
+  Node node = nodeWith(stateOfThree());
+  const Message append = messageOf(
+      2, AppendRequest{LogIndex{1}, Term{1}, LogIndex{}, {entryAt(2, 2)}, 7});
+  const Actions actions = node.receive(hostId(3), append, Begin);
+  BOOST_TEST(sent<AppendReply>(actions).empty());
+  const Actions then = node.persisted(only<Persist>(actions)->Serial, Begin);
+  BOOST_REQUIRE(sent<AppendReply>(then).size() == 1U);
+  BOOST_TEST(
+      (sent<AppendReply>(then).front() == AppendReply{true, LogIndex{2}, 7}));
+}
+
+BOOST_AUTO_TEST_CASE(MessagesOfOtherIncarnationsAndGroupsAreDropped) {
+  Node node = nodeWith(stateOfThree());
+  Message other = heartbeat(2);
+  other.ToStart = Incarnation{2};
+  BOOST_TEST(node.receive(hostId(3), other, Begin).empty());
+  other = heartbeat(2);
+  other.Group.Start = Incarnation{2};
+  BOOST_TEST(node.receive(hostId(3), other, Begin).empty());
+  BOOST_TEST(node.leader().empty());
+}
+
+BOOST_AUTO_TEST_CASE(OtherIncarnationsDontCountTowardsAnElection) {
+  Node node = nodeWith(stateOfThree());
+  while (node.role() != Role::PreCandidate)
+    (void)node.tick(node.nextWake());
+  Message vote = messageOf(2, PreVoteReply{Term{3}, true, false});
+  vote.FromStart = Incarnation{2};
+  deliver(node, 2, vote, node.nextWake());
+  BOOST_TEST((node.role() == Role::PreCandidate));
+  vote.FromStart = Incarnation{1};
+  deliver(node, 2, vote, node.nextWake());
+  BOOST_TEST((node.role() == Role::Candidate));
+}
+
+// A new leader commits what it found only along with an entry of its own, and
+// serves only from then on.
+BOOST_AUTO_TEST_CASE(EarlierTermsCommitWithTheOwnOne) {
+  Node node = nodeWith(stateOfThree({entryAt(2, 1)}));
+  const Instant now = elect(node);
+  BOOST_REQUIRE((node.role() == Role::Leader));
+  const uint64_t term = node.term().Value;
+  const auto acknowledge = [&](uint64_t index) {
+    return deliver(
+        node, 2,
+        messageOf(term, AppendReply{true, LogIndex{index}, now.millis()}), now);
+  };
+  acknowledge(2);
+  BOOST_TEST(node.commitIndex().Value == 0U);
+  BOOST_TEST(!node.mayServe(now));
+  (void)node.persisted(SIZE_MAX, now);
+  const Actions actions = acknowledge(3);
+  BOOST_TEST(node.commitIndex().Value == 3U);
+  BOOST_TEST((only<RoleChanged>(actions)->Now == Role::Leader));
+  BOOST_TEST(node.mayServe(now + Duration::millis(399)));
+  BOOST_TEST(!node.mayServe(now + Duration::millis(400)));
+}
+
+BOOST_AUTO_TEST_CASE(ProposalsOfOneTurnGoOutTogether) {
+  Node node = nodeWith(stateOfThree());
+  const Instant now = elect(node);
+  (void)node.persisted(SIZE_MAX, now);
+  deliver(node, 2,
+          messageOf(node.term().Value,
+                    AppendReply{true, LogIndex{2}, now.millis()}),
+          now);
+  for (uint64_t id = 1; id <= 50; ++id)
+    BOOST_TEST(sent<AppendRequest>(node.propose(id, "x", now)).empty());
+  BOOST_TEST((node.nextWake() <= now));
+  const auto requests = sent<AppendRequest>(node.tick(now));
+  BOOST_TEST(requests.size() == 2U);
+  BOOST_TEST(requests.front().Entries.size() >= 50U);
+  BOOST_TEST((node.nextWake() > now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::consensus
--- a/jujube/consensus/node.cc
+++ b/jujube/consensus/node.cc
@@ -72,7 +72,7 @@
   Now = now;
   if (CurrentRole == Role::Leader) {
     tickLeader(now);
-    return finish(now);
+    return finish();
   }
   if (!Hard.Group.isBlank() && now >= ElectionAt) {
     Leader = HostId();
@@ -82,7 +82,7 @@
   }
   if (Leader.empty())
     seekGroup(now);
-  return finish(now);
+  return finish();
 }
 
 Actions Node::receive(const HostId &from, const Message &message, Instant now) {
@@ -92,7 +92,7 @@
     return {};
   Now = now;
   dispatch(from, message, now);
-  return finish(now);
+  return finish();
 }
 
 void Node::dispatch(const HostId &from, const Message &message, Instant now) {
@@ -138,19 +138,19 @@
     Out.emplace_back(ProposalRefused{
         proposalId, Error{ErrorKind::NotLeader,
                           "this host does not lead its group", remedy}});
-    return finish(now);
+    return finish();
   }
   if (UncommittedBytes + payload.size() > Settings.MaxUncommittedBytes) {
     Out.emplace_back(ProposalRefused{
         proposalId,
         Error{ErrorKind::Overloaded, "too many bytes wait to be replicated",
               "retry later"}});
-    return finish(now);
+    return finish();
   }
   appendLocal(EntryKind::Command, std::move(payload), {});
   Proposals.emplace(Entries.last(), proposalId);
   updateCommit();
-  return finish(now);
+  return finish();
 }
 
 Actions Node::persisted(uint64_t serial, Instant now) {
@@ -163,7 +163,7 @@
   releaseHeld();
   if (CurrentRole == Role::Leader)
     updateCommit();
-  return finish(now);
+  return finish();
 }
 
 void Node::compact(LogIndex upTo, std::string snapshot) {
@@ -193,7 +193,7 @@
   return addressOf(Leader);
 }
 
-Actions Node::finish(Instant) {
+Actions Node::finish() {
   applyCommitted();
   persistChanges();
   reportRole();
--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -113,7 +113,7 @@
        Instant now);
 
   // node.cc: events, actions, persistence.
-  Actions finish(Instant now);
+  Actions finish();
   void persistChanges();
   void releaseHeld();
   void reportRole();
@@ -146,7 +146,7 @@
   void failProposals();
   bool refusesVotes(Instant now) const;
   bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
-  void requestVotes(Body body, Term at);
+  void requestVotes(const Body &body, Term at);
   void countVote(const HostId &from, const Message &message, bool isGranted,
                  bool hasConsent);
   bool hasWon(Instant now) const;
--- a/jujube/consensus/node_election.cc
+++ b/jujube/consensus/node_election.cc
@@ -72,7 +72,7 @@
          std::pair(Entries.lastTerm(), Entries.last());
 }
 
-void Node::requestVotes(Body body, Term at) {
+void Node::requestVotes(const Body &body, Term at) {
   for (const Member &member : Entries.membership().Members) {
     if (member.Host == Settings.Self.Host)
       continue;
@@ -241,7 +241,7 @@
 Actions Node::transferLeadership(Instant now) {
   Now = now;
   if (CurrentRole != Role::Leader)
-    return finish(now);
+    return finish();
   const Member *target = nullptr;
   for (const Member &member : Entries.membership().Members) {
     const auto it = Peers.find(member.Host);
@@ -253,7 +253,7 @@
   if (target != nullptr)
     send(target->Host, target->At, target->Start, TimeoutNow{});
   becomeFollower(Hard.Current, HostId(), now);
-  return finish(now);
+  return finish();
 }
 
 } // namespace jujube::consensus
--- a/jujube/consensus/node_membership.cc
+++ b/jujube/consensus/node_membership.cc
@@ -167,7 +167,7 @@
   next.Members.push_back(
       Member{standby, successor->second.Start, successor->second.At, false});
   changeMembership(std::move(next));
-  return finish(now);
+  return finish();
 }
 
 void Node::probe(Instant now) {
--- a/jujube/consensus/options.h
+++ b/jujube/consensus/options.h
@@ -63,11 +63,11 @@
   Duration ReplaceAfter = Duration::minutes(5);
 
   // Bounds of one message, and of the entries that are not committed yet.
-  std::size_t MaxAppendBytes = 256 * 1024;
-  std::size_t SnapshotChunkBytes = 256 * 1024;
-  std::size_t MaxUncommittedBytes = 8 * 1024 * 1024;
+  std::size_t MaxAppendBytes = std::size_t{256} * 1024;
+  std::size_t SnapshotChunkBytes = std::size_t{256} * 1024;
+  std::size_t MaxUncommittedBytes = std::size_t{8} * 1024 * 1024;
   // Entries kept beside a snapshot for members that lag a little.
-  std::size_t RetainBytes = 1024 * 1024;
+  std::size_t RetainBytes = std::size_t{1024} * 1024;
 
   PromotionHook CanPromote = isCaughtUp;
 };
--- a/jujube/storage/store.h
+++ b/jujube/storage/store.h
@@ -25,7 +25,7 @@
 struct StoreOptions {
   std::string Folder;
   // A segment that has grown past this is closed and a new one is begun.
-  std::size_t SegmentBytes = 4 * 1024 * 1024;
+  std::size_t SegmentBytes = std::size_t{4} * 1024 * 1024;
   FileHooks Hooks;
 };
 
