--- a/jujube/catalogue/catalogue.cc
+++ b/jujube/catalogue/catalogue.cc
@@ -67,7 +67,7 @@
 } // namespace
 
 Result<Revision> Catalogue::apply(const Edit &edit) {
-  const Result<Revision> verdict = check(edit);
+  Result<Revision> verdict = check(edit);
   if (findOutcome(edit.Id) != nullptr)
     return verdict;
   if (isOk(verdict)) {
--- a/jujube/catalogue/follower_test.cc
+++ b/jujube/catalogue/follower_test.cc
@@ -70,7 +70,8 @@
 
   Instant localTime(uint32_t host) const {
     const int64_t rate = 95 + 5 * static_cast<int64_t>(host);
-    return Instant::atMillis(7'000'000 * host + Now.millis() * rate / 100);
+    return Instant::atMillis(int64_t{7'000'000} * host +
+                             Now.millis() * rate / 100);
   }
 
   void edit() {
--- a/jujube/fate/fate_book.h
+++ b/jujube/fate/fate_book.h
@@ -22,7 +22,7 @@
 struct FatePolicy {
   // Ended requests are forgotten after this span; a resend after it is a new
   // request.
-  Duration Retention = Duration::minutes(24 * 60);
+  Duration Retention = Duration::minutes(int64_t{24} * 60);
   // An offer whose outcome is not known is called failed after this span.
   Duration ResolveWithin = Duration::minutes(10);
 };
--- a/testing/state_fates.cc
+++ b/testing/state_fates.cc
@@ -36,8 +36,8 @@
   work.Entry.Class =
       n % 3 == 0 ? catalogue::WorkClass::Gang : catalogue::WorkClass::Batch;
   work.Entry.Ask = {100, 100, 0};
-  work.Tasks = 1 + n % 3;
-  work.StartWithin = Duration::seconds(n % 4 == 0 ? 60 : 0);
+  work.Tasks = 1 + n / 2 % 3;
+  work.StartWithin = Duration::seconds(n / 2 % 2 == 0 ? 15 : 0);
   work.BodyDigest = absl::StrCat("digest", n);
   return work;
 }
@@ -191,10 +191,11 @@
 
 void FateDriver::deliver() {
   const auto take = [this](auto &messages) {
-    const auto later = std::ranges::stable_partition(
-        messages, [this](const auto &m) { return m.DueAt > Now; });
-    std::remove_reference_t<decltype(messages)> due(later.begin(), later.end());
-    messages.erase(later.begin(), later.end());
+    const auto later =
+        std::stable_partition(messages.begin(), messages.end(),
+                              [this](const auto &m) { return m.DueAt > Now; });
+    std::remove_reference_t<decltype(messages)> due(later, messages.end());
+    messages.erase(later, messages.end());
     return due;
   };
   for (const Sync &sync : take(Syncs))
