--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -3,6 +3,7 @@
 // Three zones with three entry hosts and 17 runners of 8 slots each; Poisson
 // arrivals of six uneven teams with equal shares; exponential service times.
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <map>
 #include <random>
@@ -113,7 +114,7 @@
   if (values.empty())
     return 0;
   const auto rank = static_cast<std::size_t>(
-      q * static_cast<double>(values.size() - 1) + 0.5);
+      std::llround(q * static_cast<double>(values.size() - 1)));
   std::ranges::nth_element(values,
                            values.begin() + static_cast<std::ptrdiff_t>(rank));
   return values[rank];
--- a/jujube/entry/runner_link.cc
+++ b/jujube/entry/runner_link.cc
@@ -8,8 +8,6 @@
 namespace jujube::entry {
 namespace {
 
-using routing::AttemptOutcome;
-
 // Runs on the link's thread: performs each command and reports its outcome.
 Status runLink(runtime::TaskContext &context, std::size_t index,
                const runtime::MailboxPtr<LinkCommand> &commands,
@@ -17,9 +15,10 @@
   RunnerConnection connection(context.loop().clock());
   // The capacity covers one event per exchange and one per start.
   (void)events->post(LinkEvent{index, std::nullopt});
-  context.loop().watchMailbox<LinkCommand>(commands, [&](LinkCommand command) {
-    (void)events->post(LinkEvent{index, connection.perform(command)});
-  });
+  context.loop().watchMailbox<LinkCommand>(
+      commands, [&](const LinkCommand &command) {
+        (void)events->post(LinkEvent{index, connection.perform(command)});
+      });
   return context.loop().run();
 }
 
--- a/jujube/routing/router.cc
+++ b/jujube/routing/router.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <ranges>
 
 #include "absl/strings/str_cat.h"
 
@@ -217,8 +216,7 @@
   RouterActions out;
   if (Table.apply(grant, now))
     Table.setUrgent(grant.Zone);
-  const auto names = Desks | std::views::keys;
-  for (const EntryId &entry : std::vector<EntryId>(names.begin(), names.end()))
+  for (const auto &[entry, desk] : Desks)
     pump(entry, now, out);
   finishCall(now, out);
   return out;
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -1,6 +1,6 @@
 // Deadlines, hedges, inquiries about lost attempts, and reports.
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 #include "jujube/routing/router.h"
 
@@ -15,8 +15,7 @@
   RouterActions out;
   expire(now, out);
   followLost(now, out);
-  const auto names = Desks | std::views::keys;
-  for (const EntryId &entry : std::vector<EntryId>(names.begin(), names.end()))
+  for (const auto &[entry, desk] : Desks)
     pump(entry, now, out);
   hedge(now, out);
   finishCall(now, out);
@@ -163,8 +162,8 @@
     if (key.first == zone)
       rowOf(key.second.first, key.second.second).InFlight = n;
   std::vector<TeamDemand> demand;
-  for (auto &[key, row] : rows)
-    demand.push_back(std::move(row));
+  std::ranges::transform(rows, std::back_inserter(demand),
+                         [](const auto &row) { return row.second; });
   return demand;
 }
 
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -1,7 +1,7 @@
 #include "jujube/routing/runner_table.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 namespace jujube::routing {
 namespace {
@@ -176,8 +176,10 @@
 }
 
 std::vector<ZoneId> RunnerTable::zones() const {
-  const auto names = Leases | std::views::keys;
-  return {names.begin(), names.end()};
+  std::vector<ZoneId> names;
+  std::ranges::transform(Leases, std::back_inserter(names),
+                         [](const auto &row) { return row.first; });
+  return names;
 }
 
 uint32_t RunnerTable::creditsIn(const ZoneId &zone) const {
--- a/testing/routing_world.cc
+++ b/testing/routing_world.cc
@@ -134,8 +134,8 @@
   return a != b && (isCut(a) || isCut(b));
 }
 
-void RoutingWorld::send(std::size_t from, std::size_t to, Handler handler,
-                        bool mayDouble) {
+void RoutingWorld::send(std::size_t from, std::size_t to,
+                        const Handler &handler, bool mayDouble) {
   std::uniform_int_distribution<uint32_t> draw(1, 1000);
   const NetworkFaults &faults = Options.Faults;
   if (isCutBetween(from, to) || draw(Random) <= faults.LossPermille)
--- a/testing/routing_world.h
+++ b/testing/routing_world.h
@@ -131,7 +131,7 @@
   void hear(std::size_t entryHost,
             const routing::RunnerAnnouncement &announcement);
   bool isCutBetween(std::size_t a, std::size_t b) const;
-  void send(std::size_t from, std::size_t to, Handler handler,
+  void send(std::size_t from, std::size_t to, const Handler &handler,
             bool mayDouble = true);
   Instant localTime(const EntryHost &host) const;
 
--- a/testing/routing_world_test.cc
+++ b/testing/routing_world_test.cc
@@ -12,7 +12,6 @@
 
 using routing::Deliver;
 using routing::MarkUnresolved;
-using routing::Shed;
 
 Duration ms(int64_t n) { return Duration::millis(n); }
 
--- a/testing/runner_link_test.cc
+++ b/testing/runner_link_test.cc
@@ -13,7 +13,6 @@
 using entry::RunnerOutcome;
 using routing::AttemptOutcome;
 using runtime::Task;
-using runtime::TaskContext;
 
 constexpr Duration Timeout = Duration::millis(400);
 constexpr absl::string_view Quick = "run_ms=1;answer=whole";
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -41,8 +41,8 @@
 
 Result<std::shared_ptr<StandinServer>>
 StandinServer::bind(const Address &listen, std::size_t threads,
-                    std::map<std::string, StandinRoute> posts,
-                    std::map<std::string, StandinRoute> gets) {
+                    const std::map<std::string, StandinRoute> &posts,
+                    const std::map<std::string, StandinRoute> &gets) {
   std::shared_ptr<StandinServer> self(new StandinServer());
   httplib::Server &server = *self->Server;
   server.new_task_queue = [threads] {
@@ -51,10 +51,10 @@
   server.set_keep_alive_max_count(SIZE_MAX);
   server.set_keep_alive_timeout(KeepAliveSeconds);
   server.set_tcp_nodelay(true);
-  for (auto &[path, route] : posts)
-    server.Post(path, handlerOf(std::move(route)));
-  for (auto &[path, route] : gets)
-    server.Get(path, handlerOf(std::move(route)));
+  for (const auto &[path, route] : posts)
+    server.Post(path, handlerOf(route));
+  for (const auto &[path, route] : gets)
+    server.Get(path, handlerOf(route));
   int port = listen.Port;
   if (port == 0)
     port = server.bind_to_any_port(listen.Ip);
@@ -87,7 +87,7 @@
       [](const runtime::TaskExit &) {});
   if (!isOk(acceptor))
     return errorOf(acceptor);
-  const Status status = context.loop().run();
+  Status status = context.loop().run();
   Server->stop();
   valueOf(acceptor)->join();
   return status;
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -39,8 +39,8 @@
   // `threads` bounds the connections that are served at once.
   static Result<std::shared_ptr<StandinServer>>
   bind(const Address &listen, std::size_t threads,
-       std::map<std::string, StandinRoute> posts,
-       std::map<std::string, StandinRoute> gets);
+       const std::map<std::string, StandinRoute> &posts,
+       const std::map<std::string, StandinRoute> &gets);
   ~StandinServer();
 
   const Address &address() const { return Bound; }
--- a/testing/standin_worker_tasks.cc
+++ b/testing/standin_worker_tasks.cc
@@ -222,7 +222,7 @@
       valueOf(server)->asChild(valueOf(server))};
   for (std::size_t i = 0; i < shared->Workers.size(); ++i) {
     const WorkerMail mail;
-    const auto syncs = [&](SyncKind kind, MailboxPtr<SyncOrder> orders) {
+    const auto syncs = [&](SyncKind kind, const MailboxPtr<SyncOrder> &orders) {
       return [=](TaskContext &context) {
         return runSyncs(*shared, i, kind, orders, mail.Done, context);
       };
