--- a/testing/cell.cc
+++ b/testing/cell.cc
@@ -266,7 +266,7 @@
   options.Sleep = [](Duration span) {
     std::this_thread::sleep_for(std::chrono::milliseconds(span.millis()));
   };
-  options.Rounds = 20;
+  options.Rounds = 5;
   return valueOf(http::Client::create(std::move(options)));
 }
 
--- a/testing/cell_test.cc
+++ b/testing/cell_test.cc
@@ -113,6 +113,7 @@
     const std::string now = cell->leaderOf(Zone);
     return !now.empty() && now != first;
   }));
+  BOOST_REQUIRE(eventually([&] { return votersOf(*cell) == 2U; }));
   cell->restart(first);
   // The repair is done once the replacement has caught up and counts again.
   BOOST_REQUIRE(eventually([&] { return votersOf(*cell) == 3U; }));
