--- a/jujube/storage/store.cc
+++ b/jujube/storage/store.cc
@@ -116,9 +116,10 @@
   return Ok{};
 }
 
-Status Store::fail(Status status) {
+Status Store::fail(const Status &status) {
   Failure = errorOf(status);
-  return status;
+  Failure->Message = absl::StrCat(Folder.path(), ": ", Failure->Message);
+  return *Failure;
 }
 
 uint64_t Store::journalBytes() const {
--- a/jujube/storage/store.h
+++ b/jujube/storage/store.h
@@ -85,7 +85,7 @@
   Status replay(const Change &change, Segment &segment);
   Status beginSegment();
   Status dropCovered(LogIndex upTo);
-  Status fail(Status status);
+  Status fail(const Status &status);
   std::string segmentPath(uint64_t number) const;
 
   StoreOptions Settings;
--- a/testing/consensus_driver_scenario_test.cc
+++ b/testing/consensus_driver_scenario_test.cc
@@ -184,6 +184,35 @@
   }
 }
 
+// From the loss of a leader until another one serves, in time of the driver.
+BOOST_AUTO_TEST_CASE(FailoverTakesLessThanASecond) {
+  for (const bool isDurable : {true, false}) {
+    for (uint64_t seed = 1; seed <= 50; ++seed) {
+      DriverOptions options = quiet(3, isDurable);
+      options.Seed = seed;
+      ConsensusDriver driver(options);
+      requireWhole(driver);
+      const std::size_t old = *driver.server();
+      driver.crash(old);
+      BOOST_TEST(driver.runUntil([&] { return driver.server().has_value(); },
+                                 Duration::seconds(1)));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SingleHostServesAlone) {
+  for (const bool isDurable : {true, false}) {
+    ConsensusDriver driver(quiet(1, isDurable));
+    requireWhole(driver);
+    commit(driver, 5);
+    driver.crash(0);
+    driver.start(0);
+    requireWhole(driver);
+    commit(driver, 5);
+    BOOST_TEST(driver.oracle().groupCount() == (isDurable ? 1U : 2U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OneBlankHostFoundsNothing) {
   ConsensusDriver driver(quiet(3, false));
   requireWhole(driver);
