Founders announce a group only once it is synced; split founding tested

Cause: a founder that lost its unsynced founding could have taken answers of its earlier run for fresh ones. Change: probe nonces start at random, and nothing is sent before the founding is synced.

--- a/jujube/consensus/consensus_test.cc
+++ b/jujube/consensus/consensus_test.cc
@@ -95,18 +95,20 @@
   return actions;
 }
 
-// Runs the node's timers until it has started an election, and wins it with
-// the vote of host2.
-Instant elect(Node &node) {
+// Runs the node's timers until it starts an election, and wins it with the
+// votes of `voters`.
+Instant elect(Node &node, const std::vector<int> &voters = {2}) {
   Instant now = Begin;
   while (node.role() != Role::PreCandidate) {
     now = node.nextWake();
     (void)node.tick(now);
   }
   const Term next = node.term().next();
-  deliver(node, 2,
-          messageOf(node.term().Value, PreVoteReply{next, true, false}), now);
-  deliver(node, 2, messageOf(next.Value, VoteReply{true, false}), now);
+  for (const int host : voters)
+    deliver(node, host,
+            messageOf(node.term().Value, PreVoteReply{next, true, false}), now);
+  for (const int host : voters)
+    deliver(node, host, messageOf(next.Value, VoteReply{true, false}), now);
   return now;
 }
 
@@ -279,6 +281,34 @@
   BOOST_TEST(!node.mayServe(now + Duration::millis(400)));
 }
 
+BOOST_AUTO_TEST_CASE(MembershipChangesOneAtATime) {
+  DurableState state = stateOfThree();
+  state.Entries.front().Members = votersUpTo(5);
+  Node node = nodeWith(state, optionsOf(5));
+  const Instant now = elect(node, {2, 3});
+  (void)node.persisted(SIZE_MAX, now);
+  const auto acknowledge = [&](uint64_t index) {
+    for (const int host : {2, 3})
+      deliver(node, host,
+              messageOf(node.term().Value,
+                        AppendReply{true, LogIndex{index}, now.millis()}),
+              now);
+  };
+  const auto probeFrom = [&](int host) {
+    const Message probe{
+        {}, {}, Incarnation{2}, {}, Probe{1, memberAt(host).At}};
+    deliver(node, host, probe, now);
+    return findMember(node.membership(), hostId(host))->Start.Value;
+  };
+  BOOST_TEST(probeFrom(4) == 1U);
+  acknowledge(2);
+  BOOST_TEST(probeFrom(4) == 2U);
+  BOOST_TEST(!findMember(node.membership(), hostId(4))->IsVoter);
+  BOOST_TEST(probeFrom(5) == 1U);
+  acknowledge(3);
+  BOOST_TEST(probeFrom(5) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ProposalsOfOneTurnGoOutTogether) {
   Node node = nodeWith(stateOfThree());
   const Instant now = elect(node);
--- a/jujube/consensus/finder.h
+++ b/jujube/consensus/finder.h
@@ -28,7 +28,9 @@
 // Collects the answers to probes. Owned by a Node.
 class GroupFinder {
 public:
-  explicit GroupFinder(Instant startedAt) : StartedAt(startedAt) {}
+  // `firstNonce` tells the answers from those to an earlier run.
+  GroupFinder(Instant startedAt, uint64_t firstNonce)
+      : StartedAt(startedAt), LastNonce(firstNonce) {}
 
   // The nonce of the next round of probes.
   uint64_t beginRound() { return ++LastNonce; }
@@ -62,7 +64,7 @@
   std::map<HostId, Sighting> fresh(const Options &settings, Instant now) const;
 
   Instant StartedAt;
-  uint64_t LastNonce = 0;
+  uint64_t LastNonce;
   std::map<HostId, Sighting> Sightings;
 };
 
--- a/jujube/consensus/node.cc
+++ b/jujube/consensus/node.cc
@@ -55,7 +55,7 @@
 Node::Node(Options options, DurableState initial, std::mt19937_64 random,
            Instant now)
     : Settings(std::move(options)), Random(random), Hard(initial.Hard),
-      Entries(std::move(initial)), Finder(now), NextProbe(now) {
+      Entries(std::move(initial)), Finder(now, Random()), NextProbe(now) {
   Commit = Entries.baseIndex();
   Applied = Commit;
   SyncedIndex = Entries.last();
@@ -156,13 +156,16 @@
 Actions Node::persisted(uint64_t serial, Instant now) {
   Now = now;
   SyncedSerial = std::max(SyncedSerial, serial);
+  const bool wasFounding = SyncedIndex.Value == 0;
   while (!Unsynced.empty() && Unsynced.front().first <= SyncedSerial) {
     SyncedIndex = Unsynced.front().second;
     Unsynced.pop_front();
   }
   releaseHeld();
-  if (CurrentRole == Role::Leader)
+  if (CurrentRole == Role::Leader) {
+    HasUnsent |= wasFounding;
     updateCommit();
+  }
   return finish();
 }
 
--- a/jujube/consensus/node_replication.cc
+++ b/jujube/consensus/node_replication.cc
@@ -25,6 +25,12 @@
 
 void Node::sendAll(Instant now) {
   HasUnsent = false;
+  // A founder that forgets its group must not have announced it.
+  if (SyncedIndex.Value == 0) {
+    for (auto &[host, peer] : Peers)
+      peer.NextHeartbeat = now + Settings.Heartbeat;
+    return;
+  }
   for (const Member &member : Entries.membership().Members) {
     const auto it = Peers.find(member.Host);
     if (it == Peers.end())
--- a/testing/consensus_driver_scenario_test.cc
+++ b/testing/consensus_driver_scenario_test.cc
@@ -226,6 +226,23 @@
   BOOST_TEST(driver.oracle().groupCount() == 1U);
 }
 
+// Three hosts that don't hear of each other found a group each, and the two
+// others bind to different ones: no group gets a quorum, and all but one end.
+BOOST_AUTO_TEST_CASE(SplitFoundingEndsInOneGroup) {
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    DriverOptions options = quiet(5, false);
+    options.Seed = seed;
+    ConsensusDriver driver(options);
+    for (std::size_t i = 0; i < 3; ++i)
+      for (std::size_t k = 0; k < 3; ++k)
+        driver.setCut(i, k, true);
+    driver.run(Duration::seconds(10));
+    driver.heal();
+    requireWhole(driver);
+    commit(driver, 1);
+  }
+}
+
 // Hosts with disks found a group only together, and never a second one.
 BOOST_AUTO_TEST_CASE(DurableHostsFoundOnlyTogether) {
   ConsensusDriver driver(quiet(3, true));
