--- a/jujube/consensus/consensus_test.cc
+++ b/jujube/consensus/consensus_test.cc
@@ -209,6 +209,40 @@
   BOOST_TEST(!sent<VoteReply>(deliver(node, 2, again, now)).front().IsGranted);
 }
 
+// The vote is synced also if the term was known before.
+BOOST_AUTO_TEST_CASE(VoteInAKnownTermIsSynced) {
+  Node node = nodeWith(stateOfThree({entryAt(2, 2)}));
+  const Instant now = Begin + voteRefusal(optionsOf(3));
+  const Message outdated =
+      messageOf(3, VoteRequest{LogIndex{1}, Term{1}, false});
+  BOOST_TEST(
+      !sent<VoteReply>(deliver(node, 2, outdated, now)).front().IsGranted);
+  const Message ask = messageOf(3, VoteRequest{LogIndex{2}, Term{2}, false});
+  const Actions actions = node.receive(hostId(3), ask, now);
+  BOOST_REQUIRE(only<Persist>(actions) != nullptr);
+  BOOST_TEST((only<Persist>(actions)->State->VotedFor == hostId(3)));
+}
+
+// Until a full refusal span has passed, an earlier leader may rely on what the
+// predecessor of this host acknowledged.
+BOOST_AUTO_TEST_CASE(BlankHostBindsAfterTheWait) {
+  Options options = optionsOf(3);
+  options.Self = options.Configured[1];
+  Node node = nodeWith({}, options);
+  const Instant open = Begin + voteRefusal(options);
+  const Message append =
+      messageOf(1, AppendRequest{{}, {}, {}, stateOfThree().Entries, 0});
+  deliver(node, 1, append, open - Duration::millis(1));
+  BOOST_TEST(node.group().isBlank());
+  Message other = append;
+  other.ToStart = Incarnation{};
+  deliver(node, 1, other, open);
+  BOOST_TEST(node.group().isBlank());
+  deliver(node, 1, append, open);
+  BOOST_TEST((node.group() == Group));
+  BOOST_TEST(node.lastIndex().Value == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(OutdatedLogGetsNoVote) {
   Node node = nodeWith(stateOfThree({entryAt(2, 1), entryAt(3, 2)}));
   const Instant now = Begin + voteRefusal(optionsOf(3));
--- /dev/null
+++ b/jujube/consensus/finder_test.cc
@@ -0,0 +1,165 @@
+// When a host founds a group, and when it gives up its own.
+#include "jujube/consensus/finder.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "jujube/consensus/quorum.h"
+
+namespace jujube::consensus {
+namespace {
+
+constexpr Instant Begin = Instant::atMillis(10'000);
+constexpr Instant Later = Instant::atMillis(13'000);
+
+HostId hostId(int i) { return HostId("host" + std::to_string(i)); }
+
+const GroupId Own{hostId(1), Incarnation{1}};
+const GroupId Other{hostId(2), Incarnation{1}};
+
+// host1 of five.
+Options optionsOf(Formation rule) {
+  Options options;
+  for (int i = 1; i <= 5; ++i)
+    options.Configured.push_back(Peer{hostId(i), Address{"127.0.0.1", 1}});
+  options.Self = options.Configured.front();
+  options.Start = Incarnation{1};
+  options.Rule = rule;
+  return options;
+}
+
+const Options Diskless = optionsOf(Formation::WhenMajorityBlank);
+
+// The first incarnations of the hosts in `hosts` as voters.
+Membership votersOf(const std::vector<int> &hosts) {
+  Membership members;
+  for (const int i : hosts)
+    members.Members.push_back(
+        Member{hostId(i), Incarnation{1}, Address{"127.0.0.1", 1}, true});
+  return members;
+}
+
+// Replies of one round.
+class Round {
+public:
+  explicit Round(GroupFinder &finder, Instant now)
+      : Finder(finder), Now(now), Nonce(finder.beginRound()) {}
+
+  Round &reply(int host, const GroupId &group, uint64_t start,
+               bool isServing = false, bool canBeElected = false) {
+    const ProbeReply body{Nonce, Address{"127.0.0.1", 1}, isServing,
+                          canBeElected};
+    const Message message{group, Term{}, Incarnation{start}, Incarnation{1},
+                          body};
+    Finder.recordReply(hostId(host), message, body, Now);
+    return *this;
+  }
+
+private:
+  GroupFinder &Finder;
+  Instant Now;
+  uint64_t Nonce;
+};
+
+BOOST_AUTO_TEST_SUITE(GroupFinderTest)
+
+BOOST_AUTO_TEST_CASE(FoundsOnceTheLeaseOfAnEarlierGroupHasEnded) {
+  GroupFinder finder(Begin, 7);
+  const Instant open = Begin + voteRefusal(Diskless);
+  Round(finder, Begin)
+      .reply(2, {}, 1)
+      .reply(3, {}, 1)
+      .reply(4, {}, 1)
+      .reply(5, {}, 1);
+  BOOST_TEST(!finder.foundingMembers(Diskless, open - Duration::millis(1))
+                  .has_value());
+  BOOST_TEST(finder.foundingMembers(Diskless, open)->Members.size() == 5U);
+  // Old answers don't count.
+  BOOST_TEST(!finder.foundingMembers(Diskless, Later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(MajorityFoundsAfterTheWaitUnlessAGroupServes) {
+  GroupFinder finder(Begin, 7);
+  const Instant open = Begin + voteRefusal(Diskless);
+  Round(finder, open).reply(2, {}, 1).reply(3, {}, 1);
+  BOOST_TEST(!finder.foundingMembers(Diskless, open).has_value());
+  Round(finder, Later).reply(2, {}, 1).reply(3, {}, 2);
+  const auto members = finder.foundingMembers(Diskless, Later);
+  BOOST_REQUIRE(members.has_value());
+  BOOST_TEST(voterCount(*members) == 3U);
+  BOOST_TEST(findMember(*members, hostId(3))->Start.Value == 2U);
+  BOOST_TEST(!finder.foundingMembers(optionsOf(Formation::WhenAllBlank), Later)
+                  .has_value());
+  BOOST_TEST(
+      !finder.foundingMembers(optionsOf(Formation::Never), Later).has_value());
+  Options second = Diskless;
+  second.Self = second.Configured[1];
+  BOOST_TEST(!finder.foundingMembers(second, Later).has_value());
+  Round(finder, Later).reply(4, Other, 1, true);
+  BOOST_TEST(!finder.foundingMembers(Diskless, Later).has_value());
+  BOOST_TEST((finder.servingGroup(Diskless, Own, Later) == Other));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToOtherRoundsAreIgnored) {
+  GroupFinder finder(Begin, 7);
+  Round stale(finder, Later);
+  (void)finder.beginRound();
+  stale.reply(2, Other, 1, true);
+  BOOST_TEST(!finder.servingGroup(Diskless, Own, Later).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(GroupEndsWhenTooFewHostsAreLeftForIt) {
+  const Membership members = votersOf({1, 2, 3, 4, 5});
+  GroupFinder finder(Begin, 7);
+  const auto isDead = [&](bool canBeElected) {
+    return finder.isGroupDead(Diskless, Own, members, canBeElected, Later);
+  };
+  Round round(finder, Later);
+  // A later incarnation, a member of another group, a member of this one.
+  round.reply(2, {}, 2).reply(3, Other, 1).reply(4, Own, 1);
+  BOOST_TEST(!isDead(true));
+  // Blank, but listed as it runs: it may still bind to the group.
+  round.reply(5, {}, 1);
+  BOOST_TEST(!isDead(true));
+  // Without an answer of host5 the count decides.
+  GroupFinder other(Begin, 7);
+  Round(other, Later).reply(2, {}, 2).reply(3, Other, 1).reply(4, {}, 3);
+  BOOST_TEST(other.isGroupDead(Diskless, Own, members, true, Later));
+}
+
+BOOST_AUTO_TEST_CASE(GroupEndsWhenAllAnsweredAndNobodyCanBeElected) {
+  const Membership members = votersOf({1, 2, 3});
+  GroupFinder finder(Begin, 7);
+  const auto isDead = [&](bool canBeElected) {
+    return finder.isGroupDead(Diskless, Own, members, canBeElected, Later);
+  };
+  Round round(finder, Later);
+  round.reply(2, Own, 1).reply(3, Own, 1).reply(4, {}, 2);
+  BOOST_TEST(!isDead(false));
+  round.reply(5, {}, 2);
+  BOOST_TEST(isDead(false));
+  BOOST_TEST(!isDead(true));
+  round.reply(3, Own, 1, false, true);
+  BOOST_TEST(!isDead(false));
+}
+
+BOOST_AUTO_TEST_CASE(LostMembersNeverVoteAgain) {
+  const Membership members = votersOf({1, 2, 3, 4, 5});
+  GroupFinder finder(Begin, 7);
+  Round(finder, Later)
+      .reply(2, {}, 2)
+      .reply(3, Other, 1)
+      .reply(4, Own, 1)
+      .reply(5, {}, 1);
+  BOOST_TEST((finder.lostMembers(Diskless, Own, members, Later) ==
+              std::set<HostId>{hostId(2), hostId(3)}));
+  BOOST_TEST(!finder.isShortOfHosts(Diskless, Own, Later));
+  Round(finder, Later).reply(2, Other, 1).reply(4, Other, 1).reply(5, Other, 1);
+  BOOST_TEST(finder.isShortOfHosts(Diskless, Own, Later));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::consensus
