A late reclaim spares what was lent since

Two reclaims of one zone may be under way at once: the second could be applied after the zone was renewed, and the ledger would lend the zone's part a second time. ReclaimBorrowed now names the ledger's version when the lease was found to have ended and leaves newer parts alone. Its encoding and the keepers' task follow. FateBook::workerRestarted is documented to be asked at every sync.

--- a/jujube/fate/fate_book.h
+++ b/jujube/fate/fate_book.h
@@ -156,7 +156,8 @@
   // The worker's lease and the drift bound have passed.
   std::vector<Event> workerExpired(const WorkerId &worker, Instant now) const;
   // The worker announced itself with incarnation `start`: attempts of earlier
-  // starts are gone.
+  // starts are gone. To be asked at every sync, since an offer to an earlier
+  // start may be committed after the worker came back.
   std::vector<Event> workerRestarted(const WorkerId &worker, Incarnation start,
                                      Instant now) const;
   // The entry host is gone: its live offers are unresolved.
@@ -173,7 +174,8 @@
   // To rebuild the planner, in order of id.
   std::vector<Attempt> liveAttempts() const;
   std::vector<TaskId> queuedTasks() const;
-  // Attempts on a worker, in order of id.
+  // Attempts on a worker, in order of id. Directives go only to the start of
+  // the worker that the attempt names.
   std::vector<Attempt> attemptsOn(const WorkerId &worker) const;
   // Workers with attempts and entry hosts with live offers: a new leader counts
   // their leases from its takeover.
--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -303,7 +303,8 @@
     return;
   }
   LOG(INFO) << "event=slices_reclaimed zone=" << zone.str();
-  propose(limits::SliceCommand(limits::ReclaimBorrowed{zone}),
+  propose(limits::SliceCommand(
+              limits::ReclaimBorrowed{zone, State.slices().latest()}),
           [this, zone, then](const Status &status) {
             if (!isOk(status) || !SliceLeases)
               return;
--- a/jujube/limits/limits_test.cc
+++ b/jujube/limits/limits_test.cc
@@ -81,6 +81,21 @@
   BOOST_TEST((ledger.held(Team) == before));
 }
 
+BOOST_AUTO_TEST_CASE(LateReclaimSparesWhatWasLentSince) {
+  SliceLedger ledger = ledgerOfTwo();
+  const auto wantAll = [&](uint64_t sequence) {
+    ledger.apply(
+        ApplyReport{reportOf(ZoneA, sequence, {Team, {}, {}, {}}, Ceiling)});
+  };
+  wantAll(1);
+  const ReclaimBorrowed reclaim{ZoneA, ledger.latest()};
+  ledger.apply(reclaim);
+  BOOST_TEST(!ledger.holdsBorrowed(ZoneA));
+  wantAll(2);
+  ledger.apply(reclaim);
+  BOOST_TEST(ledger.holdsBorrowed(ZoneA));
+}
+
 BOOST_AUTO_TEST_CASE(ReportThatChangesNothingIsNotLogged) {
   SliceLedger ledger = ledgerOfTwo();
   const Slice seen = ledger.replyTo({ZoneA, Term{1}, 1, {}, {}}).Slices.at(0);
--- a/jujube/limits/slice_ledger.cc
+++ b/jujube/limits/slice_ledger.cc
@@ -130,6 +130,8 @@
     return;
   for (auto &[team, line] : Teams) {
     Part &part = line.Parts.at(command.Zone);
+    if (part.Held.Version > command.Upto)
+      continue;
     // The zone reports its need anew once it has seen the new version.
     part.Wanted = {};
     part.Held.Borrowed = {};
--- a/jujube/limits/slice_ledger.h
+++ b/jujube/limits/slice_ledger.h
@@ -54,7 +54,7 @@
 // it has applied its first own entry of the log. To answer a report:
 //   1. propose commandFor(report), if any, and wait until it is applied;
 //   2. if the table's renew() refuses and holdsBorrowed(): propose
-//      ReclaimBorrowed and wait until it is applied;
+//      ReclaimBorrowed with latest() and wait until it is applied;
 //   3. if renew() refused, reset() the lease;
 //   4. send replyTo(report), under the leader lease of the keepers' group.
 // Once a second it proposes ReclaimBorrowed for every zone that is ended() and
@@ -73,6 +73,8 @@
   // report's command was applied.
   SliceReply replyTo(const SliceReport &report) const;
 
+  // The version of the newest grant.
+  GrantVersion latest() const { return Latest; }
   bool hasZone(const ZoneId &zone) const { return Zones.contains(zone); }
   bool holdsBorrowed(const ZoneId &zone) const;
 
--- a/jujube/limits/types.h
+++ b/jujube/limits/types.h
@@ -143,9 +143,13 @@
   SliceReport Report;
   bool operator==(const ApplyReport &) const = default;
 };
-// The lease of the zone's borrowed parts has surely ended.
+// The lease of the zone's borrowed parts has surely ended. Parts that were lent
+// after `Upto` stay: two reclaims may be under way at once, and the zone may
+// have been renewed after the first of them.
 struct ReclaimBorrowed {
   ZoneId Zone;
+  // The ledger's latest() when the lease was found to have ended.
+  GrantVersion Upto;
   bool operator==(const ReclaimBorrowed &) const = default;
 };
 
--- a/jujube/wire/state_encoding.h
+++ b/jujube/wire/state_encoding.h
@@ -61,7 +61,7 @@
   ar(v.Report);
 }
 template <typename Archive> void serialize(Archive &ar, ReclaimBorrowed &v) {
-  ar(v.Zone);
+  ar(v.Zone, v.Upto);
 }
 template <typename Archive> void serialize(Archive &ar, SliceEntry &v) {
   ar(v.Zone, v.Held, v.Wanted);
--- a/testing/state_slices.cc
+++ b/testing/state_slices.cc
@@ -196,7 +196,7 @@
   }
   for (const ZoneId &zone : Leases.ended(keeperTime()))
     if (Ledger.holdsBorrowed(zone))
-      Ledger.apply(limits::ReclaimBorrowed{zone});
+      Ledger.apply(limits::ReclaimBorrowed{zone, Ledger.latest()});
 }
 
 void SliceDriver::deliverDue() {
@@ -238,7 +238,7 @@
     Ledger.apply(*command);
   if (!Leases.renew(report.Zone, keeperTime())) {
     if (Ledger.holdsBorrowed(report.Zone))
-      Ledger.apply(limits::ReclaimBorrowed{report.Zone});
+      Ledger.apply(limits::ReclaimBorrowed{report.Zone, Ledger.latest()});
     Leases.reset(report.Zone, keeperTime());
   }
   send(zone, {Now, zone, Ledger.replyTo(report)});
