Credit ledger: entry hosts of other zones get what the own zone's leave

Cause: with all zones full, spill-over exchanged runners between zones, and each slot was held a round trip longer. Change: reports name the entry host's zone; demand of other zones shares the rest, unless their own zone has no runner of the entry.

--- a/jujube/routing/credit_ledger.cc
+++ b/jujube/routing/credit_ledger.cc
@@ -206,16 +206,26 @@
   for (const auto &[name, runner] : Runners)
     if (runner.Announcement.Entry == entry && isUsable(runner, now))
       slots += runner.Announcement.Slots;
-  std::vector<HolderDemand> demands;
+  // Entry hosts of other zones share what those of this zone leave.
+  std::vector<HolderDemand> home;
+  std::vector<HolderDemand> foreign;
   for (const auto &[holder, state] : Holders) {
     if (now - state.ReportedAt >= withDrift(Options.Lease))
       continue;
-    for (const TeamDemand &demand : state.Last.Demand)
+    for (const TeamDemand &demand : state.Last.Demand) {
+      const bool isHome =
+          state.Last.HomeZone == Options.Zone || demand.IsStranded;
       if (demand.Entry == entry)
-        demands.push_back({holder, demand.Team, demand.Share,
-                           demand.Queued + demand.InFlight});
+        (isHome ? home : foreign)
+            .push_back({holder, demand.Team, demand.Share,
+                        demand.Queued + demand.InFlight});
+    }
   }
-  return fairSlots(demands, id, slots);
+  const uint32_t wanted = std::accumulate(
+      home.begin(), home.end(), 0U,
+      [](uint32_t sum, const HolderDemand &it) { return sum + it.Requests; });
+  return fairSlots(home, id, slots) +
+         fairSlots(foreign, id, slots > wanted ? slots - wanted : 0);
 }
 
 CreditGrant CreditLedger::issue(HolderState &holder, const Wanted &wanted,
--- a/jujube/routing/credit_ledger_test.cc
+++ b/jujube/routing/credit_ledger_test.cc
@@ -44,6 +44,7 @@
                    uint32_t queued) {
   EntryReport report;
   report.From = {HostId(host), {1}};
+  report.HomeZone = Zone;
   report.Zone = Zone;
   report.Sequence = sequence;
   report.MaxPerRunner = 8;
@@ -170,6 +171,24 @@
   BOOST_TEST(total(*ledger.report(report("e1", 2, 16), at(3100))) == 0U);
 }
 
+// Entry hosts of other zones get what is left, unless their own has no runner.
+BOOST_AUTO_TEST_CASE(OwnZoneGoesFirst) {
+  EntryReport foreign = report("e9", 1, 8);
+  foreign.HomeZone = ZoneId("princes-town");
+  CreditLedger ledger = settledLedger();
+  ledger.announce(runner(1), at(0));
+  const CreditGrant home = *ledger.report(report("e1", 1, 6), at(0));
+  BOOST_TEST(total(home) >= 6U);
+  BOOST_TEST(total(*ledger.report(foreign, at(1))) <= 2U);
+  EntryReport stranded = foreign;
+  ++stranded.Sequence;
+  stranded.Demand.front().IsStranded = true;
+  (void)ledger.report(stranded, at(2));
+  // Both are equals now: the holder at home keeps about half.
+  BOOST_TEST(total(*ledger.report(following(report("e1", 1, 6), home, 6, 0),
+                                  at(3))) <= 4U);
+}
+
 BOOST_AUTO_TEST_CASE(StaleAndForeignReportsAreNotAnswered) {
   CreditLedger ledger = settledLedger();
   BOOST_TEST(ledger.report(report("e1", 5, 1), at(0)).has_value());
--- a/jujube/routing/messages.h
+++ b/jujube/routing/messages.h
@@ -44,6 +44,8 @@
   uint32_t Queued = 0;
   // On runners of the zone that the report goes to.
   uint32_t InFlight = 0;
+  // The entry host's own zone has no runner of the entry.
+  bool IsStranded = false;
 
   bool operator==(const TeamDemand &) const = default;
 };
@@ -53,6 +55,9 @@
 // teams that are not listed demand nothing.
 struct EntryReport {
   Holder From;
+  // Of the entry host. Others' zones get what its own entry hosts leave.
+  ZoneId HomeZone;
+  // Whose leader the report is for.
   ZoneId Zone;
   // Higher in every report.
   uint64_t Sequence = 0;
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -151,7 +151,9 @@
   const auto rowOf = [&](const EntryId &entry,
                          const TeamId &team) -> TeamDemand & {
     return rows
-        .try_emplace({entry, team}, TeamDemand{entry, team, shareOf(team)})
+        .try_emplace({entry, team},
+                     TeamDemand{entry, team, shareOf(team), 0, 0,
+                                !Table.isServedIn(Options.Zone, entry, now)})
         .first->second;
   };
   for (const auto &[entry, desk] : Desks)
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -94,6 +94,7 @@
     lease.Reports.pop_front();
   EntryReport report;
   report.From = Options.Self;
+  report.HomeZone = Options.Zone;
   report.Zone = zone;
   report.Sequence = lease.LastSequence;
   report.AppliedTerm = lease.LedgerTerm;
