--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -1,5 +1,7 @@
 // Measures placement decisions on one core: a zone of W workers that is nearly
 // full of running tasks, in which tasks end and others take their place.
+#include <sys/resource.h>
+
 #include <ctime>
 
 #include <algorithm>
@@ -173,19 +175,30 @@
 
 int main(int argc, char **argv) {
   using namespace jujube;
-  const auto settings =
-      parseOrExplain("placement-bench [flags]",
-                     {{"rounds", SettingKind::Integer, "20000",
-                       "decisions that are timed", false, 100, 10'000'000}},
-                     argc, argv);
+  const auto settings = parseOrExplain(
+      "placement-bench [flags]",
+      {{"workers", SettingKind::Integer, "0",
+        "size of the zone; 0 for 50, 500 and 2,900 in turn", false, 0, 100'000},
+       {"rounds", SettingKind::Integer, "20000", "decisions that are timed",
+        false, 100, 10'000'000}},
+      argc, argv);
   if (const int *code = std::get_if<int>(&settings))
     return *code;
   const auto rounds =
       static_cast<uint32_t>(std::get<Settings>(settings).integer("rounds"));
+  const auto size =
+      static_cast<uint32_t>(std::get<Settings>(settings).integer("workers"));
+  const std::vector<uint32_t> sizes =
+      size > 0 ? std::vector<uint32_t>{size}
+               : std::vector<uint32_t>{50, 500, 2900};
   for (const placement::PolicyName policy :
        {placement::PolicyName::Waiting, placement::PolicyName::Packing})
-    for (const uint32_t workers : {50U, 500U, 2900U})
+    for (const uint32_t workers : sizes)
       for (const uint32_t load : {UsualLoad, OverLoad})
         report(workers, policy, load, rounds);
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  std::cout << "largest resident set of the run: " << usage.ru_maxrss / 1024
+            << " MiB\n";
   return 0;
 }
--- a/jujube/placement/capacity_index.cc
+++ b/jujube/placement/capacity_index.cc
@@ -27,9 +27,9 @@
   Leaves = std::max(Leaves, FirstLeaves);
   while (Leaves < slots)
     Leaves *= 2;
-  Nodes.assign(std::size_t{2} * Leaves, NoRoom);
+  Nodes.assign(std::size_t{Leaves} * 2, NoRoom);
   std::copy_n(old.begin() + before, before, Nodes.begin() + Leaves);
-  for (uint32_t node = Leaves - 1; node > 0; --node)
+  for (std::size_t node = Leaves - 1; node > 0; --node)
     Nodes[node] = maxOf(Nodes[2 * node], Nodes[2 * node + 1]);
 }
 
@@ -37,7 +37,7 @@
   if (slot >= Leaves)
     grow(slot + 1);
   Slots = std::max(Slots, slot + 1);
-  uint32_t node = Leaves + slot;
+  std::size_t node = Leaves + slot;
   Nodes[node] = room.isNegative() ? NoRoom : room;
   for (node /= 2; node > 0; node /= 2) {
     const Resources larger = maxOf(Nodes[2 * node], Nodes[2 * node + 1]);
--- a/jujube/placement/capacity_index_test.cc
+++ b/jujube/placement/capacity_index_test.cc
@@ -29,7 +29,8 @@
   for (uint32_t slot = 0; slot < rooms.size(); ++slot)
     if (!rooms[slot].isNegative() && size.fitsIn(rooms[slot]))
       expected.push_back(slot);
-  std::ranges::rotate(expected, std::ranges::lower_bound(expected, start));
+  std::rotate(expected.begin(), std::ranges::lower_bound(expected, start),
+              expected.end());
   std::vector<uint32_t> found;
   index.collect(size, start, 256, found);
   RC_ASSERT(found == expected);
--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -31,8 +31,7 @@
     state.Free.collect(size, state.Hooks.SearchStart(state.Random(), workers),
                        most / SearchStarts, slots);
   std::ranges::sort(slots);
-  const auto repeated = std::ranges::unique(slots);
-  slots.erase(repeated.begin(), repeated.end());
+  slots.erase(std::unique(slots.begin(), slots.end()), slots.end());
   return slots;
 }
 
--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -18,7 +18,6 @@
 using internal::TaskStage;
 using internal::TaskState;
 using internal::TeamState;
-using internal::WorkerHealth;
 using internal::WorkerState;
 
 // Blocked work is looked at again after these spans even without an event.
@@ -201,6 +200,7 @@
 
 void Planner::setSlice(const TeamId &id, const Resources &slice) {
   TeamState &team = State->team(id);
+  team.HasSlice = true;
   team.Slice = slice;
   if (!team.Reserved.fitsIn(slice))
     State->OverSlice.push_back(&team);
@@ -243,6 +243,9 @@
   request.HasRun = true;
   State->reserve(request, index, State->slotOf(placed.Worker), placed.Reserved,
                  placed.Since);
+  TeamState &team = *request.Team;
+  if (team.HasSlice && !team.Reserved.fitsIn(team.Slice))
+    State->OverSlice.push_back(&team);
 }
 
 void Planner::started(const TaskId &id, Instant now) {
--- a/jujube/placement/planner.h
+++ b/jujube/placement/planner.h
@@ -70,8 +70,8 @@
   void started(const TaskId &task, Instant now);
   // The attempt is over and holds nothing any more: frees its reservation and
   // feeds blame. A finished task is forgotten; others stay known until they are
-  // requeued or the request is forgotten. `Refused` also serves for an offer
-  // that was not made.
+  // requeued or the request is forgotten, and a gang waits for them. `Refused`
+  // also serves for an offer that was not made.
   void ended(const TaskId &task, EndKind kind, Instant now);
   // Measured use of a running attempt, some seconds old.
   void usage(const TaskId &task, const Resources &measured);
@@ -82,7 +82,8 @@
   // The request has its final outcome. Its attempts must have ended().
   void forget(const RequestId &request);
 
-  // Decides at most Options::MaxActions actions.
+  // Decides what to do next. It offers no more once there are
+  // Options::MaxActions actions; stops are never held back.
   std::vector<Action> plan(Instant now);
   // When plan() has something to do again if no event comes before; never() if
   // nothing is due. Not later than `now` if the last plan() was cut short.
--- a/jujube/placement/planner_test.cc
+++ b/jujube/placement/planner_test.cc
@@ -306,9 +306,8 @@
   Bed bed(2);
   bed.submit(Bed::entry("a"), 4);
   bed.plan();
-  std::vector<RequestId> wave;
-  for (int i = 0; i < 2000; ++i)
-    wave.push_back(bed.submit(Bed::entry("a")));
+  std::vector<RequestId> wave(2000);
+  std::ranges::generate(wave, [&] { return bed.submit(Bed::entry("a")); });
   const RequestId other = bed.submit(Bed::entry("b"));
   for (int round = 0; round < 2; ++round)
     for (const RequestId &id : wave)
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -43,6 +43,7 @@
   uint32_t Share = 1;
   bool IsConfigured = false;
   Resources Ceiling;
+  bool HasSlice = false;
   Resources Slice;
   Resources Reserved;
   // Part of Reserved whose tasks have been told to stop.
--- a/jujube/placement/types.h
+++ b/jujube/placement/types.h
@@ -22,7 +22,7 @@
   PolicyName Policy = PolicyName::Waiting;
   // Seed of the generator that spreads the search over the workers.
   uint64_t Seed = 1;
-  // Most actions that one call of plan() returns.
+  // One call of plan() offers no more tasks once it has this many actions.
   uint32_t MaxActions = 512;
   // Most workers that are scored for one task.
   uint32_t MaxCandidates = 64;
--- a/jujube/replay/generator.cc
+++ b/jujube/replay/generator.cc
@@ -200,7 +200,7 @@
 
   RequestId submit(Instant at, const EntryId &entry, uint32_t tasks,
                    Duration run, const Resources &use) {
-    const RequestId id(absl::StrCat(Place.Zone, ".r", NextRequest++));
+    RequestId id(absl::StrCat(Place.Zone, ".r", NextRequest++));
     SubmitRecord record;
     record.Request = id;
     record.Entry = entry;
--- a/jujube/replay/placement_oracle_test.cc
+++ b/jujube/replay/placement_oracle_test.cc
@@ -121,7 +121,7 @@
     case StepKind::LoseWorker:
       return lose(step.A);
     case StepKind::SetSlice:
-      return setSlice(step.A, {1000 * (step.B % 25), 60000, 4});
+      return setSlice(step.A, {int64_t{1000} * (step.B % 25), 60000, 4});
     case StepKind::Submit:
       return submit(step.A, 1 + step.B % 5, step.B % 11 == 0);
     case StepKind::EndTask:
@@ -238,7 +238,7 @@
       return;
     const TaskId id = placed[n % placed.size()].first;
     Subject.started(id, Now);
-    Subject.usage(id, {amount * 8, amount * 16, 0});
+    Subject.usage(id, {int64_t{8} * amount, int64_t{16} * amount, 0});
   }
 
   void cancel(uint32_t n) {
