Placement: make room for a whole gang of a team under its share

Cause: teams under their share with gangs waiting got one drained reservation at a time. Change: if stops of over-share work cover the whole gang, they are decided at once. Work lost by cancels is no longer counted as lost.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -21,6 +21,8 @@
 constexpr double MaxHeldPart = 0.05;
 // Workers that are compared for one preemption.
 constexpr uint32_t PreemptCandidates = 16;
+// Workers on which tasks are stopped for one gang.
+constexpr uint32_t GangCandidates = 64;
 // A hold is chosen anew after this span.
 constexpr Duration HoldTime = Duration::seconds(15);
 // How often a blocked request is checked for being impossible.
@@ -193,6 +195,54 @@
   }
 }
 
+// Room on a worker that the policy lets the claimant take.
+Resources takeableRoom(const PlannerState &state, const RequestState &claimant,
+                       uint32_t slot, Instant now) {
+  Resources room = comingRoom(state, state.Workers[slot]);
+  for (const TaskRef &ref : state.Workers[slot].Tasks)
+    if (mayEvict(state, claimant, ref, now))
+      room += ref.Request->Tasks[ref.Index].Reserved;
+  return room;
+}
+
+// Stops other work for a whole gang, if that makes all the room it needs.
+bool preemptForGang(PlannerState &state, RequestState &claimant,
+                    const StartNeed &need, Instant now,
+                    std::vector<Action> &actions) {
+  const TeamState &team = *claimant.Team;
+  const Resources after = team.Reserved + team.Held + need.total();
+  if (!claimant.isUrgent() && relativeShare(state, team, after) > 1)
+    return false;
+  std::vector<uint32_t> slots;
+  const uint32_t start =
+      state.Hooks.SearchStart(state.Random(), state.Evictable.size());
+  state.Evictable.collect(need.Size, start, GangCandidates, slots);
+  std::vector<Hold> holds;
+  std::vector<Eviction> evictions;
+  uint32_t left = need.Tasks;
+  for (uint32_t slot : slots) {
+    const uint32_t tasks =
+        countFitting(takeableRoom(state, claimant, slot, now), need.Size, left);
+    if (tasks == 0)
+      continue;
+    const Resources room = need.Size * tasks;
+    const Resources deficit =
+        clipped(room - comingRoom(state, state.Workers[slot]));
+    holds.push_back({slot, room, now + HoldTime});
+    evictions.push_back(chooseVictims(state, claimant, slot, deficit, now));
+    left -= tasks;
+    if (left == 0)
+      break;
+  }
+  if (left > 0)
+    return false;
+  for (const Hold &hold : holds)
+    state.hold(claimant, hold);
+  for (const Eviction &eviction : evictions)
+    evictAll(state, claimant, eviction, actions);
+  return true;
+}
+
 bool mayReserve(const PlannerState &state, const RequestState &request,
                 Instant now) {
   if (!state.isAged(request, now) || !request.Holds.empty())
@@ -231,7 +281,8 @@
                      std::vector<Action> &actions) {
   const StartNeed need = startNeed(state, request);
   if (request.Holds.empty()) {
-    if (!isInSlice(request, need.total()))
+    if (!isInSlice(request, need.total()) ||
+        preemptForGang(state, request, need, now, actions))
       return;
     if (!request.isUrgent() && !mayReserve(state, request, now))
       return;
--- a/jujube/replay/replayer.cc
+++ b/jujube/replay/replayer.cc
@@ -149,7 +149,6 @@
     Books.ended(event.Task, event.End);
     timed([&] { Subject.ended(event.Task, event.End, Now); });
     const RequestId &id = event.Task.Request;
-    Result.Measured.LostSeconds += event.LostSeconds;
     if (event.End == EndKind::Finished) {
       ++Result.Measured.FinishedTasks;
       if (Tasks.isFinished(id))
@@ -158,6 +157,7 @@
     }
     if (fate::isTerminal(Result.Fates[id]))
       return;
+    Result.Measured.LostSeconds += event.LostSeconds;
     if (!event.MayRunAgain) {
       end(id, FateState::Failed);
       return;
