Traces: a cut slice cuts accelerators too

Cause: a team at its cut slice was measured as below its share. Change: generator and traces; long function in making_room split.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -205,20 +205,20 @@
   return room;
 }
 
-// Stops other work for a whole gang, if that makes all the room it needs.
-bool preemptForGang(PlannerState &state, RequestState &claimant,
-                    const StartNeed &need, Instant now,
-                    std::vector<Action> &actions) {
-  const TeamState &team = *claimant.Team;
-  const Resources after = team.Reserved + team.Held + need.total();
-  if (!claimant.isUrgent() && relativeShare(state, team, after) > 1)
-    return false;
+// Room for a whole gang that stops of other work would make.
+struct GangRoom {
+  std::vector<Hold> Holds;
+  std::vector<Eviction> Evictions;
+};
+
+std::optional<GangRoom> findGangRoom(PlannerState &state,
+                                     const RequestState &claimant,
+                                     const StartNeed &need, Instant now) {
   std::vector<uint32_t> slots;
   const uint32_t start =
       state.Hooks.SearchStart(state.Random(), state.Evictable.size());
   state.Evictable.collect(need.Size, start, GangCandidates, slots);
-  std::vector<Hold> holds;
-  std::vector<Eviction> evictions;
+  GangRoom found;
   uint32_t left = need.Tasks;
   for (uint32_t slot : slots) {
     const uint32_t tasks =
@@ -228,17 +228,31 @@
     const Resources room = need.Size * tasks;
     const Resources deficit =
         clipped(room - comingRoom(state, state.Workers[slot]));
-    holds.push_back({slot, room, now + HoldTime});
-    evictions.push_back(chooseVictims(state, claimant, slot, deficit, now));
+    found.Holds.push_back({slot, room, now + HoldTime});
+    found.Evictions.push_back(
+        chooseVictims(state, claimant, slot, deficit, now));
     left -= tasks;
     if (left == 0)
-      break;
+      return found;
   }
-  if (left > 0)
+  return std::nullopt;
+}
+
+// Stops other work for a whole gang, if that makes all the room it needs and
+// its team stays within its fair part.
+bool preemptForGang(PlannerState &state, RequestState &claimant,
+                    const StartNeed &need, Instant now,
+                    std::vector<Action> &actions) {
+  const TeamState &team = *claimant.Team;
+  const Resources after = team.Reserved + team.Held + need.total();
+  if (!claimant.isUrgent() && relativeShare(state, team, after) > 1)
     return false;
-  for (const Hold &hold : holds)
+  const std::optional<GangRoom> room = findGangRoom(state, claimant, need, now);
+  if (!room)
+    return false;
+  for (const Hold &hold : room->Holds)
     state.hold(claimant, hold);
-  for (const Eviction &eviction : evictions)
+  for (const Eviction &eviction : room->Evictions)
     evictAll(state, claimant, eviction, actions);
   return true;
 }
--- a/jujube/replay/generator.cc
+++ b/jujube/replay/generator.cc
@@ -316,9 +316,9 @@
     }
     const Resources all = fleet();
     const TeamId team(Place.Teams[1]);
-    add(SliceCutAt,
-        SliceRecord{team,
-                    {all.MilliCpu / 10, all.MemoryMb / 10, all.Accelerators}});
+    add(SliceCutAt, SliceRecord{team,
+                                {all.MilliCpu / 10, all.MemoryMb / 10,
+                                 all.Accelerators / 10}});
     add(SliceBackAt, SliceRecord{team,
                                  {all.MilliCpu * 8 / 10, all.MemoryMb * 8 / 10,
                                   all.Accelerators}});
