--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -96,6 +96,8 @@
   LogIndex commitIndex() const { return Commit; }
   LogIndex lastIndex() const { return Entries.last(); }
   const Membership &membership() const { return Entries.membership(); }
+  // Voters that lately acknowledged this leader, with itself; 0 on other roles.
+  std::size_t responsiveVoters(Instant now) const;
   const HardState &hardState() const { return Hard; }
   const Log &log() const { return Entries; }
 
@@ -113,7 +115,7 @@
        Instant now);
 
   // node.cc: events, actions, persistence.
-  Actions finish(Instant now);
+  Actions finish();
   void persistChanges();
   void releaseHeld();
   void reportRole();
@@ -142,13 +144,18 @@
   void startPreVote(Instant now);
   void startElection(bool isTransfer, Instant now);
   void becomeLeader(Instant now);
+  void dropLostVoters(Instant now);
   void failProposals();
   bool refusesVotes(Instant now) const;
   bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
-  void requestVotes(Body body, Term at);
-  void countVote(const HostId &from, const Message &message);
+  void requestVotes(const Body &body, Term at);
+  void countVote(const HostId &from, const Message &message, bool isGranted,
+                 bool hasConsent);
   bool hasWon(Instant now) const;
-  bool isLastVoter(const std::set<HostId> &ended) const;
+  bool isQuorumOf(const std::set<HostId> &votes) const;
+  bool canRecover(const std::set<HostId> &votes,
+                  const std::set<HostId> &consents, Instant now) const;
+  bool canBeElected(Instant now) const;
   void onLeaderContact(const HostId &from, Instant now);
   void handle(const HostId &from, const Message &m, const PreVoteRequest &body,
               Instant now);
@@ -189,8 +196,8 @@
   void admit(const HostId &host, const Sighting &seen, Instant now);
   void promoteLearners(Instant now);
   void replaceSilentVoter(Instant now);
+  std::size_t countResponsive(const Membership &members, Instant now) const;
   bool isRemainderQuorum(const HostId &without, Instant now) const;
-  bool isLastVoterPossible(Instant now) const;
   void probe(Instant now);
   void seekGroup(Instant now);
   void foundGroup(Membership members, Instant now);
@@ -215,6 +222,8 @@
   // Of the event being handled.
   Instant Now;
   std::set<HostId> Votes;
+  // Members that don't vote and have nothing against the election.
+  std::set<HostId> Consents;
 
   // Leader only.
   std::map<HostId, Progress> Peers;
@@ -224,7 +233,8 @@
   // Once committed, this leader may serve.
   LogIndex ReadyIndex;
   bool HasUnsent = false;
-  // Elected as the only voter left; its first change has to restore a quorum.
+  // Elected by all voters that are left, fewer than a quorum; its first changes
+  // have to restore one.
   bool IsRecovering = false;
   std::size_t UncommittedBytes = 0;
 
--- a/jujube/consensus/node_membership.cc
+++ b/jujube/consensus/node_membership.cc
@@ -72,19 +72,30 @@
   changeMembership(std::move(next));
 }
 
-bool Node::isRemainderQuorum(const HostId &without, Instant now) const {
-  Membership rest = Entries.membership();
-  std::erase_if(rest.Members,
-                [&](const Member &member) { return member.Host == without; });
-  const auto responsive =
-      std::ranges::count_if(votersOf(rest), [&](const Member &member) {
+std::size_t Node::countResponsive(const Membership &members,
+                                  Instant now) const {
+  const auto n =
+      std::ranges::count_if(votersOf(members), [&](const Member &member) {
         if (member.Host == Settings.Self.Host)
           return true;
         const auto it = Peers.find(member.Host);
         return it != Peers.end() &&
                now - it->second.LastHeard <= voteRefusal(Settings);
       });
-  return static_cast<std::size_t>(responsive) >=
+  return static_cast<std::size_t>(n);
+}
+
+std::size_t Node::responsiveVoters(Instant now) const {
+  return CurrentRole == Role::Leader
+             ? countResponsive(Entries.membership(), now)
+             : 0;
+}
+
+bool Node::isRemainderQuorum(const HostId &without, Instant now) const {
+  Membership rest = Entries.membership();
+  std::erase_if(rest.Members,
+                [&](const Member &member) { return member.Host == without; });
+  return countResponsive(rest, now) >=
          quorumSize(rest, Settings.Configured.size());
 }
 
@@ -167,7 +178,7 @@
   next.Members.push_back(
       Member{standby, successor->second.Start, successor->second.At, false});
   changeMembership(std::move(next));
-  return finish(now);
+  return finish();
 }
 
 void Node::probe(Instant now) {
@@ -199,25 +210,15 @@
   const bool isReplaced =
       Finder.servingGroup(Settings, Hard.Group, now).has_value();
   const bool isDead =
-      isDiskless && hasWaited && !(isVoter() && isLastVoterPossible(now)) &&
-      Finder.isGroupDead(Settings, Hard.Group, Entries.membership(), now);
+      isDiskless && hasWaited &&
+      Finder.isGroupDead(Settings, Hard.Group, Entries.membership(),
+                         canBeElected(now), now);
   if (!isReplaced && !isDead)
     return;
   IsSuperseded = true;
   Out.emplace_back(Superseded{Hard.Group});
 }
 
-// True if this host may still recover the group alone.
-bool Node::isLastVoterPossible(Instant now) const {
-  const Membership &members = Entries.membership();
-  const std::set<HostId> ended = Finder.endedMembers(Settings, members, now);
-  return voterCount(members) == quorum() &&
-         std::ranges::all_of(members.Members, [&](const Member &member) {
-           return member.Host == Settings.Self.Host ||
-                  member.IsVoter == ended.contains(member.Host);
-         });
-}
-
 void Node::foundGroup(Membership members, Instant now) {
   bindTo(GroupId{Settings.Self.Host, Settings.Start});
   Hard.Current = Term{1};
@@ -242,8 +243,9 @@
     return;
   const bool mayJoin = m.Group.isBlank() || m.Group == Hard.Group;
   if (CurrentRole == Role::Leader && mayJoin)
-    Standbys[from] = Sighting{m.FromStart, m.Group, body.At, false, now};
-  ProbeReply answer{body.Nonce, Settings.Self.At, mayServe(now)};
+    Standbys[from] = Sighting{m.FromStart, m.Group, body.At, false, false, now};
+  ProbeReply answer{body.Nonce, Settings.Self.At, mayServe(now),
+                    canBeElected(now)};
   sendSynced(from, body.At, m.FromStart, answer);
   if (CurrentRole == Role::Leader)
     admitStandbys(now);
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -1,7 +1,7 @@
 #include "jujube/routing/runner_table.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 namespace jujube::routing {
 namespace {
@@ -98,6 +98,7 @@
   report.Sequence = lease.LastSequence;
   report.AppliedTerm = lease.LedgerTerm;
   report.AppliedGrant = lease.Serial;
+  report.MaxPerRunner = Options.MaxPerRunner;
   const bool isValid = now < lease.Until;
   lease.Credits = isValid ? lease.Credits : 0;
   for (auto &[id, runner] : Runners) {
@@ -105,8 +106,10 @@
       continue;
     // Credits whose lease has run out are gone for good.
     runner.Credits = isValid ? runner.Credits : 0;
-    report.Runners.push_back({id, std::max(runner.Credits, runner.InFlight),
-                              runner.InFlight, limitOf(runner, now)});
+    const RunnerUse use{id, std::max(runner.Credits, runner.InFlight),
+                        runner.InFlight, limitOf(runner, now)};
+    if (use.Held > 0 || use.Limit != Options.MaxPerRunner)
+      report.Runners.push_back(use);
   }
   return report;
 }
@@ -173,8 +176,10 @@
 }
 
 std::vector<ZoneId> RunnerTable::zones() const {
-  const auto names = Leases | std::views::keys;
-  return {names.begin(), names.end()};
+  std::vector<ZoneId> names;
+  std::ranges::transform(Leases, std::back_inserter(names),
+                         [](const auto &row) { return row.first; });
+  return names;
 }
 
 uint32_t RunnerTable::creditsIn(const ZoneId &zone) const {
