--- a/jujube/http/client.cc
+++ b/jujube/http/client.cc
@@ -120,6 +120,8 @@
 std::optional<Result<std::string>> Client::tryAll(const HttpCall &call,
                                                   Error &last) {
   for (std::size_t i = 0; i < Settings.Servers.size(); ++i) {
+    if (Settings.Time.now() >= GiveUpAt)
+      return last;
     const Address &server = Settings.Servers[Preferred];
     const TransportOutcome outcome = Settings.Transport(server, call);
     if (const auto *failure = std::get_if<TransportFailure>(&outcome)) {
@@ -146,6 +148,7 @@
 
 Result<std::string> Client::call(const HttpCall &call) {
   IsUnreachable = true;
+  GiveUpAt = Settings.Time.now() + Settings.MaxTotal;
   Error last;
   for (int round = 0; round < Settings.Rounds; ++round) {
     if (round > 0)
--- a/jujube/http/client.h
+++ b/jujube/http/client.h
@@ -67,6 +67,9 @@
     std::function<void(Duration)> Sleep;
     int Rounds = 5;
     Duration RoundPause = Duration::millis(300);
+    // No further try begins this long after the first.
+    Duration MaxTotal = Duration::seconds(30);
+    Clock Time = Clock::monotonic();
   };
 
   // Fails if there is no server.
@@ -96,6 +99,7 @@
   Options Settings;
   std::size_t Preferred = 0;
   bool IsUnreachable = false;
+  Instant GiveUpAt;
 };
 
 } // namespace jujube::http
