--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, starts a cell of three availability zones on
+# loopback, feeds it a mixed day, prints fates and waiting times per team and
+# class, and stops everything that it started.
+#   scripts/demo.sh [--full] [--faults]
+# --full: workers and runners as many as in the Breezeguard deployment.
+# --faults: a zone's leader and a keeper are killed, an entry host is paused.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+readonly ZONES=(san-fernando point-fortin princes-town)
+readonly BASE_PORT=${JUJUBE_BASE_PORT:-21000}
+readonly HOSTS_PER_ZONE=3
+workers=4
+runners=3
+with_faults=0
+for flag in "$@"; do
+  case $flag in
+  --full) workers=17 runners=17 ;;
+  --faults) with_faults=1 ;;
+  *) sed -n '2,8p' "$0" && exit 2 ;;
+  esac
+done
+
+scripts/packages.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build --target jujube-keeper jujube-zone jujube-entry jujubectl \
+  jujube-load standin-worker standin-runner | tail -n 1
+
+dir=$(mktemp -d)
+readonly dir
+finish() {
+  scripts/cell.sh stop "$dir"
+  echo "stopped; logs and report are in $dir"
+}
+trap finish EXIT
+scripts/cell.sh start "$dir" "$(IFS=,; echo "${ZONES[*]}")" "$HOSTS_PER_ZONE"
+# shellcheck source=/dev/null
+source "$dir/env"
+ctl() { build/bin/jujubectl "$@"; }
+
+# until_ok COMMAND...: repeats a command for at most 30 s.
+until_ok() {
+  for _ in $(seq 60); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.5
+  done
+  "$@"
+}
+
+echo "== catalogue"
+until_ok ctl catalogue list
+ctl catalogue apply traces/day.catalogue.json | tail -n 1
+ctl catalogue list
+for team in events farms billing; do
+  echo "$team $(ctl key issue "$team")"
+done >"$dir/keys"
+
+# standin NAME PROGRAM ARGS...: starts a stand-in that cell.sh stops.
+standin() {
+  local name=$1
+  shift
+  "$@" --fleet-token-file "$dir/fleet.token" >"$dir/log/$name.log" 2>&1 &
+  echo $! >"$dir/pid/$name"
+}
+stats=""
+z=0
+for zone in "${ZONES[@]}"; do
+  z=$((z + 1))
+  entries=$(cat "$dir/entries-$zone")
+  standin "worker-$zone" build/bin/standin-worker --entries "$entries" \
+    --name "w-$zone" --count "$workers" \
+    --stats "127.0.0.1:$((BASE_PORT + 900 + z))"
+  standin "runner-$zone" build/bin/standin-runner --entries "$entries" \
+    --zone "$zone" --entry yard-desk --name "r-$zone" --count "$runners" \
+    --listen "127.0.0.1:$((BASE_PORT + 950 + z))"
+  stats+=${stats:+,}127.0.0.1:$((BASE_PORT + 900 + z))
+  stats+=,127.0.0.1:$((BASE_PORT + 950 + z))
+done
+everyone_is_there() {
+  [ "$(ctl status --json | grep -o '"runner":"' | wc -l)" -ge "$runners" ] &&
+    ctl status | awk -v n="$workers" '$2 ~ /-[0-9]+$/ && $3 == n' | grep -q .
+}
+until_ok everyone_is_there
+echo "== fleet"
+ctl status
+
+processes=""
+for file in "$dir"/pid/{keeper,zone,entry}-*; do
+  processes+=${processes:+,}$(basename "$file")=$(cat "$file")
+done
+faults=""
+if [ "$with_faults" = 1 ]; then
+  pid() { cat "$dir/pid/$1"; }
+  faults="5000:kill:$(pid zone-san-fernando-1)"
+  faults+=",8000:pause:$(pid entry-point-fortin-1)"
+  faults+=",11000:resume:$(pid entry-point-fortin-1)"
+  faults+=",12000:kill:$(pid keeper-1)"
+fi
+echo "== a mixed day"
+status=0
+build/bin/jujube-load --trace traces/day.load --keys-file "$dir/keys" \
+  --stats "$stats" --processes "$processes" --faults "$faults" \
+  --report "$dir/report" || status=$?
+echo "== one fate"
+request=$(ctl submit plans --key "$(awk '$1 == "farms" {print $2}' "$dir/keys")" \
+  --payload "run_ms=300;answer=done" --wait 20000)
+echo "$request"
+echo "== histograms"
+ctl histogram --team events | head -n 20
+exit "$status"
