--- /dev/null
+++ b/fuzz/wire_fuzz.cc
@@ -0,0 +1,16 @@
+// Decodes any bytes as every message and stored record of the system's own
+// processes.
+#include <cstddef>
+#include <cstdint>
+
+#include "jujube/wire/messages.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+  const absl::string_view bytes(reinterpret_cast<const char *>(data), size);
+  (void)jujube::wire::decodeEnvelope(bytes);
+  (void)jujube::wire::decodeFleetCommand(bytes);
+  (void)jujube::wire::decodeFleetState(bytes);
+  (void)jujube::wire::decodeZoneEvents(bytes);
+  (void)jujube::wire::decodeBookState(bytes);
+  return 0;
+}
