--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -21,6 +21,11 @@
 constexpr Duration StatusTimeout = Duration::millis(800);
 constexpr Duration LongestLiveTimeout = Duration::seconds(10);
 
+void append(const metrics::Snapshot &from, metrics::Snapshot &to) {
+  std::ranges::copy(from.Counters, std::back_inserter(to.Counters));
+  std::ranges::copy(from.Histograms, std::back_inserter(to.Histograms));
+}
+
 Error unexpectedReply() {
   return {ErrorKind::Internal, "a control host sent an unexpected reply",
           "run the same version on all hosts"};
@@ -307,19 +312,30 @@
 }
 
 void EntryTask::run(const api::GetMetrics &, const DoneHook &done) {
-  Zones.own().callOnce(
-      wire::ReadZone{}, StatusTimeout,
-      [this, done](const Result<wire::Message> &reply) {
-        metrics::Snapshot all = Metrics.snapshot();
+  Zones.own().callOnce(wire::ReadZone{}, StatusTimeout,
+                       [this, done](const Result<wire::Message> &reply) {
+                         metrics::Snapshot all = Metrics.snapshot();
+                         Messages.addTraffic(catalogue::HostRole::Entry, all);
+                         const auto *news =
+                             isOk(reply)
+                                 ? std::get_if<wire::ZoneNews>(&valueOf(reply))
+                                 : nullptr;
+                         if (news)
+                           append(news->Metrics, all);
+                         addKeeperMetrics(std::move(all), done);
+                       });
+}
+
+void EntryTask::addKeeperMetrics(metrics::Snapshot own, const DoneHook &done) {
+  Keepers.callOnce(
+      wire::ReadMetrics{}, StatusTimeout,
+      [own = std::move(own), done](const Result<wire::Message> &reply) {
+        metrics::Snapshot all = own;
         const auto *news = isOk(reply)
-                               ? std::get_if<wire::ZoneNews>(&valueOf(reply))
+                               ? std::get_if<wire::MetricsNews>(&valueOf(reply))
                                : nullptr;
-        if (news) {
-          std::ranges::copy(news->Metrics.Counters,
-                            std::back_inserter(all.Counters));
-          std::ranges::copy(news->Metrics.Histograms,
-                            std::back_inserter(all.Histograms));
-        }
+        if (news)
+          append(news->Metrics, all);
         done(api::Reply(std::move(all)));
       });
 }
--- a/jujube/entry/entry_task.h
+++ b/jujube/entry/entry_task.h
@@ -76,6 +76,7 @@
   // Passes the reply of type Message on as a value of type api::Reply.
   template <typename Reply, typename Convert>
   wire::ReplyHook forward(const DoneHook &done, Convert convert);
+  void addKeeperMetrics(metrics::Snapshot own, const DoneHook &done);
   api::FleetStatus localStatus() const;
   void countRefusal(const Result<api::Reply> &result);
 
--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -284,6 +284,13 @@
           });
 }
 
+void FleetTask::handle(const wire::Envelope &request,
+                       const wire::ReadMetrics &) {
+  wire::MetricsNews news;
+  Messages.addTraffic(catalogue::HostRole::Keeper, news.Metrics);
+  Messages.reply(request, std::move(news));
+}
+
 void FleetTask::answerReport(const wire::Envelope &request,
                              const limits::SliceReport &report) {
   if (!SliceLeases || !Log->mayServe())
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -79,6 +79,7 @@
   void handle(const wire::Envelope &request, const wire::ProposeEdit &propose);
   void handle(const wire::Envelope &request, const wire::ReadHistory &read);
   void handle(const wire::Envelope &request, const wire::ReportSlices &report);
+  void handle(const wire::Envelope &request, const wire::ReadMetrics &read);
   template <typename Other>
   void handle(const wire::Envelope &request, const Other &other);
 
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -82,6 +82,10 @@
 template <typename Archive> void serialize(Archive &ar, ZoneNews &v) {
   ar(v.Status, v.Metrics);
 }
+template <typename Archive> void serialize(Archive &, ReadMetrics &) {}
+template <typename Archive> void serialize(Archive &ar, MetricsNews &v) {
+  ar(v.Metrics);
+}
 template <typename Archive> void serialize(Archive &, Done &) {}
 template <typename Archive> void serialize(Archive &ar, Refusal &v) {
   ar(v.Why, v.Leader);
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -146,6 +146,12 @@
   metrics::Snapshot Metrics;
 };
 
+// Entry host to the keepers' leader, answered by MetricsNews.
+struct ReadMetrics {};
+struct MetricsNews {
+  metrics::Snapshot Metrics;
+};
+
 // The request was carried out.
 struct Done {};
 
@@ -161,8 +167,77 @@
                  EditDone, ReadHistory, HistoryPage, ReportSlices, SliceNews,
                  SubmitWork, CancelWork, AskFate, FateNews, SyncTasks, SyncDone,
                  PassAnnouncement, ReportCredits, CreditNews, JournalLive,
-                 JournalLiveEnd, PassLive, LiveDone, ReadZone, ZoneNews, Done,
-                 Refusal>;
+                 JournalLiveEnd, PassLive, LiveDone, ReadZone, ZoneNews,
+                 ReadMetrics, MetricsNews, Done, Refusal>;
+
+// The alternatives of Message, in order; for counters.
+enum class MessageKind {
+  GroupMessage,
+  PollCatalogue,
+  CatalogueNews,
+  ProposeEdit,
+  EditDone,
+  ReadHistory,
+  HistoryPage,
+  ReportSlices,
+  SliceNews,
+  SubmitWork,
+  CancelWork,
+  AskFate,
+  FateNews,
+  SyncTasks,
+  SyncDone,
+  PassAnnouncement,
+  ReportCredits,
+  CreditNews,
+  JournalLive,
+  JournalLiveEnd,
+  PassLive,
+  LiveDone,
+  ReadZone,
+  ZoneNews,
+  ReadMetrics,
+  MetricsNews,
+  Done,
+  Refusal
+};
+
+inline constexpr NameTable<MessageKind, 28> MessageKindNames = {{
+    {MessageKind::GroupMessage, "group_message"},
+    {MessageKind::PollCatalogue, "poll_catalogue"},
+    {MessageKind::CatalogueNews, "catalogue_news"},
+    {MessageKind::ProposeEdit, "propose_edit"},
+    {MessageKind::EditDone, "edit_done"},
+    {MessageKind::ReadHistory, "read_history"},
+    {MessageKind::HistoryPage, "history_page"},
+    {MessageKind::ReportSlices, "report_slices"},
+    {MessageKind::SliceNews, "slice_news"},
+    {MessageKind::SubmitWork, "submit_work"},
+    {MessageKind::CancelWork, "cancel_work"},
+    {MessageKind::AskFate, "ask_fate"},
+    {MessageKind::FateNews, "fate_news"},
+    {MessageKind::SyncTasks, "sync_tasks"},
+    {MessageKind::SyncDone, "sync_done"},
+    {MessageKind::PassAnnouncement, "pass_announcement"},
+    {MessageKind::ReportCredits, "report_credits"},
+    {MessageKind::CreditNews, "credit_news"},
+    {MessageKind::JournalLive, "journal_live"},
+    {MessageKind::JournalLiveEnd, "journal_live_end"},
+    {MessageKind::PassLive, "pass_live"},
+    {MessageKind::LiveDone, "live_done"},
+    {MessageKind::ReadZone, "read_zone"},
+    {MessageKind::ZoneNews, "zone_news"},
+    {MessageKind::ReadMetrics, "read_metrics"},
+    {MessageKind::MetricsNews, "metrics_news"},
+    {MessageKind::Done, "done"},
+    {MessageKind::Refusal, "refusal"},
+}};
+static_assert(isComplete(MessageKindNames));
+static_assert(std::variant_size_v<Message> == MessageKindNames.size());
+
+inline MessageKind kindOf(const Message &message) {
+  return static_cast<MessageKind>(message.index());
+}
 
 // A message with what is needed to answer it.
 struct Envelope {
--- a/jujube/wire/messenger.cc
+++ b/jujube/wire/messenger.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace jujube::wire {
 
 Messenger::Messenger(runtime::PollLoop &loop, HostId self, Address listen,
@@ -17,6 +19,9 @@
   std::string payload = encodeEnvelope(envelope);
   if (payload.size() > MaxFrameBytes)
     return; // The caller's timeout tells.
+  Traffic &traffic = Sent[kindOf(envelope.What)];
+  ++traffic.Messages;
+  traffic.Bytes += payload.size();
   (void)Outbox->post(Packet{to, via, std::move(payload)});
 }
 
@@ -45,6 +50,19 @@
        Envelope{Self, Listen, request.Correlation, true, std::move(what)});
 }
 
+void Messenger::addTraffic(catalogue::HostRole role,
+                           metrics::Snapshot &snapshot) const {
+  const absl::string_view name = nameIn(catalogue::HostRoleNames, role);
+  for (const auto &[kind, traffic] : Sent) {
+    const metrics::Labels labels{"",
+                                 std::string(nameIn(MessageKindNames, kind))};
+    snapshot.Counters.push_back(
+        {absl::StrCat(name, "_sent_messages"), labels, traffic.Messages});
+    snapshot.Counters.push_back(
+        {absl::StrCat(name, "_sent_bytes"), labels, traffic.Bytes});
+  }
+}
+
 std::optional<Envelope> Messenger::receive(const std::string &payload) {
   Result<Envelope> envelope = decodeEnvelope(payload);
   if (!isOk(envelope)) {
--- a/jujube/wire/messenger.h
+++ b/jujube/wire/messenger.h
@@ -46,6 +46,10 @@
   // a message for the owner to handle, or nothing.
   std::optional<Envelope> receive(const std::string &payload);
 
+  // Adds counters ROLE_sent_messages and ROLE_sent_bytes, with the kind of
+  // message as class.
+  void addTraffic(catalogue::HostRole role, metrics::Snapshot &snapshot) const;
+
   // Messages that could not be decoded since the start.
   uint64_t undecodable() const { return Undecodable; }
 
@@ -55,6 +59,11 @@
     runtime::TimerId Timeout;
   };
 
+  struct Traffic {
+    uint64_t Messages = 0;
+    uint64_t Bytes = 0;
+  };
+
   void post(const Address &to, Channel via, const Envelope &envelope);
   void finish(uint64_t correlation, Result<Message> result);
 
@@ -63,6 +72,7 @@
   Address Listen;
   PacketMailbox Outbox;
   absl::flat_hash_map<uint64_t, Call> Calls;
+  std::map<MessageKind, Traffic> Sent;
   uint64_t LastCorrelation = 0;
   uint64_t Undecodable = 0;
 };
--- a/jujube/wire/routing_encoding.h
+++ b/jujube/wire/routing_encoding.h
@@ -17,8 +17,8 @@
   ar(v.Entry, v.Team, v.Share, v.Queued, v.InFlight, v.IsStranded);
 }
 template <typename Archive> void serialize(Archive &ar, EntryReport &v) {
-  ar(v.From, v.HomeZone, v.Zone, v.Sequence, v.UpFor, v.AppliedTerm, v.AppliedGrant,
-     v.MaxPerRunner, v.Runners, v.Demand);
+  ar(v.From, v.HomeZone, v.Zone, v.Sequence, v.UpFor, v.AppliedTerm,
+     v.AppliedGrant, v.MaxPerRunner, v.Runners, v.Demand);
 }
 template <typename Archive> void serialize(Archive &ar, RunnerCredits &v) {
   ar(v.Runner, v.Credits);
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -364,7 +364,9 @@
 }
 
 void ZoneTask::handle(const wire::Envelope &request, const wire::ReadZone &) {
-  Messages.reply(request, wire::ZoneNews{status(), Leading->metrics()});
+  wire::ZoneNews news{status(), Leading->metrics()};
+  Messages.addTraffic(catalogue::HostRole::Zone, news.Metrics);
+  Messages.reply(request, std::move(news));
 }
 
 api::ZoneStatus ZoneTask::status() const {
--- a/programs/jujube_zone.cc
+++ b/programs/jujube_zone.cc
@@ -39,7 +39,8 @@
   auto token = daemon::readSecret(settings.text("fleet-token-file"));
   if (!isOk(token))
     return errorOf(token);
-  const auto policy = valueIn(placement::PolicyNameNames, settings.text("policy"));
+  const auto policy =
+      valueIn(placement::PolicyNameNames, settings.text("policy"));
   if (!policy)
     return Error{ErrorKind::InvalidArgument,
                  "--policy has the value '" + settings.text("policy") + "'",
