--- a/testing/consensus_driver.cc
+++ b/testing/consensus_driver.cc
@@ -220,7 +220,7 @@
   }
 }
 
-void ConsensusDriver::perform(std::size_t i, Actions actions) {
+void ConsensusDriver::perform(std::size_t i, const Actions &actions) {
   for (const Action &action : actions)
     performOne(i, action);
   const Host &host = Hosts[i];
--- a/testing/consensus_driver.h
+++ b/testing/consensus_driver.h
@@ -117,7 +117,7 @@
   void step();
   void deliverDue();
   void finishSyncs(std::size_t i);
-  void perform(std::size_t i, consensus::Actions actions);
+  void perform(std::size_t i, const consensus::Actions &actions);
   void performOne(std::size_t i, const consensus::Action &action);
   void post(std::size_t from, const consensus::Send &send);
   void scheduleSync(std::size_t i, uint64_t serial,
