Promoted learners count once they know of it

Cause: in 1 of 15,000 drawn plans a leader counted a learner, just promoted, for earlier entries; it died, and the learner consented to a recovery without them. Change: entries before a membership are committed only along with it.

--- a/jujube/consensus/consensus_test.cc
+++ b/jujube/consensus/consensus_test.cc
@@ -343,6 +343,30 @@
   BOOST_TEST(probeFrom(5) == 2U);
 }
 
+// A promoted learner counts once it holds the entry that made it a voter.
+BOOST_AUTO_TEST_CASE(PromotedLearnerKnowsThatItVotesBeforeItCounts) {
+  DurableState state = stateOfThree();
+  state.Entries.front().Members.Members.back().IsVoter = false;
+  Node node = nodeWith(state);
+  const Instant now = elect(node);
+  const auto acknowledge = [&](int host, uint64_t index) {
+    deliver(node, host,
+            messageOf(node.term().Value,
+                      AppendReply{true, LogIndex{index}, now.millis()}),
+            now);
+    (void)node.persisted(SIZE_MAX, now);
+  };
+  acknowledge(2, 2);
+  (void)node.propose(1, "x", now);
+  acknowledge(3, 3);
+  (void)node.tick(now);
+  BOOST_REQUIRE(node.log().membershipIndex().Value == 4U);
+  acknowledge(3, 3);
+  BOOST_TEST(node.commitIndex().Value == 2U);
+  acknowledge(3, 4);
+  BOOST_TEST(node.commitIndex().Value == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(ProposalsOfOneTurnGoOutTogether) {
   Node node = nodeWith(stateOfThree());
   const Instant now = elect(node);
--- a/jujube/consensus/node_replication.cc
+++ b/jujube/consensus/node_replication.cc
@@ -88,8 +88,11 @@
         return it == Peers.end() ? LogIndex{} : it->second.Match;
       },
       LogIndex{});
-  // Entries of earlier terms are only committed along with one of this term.
-  if (agreed <= Commit || Entries.termAt(agreed) != Hard.Current)
+  // Entries of earlier terms are only committed along with one of this term,
+  // and entries before a membership in force only along with it: whoever counts
+  // as a voter then knows that it is one.
+  if (agreed <= Commit || agreed < Entries.membershipIndex() ||
+      Entries.termAt(agreed) != Hard.Current)
     return;
   advanceCommit(agreed);
   if (Commit >= ReadyIndex)
