--- a/jujube/placement/types.h
+++ b/jujube/placement/types.h
@@ -22,7 +22,7 @@
   PolicyName Policy = PolicyName::Waiting;
   // Seed of the generator that spreads the search over the workers.
   uint64_t Seed = 1;
-  // Most actions that one call of plan() returns.
+  // One call of plan() offers no more tasks once it has this many actions.
   uint32_t MaxActions = 512;
   // Most workers that are scored for one task.
   uint32_t MaxCandidates = 64;
@@ -49,6 +49,8 @@
   Instant AcceptedAt;
   // Indices of the tasks that are still to be placed.
   std::vector<uint32_t> Tasks;
+  // True if a task of it may have run; it is not rejected any more.
+  bool HasRun = false;
 };
 
 // One attempt that is offered or running.
@@ -57,6 +59,8 @@
   WorkerId Worker;
   Resources Reserved;
   Instant Since;
+  // True if it has been told to stop.
+  bool IsStopping = false;
 };
 
 // How an attempt ended.
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -1,6 +1,6 @@
 // Deadlines, hedges, inquiries about lost attempts, and reports.
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 #include "jujube/routing/router.h"
 
@@ -15,8 +15,7 @@
   RouterActions out;
   expire(now, out);
   followLost(now, out);
-  const auto names = Desks | std::views::keys;
-  for (const EntryId &entry : std::vector<EntryId>(names.begin(), names.end()))
+  for (const auto &[entry, desk] : Desks)
     pump(entry, now, out);
   hedge(now, out);
   finishCall(now, out);
@@ -152,7 +151,9 @@
   const auto rowOf = [&](const EntryId &entry,
                          const TeamId &team) -> TeamDemand & {
     return rows
-        .try_emplace({entry, team}, TeamDemand{entry, team, shareOf(team)})
+        .try_emplace({entry, team},
+                     TeamDemand{entry, team, shareOf(team), 0, 0,
+                                !Table.isServedIn(Options.Zone, entry, now)})
         .first->second;
   };
   for (const auto &[entry, desk] : Desks)
@@ -163,8 +164,8 @@
     if (key.first == zone)
       rowOf(key.second.first, key.second.second).InFlight = n;
   std::vector<TeamDemand> demand;
-  for (auto &[key, row] : rows)
-    demand.push_back(std::move(row));
+  std::ranges::transform(rows, std::back_inserter(demand),
+                         [](const auto &row) { return row.second; });
   return demand;
 }
 
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -1,7 +1,7 @@
 #include "jujube/routing/runner_table.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 namespace jujube::routing {
 namespace {
@@ -94,6 +94,7 @@
     lease.Reports.pop_front();
   EntryReport report;
   report.From = Options.Self;
+  report.HomeZone = Options.Zone;
   report.Zone = zone;
   report.Sequence = lease.LastSequence;
   report.AppliedTerm = lease.LedgerTerm;
@@ -176,8 +177,10 @@
 }
 
 std::vector<ZoneId> RunnerTable::zones() const {
-  const auto names = Leases | std::views::keys;
-  return {names.begin(), names.end()};
+  std::vector<ZoneId> names;
+  std::ranges::transform(Leases, std::back_inserter(names),
+                         [](const auto &row) { return row.first; });
+  return names;
 }
 
 uint32_t RunnerTable::creditsIn(const ZoneId &zone) const {
