--- a/bench/routing_link_bench.cc
+++ b/bench/routing_link_bench.cc
@@ -22,6 +22,7 @@
 
 const ZoneId Zone("bench");
 const EntryId Desk("desk");
+constexpr int64_t MaxWaitMs = 5;
 
 struct Totals {
   uint64_t Delivered = 0;
@@ -40,6 +41,7 @@
     options.Self = {HostId("entry"), {1}};
     options.Zone = Zone;
     options.MaxPerRunner = 8;
+    options.MaxInFlight = links.size();
     Router = std::make_unique<routing::Router>(
         valueOf(routing::Router::create(options, Source.now())));
     routing::LedgerOptions ledger;
@@ -62,8 +64,11 @@
   Totals run(int64_t callers) {
     announce();
     carryOut(Router->tick(Source.now()));
-    for (int64_t i = 0; i < callers; ++i)
+    // One after the other: the stand-in's backlog of connections is short.
+    for (int64_t i = 0; i < callers; ++i) {
       submit();
+      turn();
+    }
     while (Open > 0 || Source.now() < End)
       turn();
     return Counts;
@@ -93,7 +98,8 @@
     if (now >= NextAnnounce)
       announce();
     const Instant wake = std::min(Router->nextWake(now), NextAnnounce);
-    const int64_t wait = std::clamp<int64_t>((wake - now).millis(), 0, 100);
+    const int64_t wait =
+        std::clamp<int64_t>((wake - now).millis(), 0, MaxWaitMs);
     pollfd poll{Links.events()->fd(), POLLIN, 0};
     (void)::poll(&poll, 1, static_cast<int>(wait));
     for (entry::LinkEvent &event : Links.events()->drain())
--- a/jujube/entry/runner_link.h
+++ b/jujube/entry/runner_link.h
@@ -77,6 +77,8 @@
   std::optional<RunnerOutcome> handle(LinkEvent event);
 
   std::size_t busy() const;
+  // For RouterOptions::MaxInFlight.
+  std::size_t size() const { return Links.size(); }
 
 private:
   struct Link {
--- a/jujube/routing/router.h
+++ b/jujube/routing/router.h
@@ -178,6 +178,8 @@
   std::map<EntryId, Desk> Desks;
   RunnerTable Table;
   FlightCounts InFlight;
+  // Attempts that are being journaled or were sent and have not ended.
+  std::size_t OpenAttempts = 0;
   // When queued requests expire, when requests in flight are hedged, and the
   // next events of lost attempts.
   std::set<std::pair<Instant, RequestId>> Expiries;
--- a/jujube/routing/router_attempts.cc
+++ b/jujube/routing/router_attempts.cc
@@ -49,6 +49,8 @@
 }
 
 std::optional<RunnerId> Router::pick(const Live &live, Instant now) const {
+  if (OpenAttempts >= Options.MaxInFlight)
+    return std::nullopt;
   std::vector<Candidate> candidates;
   for (const auto &[id, runner] : Table.all()) {
     if (runner.Announcement.Entry != live.Request.Entry)
@@ -76,6 +78,7 @@
   attempt.Runner = id;
   attempt.StartedAt = now;
   attempt.BusyUntil = Instant::never();
+  ++OpenAttempts;
   takeSlot(live, attempt);
   if (Table.find(id)->Announcement.Zone != Options.Zone)
     ++Counters.Spilled;
@@ -151,6 +154,7 @@
   if (isOk(status) && isInTime && isLeased && Table.isUsable(runner, now)) {
     out.emplace_back(dispatchOf(live, *attempt, now));
   } else {
+    --OpenAttempts;
     releaseSlot(live, *attempt);
     removeAttempt(live, number);
     if (!isOk(status))
@@ -177,8 +181,10 @@
   }
   Live &live = Requests.at(id);
   const EntryId entry = live.Request.Entry;
-  if (!isLost)
+  if (!isLost) {
+    --OpenAttempts;
     learn(live, *attempt, outcome, now);
+  }
   if (outcome == AttemptOutcome::Unknown) {
     lose(live, *attempt, now, out);
   } else {
--- a/jujube/routing/router_options.h
+++ b/jujube/routing/router_options.h
@@ -52,6 +52,8 @@
   Duration ReportGap = Duration::millis(10);
   // The most requests in flight on one runner, for the connection budget.
   uint32_t MaxPerRunner = 6;
+  // The most attempts open at once, for the links to runners.
+  std::size_t MaxInFlight = 1000;
   uint32_t MaxQueuedPerTeam = 1000;
   // Once a request has waited this long, others that are expected to wait more
   // than MaxQueueWait or past their deadline are shed at once.
