--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -96,6 +96,8 @@
   LogIndex commitIndex() const { return Commit; }
   LogIndex lastIndex() const { return Entries.last(); }
   const Membership &membership() const { return Entries.membership(); }
+  // Voters that lately acknowledged this leader, with itself; 0 on other roles.
+  std::size_t responsiveVoters(Instant now) const;
   const HardState &hardState() const { return Hard; }
   const Log &log() const { return Entries; }
 
@@ -113,7 +115,7 @@
        Instant now);
 
   // node.cc: events, actions, persistence.
-  Actions finish(Instant now);
+  Actions finish();
   void persistChanges();
   void releaseHeld();
   void reportRole();
@@ -146,7 +148,7 @@
   void failProposals();
   bool refusesVotes(Instant now) const;
   bool isUpToDate(LogIndex lastIndex, Term lastTerm) const;
-  void requestVotes(Body body, Term at);
+  void requestVotes(const Body &body, Term at);
   void countVote(const HostId &from, const Message &message, bool isGranted,
                  bool hasConsent);
   bool hasWon(Instant now) const;
@@ -194,6 +196,7 @@
   void admit(const HostId &host, const Sighting &seen, Instant now);
   void promoteLearners(Instant now);
   void replaceSilentVoter(Instant now);
+  std::size_t countResponsive(const Membership &members, Instant now) const;
   bool isRemainderQuorum(const HostId &without, Instant now) const;
   void probe(Instant now);
   void seekGroup(Instant now);
--- a/jujube/fate/fate_book.h
+++ b/jujube/fate/fate_book.h
@@ -22,7 +22,7 @@
 struct FatePolicy {
   // Ended requests are forgotten after this span; a resend after it is a new
   // request.
-  Duration Retention = Duration::minutes(24 * 60);
+  Duration Retention = Duration::minutes(int64_t{24} * 60);
   // An offer whose outcome is not known is called failed after this span.
   Duration ResolveWithin = Duration::minutes(10);
 };
@@ -156,7 +156,8 @@
   // The worker's lease and the drift bound have passed.
   std::vector<Event> workerExpired(const WorkerId &worker, Instant now) const;
   // The worker announced itself with incarnation `start`: attempts of earlier
-  // starts are gone.
+  // starts are gone. To be asked at every sync, since an offer to an earlier
+  // start may be committed after the worker came back.
   std::vector<Event> workerRestarted(const WorkerId &worker, Incarnation start,
                                      Instant now) const;
   // The entry host is gone: its live offers are unresolved.
@@ -173,7 +174,8 @@
   // To rebuild the planner, in order of id.
   std::vector<Attempt> liveAttempts() const;
   std::vector<TaskId> queuedTasks() const;
-  // Attempts on a worker, in order of id.
+  // Attempts on a worker, in order of id. Directives go only to the start of
+  // the worker that the attempt names.
   std::vector<Attempt> attemptsOn(const WorkerId &worker) const;
   // Workers with attempts and entry hosts with live offers: a new leader counts
   // their leases from its takeover.
--- a/jujube/storage/store.h
+++ b/jujube/storage/store.h
@@ -25,7 +25,7 @@
 struct StoreOptions {
   std::string Folder;
   // A segment that has grown past this is closed and a new one is begun.
-  std::size_t SegmentBytes = 4 * 1024 * 1024;
+  std::size_t SegmentBytes = std::size_t{4} * 1024 * 1024;
   FileHooks Hooks;
 };
 
@@ -85,7 +85,7 @@
   Status replay(const Change &change, Segment &segment);
   Status beginSegment();
   Status dropCovered(LogIndex upTo);
-  Status fail(Status status);
+  Status fail(const Status &status);
   std::string segmentPath(uint64_t number) const;
 
   StoreOptions Settings;
