Placement: three faults that longer fuzzing found

Change: widening looks at the whole worker; work is not stopped in the plan that offered it; a head is checked again before it is placed.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -55,7 +55,8 @@
               const TaskRef &ref, Instant now) {
   const RequestState &victim = *ref.Request;
   const TaskState &task = victim.Tasks[ref.Index];
-  if (task.IsStopping || &victim == &claimant)
+  if (task.IsStopping || &victim == &claimant ||
+      victim.OfferedPlan == state.PlanNumber)
     return false;
   const TeamState &team = *victim.Team;
   PreemptView view;
--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -142,6 +142,7 @@
            uint32_t slot, const Resources &size, Instant now,
            std::vector<Action> &actions) {
   takeQueued(state, request, index);
+  request.OfferedPlan = state.PlanNumber;
   state.reserve(request, index, slot, size, now);
   actions.emplace_back(
       Offer{{request.Work.Request, index}, state.Workers[slot].Id, size});
--- a/jujube/placement/relief.cc
+++ b/jujube/placement/relief.cc
@@ -36,8 +36,10 @@
            const Resources &more) {
   const TeamState &team = *request.Team;
   const WorkerState &worker = state.Workers[request.Tasks[index].Worker];
-  if (!worker.IsPresent || !more.fitsIn(clipped(state.freeOn(worker))) ||
-      !(team.Reserved + more).fitsIn(team.Slice))
+  const bool hasRoom = worker.IsPresent &&
+                       more.fitsIn(clipped(state.freeOn(worker))) &&
+                       (worker.Reserved + more).fitsIn(worker.Holds);
+  if (!hasRoom || !(team.Reserved + more).fitsIn(team.Slice))
     return false;
   state.resize(request, index, request.Tasks[index].Reserved + more);
   return true;
--- a/jujube/placement/serving.cc
+++ b/jujube/placement/serving.cc
@@ -114,6 +114,11 @@
     TeamState &team = *best.Lane->Team;
     if (best.Version != team.Version)
       continue;
+    // Work that was stopped for another lane may have broken up a gang.
+    if (!isReady(*best.Head)) {
+      contend(state, *best.Lane, contenders);
+      continue;
+    }
     const PlaceOutcome outcome = placeNext(state, *best.Head, now, actions);
     if (outcome == PlaceOutcome::OutOfActions) {
       state.WasCutShort = true;
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -154,6 +154,8 @@
   uint32_t Stopping = 0;
   uint32_t Done = 0;
   bool IsCancelled = false;
+  // The last plan that offered a task of it.
+  uint64_t OfferedPlan = 0;
   // True once a task of it may have run.
   bool HasRun = false;
   // When it was last checked whether the zone could ever hold it.
