Placement: bound searches that are likely in vain; benchmark with gangs

Cause: with gangs and urgent work waiting in an overfull zone of 2,900 workers a decision took 300 to 390 us on average. Change: gangs that fit nowhere and work whose held room is not free are searched in intervals that grow with the zone; learned sizes are checked only if they exceed the ask; the benchmark has gangs and urgent work and ends what is stopped.

--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -7,8 +7,10 @@
 #include <algorithm>
 #include <iostream>
 #include <random>
+#include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "jujube/base/settings.h"
@@ -21,12 +23,20 @@
 using placement::Planner;
 
 constexpr uint32_t TeamCount = 53;
-constexpr uint32_t EntriesPerTeam = 4;
+// Entries of a team, by index: a service, three sizes of batch work, a gang and
+// urgent batch work.
+constexpr uint32_t ServiceEntry = 0;
+constexpr uint32_t BatchEntries = 3;
+constexpr uint32_t GangEntry = 4;
+constexpr uint32_t UrgentEntry = 5;
 constexpr uint32_t TasksPerWorker = 22;
 constexpr uint32_t WorkersPerRack = 8;
 constexpr Resources WorkerSize = {64000, 131072, 0};
-// A fifth of the running tasks belong to services.
+// One in so many submissions is a service, is urgent, or is a gang.
 constexpr uint32_t ServicePart = 5;
+constexpr uint32_t UrgentPart = 11;
+constexpr uint32_t GangPart = 64;
+constexpr uint32_t GangTasks = 8;
 constexpr uint32_t TasksPerRequest = 10;
 // Percent of TasksPerWorker that are submitted: all fit, or a queue is left.
 constexpr uint32_t UsualLoad = 100;
@@ -42,7 +52,11 @@
   catalogue::Entry entry;
   entry.Id = EntryId(absl::StrCat("t", team, "-e", n));
   entry.Owner = TeamId(absl::StrCat("t", team));
-  entry.Class = n == 0 ? WorkClass::Service : WorkClass::Batch;
+  entry.Class = n == ServiceEntry ? WorkClass::Service
+                : n == GangEntry  ? WorkClass::Gang
+                                  : WorkClass::Batch;
+  if (n == UrgentEntry)
+    entry.Priority = catalogue::Urgency::Urgent;
   entry.Ask = {1000 + 500 * int64_t{n}, 2000 + 1000 * int64_t{n}, 0};
   entry.CanCheckpoint = n % 2 == 0;
   return entry;
@@ -71,7 +85,7 @@
   double fill(uint32_t load) {
     const uint32_t tasks = Workers * TasksPerWorker * load / 100;
     for (uint32_t i = 0; i < tasks / TasksPerRequest; ++i)
-      submit(TasksPerRequest);
+      submit(TasksPerRequest, nextKind());
     const int64_t before = threadNanos();
     while (planOnce() > 0) {
     }
@@ -86,11 +100,14 @@
     nanos.reserve(rounds);
     for (uint32_t i = 0; i < rounds; ++i) {
       Now = Now + Duration::millis(1);
-      submit(1);
-      const std::size_t n = Random() % Placed.size();
-      const TaskId ended = Placed[n];
-      Placed[n] = Placed.back();
-      Placed.pop_back();
+      // A gang comes in place of as many single tasks.
+      if (i % GangPart == 0)
+        submit(GangTasks, GangEntry);
+      else if (i % GangPart >= GangTasks)
+        submit(1, i % UrgentPart == 0 ? UrgentEntry : nextKind());
+      const TaskId ended = Placed[Random() % Placed.size()];
+      remove(ended);
+      endStopped();
       const int64_t before = threadNanos();
       Subject.ended(ended, placement::EndKind::Finished, Now);
       planOnce();
@@ -111,10 +128,13 @@
     return valueOf(Planner::create(options, placement::hooksFor(policy)));
   }
 
-  void submit(uint32_t tasks) {
+  uint32_t nextKind() const {
+    return Submitted % ServicePart == 0 ? ServiceEntry
+                                        : 1 + Submitted % BatchEntries;
+  }
+
+  void submit(uint32_t tasks, uint32_t kind) {
     const uint32_t team = Submitted % TeamCount;
-    const uint32_t kind =
-        Submitted % ServicePart == 0 ? 0 : 1 + Submitted % (EntriesPerTeam - 1);
     fate::Submission work;
     work.Request = RequestId(absl::StrCat("zone.r", Submitted++));
     work.Entry = entryAt(team, kind);
@@ -129,19 +149,46 @@
   std::size_t planOnce() {
     std::size_t offers = 0;
     for (const placement::Action &action : Subject.plan(Now)) {
+      if (const auto *stop = std::get_if<placement::StopTask>(&action))
+        Stopped.push_back(stop->Task);
+      if (const auto *stop = std::get_if<placement::CheckpointTask>(&action))
+        Stopped.push_back(stop->Task);
       const auto *offer = std::get_if<placement::Offer>(&action);
       if (!offer)
         continue;
+      Positions[offer->Task] = Placed.size();
       Placed.push_back(offer->Task);
       ++offers;
     }
     return offers;
   }
 
+  void remove(const TaskId &task) {
+    const std::size_t n = Positions[task];
+    Placed[n] = Placed.back();
+    Positions[Placed[n]] = n;
+    Placed.pop_back();
+    Positions.erase(task);
+  }
+
+  // Tasks that the last plan stopped end before the next one.
+  void endStopped() {
+    for (const TaskId &task : std::exchange(Stopped, {})) {
+      if (!Positions.contains(task))
+        continue;
+      remove(task);
+      Subject.ended(task, placement::EndKind::Stopped, Now);
+      Subject.requeue(task, Now);
+    }
+  }
+
   uint32_t Workers;
   Planner Subject;
   Instant Now;
   std::vector<TaskId> Placed;
+  // Index of each task in Placed.
+  absl::flat_hash_map<TaskId, std::size_t> Positions;
+  std::vector<TaskId> Stopped;
   std::mt19937_64 Random{7};
   uint32_t Submitted = 0;
 };
--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -12,6 +12,10 @@
 // workers is not limited to neighbours.
 constexpr uint32_t SearchStarts = 4;
 
+// Searches that are likely in vain are a millisecond apart for so many workers
+// of the zone, as their cost grows with the workers.
+constexpr int64_t WorkersPerSearchMilli = 64;
+
 // Part of a gang on one worker.
 struct GangPart {
   uint32_t Slot = NoWorker;
@@ -196,6 +200,28 @@
   return isPlaced;
 }
 
+// Searches that are likely in vain are made in intervals: for a gang, because
+// they cover all workers, and for work whose held room is not free yet.
+bool isSearchDue(const PlannerState &state, RequestState &request,
+                 Instant now) {
+  const bool isCovered = request.isGang()
+                             ? !request.Holds.empty()
+                             : request.Holds.size() >= request.Queued.size();
+  if (isCovered && areHoldsReady(state, request))
+    return true;
+  // A gang gives up its reservation only when that expires.
+  if (request.isGang() && isCovered)
+    return false;
+  if (!request.isGang() && !isCovered)
+    return true;
+  const auto workers = static_cast<int64_t>(state.Workers.size());
+  if (now - request.SearchedAt <
+      Duration::millis(workers / WorkersPerSearchMilli))
+    return false;
+  request.SearchedAt = now;
+  return true;
+}
+
 } // namespace
 
 bool isReady(const RequestState &request) {
@@ -237,9 +263,7 @@
   // A gang larger than a whole plan is offered in a plan of its own.
   if (!actions.empty() && actions.size() + need.Tasks > state.Config.MaxActions)
     return PlaceOutcome::OutOfActions;
-  // A gang with a reservation is looked at again when that is free or expires.
-  if (request.isGang() && !request.Holds.empty() &&
-      !areHoldsReady(state, request))
+  if (!isSearchDue(state, request, now))
     return PlaceOutcome::NoRoom;
   return placeWithHolds(state, request, need, now, actions)
              ? PlaceOutcome::Placed
--- a/jujube/placement/state.cc
+++ b/jujube/placement/state.cc
@@ -220,6 +220,8 @@
   const Resources size =
       Hooks.ReserveSize({entry.Ask, request.Entry->Peak, request.Entry->Samples,
                          entry.CanThrottle});
+  if (size.fitsIn(entry.Ask))
+    return size;
   // A learned size does not make work impossible that its ask allows.
   return Holds.anyFits(size) ? size : entry.Ask;
 }
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -154,6 +154,8 @@
   uint32_t Stopping = 0;
   uint32_t Done = 0;
   bool IsCancelled = false;
+  // When room was last searched for it, if that was likely in vain.
+  Instant SearchedAt = Instant::atMillis(INT64_MIN / 4);
   // The last plan that offered a task of it.
   uint64_t OfferedPlan = 0;
   // True once a task of it may have run.
