--- a/jujube/http/processor.cc
+++ b/jujube/http/processor.cc
@@ -106,7 +106,8 @@
     }
   });
   set_exception_handler([](const httplib::Request &,
-                           httplib::Response &response, std::exception_ptr) {
+                           httplib::Response &response,
+                           const std::exception_ptr &) {
     write(toAnswer(Error{ErrorKind::Internal, "the request could not be served",
                          "resend it with the same id"}),
           response);
--- a/jujube/load/report.cc
+++ b/jujube/load/report.cc
@@ -120,6 +120,7 @@
 
 Plot waitingPlot(const std::vector<WaitingRow> &rows) {
   Plot plot{"Waiting per team and class", "log10(1 + ms)", "part", {}, {}};
+  plot.Lines.reserve(rows.size());
   for (const WaitingRow &row : rows) {
     PlotLine line{absl::StrCat(row.Team, " ", row.Class), {}};
     const auto n = static_cast<double>(row.Millis.size());
@@ -142,6 +143,7 @@
       lines[name].Points.push_back({secondsOf(sample.At), y});
     }
   std::vector<PlotLine> all;
+  all.reserve(lines.size());
   for (auto &[name, line] : lines)
     all.push_back(std::move(line));
   return all;
@@ -260,6 +262,7 @@
   const double allRunning = total(sums);
   const double allWeights = total(weights);
   std::vector<ShareRow> rows;
+  rows.reserve(sums.size());
   for (const auto &[team, sum] : sums)
     rows.push_back({team, sum / static_cast<double>(outcome.Samples.size()),
                     allRunning > 0 ? sum / allRunning : 0,
--- a/jujube/load/run.cc
+++ b/jujube/load/run.cc
@@ -108,7 +108,7 @@
 } // namespace
 
 Result<runtime::Supervisor> runTree(RunOptions options,
-                                    std::shared_ptr<RunOutcome> outcome,
+                                    const std::shared_ptr<RunOutcome> &outcome,
                                     std::function<void()> onEnd) {
   if (options.Servers.empty() || options.Zones.empty())
     return Error{ErrorKind::InvalidArgument,
--- a/jujube/load/run.h
+++ b/jujube/load/run.h
@@ -57,7 +57,7 @@
 // that own connections, and an observer. The driver calls `onEnd` when the run
 // is over.
 Result<runtime::Supervisor> runTree(RunOptions options,
-                                    std::shared_ptr<RunOutcome> outcome,
+                                    const std::shared_ptr<RunOutcome> &outcome,
                                     std::function<void()> onEnd);
 
 } // namespace jujube::load
--- a/jujube/load/trace.cc
+++ b/jujube/load/trace.cc
@@ -31,7 +31,8 @@
 // The fields of one line, taken out one by one.
 class Fields {
 public:
-  Fields(std::vector<absl::string_view> words, std::size_t line) : Line(line) {
+  Fields(const std::vector<absl::string_view> &words, std::size_t line)
+      : Line(line) {
     for (const absl::string_view word : words) {
       const std::pair<std::string, std::string> field =
           absl::StrSplit(word, absl::MaxSplits('=', 1));
