--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -78,7 +78,7 @@
 done
 everyone_is_there() {
   [ "$(ctl status --json | grep -o '"runner":"' | wc -l)" -ge "$runners" ] &&
-    ctl status | awk -v n="$workers" '$2 ~ /-[0-9]+$/ && $3 == n' | grep -q .
+    ctl status | awk -v n="$workers" '$2 ~ /-[0-9]+$/ && $4 == n' | grep -q .
 }
 until_ok everyone_is_there
 echo "== fleet"
