--- a/bench/state_bench.cc
+++ b/bench/state_bench.cc
@@ -18,6 +18,8 @@
 #include "jujube/fate/fate_book.h"
 #include "jujube/limits/slice_ledger.h"
 #include "jujube/limits/zone_slices.h"
+#include "jujube/wire/archive.h"
+#include "jujube/wire/state_encoding.h"
 
 namespace jujube {
 namespace {
@@ -197,6 +199,33 @@
   print({"fate.freed_ended_task", tasks, tasks, 0, before - heapBytes()});
 }
 
+// Encoded bytes of one message or journal event.
+template <typename T>
+void measureBytes(const std::string &name, const T &value) {
+  print({name, 1, 1, 0, static_cast<int64_t>(wire::encode(value).size())});
+}
+
+void measureMessages() {
+  using namespace fate;
+  const ZoneId zone("san-fernando");
+  const limits::Slice slice{TeamId("events"), {}, {1, 1, 1}, {1, 1, 1}};
+  measureBytes("bytes.slice_report", limits::SliceReport{zone, {}, 1, {}, {}});
+  measureBytes("bytes.slice_report_line", limits::ReportLine{slice, {}});
+  measureBytes("bytes.slice_reply", limits::SliceReply{});
+  measureBytes("bytes.slice", slice);
+  measureBytes("bytes.catalogue_poll_reply", catalogue::Update{});
+  measureBytes("bytes.edit",
+               editOf("0123456789abcdef", 1,
+                      catalogue::PutTeam{{TeamId("events"), 1, {}}}));
+  const TaskId task = taskId(1);
+  measureBytes("bytes.request_accepted", RequestAccepted{workOf(1), {}});
+  measureBytes("bytes.task_offered",
+               TaskOffered{task, {}, workerOf(1), {}, {}, {}});
+  measureBytes("bytes.task_started", TaskStarted{task, {}, {}});
+  measureBytes("bytes.task_ended",
+               TaskEnded{task, {}, TaskPhase::Finished, "an answer", {}});
+}
+
 int run(int argc, char **argv) {
   if (argc > 2 || (argc == 2 && std::strcmp(argv[1], "--json") != 0)) {
     std::cerr << "usage: state-bench [--json]\n";
@@ -212,6 +241,7 @@
     measureLedger(teams);
   for (const int64_t tasks : {700, 7000, 63'000})
     measureFates(tasks);
+  measureMessages();
   return 0;
 }
 
--- a/jujube/fate/fate_book.cc
+++ b/jujube/fate/fate_book.cc
@@ -183,7 +183,7 @@
   if (const auto it = Requests.find(event.Request); it != Requests.end()) {
     if (it->second.Open != 0)
       return false;
-    Ended.erase({it->second.EndedAt, event.Request});
+    unindexEnded(it->second.EndedAt, event.Request, it->second.Tasks.size());
     Requests.erase(it);
     return true;
   }
@@ -296,7 +296,18 @@
   request.EndedAt = at;
   std::string().swap(request.Work.Payload);
   StartBy.erase({startBy(request), id});
-  Ended.emplace(at, id);
+  indexEnded(at, id, request.Tasks.size());
+}
+
+void FateBook::indexEnded(Instant at, const RequestId &id, std::size_t tasks) {
+  if (Ended.emplace(at, id).second)
+    EndedTasks += tasks;
+}
+
+void FateBook::unindexEnded(Instant at, const RequestId &id,
+                            std::size_t tasks) {
+  if (Ended.erase({at, id}) > 0)
+    EndedTasks -= tasks;
 }
 
 Instant FateBook::startBy(const RequestRecord &request) const {
@@ -308,7 +319,7 @@
 void FateBook::index(const RequestRecord &request) {
   const RequestId &id = request.Work.Request;
   if (request.Open == 0)
-    Ended.emplace(request.EndedAt, id);
+    indexEnded(request.EndedAt, id, request.Tasks.size());
   else if (request.Unstarted > 0 && startBy(request) != Instant::never())
     StartBy.emplace(startBy(request), id);
   for (uint32_t n = 0; n < request.Tasks.size(); ++n) {
@@ -329,13 +340,13 @@
   else if (isWaiting(live.State))
     LiveWaiting.emplace(live.ChangedAt, id);
   else
-    Ended.emplace(live.ChangedAt, id);
+    indexEnded(live.ChangedAt, id, 1);
 }
 
 void FateBook::unindex(const LiveRecord &live) {
   const RequestId &id = live.Offer.Request;
   LiveWaiting.erase({live.ChangedAt, id});
-  Ended.erase({live.ChangedAt, id});
+  unindexEnded(live.ChangedAt, id, 1);
   const auto it = ByEntryHost.find(live.Offer.EntryHost);
   if (it == ByEntryHost.end())
     return;
--- a/jujube/fate/fate_book.h
+++ b/jujube/fate/fate_book.h
@@ -23,6 +23,10 @@
   // Ended requests are forgotten after this span; a resend after it is a new
   // request.
   Duration Retention = Duration::minutes(int64_t{24} * 60);
+  // Once more ended tasks than this are kept, the oldest requests are forgotten
+  // sooner, but not before `MinRetention`.
+  std::size_t MaxEndedTasks = 40'000;
+  Duration MinRetention = Duration::minutes(15);
   // An offer whose outcome is not known is called failed after this span.
   Duration ResolveWithin = Duration::minutes(10);
 };
@@ -236,6 +240,12 @@
   void index(const LiveRecord &live);
   void unindex(const LiveRecord &live);
 
+  void indexEnded(Instant at, const RequestId &id, std::size_t tasks);
+  void unindexEnded(Instant at, const RequestId &id, std::size_t tasks);
+  std::size_t endedTasksOf(const RequestId &id) const;
+  // Ended requests that are over their retention.
+  void collectForgotten(Instant now, std::size_t max,
+                        std::vector<Event> &events) const;
   std::optional<Event> rejectOverdue(const RequestId &id, Instant now) const;
   FateView viewOf(const RequestRecord &request) const;
   FateView viewOf(const LiveRecord &live) const;
@@ -253,6 +263,8 @@
   TimeIndex<TaskId> Unresolved;
   TimeIndex<RequestId> LiveWaiting;
   TimeIndex<RequestId> Ended;
+  // Tasks of the requests in `Ended`.
+  std::size_t EndedTasks = 0;
 };
 
 } // namespace jujube::fate
--- a/jujube/fate/fate_decisions.cc
+++ b/jujube/fate/fate_decisions.cc
@@ -291,12 +291,29 @@
                             : "outcome not known, it may have run",
                   now});
   });
-  collect(Ended, Policy.Retention, [](const RequestId &id) {
-    return std::optional<Event>(FateForgotten{id});
-  });
+  collectForgotten(now, max, events);
   return events;
 }
 
+std::size_t FateBook::endedTasksOf(const RequestId &id) const {
+  const RequestRecord *request = findRequest(id);
+  return request == nullptr ? 1 : request->Tasks.size();
+}
+
+void FateBook::collectForgotten(Instant now, std::size_t max,
+                                std::vector<Event> &events) const {
+  std::size_t kept = EndedTasks;
+  for (const auto &[at, id] : Ended) {
+    const Duration age = now - at;
+    const bool isSurplus =
+        kept > Policy.MaxEndedTasks && age >= Policy.MinRetention;
+    if (events.size() >= max || (age < Policy.Retention && !isSurplus))
+      return;
+    kept -= endedTasksOf(id);
+    events.emplace_back(FateForgotten{id});
+  }
+}
+
 std::optional<Event> FateBook::rejectOverdue(const RequestId &id,
                                              Instant now) const {
   const RequestRecord *request = findRequest(id);
--- a/jujube/fate/fate_test.cc
+++ b/jujube/fate/fate_test.cc
@@ -110,6 +110,17 @@
   BOOST_TEST((stateOf(book) == FateState::NotRun));
 }
 
+BOOST_AUTO_TEST_CASE(RefusalOfARunningAttemptIsVoid) {
+  FateBook book = offered(false);
+  applyAll(book, book.report(Worker, Incarnation{1},
+                             reportOf(TaskPhase::Started), at(5)));
+  const TaskReport refusal = reportOf(TaskPhase::Refused);
+  BOOST_TEST(book.report(Worker, Incarnation{1}, refusal, at(6)).empty());
+  BOOST_TEST(!book.apply(
+      TaskEnded{Task, refusal.Token, TaskPhase::Refused, "", at(6)}));
+  BOOST_TEST((stateOf(book) == FateState::Running));
+}
+
 BOOST_AUTO_TEST_CASE(OverdueStartAndRetention) {
   FateBook book;
   Submission work = workOf(true);
@@ -123,6 +134,24 @@
   BOOST_TEST(!book.view(Request).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(SurplusOfEndedTasksIsForgottenSooner) {
+  FatePolicy policy;
+  policy.MaxEndedTasks = 3;
+  FateBook book(policy);
+  for (int64_t n = 0; n < 3; ++n) {
+    Submission work = workOf(true);
+    work.Request = RequestId("ubungo." + std::to_string(n));
+    work.Tasks = 2;
+    book.apply(RequestAccepted{work, at(n)});
+    book.apply(RequestCancelled{work.Request, at(n)});
+  }
+  BOOST_TEST(
+      book.due(at(0) + policy.MinRetention - Duration::millis(1), 9).empty());
+  applyAll(book, book.due(at(9) + policy.MinRetention, 9));
+  BOOST_TEST(book.size() == 1U);
+  BOOST_TEST(book.view(RequestId("ubungo.2")).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(GangEndsTogether) {
   FateBook book;
   Submission work = workOf(true);
