--- a/jujube/replay/report.cc
+++ b/jujube/replay/report.cc
@@ -1,5 +1,7 @@
 // Renders measures as a table and as JSON.
+#include <algorithm>
 #include <functional>
+#include <iterator>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -32,11 +34,9 @@
   }
 }
 
-std::vector<Row> rowsFor(const Measures &first) {
-  std::vector<Row> rows;
-  addWaits(rows, "wait_", first.WaitByClass, &Measures::WaitByClass);
-  addWaits(rows, "wait_team_", first.WaitByTeam, &Measures::WaitByTeam);
-  const std::vector<Row> others = {
+// Completion, packing and shares.
+std::vector<Row> qualityRows() {
+  return {
       {"completion_mean_s",
        [](const Measures &m) { return m.Completion.mean() / 1000; }},
       {"completion_p50_s",
@@ -57,6 +57,12 @@
        [](const Measures &m) { return m.WorstGap.quantile(.99); }},
       {"share_gap_worst_max_pp",
        [](const Measures &m) { return m.WorstGap.max(); }},
+  };
+}
+
+// What the planner decided and what that cost.
+std::vector<Row> costRows() {
+  return {
       {"overloaded_worker_s",
        [](const Measures &m) { return m.OverloadedSeconds; }},
       {"offers", [](const Measures &m) { return double(m.Offers); }},
@@ -75,7 +81,14 @@
       {"planner_us_per_offer",
        [](const Measures &m) { return m.MicrosPerOffer; }},
   };
-  rows.insert(rows.end(), others.begin(), others.end());
+}
+
+std::vector<Row> rowsFor(const Measures &first) {
+  std::vector<Row> rows;
+  addWaits(rows, "wait_", first.WaitByClass, &Measures::WaitByClass);
+  addWaits(rows, "wait_team_", first.WaitByTeam, &Measures::WaitByTeam);
+  std::ranges::move(qualityRows(), std::back_inserter(rows));
+  std::ranges::move(costRows(), std::back_inserter(rows));
   return rows;
 }
 
