--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -284,6 +284,13 @@
           });
 }
 
+void FleetTask::handle(const wire::Envelope &request,
+                       const wire::ReadMetrics &) {
+  wire::MetricsNews news;
+  Messages.addTraffic(catalogue::HostRole::Keeper, news.Metrics);
+  Messages.reply(request, std::move(news));
+}
+
 void FleetTask::answerReport(const wire::Envelope &request,
                              const limits::SliceReport &report) {
   if (!SliceLeases || !Log->mayServe())
@@ -303,7 +310,8 @@
     return;
   }
   LOG(INFO) << "event=slices_reclaimed zone=" << zone.str();
-  propose(limits::SliceCommand(limits::ReclaimBorrowed{zone}),
+  propose(limits::SliceCommand(
+              limits::ReclaimBorrowed{zone, State.slices().latest()}),
           [this, zone, then](const Status &status) {
             if (!isOk(status) || !SliceLeases)
               return;
