Placement: urgent work makes room in its team's own slice

Cause: urgent work of a team whose slice was full waited for the team's own batch work. Change: that work is stopped under the same rules; the test bed is shared by two test files.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -51,28 +51,6 @@
   return state.shareOf(part) / state.fairPart(team);
 }
 
-bool mayEvict(const PlannerState &state, const RequestState &claimant,
-              const TaskRef &ref, Instant now) {
-  const RequestState &victim = *ref.Request;
-  const TaskState &task = victim.Tasks[ref.Index];
-  if (task.IsStopping || &victim == &claimant ||
-      victim.OfferedPlan == state.PlanNumber)
-    return false;
-  const TeamState &team = *victim.Team;
-  PreemptView view;
-  view.ClaimantPriority = claimant.Work.Entry.Priority;
-  view.VictimPriority = victim.Work.Entry.Priority;
-  view.VictimClass = victim.Work.Entry.Class;
-  view.ClaimantShare = relativeShare(
-      state, *claimant.Team, claimant.Team->Reserved + claimant.Team->Held);
-  view.VictimShare = relativeShare(state, team, team.Reserved - team.Stopping);
-  view.VictimCanCheckpoint = victim.Work.Entry.CanCheckpoint;
-  view.VictimIsIdempotent = victim.Work.Entry.IsIdempotent;
-  view.ClaimantWaited = now - claimant.AcceptedAt;
-  view.VictimRan = now - task.Since;
-  return state.Hooks.MayPreempt(view);
-}
-
 double costOf(const TaskRef &ref, Instant now) {
   const RequestState &victim = *ref.Request;
   const auto ran =
@@ -322,6 +300,28 @@
 
 } // namespace
 
+bool mayEvict(const PlannerState &state, const RequestState &claimant,
+              const TaskRef &ref, Instant now) {
+  const RequestState &victim = *ref.Request;
+  const TaskState &task = victim.Tasks[ref.Index];
+  if (task.IsStopping || &victim == &claimant ||
+      victim.OfferedPlan == state.PlanNumber)
+    return false;
+  const TeamState &team = *victim.Team;
+  PreemptView view;
+  view.ClaimantPriority = claimant.Work.Entry.Priority;
+  view.VictimPriority = victim.Work.Entry.Priority;
+  view.VictimClass = victim.Work.Entry.Class;
+  view.ClaimantShare = relativeShare(
+      state, *claimant.Team, claimant.Team->Reserved + claimant.Team->Held);
+  view.VictimShare = relativeShare(state, team, team.Reserved - team.Stopping);
+  view.VictimCanCheckpoint = victim.Work.Entry.CanCheckpoint;
+  view.VictimIsIdempotent = victim.Work.Entry.IsIdempotent;
+  view.ClaimantWaited = now - claimant.AcceptedAt;
+  view.VictimRan = now - task.Since;
+  return state.Hooks.MayPreempt(view);
+}
+
 void makeRoom(PlannerState &state, LaneState &lane, Instant now,
               std::vector<Action> &actions) {
   const bool isUrgent = lane.Priority == catalogue::Urgency::Urgent;
--- a/jujube/placement/making_room.h
+++ b/jujube/placement/making_room.h
@@ -16,6 +16,10 @@
 void makeRoom(PlannerState &state, LaneState &lane, Instant now,
               std::vector<Action> &actions);
 
+// True if the policy lets the claimant have the task stopped.
+bool mayEvict(const PlannerState &state, const RequestState &claimant,
+              const TaskRef &ref, Instant now);
+
 // Has a placed task stopped, with a checkpoint if it can save one. Stopping one
 // task of a gang stops the gang.
 void evict(PlannerState &state, const TaskRef &task, StopReason why,
--- /dev/null
+++ b/jujube/placement/planner_faults_test.cc
@@ -0,0 +1,103 @@
+// Focused tests of the planner under faults: failing workers and entries,
+// workers that leave, a change of leader.
+#include <algorithm>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "testing/planner_bed.h"
+
+namespace jujube::placement {
+namespace {
+
+using catalogue::WorkClass;
+
+BOOST_AUTO_TEST_SUITE(PlannerFaultsSuite)
+
+BOOST_AUTO_TEST_CASE(FailingWorkerIsQuarantinedAndComesBackOnProbation) {
+  Bed bed(4);
+  const auto isOn = [&](uint32_t n) {
+    return [n](const Offer &o) { return o.Worker == Bed::worker(n); };
+  };
+  for (int i = 0; i < 100; ++i) {
+    bed.submit(Bed::entry(i % 2 ? "a" : "b"), 8);
+    bed.plan(Duration::millis(100));
+    for (const Offer &offer : std::vector<Offer>(bed.Placed))
+      bed.end(offer.Task, isOn(2)(offer) ? EndKind::Failed : EndKind::Finished);
+  }
+  BOOST_REQUIRE(bed.Subject.quarantined().size() == 1U);
+  BOOST_CHECK(bed.Subject.quarantined()[0] == Bed::worker(2));
+  bed.submit(Bed::entry("a"), 8);
+  bed.plan(Duration::minutes(31));
+  BOOST_TEST(std::ranges::count_if(bed.Placed, isOn(2)) <= 1);
+  BOOST_TEST(bed.Subject.quarantined().empty());
+}
+
+BOOST_AUTO_TEST_CASE(FailingEntryBacksOffAndBlamesNoWorker) {
+  Bed bed(8);
+  bed.submit(Bed::entry("a"), 4);
+  std::size_t attempts = 0;
+  for (int i = 0; i < 600; ++i) {
+    attempts += only<Offer>(bed.plan(Duration::millis(100))).size();
+    for (const Offer &offer : std::vector<Offer>(bed.Placed))
+      bed.end(offer.Task, EndKind::Failed);
+  }
+  BOOST_TEST(bed.Subject.quarantined().empty());
+  // A minute of doubling waits from half a second on.
+  BOOST_TEST(attempts <= 4U * 9U);
+}
+
+BOOST_AUTO_TEST_CASE(NewIncarnationOfAWorkerIsTrustedAgain) {
+  Bed bed(4);
+  for (int i = 0; i < 4; ++i) {
+    bed.submit(Bed::entry("a"), 8);
+    bed.plan();
+    for (const Offer &offer : std::vector<Offer>(bed.Placed))
+      bed.end(offer.Task, offer.Worker == Bed::worker(0) ? EndKind::Failed
+                                                         : EndKind::Finished);
+  }
+  BOOST_REQUIRE(bed.Subject.quarantined().size() == 1U);
+  bed.see(0, 2);
+  BOOST_TEST(bed.Subject.quarantined().empty());
+  // An announcement of the predecessor changes nothing.
+  bed.see(0, 1, {1, 1, 0});
+  BOOST_TEST(bed.Subject.status().Held.MilliCpu == 4 * WorkerSize.MilliCpu);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingWorkerIsClearedOfServicesAndGetsNoWork) {
+  Bed bed(2);
+  bed.submit(Bed::entry("a", WorkClass::Service), 2);
+  bed.plan();
+  BOOST_REQUIRE(bed.Placed.size() == 2U);
+  BOOST_TEST(bed.Placed[0].Worker.str() != bed.Placed[1].Worker.str());
+  bed.see(0, 1, WorkerSize, true);
+  const auto stops = only<StopTask>(bed.plan());
+  BOOST_REQUIRE(stops.size() == 1U);
+  bed.end(stops[0].Task, EndKind::Stopped);
+  bed.plan();
+  BOOST_TEST(bed.Placed.size() == 2U);
+  BOOST_TEST(std::ranges::all_of(bed.Placed, [](const Offer &offer) {
+    return offer.Worker == Bed::worker(1);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(RestoredAttemptsHoldTheirRoom) {
+  Bed bed(1);
+  fate::Submission work;
+  work.Request = RequestId("z.old");
+  work.Team = TeamId("a");
+  work.Entry = Bed::entry("a");
+  const TaskId task = {work.Request, 0};
+  bed.Subject.restore(work, Instant(),
+                      {task, Bed::worker(0), HalfWorker, Instant()});
+  bed.Subject.enqueue({work, Instant(), {0}}, bed.Now);
+  bed.submit(Bed::entry("b"), 2);
+  BOOST_TEST(only<Offer>(bed.plan()).size() == 1U);
+  bed.end(task, EndKind::Lost);
+  BOOST_TEST(only<Offer>(bed.plan()).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::placement
--- a/jujube/placement/relief.cc
+++ b/jujube/placement/relief.cc
@@ -1,6 +1,7 @@
 #include "jujube/placement/relief.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "jujube/placement/making_room.h"
 
@@ -84,17 +85,21 @@
   }
 }
 
-void relieveSlice(PlannerState &state, const TeamState &team,
-                  std::vector<Action> &actions) {
-  const Resources surplus = team.Reserved - team.Stopping - team.Slice;
-  if (surplus.fitsIn(Resources{}))
-    return;
+std::vector<TaskRef> tasksOf(const PlannerState &state, const TeamState &team) {
   std::vector<TaskRef> tasks;
   for (const WorkerState &worker : state.Workers)
     std::ranges::copy_if(
         worker.Tasks, std::back_inserter(tasks),
         [&team](const TaskRef &ref) { return ref.Request->Team == &team; });
-  stopSurplus(state, std::move(tasks), surplus, StopReason::OverSlice, actions);
+  return tasks;
+}
+
+void relieveSlice(PlannerState &state, const TeamState &team,
+                  std::vector<Action> &actions) {
+  const Resources surplus = team.Reserved - team.Stopping - team.Slice;
+  if (!surplus.fitsIn(Resources{}))
+    stopSurplus(state, tasksOf(state, team), surplus, StopReason::OverSlice,
+                actions);
 }
 
 // Moves away from a leaving worker what loses nothing: services, which would
@@ -208,4 +213,24 @@
     relieveOveruse(state, id, actions);
 }
 
+void makeSliceRoom(PlannerState &state, const RequestState &claimant,
+                   const Resources &need, Instant now,
+                   std::vector<Action> &actions) {
+  const TeamState &team = *claimant.Team;
+  const Resources surplus = team.Reserved - team.Stopping + need - team.Slice;
+  if (surplus.fitsIn(Resources{}))
+    return;
+  std::vector<TaskRef> tasks = tasksOf(state, team);
+  std::erase_if(tasks, [&](const TaskRef &ref) {
+    return !mayEvict(state, claimant, ref, now);
+  });
+  const Resources yield =
+      std::accumulate(tasks.begin(), tasks.end(), Resources{},
+                      [](const Resources &sum, const TaskRef &ref) {
+                        return sum + ref.Request->Tasks[ref.Index].Reserved;
+                      });
+  if (surplus.fitsIn(yield))
+    stopSurplus(state, std::move(tasks), surplus, StopReason::Urgent, actions);
+}
+
 } // namespace jujube::placement::internal
--- a/jujube/placement/relief.h
+++ b/jujube/placement/relief.h
@@ -27,6 +27,12 @@
 // only if its worker holds less than is used on it.
 void relieve(PlannerState &state, std::vector<Action> &actions);
 
+// Stops other work of the claimant's team so that `need` fits in its slice, if
+// the policy allows enough of it.
+void makeSliceRoom(PlannerState &state, const RequestState &claimant,
+                   const Resources &need, Instant now,
+                   std::vector<Action> &actions);
+
 } // namespace jujube::placement::internal
 
 #endif // JUJUBE_PLACEMENT_RELIEF_H_
--- a/jujube/placement/serving.cc
+++ b/jujube/placement/serving.cc
@@ -7,6 +7,7 @@
 
 #include "jujube/placement/making_room.h"
 #include "jujube/placement/placing.h"
+#include "jujube/placement/relief.h"
 
 namespace jujube::placement::internal {
 namespace {
@@ -15,6 +16,8 @@
 constexpr uint32_t MaxHeads = 64;
 // How often room is made for a blocked lane that is not urgent.
 constexpr Duration RoomInterval = Duration::millis(250);
+// How often a team's own work makes room in its slice for urgent work.
+constexpr Duration UrgentSliceInterval = Duration::millis(50);
 // Lanes that are not urgent and for which one plan makes room; the others have
 // their turn in the next plans.
 constexpr uint32_t MaxRoomsMade = 8;
@@ -82,8 +85,16 @@
       makeRoom(state, lane, now, actions);
     return;
   }
-  if (outcome != PlaceOutcome::SliceFull || !state.isAged(head, now) ||
-      isSliceClaimed(state, head))
+  if (outcome != PlaceOutcome::SliceFull)
+    return;
+  if (head.isUrgent()) {
+    if (now - lane.RoomMadeAt >= UrgentSliceInterval) {
+      lane.RoomMadeAt = now;
+      makeSliceRoom(state, head, startNeed(state, head).total(), now, actions);
+    }
+    return;
+  }
+  if (!state.isAged(head, now) || isSliceClaimed(state, head))
     return;
   head.Team->SliceClaimPlan = state.PlanNumber;
   head.Team->SliceClaim = head.Order;
