--- a/jujube/consensus/consensus_test.cc
+++ b/jujube/consensus/consensus_test.cc
@@ -95,18 +95,20 @@
   return actions;
 }
 
-// Runs the node's timers until it has started an election, and wins it with
-// the vote of host2.
-Instant elect(Node &node) {
+// Runs the node's timers until it starts an election, and wins it with the
+// votes of `voters`.
+Instant elect(Node &node, const std::vector<int> &voters = {2}) {
   Instant now = Begin;
   while (node.role() != Role::PreCandidate) {
     now = node.nextWake();
     (void)node.tick(now);
   }
   const Term next = node.term().next();
-  deliver(node, 2,
-          messageOf(node.term().Value, PreVoteReply{next, true, false}), now);
-  deliver(node, 2, messageOf(next.Value, VoteReply{true, false}), now);
+  for (const int host : voters)
+    deliver(node, host,
+            messageOf(node.term().Value, PreVoteReply{next, true, false}), now);
+  for (const int host : voters)
+    deliver(node, host, messageOf(next.Value, VoteReply{true, false}), now);
   return now;
 }
 
@@ -207,6 +209,40 @@
   BOOST_TEST(!sent<VoteReply>(deliver(node, 2, again, now)).front().IsGranted);
 }
 
+// The vote is synced also if the term was known before.
+BOOST_AUTO_TEST_CASE(VoteInAKnownTermIsSynced) {
+  Node node = nodeWith(stateOfThree({entryAt(2, 2)}));
+  const Instant now = Begin + voteRefusal(optionsOf(3));
+  const Message outdated =
+      messageOf(3, VoteRequest{LogIndex{1}, Term{1}, false});
+  BOOST_TEST(
+      !sent<VoteReply>(deliver(node, 2, outdated, now)).front().IsGranted);
+  const Message ask = messageOf(3, VoteRequest{LogIndex{2}, Term{2}, false});
+  const Actions actions = node.receive(hostId(3), ask, now);
+  BOOST_REQUIRE(only<Persist>(actions) != nullptr);
+  BOOST_TEST((only<Persist>(actions)->State->VotedFor == hostId(3)));
+}
+
+// Until a full refusal span has passed, an earlier leader may rely on what the
+// predecessor of this host acknowledged.
+BOOST_AUTO_TEST_CASE(BlankHostBindsAfterTheWait) {
+  Options options = optionsOf(3);
+  options.Self = options.Configured[1];
+  Node node = nodeWith({}, options);
+  const Instant open = Begin + voteRefusal(options);
+  const Message append =
+      messageOf(1, AppendRequest{{}, {}, {}, stateOfThree().Entries, 0});
+  deliver(node, 1, append, open - Duration::millis(1));
+  BOOST_TEST(node.group().isBlank());
+  Message other = append;
+  other.ToStart = Incarnation{};
+  deliver(node, 1, other, open);
+  BOOST_TEST(node.group().isBlank());
+  deliver(node, 1, append, open);
+  BOOST_TEST((node.group() == Group));
+  BOOST_TEST(node.lastIndex().Value == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(OutdatedLogGetsNoVote) {
   Node node = nodeWith(stateOfThree({entryAt(2, 1), entryAt(3, 2)}));
   const Instant now = Begin + voteRefusal(optionsOf(3));
@@ -279,6 +315,58 @@
   BOOST_TEST(!node.mayServe(now + Duration::millis(400)));
 }
 
+BOOST_AUTO_TEST_CASE(MembershipChangesOneAtATime) {
+  DurableState state = stateOfThree();
+  state.Entries.front().Members = votersUpTo(5);
+  Node node = nodeWith(state, optionsOf(5));
+  const Instant now = elect(node, {2, 3});
+  (void)node.persisted(SIZE_MAX, now);
+  const auto acknowledge = [&](uint64_t index) {
+    for (const int host : {2, 3})
+      deliver(node, host,
+              messageOf(node.term().Value,
+                        AppendReply{true, LogIndex{index}, now.millis()}),
+              now);
+  };
+  const auto probeFrom = [&](int host) {
+    const Message probe{
+        {}, {}, Incarnation{2}, {}, Probe{1, memberAt(host).At}};
+    deliver(node, host, probe, now);
+    return findMember(node.membership(), hostId(host))->Start.Value;
+  };
+  BOOST_TEST(probeFrom(4) == 1U);
+  acknowledge(2);
+  BOOST_TEST(probeFrom(4) == 2U);
+  BOOST_TEST(!findMember(node.membership(), hostId(4))->IsVoter);
+  BOOST_TEST(probeFrom(5) == 1U);
+  acknowledge(3);
+  BOOST_TEST(probeFrom(5) == 2U);
+}
+
+// A promoted learner counts once it holds the entry that made it a voter.
+BOOST_AUTO_TEST_CASE(PromotedLearnerKnowsThatItVotesBeforeItCounts) {
+  DurableState state = stateOfThree();
+  state.Entries.front().Members.Members.back().IsVoter = false;
+  Node node = nodeWith(state);
+  const Instant now = elect(node);
+  const auto acknowledge = [&](int host, uint64_t index) {
+    deliver(node, host,
+            messageOf(node.term().Value,
+                      AppendReply{true, LogIndex{index}, now.millis()}),
+            now);
+    (void)node.persisted(SIZE_MAX, now);
+  };
+  acknowledge(2, 2);
+  (void)node.propose(1, "x", now);
+  acknowledge(3, 3);
+  (void)node.tick(now);
+  BOOST_REQUIRE(node.log().membershipIndex().Value == 4U);
+  acknowledge(3, 3);
+  BOOST_TEST(node.commitIndex().Value == 2U);
+  acknowledge(3, 4);
+  BOOST_TEST(node.commitIndex().Value == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(ProposalsOfOneTurnGoOutTogether) {
   Node node = nodeWith(stateOfThree());
   const Instant now = elect(node);
--- a/jujube/consensus/node_replication.cc
+++ b/jujube/consensus/node_replication.cc
@@ -25,6 +25,12 @@
 
 void Node::sendAll(Instant now) {
   HasUnsent = false;
+  // A founder that forgets its group must not have announced it.
+  if (SyncedIndex.Value == 0) {
+    for (auto &[host, peer] : Peers)
+      peer.NextHeartbeat = now + Settings.Heartbeat;
+    return;
+  }
   for (const Member &member : Entries.membership().Members) {
     const auto it = Peers.find(member.Host);
     if (it == Peers.end())
@@ -82,8 +88,11 @@
         return it == Peers.end() ? LogIndex{} : it->second.Match;
       },
       LogIndex{});
-  // Entries of earlier terms are only committed along with one of this term.
-  if (agreed <= Commit || Entries.termAt(agreed) != Hard.Current)
+  // Entries of earlier terms are only committed along with one of this term,
+  // and entries before a membership in force only along with it: whoever counts
+  // as a voter then knows that it is one.
+  if (agreed <= Commit || agreed < Entries.membershipIndex() ||
+      Entries.termAt(agreed) != Hard.Current)
     return;
   advanceCommit(agreed);
   if (Commit >= ReadyIndex)
--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -18,7 +18,6 @@
 using internal::TaskStage;
 using internal::TaskState;
 using internal::TeamState;
-using internal::WorkerHealth;
 using internal::WorkerState;
 
 // Blocked work is looked at again after these spans even without an event.
@@ -201,6 +200,7 @@
 
 void Planner::setSlice(const TeamId &id, const Resources &slice) {
   TeamState &team = State->team(id);
+  team.HasSlice = true;
   team.Slice = slice;
   if (!team.Reserved.fitsIn(slice))
     State->OverSlice.push_back(&team);
@@ -221,9 +221,10 @@
 }
 
 void Planner::enqueue(const PendingRequest &request, Instant now) {
-  internal::enqueueTasks(
-      *State, internal::admit(*State, request.Work, request.AcceptedAt),
-      request.Tasks, now);
+  RequestState &known =
+      internal::admit(*State, request.Work, request.AcceptedAt);
+  known.HasRun |= request.HasRun;
+  internal::enqueueTasks(*State, known, request.Tasks, now);
 }
 
 void Planner::requeue(const TaskId &task, Instant now) {
@@ -243,6 +244,23 @@
   request.HasRun = true;
   State->reserve(request, index, State->slotOf(placed.Worker), placed.Reserved,
                  placed.Since);
+  if (placed.IsStopping)
+    State->markStopping(request, index);
+  TeamState &team = *request.Team;
+  if (team.HasSlice && !team.Reserved.fitsIn(team.Slice))
+    State->OverSlice.push_back(&team);
+}
+
+void Planner::restoreFinished(const fate::Submission &work, Instant acceptedAt,
+                              uint32_t index) {
+  RequestState &request = internal::admit(*State, work, acceptedAt);
+  if (index >= request.Tasks.size() ||
+      request.Tasks[index].Stage != TaskStage::Absent)
+    return;
+  request.HasRun = true;
+  request.Tasks[index].Stage = TaskStage::Done;
+  ++request.Done;
+  internal::eraseIfOver(*State, request);
 }
 
 void Planner::started(const TaskId &id, Instant now) {
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -43,6 +43,7 @@
   uint32_t Share = 1;
   bool IsConfigured = false;
   Resources Ceiling;
+  bool HasSlice = false;
   Resources Slice;
   Resources Reserved;
   // Part of Reserved whose tasks have been told to stop.
@@ -153,6 +154,10 @@
   uint32_t Stopping = 0;
   uint32_t Done = 0;
   bool IsCancelled = false;
+  // When room was last searched for it, if that was likely in vain.
+  Instant SearchedAt = Instant::atMillis(INT64_MIN / 4);
+  // The last plan that offered a task of it.
+  uint64_t OfferedPlan = 0;
   // True once a task of it may have run.
   bool HasRun = false;
   // When it was last checked whether the zone could ever hold it.
