--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
     if "$@" >/dev/null 2>&1; then return 0; fi
     sleep 0.5
   done
-  "$@"
+  "$@" || { echo "not so after 30 s: $*"; return 1; }
 }
 
 echo "== catalogue"
@@ -76,9 +76,11 @@
   stats+=${stats:+,}127.0.0.1:$((BASE_PORT + 900 + z))
   stats+=,127.0.0.1:$((BASE_PORT + 950 + z))
 done
+# count TEXT: how often the fleet's status has it.
+count() { ctl status --json | grep -o "$1" | wc -l; }
 everyone_is_there() {
-  [ "$(ctl status --json | grep -o '"runner":"' | wc -l)" -ge "$runners" ] &&
-    ctl status | awk -v n="$workers" '$2 ~ /-[0-9]+$/ && $3 == n' | grep -q .
+  [ "$(count '"runner":"')" -ge "$runners" ] &&
+    [ "$(count "\"workers\":$workers\b")" -ge ${#ZONES[@]} ]
 }
 until_ok everyone_is_there
 echo "== fleet"
