--- a/jujube/load/report.cc
+++ b/jujube/load/report.cc
@@ -66,13 +66,22 @@
 }
 
 std::string refusalText(const RunOutcome &outcome) {
-  std::map<std::string, std::size_t> byKind;
-  for (const RequestRecord &record : outcome.Requests.records())
-    if (record.Refusal)
-      ++byKind[std::string(nameIn(ErrorKindNames, record.Refusal->Kind))];
+  struct Group {
+    std::size_t Count = 0;
+    const RequestRecord *First = nullptr;
+  };
+  std::map<ErrorKind, Group> byKind;
+  for (const RequestRecord &record : outcome.Requests.records()) {
+    if (!record.Refusal)
+      continue;
+    Group &group = byKind[record.Refusal->Kind];
+    group.First = group.Count++ == 0 ? &record : group.First;
+  }
   std::string text;
-  for (const auto &[kind, n] : byKind)
-    absl::StrAppend(&text, "  ", kind, " ", n, "\n");
+  for (const auto &[kind, group] : byKind)
+    absl::StrAppend(&text, "  ", nameIn(ErrorKindNames, kind), " ", group.Count,
+                    ", first at ", group.First->Planned.At.millis(),
+                    " ms: ", group.First->Refusal->Message, "\n");
   return text.empty() ? text : "\nErrors\n" + text;
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -83,6 +83,12 @@
     [ "$(count "\"workers\":$workers\b")" -ge ${#ZONES[@]} ]
 }
 until_ok everyone_is_there
+# A new runner's slots are lent out only after a while.
+events_key=$(awk '$1 == "events" {print $2}' "$dir/keys")
+for zone in "${ZONES[@]}"; do
+  until_ok ctl call yard-desk --server "$(cat "$dir/entries-$zone")" \
+    --key "$events_key" --payload "run_ms=5" --timeout 2000
+done
 echo "== fleet"
 ctl status
 
