--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
     if "$@" >/dev/null 2>&1; then return 0; fi
     sleep 0.5
   done
-  "$@"
+  "$@" || { echo "not so after 30 s: $*"; return 1; }
 }
 
 echo "== catalogue"
@@ -76,11 +76,19 @@
   stats+=${stats:+,}127.0.0.1:$((BASE_PORT + 900 + z))
   stats+=,127.0.0.1:$((BASE_PORT + 950 + z))
 done
+# count TEXT: how often the fleet's status has it.
+count() { ctl status --json | grep -o "$1" | wc -l; }
 everyone_is_there() {
-  [ "$(ctl status --json | grep -o '"runner":"' | wc -l)" -ge "$runners" ] &&
-    ctl status | awk -v n="$workers" '$2 ~ /-[0-9]+$/ && $4 == n' | grep -q .
+  [ "$(count '"runner":"')" -ge "$runners" ] &&
+    [ "$(count "\"workers\":$workers\b")" -ge ${#ZONES[@]} ]
 }
 until_ok everyone_is_there
+# A new runner's slots are lent out only after a while.
+events_key=$(awk '$1 == "events" {print $2}' "$dir/keys")
+for zone in "${ZONES[@]}"; do
+  until_ok ctl call yard-desk --server "$(cat "$dir/entries-$zone")" \
+    --key "$events_key" --payload "run_ms=5" --timeout 2000
+done
 echo "== fleet"
 ctl status
 
