Zone leader: restarted workers get no offers of an earlier start; new leaders restore what is finished and stopping

Cause: found by reading the daemons against the state machines' contracts. An offer committed after its worker's restart was sent to the next start, and a gang waited for ever for tasks that had finished before a change of leader. Shown by scheduler_test/OfferToAnEarlierStartOfAWorkerIsNotSentToTheNext.

--- a/jujube/entry/live_desk.cc
+++ b/jujube/entry/live_desk.cc
@@ -50,6 +50,7 @@
   routing::RouterOptions routing;
   routing.Self = {options.Self, options.Start};
   routing.Zone = options.Zone;
+  routing.MaxInFlight = links.size();
   auto router = routing::Router::create(std::move(routing), loop.now());
   if (!isOk(router))
     return errorOf(router);
--- a/jujube/wire/transport_test.cc
+++ b/jujube/wire/transport_test.cc
@@ -35,8 +35,8 @@
     runtime::PollLoop loop(Clock::monotonic());
     std::string received;
     const Instant end = loop.now() + Patience;
-    loop.watchMailbox<std::string>(to.Inbox,
-                                   [&](std::string got) { received = got; });
+    loop.watchMailbox<std::string>(
+        to.Inbox, [&](const std::string &got) { received = got; });
     loop.callEvery(Duration::millis(20), [&] {
       if (received.empty())
         (void)Outbox->post(Packet{to.Listen, via, payload});
--- a/jujube/zone/directives.cc
+++ b/jujube/zone/directives.cc
@@ -56,10 +56,10 @@
 }
 
 std::vector<fate::Directive> Directives::take(const WorkerId &worker,
-                                              Instant now) {
+                                              Incarnation start, Instant now) {
   std::vector<fate::Directive> out;
   for (const fate::Attempt &attempt : Book.attemptsOn(worker)) {
-    if (!isWanted(attempt))
+    if (attempt.Start != start || !isWanted(attempt))
       continue;
     fate::Directive directive = directiveFor(attempt);
     if (!isDue(directive, now))
--- a/jujube/zone/directives.h
+++ b/jujube/zone/directives.h
@@ -25,8 +25,10 @@
   void requestThrottle(const TaskId &task, const Resources &grant);
   // The attempt has ended.
   void forget(const TaskId &task);
-  // What the worker has to be told now; marks it as sent.
-  std::vector<fate::Directive> take(const WorkerId &worker, Instant now);
+  // What the worker has to be told now; marks it as sent. Attempts that were
+  // offered to another start of the worker are left out.
+  std::vector<fate::Directive> take(const WorkerId &worker, Incarnation start,
+                                    Instant now);
 
 private:
   struct Wish {
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -77,23 +77,38 @@
 }
 
 void Scheduler::restore(Moment at) {
+  std::map<RequestId, std::vector<uint32_t>> open;
   for (const fate::Attempt &attempt : Book.liveAttempts()) {
     const fate::RequestRecord *request = Book.findRequest(attempt.Task.Request);
     Planner.restore(request->Work, acceptedAt(*request, at),
-                    {attempt.Task, attempt.Worker, attempt.Reserved, at.Now});
+                    {attempt.Task, attempt.Worker, attempt.Reserved, at.Now,
+                     attempt.IsStopping});
     Leases.reset(attempt.Worker, at.Now);
-    Workers[attempt.Worker] = attempt.Start;
+    Incarnation &start = Workers[attempt.Worker];
+    start = std::max(start, attempt.Start);
+    open[attempt.Task.Request];
   }
-  std::map<RequestId, std::vector<uint32_t>> queued;
   for (const TaskId &task : Book.queuedTasks())
-    queued[task.Request].push_back(task.Index);
-  for (const auto &[id, tasks] : queued) {
-    const fate::RequestRecord *request = Book.findRequest(id);
-    Planner.enqueue({request->Work, acceptedAt(*request, at), tasks}, at.Now);
-  }
+    open[task.Request].push_back(task.Index);
+  for (const auto &[id, queued] : open)
+    restoreRequest(id, queued, at);
   setLimits(at.Now);
 }
 
+void Scheduler::restoreRequest(const RequestId &id,
+                               const std::vector<uint32_t> &queued, Moment at) {
+  const fate::RequestRecord *request = Book.findRequest(id);
+  const Instant accepted = acceptedAt(*request, at);
+  for (uint32_t i = 0; i < request->Tasks.size(); ++i)
+    if (request->Tasks[i].State == fate::FateState::Finished)
+      Planner.restoreFinished(request->Work, accepted, i);
+  if (queued.empty())
+    return;
+  const bool hasRun =
+      std::ranges::any_of(request->Tasks, &fate::TaskRecord::MayHaveRun);
+  Planner.enqueue({request->Work, accepted, queued, hasRun}, at.Now);
+}
+
 void Scheduler::setCatalogue(const catalogue::Catalogue &catalogue) {
   Teams.clear();
   std::ranges::transform(catalogue.contents().Teams, std::back_inserter(Teams),
@@ -232,10 +247,12 @@
     return Error{ErrorKind::StaleData,
                  "a later start of this worker has announced itself",
                  "give each worker an id of its own"};
-  std::vector<fate::Event> events;
-  if (known != Workers.end() && known->second < start)
-    events = Book.workerRestarted(worker, start, at.Wall);
-  else if (Leases.hasEnded(worker, at.Now) && !Book.attemptsOn(worker).empty())
+  // Asked at every sync: an offer to an earlier start may have been committed
+  // after the restart was first seen.
+  std::vector<fate::Event> events =
+      Book.workerRestarted(worker, start, at.Wall);
+  if (events.empty() && Leases.hasEnded(worker, at.Now) &&
+      !Book.attemptsOn(worker).empty())
     return later; // The next sweep ends them.
   if (Leases.hasEnded(worker, at.Now))
     Leases.reset(worker, at.Now);
@@ -271,7 +288,7 @@
   if (!Slices.isSettled(at.Now) || Expiring.contains(worker))
     return std::nullopt;
   std::vector<fate::Directive> directives = answersFor(worker);
-  std::ranges::move(Orders.take(worker, at.Now),
+  std::ranges::move(Orders.take(worker, Workers[worker], at.Now),
                     std::back_inserter(directives));
   if ((directives.empty() && !isDue) || !Leases.renew(worker, at.Now))
     return std::nullopt;
@@ -355,6 +372,8 @@
     Hooks.Propose(std::move(events));
 }
 
+bool Scheduler::hasSliceNews() const { return Slices.hasNews(demands()); }
+
 limits::SliceReport Scheduler::reportSlices(Moment at) {
   const auto needs = demands();
   if (auto update = Slices.letGo(needs, at.Now))
--- a/jujube/zone/scheduler.h
+++ b/jujube/zone/scheduler.h
@@ -70,6 +70,8 @@
   void plan(Moment at);
   // Ends leases, overdue requests and fates; about ten times a second.
   void sweep(Moment at);
+  // True if a report to the keepers should not wait for the next second.
+  bool hasSliceNews() const;
   // The report to the keepers, about once a second.
   limits::SliceReport reportSlices(Moment at);
   void takeSlices(const limits::SliceReply &reply, Moment at);
@@ -83,6 +85,9 @@
             placement::Planner planner, SchedulerHooks hooks, Moment at);
 
   void restore(Moment at);
+  // Restores what is neither offered nor running of an open request.
+  void restoreRequest(const RequestId &id, const std::vector<uint32_t> &queued,
+                      Moment at);
   void setLimits(Instant now);
   std::vector<limits::TeamDemand> demands() const;
   // The request's acceptance on the planner's time line.
--- a/jujube/zone/scheduler_test.cc
+++ b/jujube/zone/scheduler_test.cc
@@ -95,6 +95,14 @@
     return reply ? reply->Directives : std::vector<fate::Directive>{};
   }
 
+  // A sync whose reply and plan are still to come.
+  void announce(const std::string &worker, uint64_t start) {
+    (void)Leader->takeSync({{WorkerId(worker), Incarnation{start},
+                             RackId("rack"), WorkerSize, false},
+                            {}},
+                           at());
+  }
+
   FateState state(const RequestId &id) const { return *Book.stateOf(id); }
 
   const ZoneOptions Options{.Zone = ZoneId("ubungo")};
@@ -210,6 +218,24 @@
   BOOST_TEST((zone.state(id) == FateState::Offered));
 }
 
+BOOST_AUTO_TEST_CASE(OfferToAnEarlierStartOfAWorkerIsNotSentToTheNext) {
+  Zone zone;
+  const RequestId id = zone.submit("a", false);
+  // The offer was proposed before the worker restarted and is committed after.
+  const auto offer =
+      zone.Book.offer({id, 0}, Term{1}, WorkerId("w1"), Incarnation{1},
+                      Resources{1000, 1000, 0}, Instant());
+  BOOST_REQUIRE(offer.has_value());
+  zone.announce("w1", 2);
+  BOOST_REQUIRE(zone.Book.apply(*offer));
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(std::ranges::none_of(
+        zone.sync("w1", 2), [](const fate::Directive &directive) {
+          return directive.Kind == fate::DirectiveKind::Start;
+        }));
+  BOOST_TEST((zone.state(id) != FateState::Offered));
+}
+
 BOOST_AUTO_TEST_CASE(CancelledTaskIsStoppedAndEndsCancelled) {
   Zone zone;
   zone.sync("w1", 1);
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -112,6 +112,8 @@
     answerOverdue();
     if (isServing())
       Leading->sweep(moment());
+    if (isServing() && Leading->hasSliceNews())
+      pollSlices();
   });
   Loop.callEvery(SlicePeriod, [this] { pollSlices(); });
 }
@@ -130,8 +132,8 @@
 
 void ZoneTask::lead(Term term) {
   SchedulerHooks hooks;
-  hooks.Propose = [this](std::vector<fate::Event> events) {
-    propose(std::move(events), [](const Status &) {});
+  hooks.Propose = [this](const std::vector<fate::Event> &events) {
+    propose(events, [](const Status &) {});
   };
   hooks.WakeWorker = [this](const WorkerId &worker) { Woken.insert(worker); };
   hooks.RequestEnded = [this](const RequestId &id) { answerAsks(id); };
@@ -141,6 +143,7 @@
   CHECK(isOk(scheduler) && isOk(runners)) << "the default options are accepted";
   Leading = valueOf(std::move(scheduler));
   Runners = valueOf(std::move(runners));
+  Runners->expectEntryHosts(Catalogue.hosts());
 }
 
 void ZoneTask::apply(const std::string &payload) {
@@ -185,7 +188,7 @@
                "check which process listens on the address"});
 }
 
-void ZoneTask::propose(std::vector<fate::Event> events,
+void ZoneTask::propose(const std::vector<fate::Event> &events,
                        replica::ProposalHook done) {
   Log->propose(wire::encodeZoneEvents(events), std::move(done));
 }
@@ -394,7 +397,7 @@
     std::ranges::move(Book.hostLost(host, WallClock.now()),
                       std::back_inserter(lost));
   if (!lost.empty())
-    propose(std::move(lost), [](const Status &) {});
+    propose(lost, [](const Status &) {});
   Keepers.callOnce(wire::ReportSlices{Leading->reportSlices(moment())},
                    SliceTimeout, [this](const Result<wire::Message> &reply) {
                      const auto *news =
--- a/jujube/zone/zone_task.h
+++ b/jujube/zone/zone_task.h
@@ -82,7 +82,8 @@
   // Proposes an event, if there is one, and answers with the request's fate.
   void proposeThenAnswer(const wire::Envelope &request, const RequestId &id,
                          const Result<std::optional<fate::Event>> &event);
-  void propose(std::vector<fate::Event> events, replica::ProposalHook done);
+  void propose(const std::vector<fate::Event> &events,
+               replica::ProposalHook done);
   // The team on whose behalf a request is asked for: that of the key, or the
   // owner if the request came without one to an open entry.
   TeamId actingTeam(const RequestId &id, const TeamId &presented) const;
--- a/testing/cell.cc
+++ b/testing/cell.cc
@@ -87,7 +87,7 @@
 
 std::string Cell::writeSecret(const std::string &name) {
   const std::string path = absl::StrCat(Folder, "/", name);
-  const std::string secret = randomHex(24);
+  std::string secret = randomHex(24);
   std::ofstream(path) << secret << "\n";
   std::filesystem::permissions(path, std::filesystem::perms::owner_read);
   return secret;
--- a/testing/cell_test.cc
+++ b/testing/cell_test.cc
@@ -136,6 +136,7 @@
   constexpr int Threads = 8;
   std::atomic<int> accepted = 0;
   std::vector<std::thread> operators;
+  operators.reserve(8);
   for (int t = 0; t < Threads; ++t)
     operators.emplace_back([&, t] {
       for (int i = t; i < Changes; i += Threads) {
@@ -193,6 +194,7 @@
   const Revision base = valueOf(contents).Teams.front().Changed;
   std::vector<Result<api::EditReceipt>> answers(2, Error{});
   std::vector<std::thread> operators;
+  operators.reserve(8);
   for (int i = 0; i < 2; ++i)
     operators.emplace_back([&, i] {
       const catalogue::Team team{TeamId("events"), static_cast<uint32_t>(i + 2),
@@ -220,6 +222,7 @@
   std::vector<Result<api::LiveAnswer>> answers(Callers, Error{});
   std::atomic<int> begun = 0;
   std::vector<std::thread> callers;
+  callers.reserve(Callers);
   for (int i = 0; i < Callers; ++i)
     callers.emplace_back([&, i] {
       ++begun;
--- a/testing/standin_runner_main.cc
+++ b/testing/standin_runner_main.cc
@@ -21,8 +21,8 @@
       {"name", SettingKind::Text, "runner", "prefix of the runners' ids"},
       {"count", SettingKind::Integer, "1", "runners to emulate", false, 1, 200},
       {"listen", SettingKind::AddressText, "127.0.0.1:0", "address to serve"},
-      {"threads", SettingKind::Integer, "60", "connections served at once",
-       false, 1, 4000},
+      {"threads", SettingKind::Integer, "60",
+       "connections a runner serves at once", false, 1, 4000},
       {"slots", SettingKind::Integer, "8", "slots per runner", false, 1, 64},
       {"mean-ms", SettingKind::Integer, "50", "mean service time", false, 1,
        60000},
@@ -76,7 +76,8 @@
   options.Entries = settings.addresses("entries");
   options.FleetToken = valueOf(std::move(token));
   options.Listen = settings.address("listen");
-  options.Threads = static_cast<std::size_t>(settings.integer("threads"));
+  options.Threads = static_cast<std::size_t>(settings.integer("threads") *
+                                             settings.integer("count"));
   options.SilentAfter = neverIfZero(settings.duration("silent-after"));
   options.LeaveAfter = neverIfZero(settings.duration("leave-after"));
   return options;
