Votes and probes are encoded whole; a bool is 0 or 1

Cause: three fields that consensus gained were not encoded, so that members judged the end of a group without them. messages_test compares values whose every field differs from its default.

--- a/jujube/wire/archive.h
+++ b/jujube/wire/archive.h
@@ -64,6 +64,14 @@
 std::enable_if_t<std::is_arithmetic_v<T>> load(BoundedReader &ar, T &value) {
   ar.read(&value, sizeof value);
 }
+// A byte other than 0 and 1 is not a bool.
+inline void load(BoundedReader &ar, bool &value) {
+  uint8_t byte = 0;
+  ar.read(&byte, sizeof byte);
+  if (byte > 1)
+    throw cereal::Exception("a bool is neither 0 nor 1");
+  value = byte == 1;
+}
 template <typename T>
 void serialize(StringWriter &ar, cereal::NameValuePair<T> &pair) {
   ar(pair.value);
--- a/jujube/wire/consensus_encoding.h
+++ b/jujube/wire/consensus_encoding.h
@@ -23,13 +23,13 @@
   ar(v.LastIndex, v.LastTerm);
 }
 template <typename Archive> void serialize(Archive &ar, PreVoteReply &v) {
-  ar(v.For, v.IsGranted);
+  ar(v.For, v.IsGranted, v.HasConsent);
 }
 template <typename Archive> void serialize(Archive &ar, VoteRequest &v) {
   ar(v.LastIndex, v.LastTerm, v.IsTransfer);
 }
 template <typename Archive> void serialize(Archive &ar, VoteReply &v) {
-  ar(v.IsGranted);
+  ar(v.IsGranted, v.HasConsent);
 }
 template <typename Archive> void serialize(Archive &ar, AppendRequest &v) {
   ar(v.PrevIndex, v.PrevTerm, v.Commit, v.Entries, v.SentAt);
@@ -48,7 +48,7 @@
   ar(v.Nonce, v.At);
 }
 template <typename Archive> void serialize(Archive &ar, ProbeReply &v) {
-  ar(v.Nonce, v.At, v.IsServing);
+  ar(v.Nonce, v.At, v.IsServing, v.CanBeElected);
 }
 template <typename Archive> void serialize(Archive &ar, Message &v) {
   ar(v.Group, v.At, v.FromStart, v.ToStart, v.What);
--- /dev/null
+++ b/jujube/wire/messages_test.cc
@@ -0,0 +1,113 @@
+#include <boost/test/unit_test.hpp>
+
+#include "jujube/wire/consensus_encoding.h"
+#include "jujube/wire/messages.h"
+#include "jujube/wire/routing_encoding.h"
+#include "jujube/wire/state_encoding.h"
+
+namespace jujube::wire {
+namespace {
+
+// Every field has to differ from its default, so that one that is not encoded
+// shows.
+template <typename T> void checkRoundTrip(const T &value) {
+  const Result<T> back = decode<T>(encode(value));
+  BOOST_REQUIRE(isOk(back));
+  BOOST_TEST((valueOf(back) == value));
+}
+
+const consensus::Member Voter{HostId("a"), Incarnation{2},
+                              Address{"127.0.0.1", 3}, true};
+
+BOOST_AUTO_TEST_SUITE(MessagesSuite)
+
+BOOST_AUTO_TEST_CASE(ConsensusMessagesKeepAllFields) {
+  using namespace consensus;
+  const std::vector<Body> bodies = {
+      PreVoteRequest{LogIndex{1}, Term{2}},
+      PreVoteReply{Term{1}, true, true},
+      VoteRequest{LogIndex{1}, Term{2}, true},
+      VoteReply{true, true},
+      AppendRequest{LogIndex{1}, Term{2}, LogIndex{3}, {}, 4},
+      AppendReply{true, LogIndex{1}, 2},
+      SnapshotChunk{LogIndex{1}, Term{2}, Membership{{Voter}}, 3, 4, "x", 5},
+      SnapshotReply{LogIndex{1}, 2, true, 3},
+      TimeoutNow{},
+      Probe{1, Address{"127.0.0.1", 2}},
+      ProbeReply{1, Address{"127.0.0.1", 2}, true, true},
+  };
+  for (const Body &body : bodies)
+    checkRoundTrip(consensus::Message{GroupId{HostId("a"), Incarnation{1}},
+                                      Term{2}, Incarnation{3}, Incarnation{4},
+                                      body});
+  checkRoundTrip(consensus::LogEntry{
+      LogIndex{1}, Term{2}, EntryKind::Membership, "p", Membership{{Voter}}});
+}
+
+BOOST_AUTO_TEST_CASE(FateStateKeepsAllFields) {
+  fate::TaskRecord task;
+  task.State = fate::FateState::Running;
+  task.IsLive = task.MayHaveRun = task.HasStarted = true;
+  task.Attempts = 2;
+  task.Failures = 1;
+  task.Token = {Term{3}, 4};
+  task.Worker = WorkerId("w");
+  task.Start = Incarnation{5};
+  task.Reserved = {6, 7, 8};
+  task.LostAt = Instant::atMillis(9);
+  task.Text = "t";
+  fate::RequestRecord request;
+  request.Work.Request = RequestId("z.a");
+  request.Work.Team = TeamId("team");
+  request.Work.Entry.Id = EntryId("e");
+  request.Work.Payload = "p";
+  request.AcceptedAt = Instant::atMillis(1);
+  request.StartedAt = Instant::atMillis(2);
+  request.EndedAt = Instant::atMillis(3);
+  request.IsCancelled = request.IsAbandoned = true;
+  request.Open = 4;
+  request.Unstarted = 5;
+  request.Tasks = {task};
+  fate::LiveRecord live;
+  live.Offer = {
+      RequestId("z.b"), TeamId("team"), EntryId("e"), "digest",
+      HostId("h"),      RunnerId("r"),  true,         Instant::atMillis(1)};
+  live.State = fate::FateState::Unresolved;
+  live.ChangedAt = Instant::atMillis(2);
+  live.Text = "t";
+  limits::Slice slice{
+      TeamId("team"), limits::GrantVersion{1}, {1, 2, 3}, {4, 5, 6}};
+  checkRoundTrip(
+      fate::BookState{{request},
+                      {live},
+                      limits::SliceUpdate{limits::GrantVersion{2}, {slice}}});
+}
+
+BOOST_AUTO_TEST_CASE(RoutingMessagesKeepAllFields) {
+  using namespace routing;
+  const Holder holder{HostId("h"), Incarnation{1}};
+  EntryReport report;
+  report.From = holder;
+  report.HomeZone = ZoneId("home");
+  report.Zone = ZoneId("z");
+  report.Sequence = 1;
+  report.UpFor = Duration::millis(2);
+  report.AppliedTerm = Term{3};
+  report.AppliedGrant = 4;
+  report.Runners = {{RunnerId("r"), 1, 2, 3}};
+  report.Demand = {{EntryId("e"), TeamId("t"), 2, 3, 4}};
+  checkRoundTrip(report);
+  checkRoundTrip(RunnerAnnouncement{RunnerId("r"), Incarnation{1}, EntryId("e"),
+                                    ZoneId("z"), Address{"127.0.0.1", 1}, 9, 61,
+                                    true});
+}
+
+BOOST_AUTO_TEST_CASE(BoolThatIsNeitherZeroNorOneIsRefused) {
+  BOOST_TEST(!isOk(decode<bool>("\x02")));
+  BOOST_TEST(valueOf(decode<bool>("\x01")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::wire
--- a/testing/standin_worker_tasks.cc
+++ b/testing/standin_worker_tasks.cc
@@ -175,7 +175,8 @@
   for (const auto &[team, use] : log.teams())
     all["teams"][team] = {{"running", use.Running},
                           {"peak_running", use.PeakRunning},
-                          {"peak", toJson(use.Peak)}};
+                          {"peak", toJson(use.Peak)},
+                          {"now", toJson(use.Now)}};
   for (const auto &[id, stats] : workers)
     all["workers"].push_back(toJson(id, stats));
   return all.dump();
