--- /dev/null
+++ b/jujube/daemon/identity.cc
@@ -0,0 +1,26 @@
+#include "jujube/daemon/identity.h"
+
+#include "jujube/daemon/daemon.h"
+
+namespace jujube::daemon {
+
+Result<Identity> readIdentity(const Settings &settings, bool hasZone) {
+  Identity identity;
+  auto self = HostId::parse(settings.text("host"));
+  if (!isOk(self))
+    return errorOf(self);
+  identity.Self = valueOf(self);
+  if (hasZone) {
+    auto zone = ZoneId::parse(settings.text("zone"));
+    if (!isOk(zone))
+      return errorOf(zone);
+    identity.Zone = valueOf(zone);
+  }
+  auto token = readSecret(settings.text("fleet-token-file"));
+  if (!isOk(token))
+    return errorOf(token);
+  identity.FleetToken = valueOf(token);
+  return identity;
+}
+
+} // namespace jujube::daemon
--- a/programs/jujube_entry.cc
+++ b/programs/jujube_entry.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "jujube/daemon/daemon.h"
+#include "jujube/daemon/identity.h"
 #include "jujube/entry/entry_tree.h"
 
 namespace jujube {
@@ -34,21 +35,15 @@
 
 Result<entry::EntryOptions> readOptions(const Settings &settings) {
   entry::EntryOptions options;
-  auto self = HostId::parse(settings.text("host"));
-  if (!isOk(self))
-    return errorOf(self);
-  auto zone = ZoneId::parse(settings.text("zone"));
-  if (!isOk(zone))
-    return errorOf(zone);
-  auto fleet = daemon::readSecret(settings.text("fleet-token-file"));
-  if (!isOk(fleet))
-    return errorOf(fleet);
+  const auto identity = daemon::readIdentity(settings, true);
+  if (!isOk(identity))
+    return errorOf(identity);
   auto operators = daemon::readSecret(settings.text("operator-token-file"));
   if (!isOk(operators))
     return errorOf(operators);
-  options.Self = valueOf(self);
-  options.Zone = valueOf(zone);
-  options.FleetToken = valueOf(fleet);
+  options.Self = valueOf(identity).Self;
+  options.Zone = valueOf(identity).Zone;
+  options.FleetToken = valueOf(identity).FleetToken;
   options.OperatorToken = valueOf(operators);
   options.Listen = settings.address("listen");
   options.Http = settings.address("http");
--- a/programs/jujube_keeper.cc
+++ b/programs/jujube_keeper.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "jujube/daemon/daemon.h"
+#include "jujube/daemon/identity.h"
 #include "jujube/keeper/keeper_tree.h"
 
 namespace jujube {
@@ -19,23 +20,20 @@
 
 Result<runtime::Supervisor> makeTree(const Settings &settings) {
   keeper::KeeperOptions options;
-  auto self = HostId::parse(settings.text("host"));
-  if (!isOk(self))
-    return errorOf(self);
+  const auto identity = daemon::readIdentity(settings, false);
+  if (!isOk(identity))
+    return errorOf(identity);
   auto keepers = daemon::parsePeers(settings.text("keepers"));
   if (!isOk(keepers))
     return errorOf(keepers);
-  auto listen = daemon::addressOf(valueOf(keepers), valueOf(self));
+  auto listen = daemon::addressOf(valueOf(keepers), valueOf(identity).Self);
   if (!isOk(listen))
     return errorOf(listen);
-  auto token = daemon::readSecret(settings.text("fleet-token-file"));
-  if (!isOk(token))
-    return errorOf(token);
-  options.Self = valueOf(self);
+  options.Self = valueOf(identity).Self;
   options.Listen = valueOf(listen);
   options.Keepers = valueOf(keepers);
   options.DataFolder = settings.text("data");
-  options.FleetToken = valueOf(token);
+  options.FleetToken = valueOf(identity).FleetToken;
   return keeper::keeperTree(options);
 }
 
--- a/programs/jujube_zone.cc
+++ b/programs/jujube_zone.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "jujube/daemon/daemon.h"
+#include "jujube/daemon/identity.h"
 #include "jujube/zone/zone_tree.h"
 
 namespace jujube {
@@ -24,33 +25,27 @@
 
 Result<runtime::Supervisor> makeTree(const Settings &settings) {
   zone::ZoneOptions options;
-  auto self = HostId::parse(settings.text("host"));
-  if (!isOk(self))
-    return errorOf(self);
-  auto zone = ZoneId::parse(settings.text("zone"));
-  if (!isOk(zone))
-    return errorOf(zone);
+  const auto identity = daemon::readIdentity(settings, true);
+  if (!isOk(identity))
+    return errorOf(identity);
   auto peers = daemon::parsePeers(settings.text("peers"));
   if (!isOk(peers))
     return errorOf(peers);
-  auto listen = daemon::addressOf(valueOf(peers), valueOf(self));
+  auto listen = daemon::addressOf(valueOf(peers), valueOf(identity).Self);
   if (!isOk(listen))
     return errorOf(listen);
-  auto token = daemon::readSecret(settings.text("fleet-token-file"));
-  if (!isOk(token))
-    return errorOf(token);
   const auto policy =
       valueIn(placement::PolicyNameNames, settings.text("policy"));
   if (!policy)
     return Error{ErrorKind::InvalidArgument,
                  "--policy has the value '" + settings.text("policy") + "'",
                  "give one of: " + namesIn(placement::PolicyNameNames)};
-  options.Self = valueOf(self);
-  options.Zone = valueOf(zone);
+  options.Self = valueOf(identity).Self;
+  options.Zone = valueOf(identity).Zone;
   options.Listen = valueOf(listen);
   options.Peers = valueOf(peers);
   options.Keepers = settings.addresses("keepers");
-  options.FleetToken = valueOf(token);
+  options.FleetToken = valueOf(identity).FleetToken;
   options.Policy = *policy;
   options.WorkerLease = settings.duration("worker-lease-ms");
   return zone::zoneTree(options);
