--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -258,8 +258,14 @@
     Leases.reset(worker, at.Now);
   Workers[worker] = start;
   Planner.workerSeen(sync.Announcement, at.Now);
-  Unanswered[worker] = sync.Reports;
+  // A sync may bring only news, so earlier reports of ended attempts are kept.
+  auto &unanswered = Unanswered[worker];
+  std::erase_if(unanswered, [](const auto &item) {
+    return item.second.Phase == fate::TaskPhase::Started ||
+           item.second.Phase == fate::TaskPhase::Running;
+  });
   for (const fate::TaskReport &report : sync.Reports) {
+    unanswered.insert_or_assign(report.Task, report);
     ReportedBy[report.Task] = worker;
     auto more = Book.report(worker, start, report, at.Wall);
     std::ranges::move(more, std::back_inserter(events));
@@ -273,7 +279,8 @@
 
 std::vector<fate::Directive> Scheduler::answersFor(const WorkerId &worker) {
   std::vector<fate::Directive> answers;
-  std::erase_if(Unanswered[worker], [&](const fate::TaskReport &report) {
+  std::erase_if(Unanswered[worker], [&](const auto &item) {
+    const fate::TaskReport &report = item.second;
     const auto kind = Book.answerTo(worker, report);
     if (kind)
       answers.push_back(
--- a/jujube/zone/scheduler.h
+++ b/jujube/zone/scheduler.h
@@ -131,9 +131,9 @@
   limits::ZoneSlices Slices;
   std::vector<catalogue::Team> Teams;
   std::map<WorkerId, Incarnation> Workers;
-  // The reports of each worker's last sync that are not answered yet, and who
+  // The latest report of each attempt that is not answered yet, and who
   // reported each task.
-  std::map<WorkerId, std::vector<fate::TaskReport>> Unanswered;
+  std::map<WorkerId, std::map<TaskId, fate::TaskReport>> Unanswered;
   std::map<TaskId, WorkerId> ReportedBy;
   // Workers whose ended leases are being journaled.
   std::set<WorkerId> Expiring;
--- a/testing/standin_worker.cc
+++ b/testing/standin_worker.cc
@@ -122,6 +122,7 @@
       {id, this->id(), teamOf(task.Order, task.Entry), task.Grant, true});
   Running.emplace(id, std::move(task));
   ++Stats.Started;
+  Fresh.push_back({id, directive.Token, TaskPhase::Started, {}, ""});
   HasNews = true;
 }
 
@@ -171,6 +172,7 @@
                                                   : Stats.Stopped;
   ++count;
   Ended.push_back({id, token, phase, {}, std::move(text)});
+  Fresh.push_back(Ended.back());
   HasNews = true;
 }
 
@@ -202,6 +204,10 @@
   return std::min(first->second.EndsAt, LeaseUntil);
 }
 
+fate::WorkerSync StandinWorker::news() {
+  return {Options.Announcement, std::exchange(Fresh, {})};
+}
+
 bool StandinWorker::takeNews() { return std::exchange(HasNews, false); }
 
 std::vector<RunEvent> StandinWorker::takeEvents() {
--- a/testing/standin_worker.h
+++ b/testing/standin_worker.h
@@ -57,6 +57,9 @@
   // The sync to send now: running tasks and ended ones that are not
   // acknowledged.
   fate::WorkerSync sync(Instant now) const;
+  // What started and ended since the last news. Lost news is made up for by the
+  // next sync.
+  fate::WorkerSync news();
   // Takes the reply to a sync that was sent at `sentAt`. Replies of a lower
   // leader term than seen before are ignored.
   void apply(const fate::SyncReply &reply, Instant sentAt, Instant now);
@@ -108,6 +111,7 @@
   std::map<TaskId, AttemptToken> Fences;
   std::deque<TaskId> FenceOrder;
   std::vector<RunEvent> Events;
+  std::vector<fate::TaskReport> Fresh;
   bool HasNews = false;
 };
 
--- a/testing/standin_worker_tasks.cc
+++ b/testing/standin_worker_tasks.cc
@@ -98,7 +98,7 @@
     const bool isNews = kind == SyncKind::News;
     (isNews ? IsNewsBusy : IsPendingBusy) = true;
     (void)(isNews ? Mail.News : Mail.Pending)
-        ->post(SyncOrder{Worker.sync(Context.now())});
+        ->post(SyncOrder{isNews ? Worker.news() : Worker.sync(Context.now())});
   }
 
   // After every change: ends what is due, reports news, arms the next timer.
