--- a/jujube/replica/replica.cc
+++ b/jujube/replica/replica.cc
@@ -38,6 +38,7 @@
   replica->LastApplied = base;
   replica->LastCompacted = base;
   loop.onTurnEnd([raw = replica.get()] { raw->endTurn(); });
+  // Makes the loop's first turn end at once, so that what is due is done.
   loop.callAt(loop.now(), [] {});
   return replica;
 }
--- a/jujube/wire/connection.cc
+++ b/jujube/wire/connection.cc
@@ -32,9 +32,9 @@
                  "retry later"};
   const bool wasIdle = Output.empty();
   Output += frame(payload);
-  if (IsOpen && wasIdle && !writeBuffered()) {
-    // The next poll reports the failure.
-  }
+  // A failure to write is noticed by the next poll.
+  if (IsOpen && wasIdle)
+    (void)writeBuffered();
   updateWatch();
   return Ok{};
 }
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -21,7 +21,7 @@
           std::string(nameIn(catalogue::WorkClassNames, work.Entry.Class))};
 }
 
-// Index i is the end kind of the attempt that phase i reports.
+// What the planner is told of an attempt whose worker reports this phase last.
 placement::EndKind endKindOf(fate::TaskPhase phase) {
   switch (phase) {
   case fate::TaskPhase::Finished:
