--- a/jujube/fate/types.h
+++ b/jujube/fate/types.h
@@ -174,20 +174,47 @@
   bool operator==(const Directive &) const = default;
 };
 
+// Stands for a set of running attempts; see attempt_digest.h.
+struct AttemptDigest {
+  uint32_t Count = 0;
+  // Below 2^53, so that every JSON reader keeps it.
+  uint64_t Checksum = 0;
+
+  bool operator==(const AttemptDigest &) const = default;
+};
+
 // A worker's periodic message to its zone's leader.
 struct WorkerSync {
   WorkerAnnouncement Announcement;
   std::vector<TaskReport> Reports;
+  // The running attempts that Reports leaves out. Absent in a sync that brings
+  // only news, and from workers that report all attempts every time.
+  std::optional<AttemptDigest> Unreported;
 
   bool operator==(const WorkerSync &) const = default;
 };
 
+// What the worker's next sync has to report.
+enum class SyncScope {
+  // Ended attempts, and running ones whose phase or usage changed.
+  Changes,
+  // All attempts: the leader's record and the worker's differ.
+  Full,
+};
+
+inline constexpr NameTable<SyncScope, 2> SyncScopeNames = {{
+    {SyncScope::Changes, "changes"},
+    {SyncScope::Full, "full"},
+}};
+static_assert(isComplete(SyncScopeNames));
+
 // The answer to a WorkerSync. It renews the leases of all tasks of the worker:
 // they run out `Lease` after the worker sent the sync that is answered.
 struct SyncReply {
   Term LeaderTerm;
   Duration Lease;
   std::vector<Directive> Directives;
+  SyncScope NextSync = SyncScope::Changes;
 
   bool operator==(const SyncReply &) const = default;
 };
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -35,18 +35,30 @@
   Term LeaderTerm;
 };
 
+// A state of the list of control hosts of one leader of the keepers.
+struct HostListVersion {
+  Term LeaderTerm;
+  uint64_t Change = 0;
+
+  bool operator==(const HostListVersion &) const = default;
+};
+
 // Entry hosts and zone schedulers to a keeper: asks for news of the catalogue
 // and is the sender's heartbeat. The reply is delayed until there is news.
 struct PollCatalogue {
   HostStatus Self;
   Revision Have;
+  // The list of hosts that the sender has; all zero for none.
+  HostListVersion HaveHosts;
 };
 
 // The reply to PollCatalogue.
 struct CatalogueNews {
   catalogue::Update News;
-  // The control hosts that were heard from lately.
+  // The control hosts that were heard from lately; left out if the poller has
+  // version HostsAt already.
   std::vector<HostStatus> Hosts;
+  HostListVersion HostsAt;
 };
 
 // Entry host to the keepers' leader; answered by EditDone once the edit is in
