ErrorKind tells the three fates of a live request

A caller of a live request that got deadline_exceeded or unavailable could not tell whether the request surely had not run, had run and failed, or had an unknown outcome. Cause: the kinds name reasons, not fates. Change: the kinds not_run, run_failed and outcome_unknown at the end of the table, so that the numbers in journals stay, and Error::RetryAfter for this host's HTTP side.

--- a/jujube/base/result.h
+++ b/jujube/base/result.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include "jujube/base/clock.h"
 #include "jujube/base/name_table.h"
 
 namespace jujube {
@@ -33,9 +34,15 @@
   CorruptData,
   Cancelled,
   Internal,
+  // A live request that surely did not run: it was shed before it was placed.
+  NotRun,
+  // A live request that ran, and its runner reported a failure.
+  RunFailed,
+  // A live request that left, and whose outcome is not known yet.
+  OutcomeUnknown,
 };
 
-inline constexpr NameTable<ErrorKind, 20> ErrorKindNames = {{
+inline constexpr NameTable<ErrorKind, 23> ErrorKindNames = {{
     {ErrorKind::InvalidArgument, "invalid_argument"},
     {ErrorKind::MalformedBody, "malformed_body"},
     {ErrorKind::BodyTooLarge, "body_too_large"},
@@ -56,6 +63,9 @@
     {ErrorKind::CorruptData, "corrupt_data"},
     {ErrorKind::Cancelled, "cancelled"},
     {ErrorKind::Internal, "internal"},
+    {ErrorKind::NotRun, "not_run"},
+    {ErrorKind::RunFailed, "run_failed"},
+    {ErrorKind::OutcomeUnknown, "outcome_unknown"},
 }};
 static_assert(isComplete(ErrorKindNames));
 
@@ -64,6 +74,9 @@
   ErrorKind Kind = ErrorKind::Internal;
   std::string Message;
   std::string Remedy;
+  // When it is worth trying again; zero if nothing is known about that. Neither
+  // journaled nor passed between hosts.
+  Duration RetryAfter;
 
   bool operator==(const Error &) const = default;
 
--- a/jujube/http/translate.cc
+++ b/jujube/http/translate.cc
@@ -47,6 +47,9 @@
     {ErrorKind::CorruptData, 500, false},
     {ErrorKind::Cancelled, 409, false},
     {ErrorKind::Internal, 500, false},
+    {ErrorKind::NotRun, 503, true},
+    {ErrorKind::RunFailed, 502, false},
+    {ErrorKind::OutcomeUnknown, 504, false},
 }};
 
 constexpr bool isOrdered() {
