Shared types: AnnounceLeader, and when a poll loop's next timer is due

A zone's new leader tells the entry hosts by AnnounceLeader, so that they need not wait for its predecessor. PollLoop::nextTimer() lets a test step loops on a manual clock. Nothing uses them yet; both are additive.

--- a/jujube/runtime/poll_loop.h
+++ b/jujube/runtime/poll_loop.h
@@ -63,6 +63,11 @@
   Status run();
   void stop() { IsStopped = true; }
 
+  // When the earliest timer is due; Instant::never() without one.
+  Instant nextTimer() const {
+    return Timers.empty() ? Instant::never() : Timers.begin()->first;
+  }
+
   Instant now() const { return Source.now(); }
   const Clock &clock() const { return Source; }
 
--- a/jujube/runtime/runtime_test.cc
+++ b/jujube/runtime/runtime_test.cc
@@ -202,6 +202,17 @@
   BOOST_TEST(isDone);
 }
 
+BOOST_AUTO_TEST_CASE(NextTimerIsTheEarliest) {
+  const ManualClock clock;
+  PollLoop loop(clock.clock());
+  BOOST_TEST((loop.nextTimer() == Instant::never()));
+  loop.callAt(Instant::atMillis(20), [] {});
+  const TimerId first = loop.callAt(Instant::atMillis(10), [] {});
+  BOOST_TEST((loop.nextTimer() == Instant::atMillis(10)));
+  loop.cancel(first);
+  BOOST_TEST((loop.nextTimer() == Instant::atMillis(20)));
+}
+
 BOOST_AUTO_TEST_CASE(ReplySlotKeepsTheFirstValue) {
   const auto slot = makeReplySlot<int>();
   BOOST_TEST(!isOk(slot->wait(Duration::millis(0))));
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -90,6 +90,9 @@
 template <typename Archive> void serialize(Archive &ar, Refusal &v) {
   ar(v.Why, v.Leader);
 }
+template <typename Archive> void serialize(Archive &ar, AnnounceLeader &v) {
+  ar(v.Zone, v.At);
+}
 template <typename Archive> void serialize(Archive &ar, Envelope &v) {
   ar(v.From, v.ReplyTo, v.Correlation, v.IsReply, v.What);
 }
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -152,6 +152,13 @@
   metrics::Snapshot Metrics;
 };
 
+// A zone's new leader to the entry hosts, so that they need not wait for its
+// predecessor; not answered. The envelope tells where it is.
+struct AnnounceLeader {
+  ZoneId Zone;
+  Term At;
+};
+
 // The request was carried out.
 struct Done {};
 
@@ -168,7 +175,7 @@
                  SubmitWork, CancelWork, AskFate, FateNews, SyncTasks, SyncDone,
                  PassAnnouncement, ReportCredits, CreditNews, JournalLive,
                  JournalLiveEnd, PassLive, LiveDone, ReadZone, ZoneNews,
-                 ReadMetrics, MetricsNews, Done, Refusal>;
+                 ReadMetrics, MetricsNews, Done, Refusal, AnnounceLeader>;
 
 // The alternatives of Message, in order; for counters.
 enum class MessageKind {
@@ -199,10 +206,11 @@
   ReadMetrics,
   MetricsNews,
   Done,
-  Refusal
+  Refusal,
+  AnnounceLeader
 };
 
-inline constexpr NameTable<MessageKind, 28> MessageKindNames = {{
+inline constexpr NameTable<MessageKind, 29> MessageKindNames = {{
     {MessageKind::GroupMessage, "group_message"},
     {MessageKind::PollCatalogue, "poll_catalogue"},
     {MessageKind::CatalogueNews, "catalogue_news"},
@@ -231,6 +239,7 @@
     {MessageKind::MetricsNews, "metrics_news"},
     {MessageKind::Done, "done"},
     {MessageKind::Refusal, "refusal"},
+    {MessageKind::AnnounceLeader, "announce_leader"},
 }};
 static_assert(isComplete(MessageKindNames));
 static_assert(std::variant_size_v<Message> == MessageKindNames.size());
