Secret files are read by one function of jujube/base; errors name the bad id

Cause: the mode of token files was checked by the daemons only, and an id that was refused was told by its length.

--- a/jujube/base/base_test.cc
+++ b/jujube/base/base_test.cc
@@ -1,9 +1,13 @@
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
 
 #include "jujube/base/address.h"
 #include "jujube/base/clock.h"
 #include "jujube/base/ids.h"
 #include "jujube/base/resources.h"
+#include "jujube/base/secret_file.h"
 #include "jujube/base/settings.h"
 
 namespace jujube {
@@ -63,6 +67,48 @@
   BOOST_TEST(!isOk(homeZone(RequestId("ubungo"))));
 }
 
+BOOST_AUTO_TEST_CASE(ABadIdIsNamedInTheError) {
+  BOOST_TEST(errorOf(TeamId::parse("a b\n")).Message == "bad team id 'a b\\n'");
+  const std::string message =
+      errorOf(TeamId::parse(std::string(200, 'x'))).Message;
+  BOOST_TEST(message.size() < MaxIdLength + 32);
+}
+
+// A file of the test, removed at its end.
+class TestSecret {
+public:
+  TestSecret(const std::string &text, int mode)
+      : Path(std::filesystem::temp_directory_path() /
+             ("jujube_secret_test_" + std::to_string(getpid()))) {
+    std::ofstream(Path) << text;
+    std::filesystem::permissions(Path, std::filesystem::perms(mode));
+  }
+  ~TestSecret() { std::filesystem::remove(Path); }
+  std::string path() const { return Path; }
+
+private:
+  std::filesystem::path Path;
+};
+
+BOOST_AUTO_TEST_CASE(ASecretIsReadOnlyIfNobodyElseMay) {
+  const std::string text = "0123456789abcdef";
+  {
+    const TestSecret good(text + " \nmore\n", 0600);
+    BOOST_TEST(valueOf(readSecretFile(good.path())) == text);
+  }
+  for (const int mode : {0640, 0604, 0620}) {
+    const TestSecret open(text, mode);
+    const auto secret = readSecretFile(open.path());
+    BOOST_TEST((errorOf(secret).Kind == ErrorKind::PermissionDenied));
+    BOOST_TEST(errorOf(secret).Remedy == "run: chmod 600 " + open.path());
+  }
+  const TestSecret brief("0123", 0600);
+  BOOST_TEST(errorOf(readSecretFile(brief.path())).Remedy ==
+             "use at least 16 characters");
+  BOOST_TEST(!isOk(readSecretFile(brief.path() + ".missing")));
+  BOOST_TEST(errorOf(readSecretFile("/")).Message == "'/' is not a file");
+}
+
 BOOST_AUTO_TEST_CASE(AddressesAreChecked) {
   BOOST_TEST(valueOf(Address::parse("127.0.0.1:80")).str() == "127.0.0.1:80");
   BOOST_TEST(!isOk(Address::parse("localhost:80")));
--- a/jujube/base/ids.cc
+++ b/jujube/base/ids.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
 namespace jujube {
@@ -19,11 +20,12 @@
   if (!text.empty() && text.size() <= MaxIdLength &&
       std::all_of(text.begin(), text.end(), isIdCharacter))
     return Ok{};
-  return Error{
-      ErrorKind::InvalidArgument,
-      absl::StrCat("bad ", what, " id of ", text.size(), " characters"),
-      absl::StrCat("use 1 to ", MaxIdLength,
-                   " letters, digits, dots, dashes or underscores")};
+  return Error{ErrorKind::InvalidArgument,
+               absl::StrCat("bad ", what, " id '",
+                            absl::CHexEscape(text.substr(0, MaxIdLength)),
+                            text.size() > MaxIdLength ? "...'" : "'"),
+               absl::StrCat("use 1 to ", MaxIdLength,
+                            " letters, digits, dots, dashes or underscores")};
 }
 
 Result<ZoneId> homeZone(const RequestId &id) {
