A connection that no thread can be started for is refused

Cause: serve() queued the connection before it started a thread. If pthread_create failed and no other thread was left, the connection waited for ever and stop() never reported its end, because only an ending thread does. Change: the thread is started first, under the lock, through a hook; without any thread the caller keeps the connection and refuses it as Overloaded. Over TLS a refused connection is closed without a line of plain text.

--- a/jujube/http/connection_threads.cc
+++ b/jujube/http/connection_threads.cc
@@ -16,6 +16,14 @@
 // only the pages that are touched take memory.
 constexpr std::size_t StackBytes = std::size_t{8} << 20;
 
+void *runBody(void *argument) {
+  const std::unique_ptr<std::function<void()>> body(
+      static_cast<std::function<void()> *>(argument));
+  pthread_setname_np(pthread_self(), "http-conn");
+  (*body)();
+  return nullptr;
+}
+
 } // namespace
 
 struct ConnectionThreads::State {
@@ -54,30 +62,19 @@
       Settings.OnStopped();
   }
 
-  static void *main(void *argument) {
-    const std::unique_ptr<std::shared_ptr<State>> owned(
-        static_cast<std::shared_ptr<State> *>(argument));
-    State &state = **owned;
-    pthread_setname_np(pthread_self(), "http-conn");
-    while (ConnectionPtr connection = state.next())
-      state.Settings.Serve(std::move(connection));
-    return nullptr;
+  void serveUntilIdle() {
+    while (ConnectionPtr connection = next())
+      Settings.Serve(std::move(connection));
   }
 
-  // Starts a detached thread, which keeps the state alive.
-  static bool startThread(const std::shared_ptr<State> &state) {
-    pthread_attr_t attributes;
-    pthread_attr_init(&attributes);
-    pthread_attr_setstacksize(&attributes, StackBytes);
-    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
-    auto argument = std::make_unique<std::shared_ptr<State>>(state);
-    pthread_t thread{};
-    const int failure =
-        pthread_create(&thread, &attributes, main, argument.get());
-    pthread_attr_destroy(&attributes);
-    if (failure == 0)
-      (void)argument.release();
-    return failure == 0;
+  // Starts a thread, which keeps the state alive.
+  static bool grow(const std::shared_ptr<State> &state)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(state->Mutex) {
+    const bool isStarted =
+        state->Settings.StartThread([state] { state->serveUntilIdle(); });
+    if (isStarted)
+      ++state->Threads;
+    return isStarted;
   }
 };
 
@@ -93,27 +90,37 @@
   state.Mutex.Await(absl::Condition(&areThreadsGone));
 }
 
+bool ConnectionThreads::startDetachedThread(std::function<void()> body) {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, StackBytes);
+  pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+  auto argument = std::make_unique<std::function<void()>>(std::move(body));
+  pthread_t thread{};
+  const int failure =
+      pthread_create(&thread, &attributes, runBody, argument.get());
+  pthread_attr_destroy(&attributes);
+  if (failure == 0)
+    (void)argument.release();
+  return failure == 0;
+}
+
 Status ConnectionThreads::serve(ConnectionPtr &connection) {
+  const Error overloaded{ErrorKind::Overloaded,
+                         "too many requests are in progress",
+                         "retry later or at another entry host"};
   State &state = *Shared;
-  bool needsThread = false;
-  bool isSaturated = false;
-  {
-    absl::MutexLock lock(&state.Mutex);
-    needsThread = state.IdleThreads <= state.Waiting.size();
-    isSaturated = needsThread && state.Threads >= state.Settings.MaxThreads;
-    if (state.IsStopping ||
-        (isSaturated && state.Waiting.size() >= state.Settings.MaxWaiting))
-      return Error{ErrorKind::Overloaded, "too many requests are in progress",
-                   "retry later or at another entry host"};
-    state.Waiting.push_back(std::move(connection));
-    if (needsThread && !isSaturated)
-      ++state.Threads;
-  }
-  if (needsThread && !isSaturated && !State::startThread(Shared)) {
-    // The connection waits for a thread that becomes free.
-    absl::MutexLock lock(&state.Mutex);
-    --state.Threads;
+  absl::MutexLock lock(&state.Mutex);
+  if (state.IsStopping)
+    return overloaded;
+  const bool needsThread = state.IdleThreads <= state.Waiting.size();
+  const bool mayGrow = state.Threads < state.Settings.MaxThreads;
+  if (needsThread && !(mayGrow && State::grow(Shared))) {
+    // It can only wait for a thread that becomes free.
+    if (state.Threads == 0 || state.Waiting.size() >= state.Settings.MaxWaiting)
+      return overloaded;
   }
+  state.Waiting.push_back(std::move(connection));
   return Ok{};
 }
 
--- a/jujube/http/connection_threads.h
+++ b/jujube/http/connection_threads.h
@@ -17,6 +17,9 @@
 // while, so that memory follows the load.
 class ConnectionThreads {
 public:
+  // Starts a detached thread that runs the body; false if the system has none.
+  using StartThreadHook = std::function<bool(std::function<void()> body)>;
+
   struct Options {
     std::size_t MaxThreads = 640;
     // Connections with a request that wait for a thread; more are refused.
@@ -26,6 +29,8 @@
     std::function<void(ConnectionPtr)> Serve;
     // Called once no thread is left after stop(); must not call the pool.
     std::function<void()> OnStopped;
+    // Tests set their own.
+    StartThreadHook StartThread = startDetachedThread;
   };
 
   explicit ConnectionThreads(Options options);
@@ -35,13 +40,16 @@
   ConnectionThreads &operator=(const ConnectionThreads &) = delete;
 
   // Hands a connection to a thread. Returns Overloaded, leaving `connection`
-  // as it was, if all threads are taken and too many connections wait.
+  // as it was, if all threads are taken and too many connections wait, or if
+  // there is no thread and none can be started.
   Status serve(ConnectionPtr &connection);
 
   // Takes no more connections; serves those that it has.
   void stop();
 
 private:
+  static bool startDetachedThread(std::function<void()> body);
+
   struct State;
   std::shared_ptr<State> Shared;
 };
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -207,7 +207,11 @@
       (void)closeLongestIdle();
   }
 
-  static void refuse(const Connection &connection) {
+  // Without a handshake there is no way to answer over TLS; the client sees the
+  // end of the connection.
+  void refuse(const Connection &connection) const {
+    if (Plan.Tls)
+      return;
     const std::string body =
         toAnswer(Error{ErrorKind::Overloaded,
                        "this entry host serves as many requests as it can",
