--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -8,6 +8,24 @@
   add_link_options(-fsanitize=address,undefined)
 endif()
 
+# jujube_fuzz_replay(DEPS...): the test binary that runs the body of each target
+# over its corpus, without libFuzzer. Each body gets a name of its own, for
+# example httpFuzz.
+function(jujube_fuzz_replay)
+  file(GLOB TARGETS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/fuzz/*_fuzz.cc)
+  foreach(TARGET ${TARGETS})
+    get_filename_component(NAME ${TARGET} NAME_WE)
+    string(REPLACE "_fuzz" "Fuzz" FUNCTION ${NAME})
+    add_library(${NAME}_body OBJECT ${TARGET})
+    target_compile_definitions(${NAME}_body PRIVATE LLVMFuzzerTestOneInput=${FUNCTION})
+    target_link_libraries(${NAME}_body PRIVATE jujube_options ${ARGN})
+    list(APPEND BODIES $<TARGET_OBJECTS:${NAME}_body>)
+  endforeach()
+  jujube_test(fuzz_test
+    SOURCES ${CMAKE_SOURCE_DIR}/fuzz/replay_test.cc ${CMAKE_SOURCE_DIR}/fuzz/wire_seeds.cc ${BODIES}
+    DEPS ${ARGN})
+endfunction()
+
 function(jujube_fuzzers)
   if(NOT JUJUBE_FUZZ)
     return()
@@ -26,4 +44,7 @@
     target_link_libraries(${NAME} PRIVATE jujube_decoders -fsanitize=fuzzer)
     set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/fuzz)
   endforeach()
+  add_executable(write_wire_seeds fuzz/write_wire_seeds.cc fuzz/wire_seeds.cc)
+  target_link_libraries(write_wire_seeds PRIVATE jujube_decoders)
+  set_target_properties(write_wire_seeds PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/fuzz)
 endfunction()
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,9 +12,12 @@
 for source in fuzz/*_fuzz.cc; do
   targets+=("$(basename "$source" .cc)")
 done
-cmake --build build-fuzz --target "${targets[@]}" | tail -n 1
+cmake --build build-fuzz --target "${targets[@]}" write_wire_seeds | tail -n 1
 for target in "${targets[@]}"; do
   work=$(mktemp -d)
+  if [ "$target" = wire_fuzz ]; then
+    build-fuzz/fuzz/write_wire_seeds "$work"
+  fi
   build-fuzz/fuzz/"$target" -seed=$SEED -runs="$RUNS" -max_len=4096 \
     -timeout=10 -rss_limit_mb=1024 -print_final_stats=1 \
     -artifact_prefix=build-fuzz/"$target"- "$work" \
