jujubectl: a repeated invocation is safe, a file is checked before any edit, waves of cancels

Cause: --id promised that a repeated invocation does nothing twice. The ids of edits were numbered by their place in the plan, and the catalogue tells a resend by the revision too; so the second run of 'team put --id monday' was refused as another edit's id, and the second run of a cut 'catalogue apply' used the first edits' ids for the edits that were left. The test's catalogue took any edit. 'cancel' ended at the first refusal, and took ids only as arguments.

--- a/jujube/ctl/app.cc
+++ b/jujube/ctl/app.cc
@@ -5,14 +5,19 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <optional>
 #include <sstream>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
 #include "jujube/base/digest.h"
+#include "jujube/base/secret_file.h"
 #include "jujube/ctl/table.h"
+#include "jujube/http/bodies.h"
+#include "jujube/http/json.h"
 
 namespace jujube::ctl {
 namespace {
@@ -55,7 +60,8 @@
       {Action::Submit, "ENTRY", 1, 1, submit, "submits a request"},
       {Action::Call, "ENTRY", 1, 1, callLive,
        "sends a live request and prints its answer"},
-      {Action::Cancel, "REQUEST...", 1, AnyNumber, cancel, "cancels requests"},
+      {Action::Cancel, "[REQUEST...]", 0, AnyNumber, cancel,
+       "cancels requests, also by the thousand with --ids-file"},
       {Action::Fate, "REQUEST", 1, 1, showFate,
        "tells what became of a request"},
       {Action::Status, "", 0, 0, showStatus, "shows zones and runners"},
@@ -85,6 +91,8 @@
        "catalogue apply: delete what the file lacks"},
       {"payload", SettingKind::Text, "", "text for the tasks"},
       {"payload-file", SettingKind::Text, "", "file for the tasks"},
+      {"ids-file", SettingKind::Text, "",
+       "cancel: file with a request a line; - for standard input"},
       {"tasks", SettingKind::Integer, "0", "tasks of the request; 0: as entry",
        false, 0, UINT32_MAX},
       {"start-within", SettingKind::Millis, "0",
@@ -112,7 +120,9 @@
         {absl::StrCat("  ", nameIn(ActionNames, row.Name), " ", row.Arguments),
          std::string(row.Help)});
   return absl::StrCat("jujubectl [flags] COMMAND [arguments]\n\n", table.text(),
-                      "\nFlags:");
+                      "\nExit codes: 0 done; 1 refused, or the work ended "
+                      "otherwise than finished; 2 wrong usage; 3 no entry host "
+                      "could be reached\n\nFlags:");
 }
 
 // The command that the words start with; the rest are its arguments.
@@ -158,29 +168,53 @@
   return text.str();
 }
 
-Status readFiles(const Settings &settings, SessionOptions &options) {
-  const std::string &tokenFile = settings.text("operator-token-file");
-  if (!tokenFile.empty()) {
-    const auto token = readWhole("operator-token-file", tokenFile);
-    if (!isOk(token))
-      return errorOf(token);
-    options.OperatorToken =
-        std::string(absl::StripAsciiWhitespace(valueOf(token)));
-  }
-  const std::string &payloadFile = settings.text("payload-file");
-  if (payloadFile.empty())
+Status readPayload(const Settings &settings, SessionOptions &options) {
+  options.Payload = settings.text("payload");
+  const std::string &path = settings.text("payload-file");
+  if (path.empty())
     return Ok{};
   if (!options.Payload.empty())
     return Error{ErrorKind::InvalidArgument,
                  "--payload and --payload-file are both given",
                  "give one of them"};
-  Result<std::string> payload = readWhole("payload-file", payloadFile);
+  Result<std::string> payload = readWhole("payload-file", path);
   if (!isOk(payload))
     return errorOf(payload);
   options.Payload = valueOf(std::move(payload));
   return Ok{};
 }
 
+// A request id a line; empty lines are skipped.
+Status readIds(const Settings &settings, const AppHooks &hooks,
+               SessionOptions &options) {
+  const std::string &path = settings.text("ids-file");
+  if (path.empty())
+    return Ok{};
+  const Result<std::string> text = path == "-"
+                                       ? Result<std::string>(hooks.ReadInput())
+                                       : readWhole("ids-file", path);
+  if (!isOk(text))
+    return errorOf(text);
+  for (absl::string_view line : absl::StrSplit(valueOf(text), '\n'))
+    if (line = absl::StripAsciiWhitespace(line); !line.empty())
+      options.RequestIds.emplace_back(line);
+  return Ok{};
+}
+
+Status readFiles(const Settings &settings, const AppHooks &hooks,
+                 SessionOptions &options) {
+  const std::string &tokenFile = settings.text("operator-token-file");
+  if (!tokenFile.empty()) {
+    Result<std::string> token = readSecretFile(tokenFile);
+    if (!isOk(token))
+      return errorOf(token);
+    options.OperatorToken = valueOf(std::move(token));
+  }
+  if (Status status = readPayload(settings, options); !isOk(status))
+    return status;
+  return readIds(settings, hooks, options);
+}
+
 Result<SessionOptions> readOptions(const Settings &settings,
                                    const AppHooks &hooks) {
   SessionOptions options;
@@ -195,7 +229,6 @@
   options.IsJson = settings.isOn("json");
   options.IsDryRun = settings.isOn("dry-run");
   options.MayDelete = settings.isOn("delete");
-  options.Payload = settings.text("payload");
   options.Tasks = static_cast<uint32_t>(settings.integer("tasks"));
   options.StartWithin = settings.duration("start-within");
   options.Wait = settings.duration("wait");
@@ -206,44 +239,54 @@
                      settings.integer("accelerators")};
   options.Team = settings.text("team");
   options.Class = settings.text("class");
-  if (Status status = readFiles(settings, options); !isOk(status))
+  if (Status status = readFiles(settings, hooks, options); !isOk(status))
     return errorOf(status);
   return options;
 }
 
-ExitCode fail(const AppHooks &hooks, const Error &error, ExitCode code) {
+// Tells an error as a line for people, or as the interface's error body.
+ExitCode fail(const AppHooks &hooks, const Error &error, ExitCode code,
+              bool isJson = false) {
   hooks.Progress("");
-  hooks.PrintError(absl::StrCat("jujubectl: ", error.text(), "\n"));
+  hooks.PrintError(isJson ? http::toJson(http::ErrorBody{error}) + "\n"
+                          : absl::StrCat("jujubectl: ", error.text(), "\n"));
   return code;
 }
 
 ExitCode runAction(const Invocation &invocation, const Settings &settings,
                    const AppHooks &hooks) {
   Result<SessionOptions> options = readOptions(settings, hooks);
+  const bool isJson = settings.isOn("json");
   if (!isOk(options))
-    return fail(hooks, errorOf(options), ExitCode::Usage);
+    return fail(hooks, errorOf(options), ExitCode::Usage, isJson);
   http::Client::Options access;
   access.Servers = settings.addresses("server");
   access.Transport = hooks.Connect(settings.text("tls-ca"));
   access.Sleep = hooks.Sleep;
   Result<http::Client> client = http::Client::create(std::move(access));
   if (!isOk(client))
-    return fail(hooks, errorOf(client), ExitCode::Usage);
+    return fail(hooks, errorOf(client), ExitCode::Usage, isJson);
   const auto print = [&hooks](const std::string &text) {
     hooks.Progress("");
     hooks.Print(text);
   };
+  const auto printError = [&hooks](const std::string &text) {
+    hooks.Progress("");
+    hooks.PrintError(text);
+  };
   Session session{valueOf(std::move(options)),
                   valueOf(std::move(client)),
                   hooks.Time,
                   print,
+                  printError,
                   hooks.Progress,
                   hooks.Random};
   const Result<Verdict> verdict = invocation.Row->Run(session, invocation.Rest);
   if (!isOk(verdict))
     return fail(hooks, errorOf(verdict),
                 session.Api.isUnreachable() ? ExitCode::Unreachable
-                                            : ExitCode::Refused);
+                                            : ExitCode::Refused,
+                isJson);
   return valueOf(verdict) == Verdict::Done ? ExitCode::Done : ExitCode::Refused;
 }
 
@@ -262,6 +305,9 @@
     if (isTerminal)
       std::cerr << "\r\x1b[K" << text << std::flush;
   };
+  hooks.ReadInput = [] {
+    return std::string(std::istreambuf_iterator<char>(std::cin), {});
+  };
   hooks.Random = randomHex;
   return hooks;
 }
--- a/jujube/ctl/app.h
+++ b/jujube/ctl/app.h
@@ -58,7 +58,7 @@
 // What jujubectl exits with.
 enum class ExitCode {
   Done = 0,
-  // Refused with a typed error, or the work failed.
+  // Refused with a typed error, or the work ended otherwise than finished.
   Refused = 1,
   Usage = 2,
   // No entry host could be reached.
@@ -71,6 +71,8 @@
   std::function<void(const std::string &)> Print;
   std::function<void(const std::string &)> PrintError;
   std::function<void(const std::string &)> Progress;
+  // Reads standard input to its end.
+  std::function<std::string()> ReadInput;
   std::function<std::string(std::size_t)> Random;
   std::function<void(Duration)> Sleep;
   EnvironmentHook Environment = readEnvironment;
--- a/jujube/ctl/catalogue_commands.cc
+++ b/jujube/ctl/catalogue_commands.cc
@@ -1,4 +1,4 @@
-// Catalogue, team and key commands.
+// Catalogue commands.
 #include <algorithm>
 #include <fstream>
 #include <iterator>
@@ -6,9 +6,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "jujube/base/digest.h"
 #include "jujube/ctl/catalogue_plan.h"
 #include "jujube/ctl/commands.h"
+#include "jujube/ctl/edits.h"
 #include "jujube/ctl/table.h"
 #include "jujube/http/bodies.h"
 #include "jujube/http/json.h"
@@ -16,10 +16,6 @@
 namespace jujube::ctl {
 namespace {
 
-constexpr std::size_t SaltBytes = 16;
-constexpr std::size_t SecretBytes = 32;
-constexpr std::size_t DigestPartLength = 16;
-
 // Objects that the catalogue commands name on the command line.
 enum class ObjectKind { Team, Entry };
 
@@ -58,48 +54,42 @@
   return file;
 }
 
-void printEdit(Session &session, const PlannedEdit &edit) {
-  std::string text = absl::StrCat(edit.Title, "\n");
-  for (const std::string &line : edit.Details)
-    absl::StrAppend(&text, "    ", line, "\n");
-  session.Print(text);
-}
-
-// Sends one edit and prints what became of it.
-Result<Verdict> editAndPrint(Session &session, catalogue::Change change,
-                             Revision base, const std::string &done) {
-  const auto receipt = sendEdit(session, std::move(change), base, 0);
-  if (!isOk(receipt))
-    return errorOf(receipt);
-  if (session.Options.IsJson)
-    session.Print(http::toJson(valueOf(receipt)) + "\n");
-  else if (session.Options.IsDryRun)
-    session.Print(absl::StrCat("would be done: ", done, "\n"));
-  else
-    session.Print(
-        absl::StrCat(done, " (", receiptText(valueOf(receipt)), ")\n"));
-  return Verdict::Done;
+// Shows the edits to a person. For programs it lists them only if they are not
+// going to be made.
+void printPlan(Session &session, const std::vector<PlannedEdit> &plan) {
+  for (const PlannedEdit &edit : plan) {
+    if (!session.Options.IsJson)
+      session.Print(
+          absl::StrCat(edit.Title, "\n",
+                       absl::StrJoin(edit.Details, "",
+                                     [](std::string *out, const auto &line) {
+                                       absl::StrAppend(out, "    ", line, "\n");
+                                     })));
+    else if (session.Options.IsDryRun)
+      session.Print(http::toJson(catalogue::Edit{{}, edit.Base, edit.What}) +
+                    "\n");
+  }
 }
 
 Result<Verdict> applyPlan(Session &session,
                           const std::vector<PlannedEdit> &plan) {
-  api::EditReceipt last{{}, true};
+  EditOutcome last{{{}, true}};
   for (std::size_t i = 0; i < plan.size(); ++i) {
-    const auto receipt = sendEdit(session, plan[i].What, plan[i].Base, i);
-    if (!isOk(receipt)) {
-      Error error = errorOf(receipt);
+    const auto outcome = sendEdit(session, plan[i].What, plan[i].Base);
+    if (!isOk(outcome)) {
+      Error error = errorOf(outcome);
       error.Message =
           absl::StrCat(plan[i].Title, ": ", error.Message, " (", i, " of ",
                        plan.size(), " edits were made before)");
       return error;
     }
     session.Progress(absl::StrCat("applied ", i + 1, " of ", plan.size()));
-    last = valueOf(receipt);
+    last = valueOf(outcome);
   }
   session.Print(session.Options.IsJson
-                    ? http::toJson(last) + "\n"
+                    ? http::toJson(last.Receipt) + "\n"
                     : absl::StrCat("applied ", plan.size(), " edits (",
-                                   receiptText(last), ")\n"));
+                                   outcomeText(last), ")\n"));
   return Verdict::Done;
 }
 
@@ -114,9 +104,9 @@
     return errorOf(current);
   const std::vector<PlannedEdit> plan =
       planEdits(valueOf(current), valueOf(file), session.Options.MayDelete);
-  if (!session.Options.IsJson)
-    for (const PlannedEdit &edit : plan)
-      printEdit(session, edit);
+  printPlan(session, plan);
+  if (Status status = checkPlan(valueOf(current), plan); !isOk(status))
+    return errorOf(status);
   if (plan.empty()) {
     session.Print(session.Options.IsJson ? http::toJson(api::EditReceipt{
                                                valueOf(current).Latest, true}) +
@@ -124,11 +114,12 @@
                                          : "nothing to change\n");
     return Verdict::Done;
   }
-  if (session.Options.IsDryRun) {
-    session.Print(absl::StrCat("dry run: ", plan.size(), " edits not made\n"));
-    return Verdict::Done;
-  }
-  return applyPlan(session, plan);
+  if (!session.Options.IsDryRun)
+    return applyPlan(session, plan);
+  if (!session.Options.IsJson)
+    session.Print(absl::StrCat("dry run: ", plan.size(),
+                               " edits checked and not made\n"));
+  return Verdict::Done;
 }
 
 Result<Verdict> getCatalogue(Session &session, const Arguments & /*args*/) {
@@ -169,15 +160,8 @@
                  absl::StrCat("give one of ", namesIn(ObjectKindNames))};
   if (*kind == ObjectKind::Team)
     return deleteTeam(session, {args[1]});
-  const Result<EntryId> id = EntryId::parse(args[1]);
-  if (!isOk(id))
-    return errorOf(id);
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  return editAndPrint(session, catalogue::DeleteEntry{valueOf(id)},
-                      changedAt(valueOf(contents).Entries, valueOf(id)),
-                      "deleted entry " + args[1]);
+  return removeObject<catalogue::DeleteEntry>(
+      session, args[1], &catalogue::Contents::Entries, "deleted entry");
 }
 
 Result<Verdict> showHistory(Session &session, const Arguments & /*args*/) {
@@ -198,114 +182,4 @@
   return Verdict::Done;
 }
 
-Result<Verdict> putTeam(Session &session, const Arguments &args) {
-  const Result<TeamId> id = TeamId::parse(args[0]);
-  if (!isOk(id))
-    return errorOf(id);
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  catalogue::Team team{valueOf(id)};
-  for (const auto &old : valueOf(contents).Teams)
-    if (old.Value.Id == team.Id)
-      team = old.Value;
-  const SessionOptions &options = session.Options;
-  if (options.Share >= 0)
-    team.Share = static_cast<uint32_t>(options.Share);
-  const auto replace = [](int64_t wanted, int64_t &amount) {
-    if (wanted >= 0)
-      amount = wanted;
-  };
-  replace(options.Ceiling.MilliCpu, team.Ceiling.MilliCpu);
-  replace(options.Ceiling.MemoryMb, team.Ceiling.MemoryMb);
-  replace(options.Ceiling.Accelerators, team.Ceiling.Accelerators);
-  return editAndPrint(session, catalogue::PutTeam{team},
-                      changedAt(valueOf(contents).Teams, team.Id),
-                      absl::StrCat("team ", args[0], ": share ", team.Share,
-                                   ", ceiling ", resourcesText(team.Ceiling)));
-}
-
-Result<Verdict> listTeams(Session &session, const Arguments & /*args*/) {
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  if (session.Options.IsJson) {
-    session.Print(http::toJson(valueOf(contents)) + "\n");
-    return Verdict::Done;
-  }
-  Table table({"TEAM", "SHARE", "CEILING", "CHANGED"});
-  for (const auto &[team, changed] : valueOf(contents).Teams)
-    table.add({team.Id.str(), absl::StrCat(team.Share),
-               resourcesText(team.Ceiling), absl::StrCat(changed.Value)});
-  session.Print(table.text());
-  return Verdict::Done;
-}
-
-Result<Verdict> deleteTeam(Session &session, const Arguments &args) {
-  const Result<TeamId> id = TeamId::parse(args[0]);
-  if (!isOk(id))
-    return errorOf(id);
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  return editAndPrint(session, catalogue::DeleteTeam{valueOf(id)},
-                      changedAt(valueOf(contents).Teams, valueOf(id)),
-                      "deleted team " + args[0]);
-}
-
-Result<Verdict> issueKey(Session &session, const Arguments &args) {
-  const Result<TeamId> team = TeamId::parse(args[0]);
-  if (!isOk(team))
-    return errorOf(team);
-  const Result<KeyId> id = KeyId::parse(
-      args.size() > 1 ? args[1]
-                      : absl::StrCat(args[0], "-", session.Random(4)));
-  if (!isOk(id))
-    return errorOf(id);
-  const std::string secret = session.Random(SecretBytes);
-  const std::string salt = session.Random(SaltBytes);
-  const catalogue::Key key{valueOf(id), valueOf(team), salt,
-                           saltedDigest(salt, secret)};
-  // A repeated invocation makes another secret, so it is another edit; the
-  // catalogue refuses it because the key exists.
-  absl::StrAppend(&session.Options.Id, "-",
-                  key.Digest.substr(0, DigestPartLength));
-  const auto receipt = sendEdit(session, catalogue::IssueKey{key}, {}, 0);
-  if (!isOk(receipt)) {
-    Error error = errorOf(receipt);
-    if (session.Api.isUnreachable())
-      error.Remedy = absl::StrCat(
-          "see 'jujubectl key list' and withdraw ", key.Id.str(),
-          " if it is there: its secret was not shown; then issue another");
-    return error;
-  }
-  session.Print(absl::StrCat(key.Id.str(), ".", secret, "\n"));
-  return Verdict::Done;
-}
-
-Result<Verdict> withdrawKey(Session &session, const Arguments &args) {
-  const Result<KeyId> id = KeyId::parse(args[0]);
-  if (!isOk(id))
-    return errorOf(id);
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  return editAndPrint(session, catalogue::WithdrawKey{valueOf(id)},
-                      changedAt(valueOf(contents).Keys, valueOf(id)),
-                      "withdrew key " + args[0]);
-}
-
-Result<Verdict> listKeys(Session &session, const Arguments &args) {
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  Table table({"KEY", "TEAM", "ISSUED"});
-  for (const auto &[key, changed] : valueOf(contents).Keys)
-    if (args.empty() || key.Team.str() == args[0])
-      table.add({key.Id.str(), key.Team.str(), absl::StrCat(changed.Value)});
-  session.Print(session.Options.IsJson ? http::toJson(valueOf(contents)) + "\n"
-                                       : table.text());
-  return Verdict::Done;
-}
-
 } // namespace jujube::ctl
--- a/jujube/ctl/catalogue_plan.cc
+++ b/jujube/ctl/catalogue_plan.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "absl/strings/str_cat.h"
+#include "jujube/catalogue/catalogue.h"
 #include "jujube/http/json.h"
 
 namespace jujube::ctl {
@@ -97,4 +98,23 @@
   return plan;
 }
 
+Status checkPlan(const catalogue::Contents &current,
+                 const std::vector<PlannedEdit> &plan) {
+  Result<catalogue::Catalogue> copy =
+      catalogue::Catalogue::fromContents(current);
+  if (!isOk(copy))
+    return errorOf(copy);
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    const auto verdict = valueOf(copy).apply(
+        {EditId(absl::StrCat("check-", i)), plan[i].Base, plan[i].What});
+    if (isOk(verdict))
+      continue;
+    Error error = errorOf(verdict);
+    error.Message =
+        absl::StrCat(plan[i].Title, ": ", error.Message, " (no edit was made)");
+    return error;
+  }
+  return Ok{};
+}
+
 } // namespace jujube::ctl
--- a/jujube/ctl/catalogue_plan.h
+++ b/jujube/ctl/catalogue_plan.h
@@ -28,6 +28,11 @@
                                    const http::CatalogueFile &wanted,
                                    bool mayDelete);
 
+// Makes the edits on a copy of the catalogue, as a keeper would. Returns the
+// first one's error, with the edit's title, if any would be refused.
+Status checkPlan(const catalogue::Contents &current,
+                 const std::vector<PlannedEdit> &plan);
+
 } // namespace jujube::ctl
 
 #endif // JUJUBE_CTL_CATALOGUE_PLAN_H_
--- a/jujube/ctl/session.h
+++ b/jujube/ctl/session.h
@@ -50,6 +50,8 @@
   // Filters of histograms; empty for all.
   std::string Team;
   std::string Class;
+  // Requests to cancel, read from --ids-file.
+  std::vector<std::string> RequestIds;
 };
 
 struct Session {
@@ -58,6 +60,8 @@
   Clock Time;
   // Writes to standard output.
   std::function<void(const std::string &)> Print;
+  // Writes to standard error.
+  std::function<void(const std::string &)> PrintError;
   // Replaces the line that tells how far a wait is; does nothing unless a
   // person watches.
   std::function<void(const std::string &)> Progress;
@@ -67,28 +71,6 @@
 
 using Arguments = std::vector<std::string>;
 
-// Sends an edit of the object that was last changed at `base`. `step` tells the
-// edits of one invocation apart.
-Result<api::EditReceipt> sendEdit(Session &session, catalogue::Change change,
-                                  Revision base, std::size_t step);
-
-// Reads the catalogue.
-Result<catalogue::Contents> readCatalogue(Session &session);
-
-// "revision 12, in force" or how it is not.
-std::string receiptText(const api::EditReceipt &receipt);
-
-// The revision at which the object with that id was last changed; 0 if there
-// is none.
-template <typename T, typename Id>
-Revision changedAt(const std::vector<catalogue::Versioned<T>> &objects,
-                   const Id &id) {
-  for (const auto &object : objects)
-    if (object.Value.Id == id)
-      return object.Changed;
-  return {};
-}
-
 } // namespace jujube::ctl
 
 #endif // JUJUBE_CTL_SESSION_H_
--- a/jujube/ctl/work_commands.cc
+++ b/jujube/ctl/work_commands.cc
@@ -1,5 +1,7 @@
 // Commands for requests, and for the state of the fleet.
 #include <algorithm>
+#include <iterator>
+#include <map>
 
 #include "absl/strings/str_cat.h"
 #include "jujube/ctl/commands.h"
@@ -38,6 +40,22 @@
   return RequestId::parse(text);
 }
 
+// What a new request is called and which entry it is for.
+struct NewRequest {
+  EntryId Entry;
+  RequestId Id;
+};
+
+Result<NewRequest> nameRequest(Session &session, const std::string &entryText) {
+  Result<EntryId> entry = EntryId::parse(entryText);
+  if (!isOk(entry))
+    return errorOf(entry);
+  Result<RequestId> id = newRequestId(session);
+  if (!isOk(id))
+    return errorOf(id);
+  return NewRequest{valueOf(std::move(entry)), valueOf(std::move(id))};
+}
+
 Result<fate::FateView> readFate(Session &session, const RequestId &id,
                                 Duration wait) {
   return session.Api.callFor<fate::FateView>(
@@ -107,6 +125,55 @@
              : Verdict::Done;
 }
 
+// What became of the requests of one cancel command.
+struct CancelTally {
+  std::map<fate::FateState, std::size_t> ByState;
+  std::size_t Refused = 0;
+
+  std::size_t answered() const {
+    std::size_t n = Refused;
+    for (const auto &[state, count] : ByState)
+      n += count;
+    return n;
+  }
+
+  std::string text() const {
+    std::string text = absl::StrCat(answered(), " requests:");
+    for (const auto &[state, count] : ByState)
+      absl::StrAppend(&text, " ", count, " ",
+                      nameIn(fate::FateStateNames, state), ",");
+    return absl::StrCat(text, " ", Refused, " refused\n");
+  }
+
+  Error unreachable(std::size_t total, Error error) const {
+    error.Message = absl::StrCat(error.Message, " (", answered(), " of ", total,
+                                 " requests were answered)");
+    error.Remedy =
+        absl::StrCat(error.Remedy, "; then repeat the command, since "
+                                   "cancelling twice changes nothing");
+    return error;
+  }
+};
+
+Result<fate::FateView> cancelOne(Session &session, const std::string &text) {
+  const Result<RequestId> id = RequestId::parse(text);
+  if (!isOk(id))
+    return errorOf(id);
+  return session.Api.callFor<fate::FateView>(
+      {http::Method::Post, absl::StrCat("/v1/requests/", text, "/cancel"),
+       session.Options.PresentedKey});
+}
+
+// One request is shown in full, many with a line each.
+void printCancelled(Session &session, const fate::FateView &view,
+                    std::size_t total) {
+  if (session.Options.IsJson || total == 1)
+    (void)printFate(session, view);
+  else
+    session.Print(absl::StrCat(view.Request.str(), " ",
+                               nameIn(fate::FateStateNames, view.State), "\n"));
+}
+
 bool isSelected(const SessionOptions &options, const Arguments &args,
                 const metrics::HistogramValue &histogram) {
   return (args.empty() || histogram.Name == args[0]) &&
@@ -117,13 +184,11 @@
 } // namespace
 
 Result<Verdict> submit(Session &session, const Arguments &args) {
-  const Result<EntryId> entry = EntryId::parse(args[0]);
-  if (!isOk(entry))
-    return errorOf(entry);
-  const Result<RequestId> id = newRequestId(session);
-  if (!isOk(id))
-    return errorOf(id);
-  http::SubmitBody body{valueOf(id), valueOf(entry), session.Options.Payload};
+  const Result<NewRequest> named = nameRequest(session, args[0]);
+  if (!isOk(named))
+    return errorOf(named);
+  const auto &[entry, id] = valueOf(named);
+  http::SubmitBody body{id, entry, session.Options.Payload};
   if (session.Options.Tasks > 0)
     body.Tasks = session.Options.Tasks;
   body.StartWithin = session.Options.StartWithin;
@@ -136,26 +201,23 @@
     return printFate(session, valueOf(view));
   Error error = errorOf(view);
   if (session.Api.isUnreachable())
-    error.Remedy = absl::StrCat("resend it with --id ", valueOf(id).str());
+    error.Remedy = absl::StrCat("resend it with --id ", id.str());
   return error;
 }
 
 Result<Verdict> callLive(Session &session, const Arguments &args) {
-  const Result<EntryId> entry = EntryId::parse(args[0]);
-  if (!isOk(entry))
-    return errorOf(entry);
-  const Result<RequestId> id = newRequestId(session);
-  if (!isOk(id))
-    return errorOf(id);
-  const http::CallBody body{valueOf(id), session.Options.Payload,
+  const Result<NewRequest> named = nameRequest(session, args[0]);
+  if (!isOk(named))
+    return errorOf(named);
+  const auto &[entry, id] = valueOf(named);
+  const http::CallBody body{id, session.Options.Payload,
                             session.Options.Timeout};
   // Only the system knows whether the work may run twice, so a lost answer is
   // not followed by a resend.
-  http::HttpCall call{
-      http::Method::Post,
-      absl::StrCat("/v1/entries/", valueOf(entry).str(), "/call"),
-      session.Options.PresentedKey, http::toJson(body),
-      session.Options.Timeout + AnswerSlack};
+  http::HttpCall call{http::Method::Post,
+                      absl::StrCat("/v1/entries/", entry.str(), "/call"),
+                      session.Options.PresentedKey, http::toJson(body),
+                      session.Options.Timeout + AnswerSlack};
   call.MayResend = false;
   const auto answer = session.Api.callFor<api::LiveAnswer>(call);
   if (!isOk(answer))
@@ -166,18 +228,30 @@
 }
 
 Result<Verdict> cancel(Session &session, const Arguments &args) {
-  for (const std::string &text : args) {
-    const Result<RequestId> id = RequestId::parse(text);
-    if (!isOk(id))
-      return errorOf(id);
-    const auto view = session.Api.callFor<fate::FateView>(
-        {http::Method::Post, absl::StrCat("/v1/requests/", text, "/cancel"),
-         session.Options.PresentedKey});
-    if (!isOk(view))
-      return errorOf(view);
-    (void)printFate(session, valueOf(view));
+  Arguments ids = args;
+  std::ranges::copy(session.Options.RequestIds, std::back_inserter(ids));
+  if (ids.empty())
+    return Error{ErrorKind::InvalidArgument, "no request is named",
+                 "write: jujubectl cancel REQUEST..., or name a file with "
+                 "--ids-file"};
+  CancelTally tally;
+  for (const std::string &id : ids) {
+    const auto view = cancelOne(session, id);
+    if (isOk(view)) {
+      ++tally.ByState[valueOf(view).State];
+      printCancelled(session, valueOf(view), ids.size());
+    } else if (session.Api.isUnreachable()) {
+      return tally.unreachable(ids.size(), errorOf(view));
+    } else {
+      ++tally.Refused;
+      session.PrintError(absl::StrCat(id, ": ", errorOf(view).text(), "\n"));
+    }
+    session.Progress(
+        absl::StrCat("cancelled ", tally.answered(), " of ", ids.size()));
   }
-  return Verdict::Done;
+  if (ids.size() > 1 && !session.Options.IsJson)
+    session.Print(tally.text());
+  return tally.Refused == 0 ? Verdict::Done : Verdict::WorkFailed;
 }
 
 Result<Verdict> showFate(Session &session, const Arguments &args) {
--- a/jujube/http/bodies.h
+++ b/jujube/http/bodies.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "jujube/api/commands.h"
 #include "jujube/base/clock.h"
 #include "jujube/base/ids.h"
 #include "jujube/base/result.h"
@@ -44,6 +45,17 @@
   bool operator==(const CatalogueFile &) const = default;
 };
 
+// What jujubectl prints of a key that it has issued.
+struct IssuedKey {
+  KeyId Id;
+  TeamId Team;
+  // "KEYID.SECRET".
+  std::string Presented;
+  api::EditReceipt Receipt;
+
+  bool operator==(const IssuedKey &) const = default;
+};
+
 // The body of every answer that reports an error.
 struct ErrorBody {
   Error Problem;
--- a/jujube/http/descriptions.h
+++ b/jujube/http/descriptions.h
@@ -257,6 +257,13 @@
   v.required("is_in_force", x.IsInForce);
 }
 
+template <typename V> void fields(V &v, IssuedKey &x) {
+  v.required("id", x.Id);
+  v.required("team", x.Team);
+  v.required("key", x.Presented);
+  v.required("receipt", x.Receipt);
+}
+
 // ---- Status and metrics ----
 
 template <typename V> void fields(V &v, api::ZoneStatus &x) {
--- a/jujube/http/json.cc
+++ b/jujube/http/json.cc
@@ -73,6 +73,7 @@
 JUJUBE_JSON(CallBody)
 JUJUBE_JSON(DoneBody)
 JUJUBE_JSON(CatalogueFile)
+JUJUBE_JSON(IssuedKey)
 JUJUBE_JSON(ErrorBody)
 
 #undef JUJUBE_JSON
