--- a/jujube/catalogue/catalogue.cc
+++ b/jujube/catalogue/catalogue.cc
@@ -117,6 +117,8 @@
 }
 
 Result<TeamId> Catalogue::authenticate(absl::string_view presented) const {
+  if (presented.empty())
+    return unauthenticated("no key was presented");
   const std::size_t dot = presented.rfind('.');
   if (dot == absl::string_view::npos || dot == 0 || dot + 1 == presented.size())
     return unauthenticated("the key does not have the form KEYID.SECRET");
--- a/jujube/catalogue/catalogue_test.cc
+++ b/jujube/catalogue/catalogue_test.cc
@@ -186,6 +186,8 @@
   accept(catalogue, editOf("a", 0, PutTeam{teamOf("events")}));
   accept(catalogue, editOf("b", 0, IssueKey{keyOf("k.1", "events", "s1")}));
   BOOST_TEST(valueOf(catalogue.authenticate("k.1.s1")).str() == "events");
+  BOOST_TEST(errorOf(catalogue.authenticate("")).Message ==
+             "no key was presented");
   for (const std::string bad : {"k.1.s2", "k.1.", "k", "", ".s1", "k2.s1"})
     BOOST_TEST((errorOf(catalogue.authenticate(bad)).Kind ==
                 ErrorKind::Unauthenticated));
--- a/jujube/ctl/app.cc
+++ b/jujube/ctl/app.cc
@@ -60,8 +60,8 @@
       {Action::Submit, "ENTRY", 1, 1, submit, "submits a request"},
       {Action::Call, "ENTRY", 1, 1, callLive,
        "sends a live request and prints its answer"},
-      {Action::Cancel, "[REQUEST...]", 0, AnyNumber, cancel,
-       "cancels requests, also by the thousand with --ids-file"},
+      {Action::Cancel, "REQUEST...", 1, AnyNumber, cancel,
+       "cancels requests; by the thousand with --ids-file"},
       {Action::Fate, "REQUEST", 1, 1, showFate,
        "tells what became of a request"},
       {Action::Status, "", 0, 0, showStatus, "shows zones and runners"},
@@ -142,13 +142,7 @@
     });
     if (it == actions().end())
       continue;
-    Invocation found{&*it, Arguments(words.begin() + n, words.end())};
-    if (found.Rest.size() >= it->MinArguments &&
-        found.Rest.size() <= it->MaxArguments)
-      return found;
-    return Error{ErrorKind::InvalidArgument,
-                 absl::StrCat("'", name, "' takes other arguments"),
-                 absl::StrCat("write: jujubectl ", name, " ", it->Arguments)};
+    return Invocation{&*it, Arguments(words.begin() + n, words.end())};
   }
   return Error{ErrorKind::InvalidArgument,
                words.empty() ? "no command was given"
@@ -168,6 +162,17 @@
   return text.str();
 }
 
+Status checkArguments(const Invocation &invocation) {
+  const ActionRow &row = *invocation.Row;
+  if (invocation.Rest.size() >= row.MinArguments &&
+      invocation.Rest.size() <= row.MaxArguments)
+    return Ok{};
+  const absl::string_view name = nameIn(ActionNames, row.Name);
+  return Error{ErrorKind::InvalidArgument,
+               absl::StrCat("'", name, "' takes other arguments"),
+               absl::StrCat("write: jujubectl ", name, " ", row.Arguments)};
+}
+
 Status readPayload(const Settings &settings, SessionOptions &options) {
   options.Payload = settings.text("payload");
   const std::string &path = settings.text("payload-file");
@@ -184,9 +189,9 @@
   return Ok{};
 }
 
-// A request id a line; empty lines are skipped.
+// Adds the arguments of --ids-file: one a line, without empty lines.
 Status readIds(const Settings &settings, const AppHooks &hooks,
-               SessionOptions &options) {
+               Arguments &args) {
   const std::string &path = settings.text("ids-file");
   if (path.empty())
     return Ok{};
@@ -197,12 +202,11 @@
     return errorOf(text);
   for (absl::string_view line : absl::StrSplit(valueOf(text), '\n'))
     if (line = absl::StripAsciiWhitespace(line); !line.empty())
-      options.RequestIds.emplace_back(line);
+      args.emplace_back(line);
   return Ok{};
 }
 
-Status readFiles(const Settings &settings, const AppHooks &hooks,
-                 SessionOptions &options) {
+Status readFiles(const Settings &settings, SessionOptions &options) {
   const std::string &tokenFile = settings.text("operator-token-file");
   if (!tokenFile.empty()) {
     Result<std::string> token = readSecretFile(tokenFile);
@@ -210,9 +214,7 @@
       return errorOf(token);
     options.OperatorToken = valueOf(std::move(token));
   }
-  if (Status status = readPayload(settings, options); !isOk(status))
-    return status;
-  return readIds(settings, hooks, options);
+  return readPayload(settings, options);
 }
 
 Result<SessionOptions> readOptions(const Settings &settings,
@@ -239,7 +241,7 @@
                      settings.integer("accelerators")};
   options.Team = settings.text("team");
   options.Class = settings.text("class");
-  if (Status status = readFiles(settings, hooks, options); !isOk(status))
+  if (Status status = readFiles(settings, options); !isOk(status))
     return errorOf(status);
   return options;
 }
@@ -253,10 +255,14 @@
   return code;
 }
 
-ExitCode runAction(const Invocation &invocation, const Settings &settings,
+ExitCode runAction(Invocation invocation, const Settings &settings,
                    const AppHooks &hooks) {
   Result<SessionOptions> options = readOptions(settings, hooks);
   const bool isJson = settings.isOn("json");
+  if (Status status = readIds(settings, hooks, invocation.Rest); !isOk(status))
+    return fail(hooks, errorOf(status), ExitCode::Usage, isJson);
+  if (Status status = checkArguments(invocation); !isOk(status))
+    return fail(hooks, errorOf(status), ExitCode::Usage, isJson);
   if (!isOk(options))
     return fail(hooks, errorOf(options), ExitCode::Usage, isJson);
   http::Client::Options access;
--- a/jujube/ctl/ctl_test.cc
+++ b/jujube/ctl/ctl_test.cc
@@ -291,7 +291,10 @@
   for (int i = 0; i < 2000; ++i)
     absl::StrAppend(&world.In, "pf.r", i, "\n");
   BOOST_TEST((world.run({"cancel", "--ids-file", "-"}) == ExitCode::Refused));
-  BOOST_TEST(world.Commands.size() == 2002U);
+  BOOST_REQUIRE(world.Commands.size() == 2002U);
+  // The last first, so that nothing starts in the place of what is stopped.
+  BOOST_TEST(std::get<api::Cancel>(world.Commands.front()).Request.str() ==
+             "pf.r1999");
   BOOST_TEST(absl::StrContains(
       world.Out, "2003 requests: 1 finished, 2000 cancelled, 2 refused\n"));
   BOOST_TEST(absl::StrContains(world.Err, "pf.gone: not_found: nothing there"));
@@ -307,7 +310,7 @@
       (world.run({"cancel", "--ids-file", "-"}) == ExitCode::Unreachable));
   BOOST_TEST(absl::StrContains(world.Err, "1 of 3 requests were answered"));
   BOOST_TEST(absl::StrContains(world.Err, "repeat the command"));
-  BOOST_TEST((world.run({"cancel"}) == ExitCode::Refused));
+  BOOST_TEST((world.run({"cancel"}) == ExitCode::Usage));
 }
 
 BOOST_AUTO_TEST_CASE(AKeyIsShownOnceAndOnlyItsDigestIsSent) {
--- a/jujube/ctl/session.h
+++ b/jujube/ctl/session.h
@@ -50,8 +50,6 @@
   // Filters of histograms; empty for all.
   std::string Team;
   std::string Class;
-  // Requests to cancel, read from --ids-file.
-  std::vector<std::string> RequestIds;
 };
 
 struct Session {
--- a/jujube/ctl/work_commands.cc
+++ b/jujube/ctl/work_commands.cc
@@ -1,7 +1,7 @@
 // Commands for requests, and for the state of the fleet.
 #include <algorithm>
-#include <iterator>
 #include <map>
+#include <ranges>
 
 #include "absl/strings/str_cat.h"
 #include "jujube/ctl/commands.h"
@@ -125,6 +125,13 @@
              : Verdict::Done;
 }
 
+// What a cancel has come to. Tasks that run are stopped by their workers, which
+// takes a moment.
+absl::string_view cancelledText(fate::FateState state) {
+  return fate::isTerminal(state) ? nameIn(fate::FateStateNames, state)
+                                 : "being stopped";
+}
+
 // What became of the requests of one cancel command.
 struct CancelTally {
   std::map<fate::FateState, std::size_t> ByState;
@@ -140,8 +147,7 @@
   std::string text() const {
     std::string text = absl::StrCat(answered(), " requests:");
     for (const auto &[state, count] : ByState)
-      absl::StrAppend(&text, " ", count, " ",
-                      nameIn(fate::FateStateNames, state), ",");
+      absl::StrAppend(&text, " ", count, " ", cancelledText(state), ",");
     return absl::StrCat(text, " ", Refused, " refused\n");
   }
 
@@ -159,19 +165,18 @@
   const Result<RequestId> id = RequestId::parse(text);
   if (!isOk(id))
     return errorOf(id);
-  return session.Api.callFor<fate::FateView>(
+  auto view = session.Api.callFor<fate::FateView>(
       {http::Method::Post, absl::StrCat("/v1/requests/", text, "/cancel"),
        session.Options.PresentedKey});
+  return isOk(view) ? awaitEnd(session, valueOf(std::move(view))) : view;
 }
 
-// One request is shown in full, many with a line each.
-void printCancelled(Session &session, const fate::FateView &view,
-                    std::size_t total) {
-  if (session.Options.IsJson || total == 1)
-    (void)printFate(session, view);
+void printCancelled(Session &session, const fate::FateView &view) {
+  if (session.Options.IsJson)
+    session.Print(http::toJson(view) + "\n");
   else
-    session.Print(absl::StrCat(view.Request.str(), " ",
-                               nameIn(fate::FateStateNames, view.State), "\n"));
+    session.Print(
+        absl::StrCat(view.Request.str(), " ", cancelledText(view.State), "\n"));
 }
 
 bool isSelected(const SessionOptions &options, const Arguments &args,
@@ -227,29 +232,25 @@
   return Verdict::Done;
 }
 
+// From the last to the first: the requests that were submitted first run first,
+// and work that is queued behind them must not start while they are stopped.
 Result<Verdict> cancel(Session &session, const Arguments &args) {
-  Arguments ids = args;
-  std::ranges::copy(session.Options.RequestIds, std::back_inserter(ids));
-  if (ids.empty())
-    return Error{ErrorKind::InvalidArgument, "no request is named",
-                 "write: jujubectl cancel REQUEST..., or name a file with "
-                 "--ids-file"};
   CancelTally tally;
-  for (const std::string &id : ids) {
+  for (const std::string &id : args | std::views::reverse) {
     const auto view = cancelOne(session, id);
     if (isOk(view)) {
       ++tally.ByState[valueOf(view).State];
-      printCancelled(session, valueOf(view), ids.size());
+      printCancelled(session, valueOf(view));
     } else if (session.Api.isUnreachable()) {
-      return tally.unreachable(ids.size(), errorOf(view));
+      return tally.unreachable(args.size(), errorOf(view));
     } else {
       ++tally.Refused;
       session.PrintError(absl::StrCat(id, ": ", errorOf(view).text(), "\n"));
     }
     session.Progress(
-        absl::StrCat("cancelled ", tally.answered(), " of ", ids.size()));
+        absl::StrCat("cancelled ", tally.answered(), " of ", args.size()));
   }
-  if (ids.size() > 1 && !session.Options.IsJson)
+  if (args.size() > 1 && !session.Options.IsJson)
     session.Print(tally.text());
   return tally.Refused == 0 ? Verdict::Done : Verdict::WorkFailed;
 }
