TLS and secret files for every program, with errors that name the remedy

Cause: workers and runners could not speak TLS to an entry host that serves it. A certificate that was not accepted was told as 'no connection'.

--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -1,9 +1,6 @@
 #include "jujube/daemon/daemon.h"
 
-#include <sys/stat.h>
-
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <utility>
 
@@ -13,26 +10,6 @@
 
 namespace jujube::daemon {
 
-Result<std::string> readSecret(const std::string &path) {
-  struct stat info {};
-  if (stat(path.c_str(), &info) != 0)
-    return Error{
-        ErrorKind::InvalidArgument, absl::StrCat("no file ", path),
-        "create it with a random line, for example from openssl rand -hex 24"};
-  if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0)
-    return Error{ErrorKind::PermissionDenied,
-                 absl::StrCat("others may read the secret in ", path),
-                 absl::StrCat("chmod 600 ", path)};
-  std::ifstream file(path);
-  std::string line;
-  std::getline(file, line);
-  if (line.size() < MinSecretChars)
-    return Error{ErrorKind::InvalidArgument,
-                 absl::StrCat("the secret in ", path, " is too short"),
-                 absl::StrCat("use at least ", MinSecretChars, " characters")};
-  return line;
-}
-
 Result<std::vector<consensus::Peer>> parsePeers(absl::string_view text) {
   std::vector<consensus::Peer> peers;
   for (absl::string_view item :
--- a/jujube/daemon/daemon.h
+++ b/jujube/daemon/daemon.h
@@ -14,11 +14,6 @@
 
 namespace jujube::daemon {
 
-// Reads a secret of at least MinSecretChars characters from the first line of a
-// file that only its owner may read.
-inline constexpr std::size_t MinSecretChars = 16;
-Result<std::string> readSecret(const std::string &path);
-
 // Parses "HOST=IP:PORT,HOST=IP:PORT".
 Result<std::vector<consensus::Peer>> parsePeers(absl::string_view text);
 
--- a/jujube/daemon/identity.cc
+++ b/jujube/daemon/identity.cc
@@ -1,6 +1,6 @@
 #include "jujube/daemon/identity.h"
 
-#include "jujube/daemon/daemon.h"
+#include "jujube/base/secret_file.h"
 
 namespace jujube::daemon {
 
@@ -16,7 +16,7 @@
       return errorOf(zone);
     identity.Zone = valueOf(zone);
   }
-  auto token = readSecret(settings.text("fleet-token-file"));
+  auto token = readSecretFile(settings.text("fleet-token-file"));
   if (!isOk(token))
     return errorOf(token);
   identity.FleetToken = valueOf(token);
--- a/jujube/http/client.cc
+++ b/jujube/http/client.cc
@@ -56,13 +56,19 @@
   return client.Post(call.Target, headers, call.Body, "application/json");
 }
 
-bool isNotConnected(httplib::Error error) {
-  return error == httplib::Error::Connection ||
-         error == httplib::Error::BindIPAddress ||
-         error == httplib::Error::ConnectionTimeout ||
-         error == httplib::Error::SSLConnection ||
-         error == httplib::Error::SSLLoadingCerts ||
-         error == httplib::Error::SSLServerVerification;
+TransportFailure failureOf(httplib::Error error) {
+  switch (error) {
+  case httplib::Error::Connection:
+  case httplib::Error::BindIPAddress:
+  case httplib::Error::ConnectionTimeout:
+    return TransportFailure::NotConnected;
+  case httplib::Error::SSLConnection:
+  case httplib::Error::SSLLoadingCerts:
+  case httplib::Error::SSLServerVerification:
+    return TransportFailure::NotTrusted;
+  default:
+    return TransportFailure::NoAnswer;
+  }
 }
 
 Error errorIn(const HttpReply &reply) {
@@ -75,16 +81,24 @@
                "check that the server addresses are those of entry hosts"};
 }
 
-Error unreachable(const Address &address) {
-  return Error{ErrorKind::Unavailable,
-               absl::StrCat("no connection to ", address.str()),
-               "check the server addresses and that the entry host runs"};
-}
-
-Error lostAnswer(const Address &address) {
-  return Error{ErrorKind::DeadlineExceeded,
-               absl::StrCat("the answer of ", address.str(), " was lost"),
-               "ask for the fate, or resend with the same id if that is safe"};
+Error failureError(TransportFailure failure, const Address &address) {
+  switch (failure) {
+  case TransportFailure::NotConnected:
+    return {ErrorKind::Unavailable,
+            absl::StrCat("no connection to ", address.str()),
+            "check the server addresses and that the entry host runs"};
+  case TransportFailure::NotTrusted:
+    return {ErrorKind::Unavailable,
+            absl::StrCat("no trusted TLS connection to ", address.str()),
+            "check that the entry host serves TLS, that its certificate names "
+            "this address, and that --tls-ca is the PEM file of its authority"};
+  case TransportFailure::NoAnswer:
+    break;
+  }
+  return {ErrorKind::DeadlineExceeded,
+          absl::StrCat("the answer of ", address.str(), " was lost"),
+          "ask for the fate, or resend with the same id if that is safe; an "
+          "entry host that serves TLS needs --tls-ca"};
 }
 
 } // namespace
@@ -99,10 +113,9 @@
     const httplib::Result answer = send(client, call);
     if (answer)
       return HttpReply{answer->status, answer->body};
-    const bool isNotSent = isNotConnected(answer.error());
+    const TransportFailure failure = failureOf(answer.error());
     open->Open.erase(address);
-    return isNotSent ? TransportFailure::NotConnected
-                     : TransportFailure::NoAnswer;
+    return failure;
   };
 }
 
@@ -125,12 +138,12 @@
     const Address &server = Settings.Servers[Preferred];
     const TransportOutcome outcome = Settings.Transport(server, call);
     if (const auto *failure = std::get_if<TransportFailure>(&outcome)) {
-      const bool isSafe = *failure == TransportFailure::NotConnected;
-      if (!isSafe && !call.MayResend)
-        return lostAnswer(server);
+      const bool mayHaveRun = *failure == TransportFailure::NoAnswer;
+      if (mayHaveRun && !call.MayResend)
+        return failureError(*failure, server);
       // A typed error says more than a connection that failed after it.
       if (IsUnreachable)
-        last = isSafe ? unreachable(server) : lostAnswer(server);
+        last = failureError(*failure, server);
     } else {
       IsUnreachable = false;
       const auto &reply = std::get<HttpReply>(outcome);
--- a/jujube/http/client.h
+++ b/jujube/http/client.h
@@ -43,6 +43,8 @@
   NotConnected,
   // It may have been executed.
   NoAnswer,
+  // The request did not leave: the server's certificate was not accepted.
+  NotTrusted,
 };
 
 using TransportOutcome = std::variant<HttpReply, TransportFailure>;
--- a/jujube/http/server_test.cc
+++ b/jujube/http/server_test.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <future>
+#include <map>
 #include <thread>
 
 #include "absl/strings/match.h"
@@ -15,6 +16,7 @@
 #include "absl/synchronization/notification.h"
 #include "httplib.h"
 #include "jujube/http/bodies.h"
+#include "jujube/http/client.h"
 #include "jujube/http/json.h"
 #include "jujube/runtime/task.h"
 
@@ -276,26 +278,40 @@
   BOOST_TEST(switches() - before < 20);
 }
 
+// A self-signed certificate for 127.0.0.1, removed at the end of the test.
+class TestCertificate {
+public:
+  TestCertificate() {
+    std::string name =
+        (std::filesystem::temp_directory_path() / "jujube_tls_XXXXXX").string();
+    BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
+    Folder = name;
+    BOOST_REQUIRE(
+        std::system(absl::StrCat("openssl req -x509 -newkey rsa:2048 -nodes "
+                                 "-days 2 -subj /CN=127.0.0.1 -addext "
+                                 "subjectAltName=IP:127.0.0.1 -keyout ",
+                                 key(), " -out ", chain(), " 2>/dev/null")
+                        .c_str()) == 0);
+  }
+  ~TestCertificate() { std::filesystem::remove_all(Folder); }
+  std::string chain() const { return Folder / "cert.pem"; }
+  std::string key() const { return Folder / "key.pem"; }
+
+private:
+  std::filesystem::path Folder;
+};
+
+Result<api::Reply> emptyStatus(const api::Command & /*command*/) {
+  return api::FleetStatus{};
+}
+
 BOOST_AUTO_TEST_CASE(ServesTls) {
-  const std::filesystem::path folder =
-      std::filesystem::temp_directory_path() /
-      absl::StrCat("jujube_tls_test_", getpid());
-  std::filesystem::create_directories(folder);
-  const std::string certificate = folder / "cert.pem";
-  const std::string key = folder / "key.pem";
-  BOOST_REQUIRE(
-      std::system(absl::StrCat("openssl req -x509 -newkey rsa:2048 -nodes "
-                               "-days 2 -subj /CN=127.0.0.1 -addext "
-                               "subjectAltName=IP:127.0.0.1 -keyout ",
-                               key, " -out ", certificate, " 2>/dev/null")
-                      .c_str()) == 0);
+  const TestCertificate files;
+  const std::string certificate = files.chain();
+  const std::string key = files.key();
   ServerOptions options;
   options.Tls = TlsFiles{certificate, key};
-  TestServer server(
-      [](const api::Command &) -> Result<api::Reply> {
-        return api::FleetStatus{};
-      },
-      options);
+  TestServer server(emptyStatus, options);
   httplib::SSLClient trusting("127.0.0.1", server.port());
   trusting.set_ca_cert_path(certificate.c_str());
   trusting.enable_server_certificate_verification(true);
@@ -311,10 +327,40 @@
   ServerOptions broken;
   broken.Listen = Address{"127.0.0.1", 0};
   broken.Tls = TlsFiles{certificate, certificate};
-  const auto refused = serverTask(broken, neverCalled(), [] { return true; });
-  BOOST_REQUIRE(!isOk(refused));
-  BOOST_TEST(absl::StrContains(errorOf(refused).Message, certificate));
-  std::filesystem::remove_all(folder);
+  for (const auto &[mode, remedy] : std::map<int, std::string>{
+           {0644, "run: chmod 600 " + certificate},
+           {0600, "the key being that of the certificate"}}) {
+    std::filesystem::permissions(certificate, std::filesystem::perms(mode));
+    const auto refused = serverTask(broken, neverCalled(), [] { return true; });
+    BOOST_REQUIRE(!isOk(refused));
+    BOOST_TEST(absl::StrContains(errorOf(refused).Message, certificate));
+    BOOST_TEST(absl::StrContains(errorOf(refused).Remedy, remedy));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheClientTrustsOnlyItsAuthority) {
+  const TestCertificate files;
+  const TestCertificate others;
+  ServerOptions options;
+  options.Tls = TlsFiles{files.chain(), files.key()};
+  TestServer server(emptyStatus, options);
+  const Address address{"127.0.0.1", server.port()};
+  const HttpCall call{Method::Get, "/v1/status"};
+  const TransportHook trusting = makeTransport(files.chain());
+  for (int i = 0; i < 2; ++i) {
+    const TransportOutcome outcome = trusting(address, call);
+    BOOST_REQUIRE(std::holds_alternative<HttpReply>(outcome));
+    BOOST_TEST(std::get<HttpReply>(outcome).Status == 200);
+  }
+  for (const std::string &authority :
+       {others.chain(), files.chain() + ".missing"}) {
+    const TransportOutcome outcome = makeTransport(authority)(address, call);
+    BOOST_REQUIRE(std::holds_alternative<TransportFailure>(outcome));
+    BOOST_TEST(
+        (std::get<TransportFailure>(outcome) == TransportFailure::NotTrusted));
+  }
+  BOOST_TEST(std::holds_alternative<TransportFailure>(
+      makeTransport("")(address, call)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/jujube/http/tls.cc
+++ b/jujube/http/tls.cc
@@ -3,6 +3,7 @@
 #include <openssl/err.h>
 
 #include "absl/strings/str_cat.h"
+#include "jujube/base/secret_file.h"
 
 namespace jujube::http {
 namespace {
@@ -28,6 +29,8 @@
   if (SSL_CTX_use_certificate_chain_file(context.get(),
                                          files.Certificate.c_str()) != 1)
     return fileError("certificate", files.Certificate);
+  if (const Status status = checkSecretFile(files.PrivateKey); !isOk(status))
+    return errorOf(status);
   if (SSL_CTX_use_PrivateKey_file(context.get(), files.PrivateKey.c_str(),
                                   SSL_FILETYPE_PEM) != 1 ||
       SSL_CTX_check_private_key(context.get()) != 1)
--- a/programs/jujube_entry.cc
+++ b/programs/jujube_entry.cc
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "jujube/base/secret_file.h"
 #include "jujube/daemon/daemon.h"
 #include "jujube/daemon/identity.h"
 #include "jujube/entry/entry_tree.h"
@@ -38,7 +39,7 @@
   const auto identity = daemon::readIdentity(settings, true);
   if (!isOk(identity))
     return errorOf(identity);
-  auto operators = daemon::readSecret(settings.text("operator-token-file"));
+  auto operators = readSecretFile(settings.text("operator-token-file"));
   if (!isOk(operators))
     return errorOf(operators);
   options.Self = valueOf(identity).Self;
@@ -51,6 +52,10 @@
   options.Keepers = settings.addresses("keepers");
   options.Links = static_cast<std::size_t>(settings.integer("links"));
   options.LeaveDelay = settings.duration("leave-ms");
+  if (settings.text("tls-cert").empty() != settings.text("tls-key").empty())
+    return Error{ErrorKind::InvalidArgument,
+                 "only one of --tls-cert and --tls-key is given",
+                 "give both to serve HTTPS, or neither"};
   if (!settings.text("tls-cert").empty())
     options.Tls =
         http::TlsFiles{settings.text("tls-cert"), settings.text("tls-key")};
--- a/programs/jujube_load.cc
+++ b/programs/jujube_load.cc
@@ -11,11 +11,11 @@
 #include <sstream>
 #include <string>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "glog/logging.h"
 #include "jujube/base/digest.h"
+#include "jujube/base/secret_file.h"
 #include "jujube/base/settings.h"
 #include "jujube/http/client.h"
 #include "jujube/load/report.h"
@@ -178,11 +178,10 @@
     return fail(errorOf(read), UsageExitCode);
   RunOptions &options = valueOf(read);
   const Result<std::string> token =
-      readFile(settings.text("operator-token-file"));
+      readSecretFile(settings.text("operator-token-file"));
   if (!isOk(token))
     return fail(errorOf(token), UsageExitCode);
-  const auto contents = readCatalogue(
-      options, std::string(absl::StripAsciiWhitespace(valueOf(token))));
+  const auto contents = readCatalogue(options, valueOf(token));
   if (!isOk(contents))
     return fail(errorOf(contents), UnreachableExitCode);
   for (const auto &team : valueOf(contents).Teams)
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -1,9 +1,5 @@
 #include "testing/standin_http.h"
 
-#include <fstream>
-#include <iterator>
-
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "httplib.h"
 
@@ -11,7 +7,6 @@
 namespace {
 
 constexpr time_t KeepAliveSeconds = 5;
-constexpr Duration ConnectTimeout = Duration::millis(500);
 
 void send(const StandinReply &reply, httplib::Response &response) {
   response.status = reply.Status;
@@ -94,10 +89,10 @@
 }
 
 EntryClient::EntryClient(std::vector<Address> entries, std::string fleetToken,
-                         std::size_t first)
+                         std::string tlsAuthority, std::size_t first)
     : Entries(std::move(entries)), FleetToken(std::move(fleetToken)),
+      Transport(http::makeTransport(std::move(tlsAuthority))),
       Current(Entries.empty() ? 0 : first % Entries.size()) {}
-EntryClient::~EntryClient() = default;
 
 Result<std::string> EntryClient::post(const std::string &path,
                                       const std::string &body,
@@ -105,40 +100,18 @@
   if (Entries.empty())
     return Error{ErrorKind::InvalidArgument, "no entry host is named",
                  "list entry hosts with --entries"};
-  if (!Client) {
-    const Address &entry = Entries[Current];
-    Client = std::make_unique<httplib::Client>(entry.Ip, entry.Port);
-    Client->set_keep_alive(true);
-    Client->set_tcp_nodelay(true);
-    Client->set_connection_timeout(
-        std::chrono::milliseconds(ConnectTimeout.millis()));
-  }
-  Client->set_read_timeout(std::chrono::milliseconds(timeout.millis()));
-  const httplib::Headers headers{
-      {"Authorization", absl::StrCat("Bearer ", FleetToken)}};
-  const httplib::Result answer =
-      Client->Post(path, headers, body, "application/json");
-  if (answer && answer->status == 200)
-    return answer->body;
-  const std::string what = answer
-                               ? absl::StrCat(answer->status, " ", answer->body)
-                               : httplib::to_string(answer.error());
-  Error error{ErrorKind::Unavailable,
-              absl::StrCat(Entries[Current].str(), path, ": ", what),
-              "check the entry host and the fleet token"};
-  Client.reset();
+  const Address &entry = Entries[Current];
+  const http::TransportOutcome outcome =
+      Transport(entry, {http::Method::Post, path, FleetToken, body, timeout});
+  const auto *reply = std::get_if<http::HttpReply>(&outcome);
+  if (reply && reply->Status == 200)
+    return reply->Body;
+  const std::string what =
+      reply ? absl::StrCat(reply->Status, " ", reply->Body) : "no answer";
   Current = (Current + 1) % Entries.size();
-  return error;
-}
-
-Result<std::string> readTokenFile(const std::string &path) {
-  std::ifstream file(path);
-  if (!file)
-    return Error{ErrorKind::InvalidArgument,
-                 absl::StrCat("can't read token file ", path),
-                 "name a readable file with --fleet-token-file"};
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
-  return std::string(absl::StripAsciiWhitespace(text));
+  return Error{ErrorKind::Unavailable,
+               absl::StrCat(entry.str(), path, ": ", what),
+               "check the entry host, the fleet token and --tls-ca"};
 }
 
 } // namespace jujube::testing
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -13,10 +13,10 @@
 #include "jujube/base/address.h"
 #include "jujube/base/clock.h"
 #include "jujube/base/result.h"
+#include "jujube/http/client.h"
 #include "jujube/runtime/supervisor.h"
 
 namespace httplib {
-class Client;
 class Server;
 } // namespace httplib
 
@@ -58,9 +58,10 @@
 // Posts to one of several entry hosts; owned by one task.
 class EntryClient {
 public:
+  // Speaks TLS if `tlsAuthority` names a PEM file. Begins with the entry host
+  // at position `first`, modulo their number.
   EntryClient(std::vector<Address> entries, std::string fleetToken,
-              std::size_t first);
-  ~EntryClient();
+              std::string tlsAuthority, std::size_t first);
 
   // Returns the body of a 200 answer; after anything else the next call goes to
   // the next entry host.
@@ -70,13 +71,10 @@
 private:
   std::vector<Address> Entries;
   std::string FleetToken;
+  http::TransportHook Transport;
   std::size_t Current;
-  std::unique_ptr<httplib::Client> Client;
 };
 
-// Reads a token file; the surrounding white space is dropped.
-Result<std::string> readTokenFile(const std::string &path);
-
 } // namespace jujube::testing
 
 #endif // TESTING_STANDIN_HTTP_H_
--- a/testing/standin_runner_main.cc
+++ b/testing/standin_runner_main.cc
@@ -1,10 +1,10 @@
 // standin-runner: emulates runners that serve live requests.
-#include <cstdio>
 #include <string>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
+#include "jujube/base/secret_file.h"
 #include "jujube/base/settings.h"
+#include "jujube/daemon/daemon.h"
 #include "testing/standin_runner_tasks.h"
 
 namespace jujube::testing {
@@ -16,6 +16,8 @@
        true},
       {"fleet-token-file", SettingKind::Text, "", "file with the fleet token",
        true},
+      {"tls-ca", SettingKind::Text, "",
+       "PEM file of the entry hosts' authority; turns TLS on"},
       {"zone", SettingKind::Text, "", "availability zone", true},
       {"entry", SettingKind::Text, "", "catalogue entry that is served", true},
       {"name", SettingKind::Text, "runner", "prefix of the runners' ids"},
@@ -50,7 +52,7 @@
     return Error{ErrorKind::InvalidArgument,
                  absl::StrCat("--habit ", settings.text("habit")),
                  absl::StrCat("give one of ", namesIn(MisbehaviourNames))};
-  Result<std::string> token = readTokenFile(settings.text("fleet-token-file"));
+  Result<std::string> token = readSecretFile(settings.text("fleet-token-file"));
   if (!isOk(token))
     return errorOf(token);
   RunnerFleetOptions options;
@@ -75,6 +77,7 @@
   }
   options.Entries = settings.addresses("entries");
   options.FleetToken = valueOf(std::move(token));
+  options.TlsAuthority = settings.text("tls-ca");
   options.Listen = settings.address("listen");
   options.Threads = static_cast<std::size_t>(settings.integer("threads") *
                                              settings.integer("count"));
@@ -83,33 +86,18 @@
   return options;
 }
 
-int fail(const Error &error, int code) {
-  (void)std::fprintf(stderr, "%s\n", error.text().c_str());
-  return code;
-}
-
-int run(int argc, char **argv) {
-  const std::variant<Settings, int> parsed =
-      parseOrExplain("standin-runner [flags]", specs(), argc, argv);
-  if (const int *code = std::get_if<int>(&parsed))
-    return *code;
-  Result<RunnerFleetOptions> options = optionsFrom(std::get<Settings>(parsed));
+Result<runtime::Supervisor> makeTree(const Settings &settings) {
+  Result<RunnerFleetOptions> options = optionsFrom(settings);
   if (!isOk(options))
-    return fail(errorOf(options), UsageExitCode);
-  const Result<runtime::Supervisor> tree =
-      runnerTree(valueOf(std::move(options)));
-  if (!isOk(tree))
-    return fail(errorOf(tree), 1);
-  const Status status =
-      runtime::runUntilSignalled(valueOf(tree), Clock::monotonic());
-  return isOk(status) ? 0 : fail(errorOf(status), 1);
+    return errorOf(options);
+  return runnerTree(valueOf(std::move(options)));
 }
 
 } // namespace
 } // namespace jujube::testing
 
 int main(int argc, char **argv) {
-  google::InitGoogleLogging(argv[0]);
-  FLAGS_logtostderr = true;
-  return jujube::testing::run(argc, argv);
+  using namespace jujube::testing;
+  return jujube::daemon::runDaemon("standin-runner [flags]", specs(), makeTree,
+                                   argc, argv);
 }
--- a/testing/standin_runner_tasks.cc
+++ b/testing/standin_runner_tasks.cc
@@ -145,7 +145,7 @@
   Announcer(const RunnerFleetOptions &options,
             MailboxPtr<RunnerMessage> mailbox)
       : Options(options), Mailbox(std::move(mailbox)),
-        Client(options.Entries, options.FleetToken, 0) {}
+        Client(options.Entries, options.FleetToken, options.TlsAuthority, 0) {}
 
   Status run(TaskContext &context) {
     context.loop().callEvery(Options.AnnouncePeriod, [this] { announce(); });
--- a/testing/standin_runner_tasks.h
+++ b/testing/standin_runner_tasks.h
@@ -20,6 +20,8 @@
   std::vector<StandinRunnerOptions> Runners;
   std::vector<Address> Entries;
   std::string FleetToken;
+  // PEM file of the entry hosts' authority; empty for plain HTTP.
+  std::string TlsAuthority;
   Address Listen;
   // Connections served at once.
   std::size_t Threads = 60;
--- a/testing/standin_worker_main.cc
+++ b/testing/standin_worker_main.cc
@@ -1,11 +1,10 @@
 // standin-worker: emulates workers that run tasks as timers.
-#include <cstdio>
 #include <string>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
+#include "jujube/base/secret_file.h"
 #include "jujube/base/settings.h"
-#include "testing/standin_http.h"
+#include "jujube/daemon/daemon.h"
 #include "testing/standin_worker_tasks.h"
 
 namespace jujube::testing {
@@ -17,6 +16,8 @@
        true},
       {"fleet-token-file", SettingKind::Text, "", "file with the fleet token",
        true},
+      {"tls-ca", SettingKind::Text, "",
+       "PEM file of the entry hosts' authority; turns TLS on"},
       {"name", SettingKind::Text, "worker", "prefix of the workers' ids"},
       {"count", SettingKind::Integer, "1", "workers to emulate", false, 1, 200},
       {"rack-size", SettingKind::Integer, "8", "workers per rack", false, 1,
@@ -52,7 +53,7 @@
 }
 
 Result<WorkerFleetOptions> optionsFrom(const Settings &settings) {
-  Result<std::string> token = readTokenFile(settings.text("fleet-token-file"));
+  Result<std::string> token = readSecretFile(settings.text("fleet-token-file"));
   if (!isOk(token))
     return errorOf(token);
   WorkerFleetOptions options;
@@ -60,39 +61,25 @@
     options.Workers.push_back(workerFrom(settings, i));
   options.Entries = settings.addresses("entries");
   options.FleetToken = valueOf(std::move(token));
+  options.TlsAuthority = settings.text("tls-ca");
   options.Stats = settings.address("stats");
   if (settings.duration("silent-after") > Duration())
     options.SilentAfter = settings.duration("silent-after");
   return options;
 }
 
-int fail(const Error &error, int code) {
-  (void)std::fprintf(stderr, "%s\n", error.text().c_str());
-  return code;
-}
-
-int run(int argc, char **argv) {
-  const std::variant<Settings, int> parsed =
-      parseOrExplain("standin-worker [flags]", specs(), argc, argv);
-  if (const int *code = std::get_if<int>(&parsed))
-    return *code;
-  Result<WorkerFleetOptions> options = optionsFrom(std::get<Settings>(parsed));
+Result<runtime::Supervisor> makeTree(const Settings &settings) {
+  Result<WorkerFleetOptions> options = optionsFrom(settings);
   if (!isOk(options))
-    return fail(errorOf(options), UsageExitCode);
-  const Result<runtime::Supervisor> tree =
-      workerTree(valueOf(std::move(options)));
-  if (!isOk(tree))
-    return fail(errorOf(tree), 1);
-  const Status status =
-      runtime::runUntilSignalled(valueOf(tree), Clock::monotonic());
-  return isOk(status) ? 0 : fail(errorOf(status), 1);
+    return errorOf(options);
+  return workerTree(valueOf(std::move(options)));
 }
 
 } // namespace
 } // namespace jujube::testing
 
 int main(int argc, char **argv) {
-  google::InitGoogleLogging(argv[0]);
-  FLAGS_logtostderr = true;
-  return jujube::testing::run(argc, argv);
+  using namespace jujube::testing;
+  return jujube::daemon::runDaemon("standin-worker [flags]", specs(), makeTree,
+                                   argc, argv);
 }
--- a/testing/standin_worker_tasks.cc
+++ b/testing/standin_worker_tasks.cc
@@ -132,7 +132,8 @@
 Status runSyncs(const WorkerFleetOptions &options, std::size_t index,
                 SyncKind kind, const MailboxPtr<SyncOrder> &orders,
                 const MailboxPtr<SyncDone> &done, TaskContext &context) {
-  EntryClient client(options.Entries, options.FleetToken, index);
+  EntryClient client(options.Entries, options.FleetToken, options.TlsAuthority,
+                     index);
   context.loop().watchMailbox<SyncOrder>(orders, [&](const SyncOrder &order) {
     SyncDone outcome{kind, context.now(), fate::SyncReply{}};
     const Result<std::string> body = client.post(
--- a/testing/standin_worker_tasks.h
+++ b/testing/standin_worker_tasks.h
@@ -20,6 +20,8 @@
   std::vector<StandinWorkerOptions> Workers;
   std::vector<Address> Entries;
   std::string FleetToken;
+  // PEM file of the entry hosts' authority; empty for plain HTTP.
+  std::string TlsAuthority;
   // Where GET /stats is served.
   Address Stats;
   // Stops syncing then, while tasks go on until their lease ends; never() for
