The load report's plots can be told apart

Cause: 21 processes shared 8 colours, the axis of waiting showed logarithms, ticks were odd numbers, and faults were not marked. Change: lines beyond the colours are dashed, the plot grows with its legend, the logarithmic axis has ticks at 1, 10, 100 ms, linear axes have round ticks, and faults are dashed marks with their kind. The levels, which no plot used, went.

--- a/jujube/load/load_test.cc
+++ b/jujube/load/load_test.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "jujube/load/driver.h"
 #include "jujube/load/fleet_sample.h"
 #include "jujube/load/ledger.h"
@@ -195,6 +196,35 @@
     BOOST_TEST(absl::EndsWith(svg, "</svg>\n"), name);
 }
 
+std::size_t countOf(absl::string_view text, absl::string_view part) {
+  return std::vector<absl::string_view>(absl::StrSplit(text, part)).size() - 1;
+}
+
+BOOST_AUTO_TEST_CASE(MoreLinesThanColoursStayDistinct) {
+  Plot plot{"Memory", "s", "MB", {}, {{"kill", 3}}};
+  for (int i = 0; i < 21; ++i)
+    plot.Lines.push_back({absl::StrCat("p", i), {{0, 0}, {7, i * 1.0}}});
+  const std::string svg = renderSvg(plot);
+  // Each style is used once by a line and once by its row of the legend.
+  BOOST_TEST(countOf(svg, "stroke=\"#1f77b4\" stroke-dasharray=\"none\"") ==
+             2U);
+  BOOST_TEST(countOf(svg, "stroke=\"#1f77b4\" stroke-dasharray=\"7 3\"") == 2U);
+  BOOST_TEST(countOf(svg, "stroke=\"#1f77b4\" stroke-dasharray=\"2 2\"") == 2U);
+  BOOST_TEST(absl::StrContains(svg, ">kill</text>"));
+  for (const char *tick : {">0<", ">2<", ">4<", ">6<"})
+    BOOST_TEST(absl::StrContains(svg, tick), tick);
+}
+
+BOOST_AUTO_TEST_CASE(ALogarithmicAxisHasPowersOfTen) {
+  const Plot plot{"Waiting", "ms",      "part", {{"a", {{0, 0.5}, {350, 1}}}},
+                  {},        XAxis::Log};
+  const std::string svg = renderSvg(plot);
+  for (const char *tick : {">0<", ">1<", ">10<", ">100<"})
+    BOOST_TEST(absl::StrContains(svg, tick), tick);
+  BOOST_TEST(!absl::StrContains(svg, ">1000<"));
+  BOOST_TEST(absl::StrContains(svg, "M70.0 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujube::load
--- a/jujube/load/report.cc
+++ b/jujube/load/report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 
 #include "absl/strings/str_cat.h"
@@ -128,14 +129,19 @@
 }
 
 Plot waitingPlot(const std::vector<WaitingRow> &rows) {
-  Plot plot{"Waiting per team and class", "log10(1 + ms)", "part", {}, {}};
+  Plot plot{"Part of the requests that waited at most so long, per team and "
+            "class",
+            "ms",
+            "part",
+            {},
+            {},
+            XAxis::Log};
   plot.Lines.reserve(rows.size());
   for (const WaitingRow &row : rows) {
     PlotLine line{absl::StrCat(row.Team, " ", row.Class), {}};
     const auto n = static_cast<double>(row.Millis.size());
     for (std::size_t i = 0; i < row.Millis.size(); ++i)
-      line.Points.push_back(
-          {std::log10(1 + row.Millis[i]), static_cast<double>(i + 1) / n});
+      line.Points.push_back({row.Millis[i], static_cast<double>(i + 1) / n});
     plot.Lines.push_back(std::move(line));
   }
   return plot;
@@ -158,70 +164,67 @@
   return all;
 }
 
+// A plot over the time of the run, with its faults as marks.
+template <typename Values>
+Plot timePlot(const RunOutcome &outcome, const std::string &title,
+              const std::string &yLabel, const Values &values) {
+  Plot plot{title, "s", yLabel, linesOver(outcome.Samples, values)};
+  std::ranges::transform(
+      outcome.Faults, std::back_inserter(plot.Marks), [](const Fault &fault) {
+        return PlotMark{std::string(nameIn(FaultKindNames, fault.Kind)),
+                        secondsOf(fault.At)};
+      });
+  return plot;
+}
+
 Plot runningPlot(const RunOutcome &outcome) {
-  return {"Running on workers per team",
-          "s",
-          "cores",
-          linesOver(outcome.Samples,
-                    [](const FleetSample &sample) {
-                      std::map<std::string, double> cores;
-                      for (const auto &[team, use] : sample.Standins.Running)
-                        cores[team] = use.MilliCpu / MillisPerSecond;
-                      return cores;
-                    }),
-          {}};
+  return timePlot(outcome, "Running on workers per team", "cores",
+                  [](const FleetSample &sample) {
+                    std::map<std::string, double> cores;
+                    for (const auto &[team, use] : sample.Standins.Running)
+                      cores[team] = use.MilliCpu / MillisPerSecond;
+                    return cores;
+                  });
 }
 
 Plot packingPlot(const RunOutcome &outcome) {
-  return {"Reserved part of what workers hold, per zone",
-          "s",
-          "part",
-          linesOver(outcome.Samples,
-                    [](const FleetSample &sample) {
-                      std::map<std::string, double> parts;
-                      for (const api::ZoneStatus &zone : sample.Zones)
-                        parts[zone.Zone.str()] =
-                            dominantShare(zone.Reserved, zone.Held);
-                      return parts;
-                    }),
-          {}};
+  return timePlot(outcome, "Reserved part of what workers hold, per zone",
+                  "part", [](const FleetSample &sample) {
+                    std::map<std::string, double> parts;
+                    for (const api::ZoneStatus &zone : sample.Zones)
+                      parts[zone.Zone.str()] =
+                          dominantShare(zone.Reserved, zone.Held);
+                    return parts;
+                  });
 }
 
 Plot memoryPlot(const RunOutcome &outcome) {
-  return {"Resident memory per process",
-          "s",
-          "MB",
-          linesOver(outcome.Samples,
-                    [](const FleetSample &sample) {
-                      std::map<std::string, double> mb;
-                      for (const auto &[name, use] : sample.Processes)
-                        mb[name] = use.ResidentKb / KbPerMb;
-                      return mb;
-                    }),
-          {}};
+  return timePlot(outcome, "Resident memory per process", "MB",
+                  [](const FleetSample &sample) {
+                    std::map<std::string, double> mb;
+                    for (const auto &[name, use] : sample.Processes)
+                      mb[name] = use.ResidentKb / KbPerMb;
+                    return mb;
+                  });
 }
 
 Plot cpuPlot(const RunOutcome &outcome) {
   std::map<std::string, double> last;
   double lastAt = 0;
-  return {"Processor time per process",
-          "s",
-          "% of a core",
-          linesOver(outcome.Samples,
-                    [&last, &lastAt](const FleetSample &sample) {
-                      std::map<std::string, double> percent;
-                      const double at = secondsOf(sample.At);
-                      for (const auto &[name, use] : sample.Processes) {
-                        const double used = secondsOf(use.Cpu);
-                        if (last.contains(name) && at > lastAt)
-                          percent[name] =
-                              100 * (used - last[name]) / (at - lastAt);
-                        last[name] = used;
-                      }
-                      lastAt = at;
-                      return percent;
-                    }),
-          {}};
+  return timePlot(outcome, "Processor time per process", "% of a core",
+                  [&last, &lastAt](const FleetSample &sample) {
+                    std::map<std::string, double> percent;
+                    const double at = secondsOf(sample.At);
+                    for (const auto &[name, use] : sample.Processes) {
+                      const double used = secondsOf(use.Cpu);
+                      if (last.contains(name) && at > lastAt)
+                        percent[name] =
+                            100 * (used - last[name]) / (at - lastAt);
+                      last[name] = used;
+                    }
+                    lastAt = at;
+                    return percent;
+                  });
 }
 
 } // namespace
--- a/jujube/load/svg.h
+++ b/jujube/load/svg.h
@@ -17,10 +17,18 @@
   std::vector<PlotPoint> Points;
 };
 
-// Axes start at 0. A level is drawn dashed over the whole width.
-struct PlotLevel {
+// Something that happened at one place of the x axis; drawn as a dashed line
+// over the whole height.
+struct PlotMark {
   std::string Name;
-  double Y = 0;
+  double X = 0;
+};
+
+// How the x axis runs; both begin at 0.
+enum class XAxis {
+  Linear,
+  // By the logarithm of 1 + x, with a tick at each power of ten.
+  Log,
 };
 
 struct Plot {
@@ -28,11 +36,12 @@
   std::string XLabel;
   std::string YLabel;
   std::vector<PlotLine> Lines;
-  std::vector<PlotLevel> Levels;
+  std::vector<PlotMark> Marks;
+  XAxis Axis = XAxis::Linear;
 };
 
-// Renders one plot with axes, grid and a legend. Lines of many points are
-// thinned to the width in pixels.
+// Renders one plot with axes, grid and a legend. More lines than colours differ
+// by their dashes; lines of many points are thinned to the width in pixels.
 std::string renderSvg(const Plot &plot);
 
 } // namespace jujube::load
