The keepers send their list of hosts only to those who have another version

Change: HostRoster gives each state of the list a version of (term of the keepers' leader, change); a poll names the version that it has, and the reply brings the list only if that differs.

--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -23,13 +23,15 @@
 // How often parked requests and leases are looked at.
 constexpr Duration SweepPeriod = Duration::millis(20);
 constexpr Duration ReclaimPeriod = Duration::seconds(1);
+constexpr Duration ExpiryPeriod = Duration::seconds(1);
 
 } // namespace
 
 FleetTask::FleetTask(const KeeperOptions &options,
                      runtime::TaskContext &context, wire::PacketMailbox outbox)
     : Settings(options), Loop(context.loop()),
-      Messages(Loop, options.Self, options.Listen, std::move(outbox)) {}
+      Messages(Loop, options.Self, options.Listen, std::move(outbox)),
+      Hosts(HostTimeout) {}
 
 FleetTask::~FleetTask() = default;
 
@@ -44,6 +46,8 @@
                        [raw = task.get()] { raw->answerParked(); });
   task->Loop.callEvery(ReclaimPeriod,
                        [raw = task.get()] { raw->reclaimEndedLeases(); });
+  task->Loop.callEvery(
+      ExpiryPeriod, [raw = task.get()] { raw->Hosts.expire(raw->Loop.now()); });
   return task;
 }
 
@@ -120,6 +124,7 @@
   if (isLeader) {
     const Instant now = Loop.now();
     const limits::SlicePolicy policy;
+    Hosts.lead(change.At);
     Force = std::make_unique<catalogue::ForceTracker>(
         now, catalogue::FreshnessBound, ClockDrift);
     SliceLeases = std::make_unique<limits::LeaseTable<ZoneId>>(
@@ -170,9 +175,7 @@
 }
 
 void FleetTask::noteHost(const wire::HostStatus &status) {
-  const bool isNew = !Hosts.contains(status.Host.Id);
-  Hosts[status.Host.Id] = KnownHost{status, Loop.now()};
-  if (isNew)
+  if (Hosts.note(status, Loop.now()))
     LOG(INFO) << "event=host_joined host=" << status.Host.Id.str()
               << " role=" << nameIn(catalogue::HostRoleNames, status.Host.Role)
               << " zone=" << status.Host.Zone.str();
@@ -194,8 +197,11 @@
 
 void FleetTask::answerPoll(const ParkedPoll &parked) {
   const auto &poll = std::get<wire::PollCatalogue>(parked.Request.What);
-  wire::CatalogueNews news{State.catalogue().updateSince(poll.Have),
-                           knownHosts()};
+  wire::CatalogueNews news;
+  news.News = State.catalogue().updateSince(poll.Have);
+  news.HostsAt = Hosts.version();
+  if (poll.HaveHosts != news.HostsAt)
+    news.Hosts = Hosts.hosts();
   news.News.IsConfirmed = Log->mayServe();
   if (!news.News.IsConfirmed)
     return;
@@ -203,14 +209,6 @@
   Messages.reply(parked.Request, std::move(news));
 }
 
-std::vector<wire::HostStatus> FleetTask::knownHosts() const {
-  std::vector<wire::HostStatus> all;
-  for (const auto &[id, host] : Hosts)
-    if (host.LastSeen + HostTimeout > Loop.now())
-      all.push_back(host.Status);
-  return all;
-}
-
 void FleetTask::propose(const wire::FleetCommand &command,
                         replica::ProposalHook done) {
   Log->propose(wire::encodeFleetCommand(command), std::move(done));
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -4,7 +4,6 @@
 #define JUJUBE_KEEPER_FLEET_TASK_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +14,7 @@
 #include "jujube/base/result.h"
 #include "jujube/catalogue/force_tracker.h"
 #include "jujube/keeper/fleet_state.h"
+#include "jujube/keeper/host_roster.h"
 #include "jujube/limits/lease_table.h"
 #include "jujube/replica/replica.h"
 #include "jujube/runtime/task.h"
@@ -61,10 +61,6 @@
     Revision At;
     Instant AnswerBy;
   };
-  struct KnownHost {
-    wire::HostStatus Status;
-    Instant LastSeen;
-  };
 
   FleetTask(const KeeperOptions &options, runtime::TaskContext &context,
             wire::PacketMailbox outbox);
@@ -95,7 +91,6 @@
   // Answers what waited for a new revision or long enough.
   void answerParked();
   void reclaimEndedLeases();
-  std::vector<wire::HostStatus> knownHosts() const;
 
   KeeperOptions Settings;
   runtime::PollLoop &Loop;
@@ -103,7 +98,7 @@
   FleetState State;
   std::optional<storage::Store> Disk;
   std::unique_ptr<replica::Replica> Log;
-  std::map<HostId, KnownHost> Hosts;
+  HostRoster Hosts;
   std::vector<ParkedPoll> Polls;
   std::vector<ParkedEdit> Edits;
   // While this keeper leads.
--- a/jujube/wire/catalogue_poller.cc
+++ b/jujube/wire/catalogue_poller.cc
@@ -14,10 +14,11 @@
 
 void CataloguePoller::poll() {
   const Instant sentAt = Loop.now();
-  Keepers.callOnce(PollCatalogue{Callbacks.Describe(), Follower.latest()},
-                   PollTimeout, [this, sentAt](Result<Message> reply) {
-                     take(std::move(reply), sentAt);
-                   });
+  Keepers.callOnce(
+      PollCatalogue{Callbacks.Describe(), Follower.latest(), HostsAt},
+      PollTimeout, [this, sentAt](Result<Message> reply) {
+        take(std::move(reply), sentAt);
+      });
 }
 
 void CataloguePoller::take(Result<Message> reply, Instant sentAt) {
@@ -29,7 +30,8 @@
   }
   const Revision before = Follower.latest();
   (void)Follower.receive(news->News, sentAt);
-  Hosts = news->Hosts;
+  if (std::exchange(HostsAt, news->HostsAt) != news->HostsAt)
+    Hosts = news->Hosts;
   Callbacks.OnHosts();
   if (Follower.latest() > before)
     Callbacks.OnNewRevision();
--- a/jujube/wire/catalogue_poller.h
+++ b/jujube/wire/catalogue_poller.h
@@ -20,7 +20,7 @@
     std::function<HostStatus()> Describe;
     // The copy has a new revision.
     std::function<void()> OnNewRevision;
-    // hosts() was filled in anew.
+    // A keeper confirmed hosts(), or changed it.
     std::function<void()> OnHosts = [] {};
   };
 
@@ -43,6 +43,7 @@
   Hooks Callbacks;
   catalogue::CatalogueFollower Follower;
   std::vector<HostStatus> Hosts;
+  HostListVersion HostsAt;
 };
 
 } // namespace jujube::wire
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -12,11 +12,14 @@
 template <typename Archive> void serialize(Archive &ar, HostStatus &v) {
   ar(v.Host, v.IsLeader, v.LeaderTerm);
 }
+template <typename Archive> void serialize(Archive &ar, HostListVersion &v) {
+  ar(v.LeaderTerm, v.Change);
+}
 template <typename Archive> void serialize(Archive &ar, PollCatalogue &v) {
-  ar(v.Self, v.Have);
+  ar(v.Self, v.Have, v.HaveHosts);
 }
 template <typename Archive> void serialize(Archive &ar, CatalogueNews &v) {
-  ar(v.News, v.Hosts);
+  ar(v.News, v.Hosts, v.HostsAt);
 }
 template <typename Archive> void serialize(Archive &ar, ProposeEdit &v) {
   ar(v.Edit, v.IsDryRun);
