A changed reservation is journaled before its worker is told

Cause: a task that was given more was known to the leader that gave it and to nobody else. The next leader restored the size of the offer and gave the same memory away again. Change: the event ReservationChanged, applied in the book and encoded in wire; the directive leaves once it is committed.

--- a/jujube/fate/event.h
+++ b/jujube/fate/event.h
@@ -44,6 +44,16 @@
   bool operator==(const TaskStarted &) const = default;
 };
 
+// The running attempt may use more or less than before. Its worker is told once
+// this is committed.
+struct ReservationChanged {
+  TaskId Task;
+  AttemptToken Token;
+  Resources Reserved;
+  Instant At;
+  bool operator==(const ReservationChanged &) const = default;
+};
+
 // The worker said that the attempt has ended.
 struct TaskEnded {
   TaskId Task;
@@ -114,10 +124,10 @@
   bool operator==(const FateForgotten &) const = default;
 };
 
-using Event =
-    std::variant<RequestAccepted, TaskOffered, TaskStarted, TaskEnded,
-                 AttemptLost, RequestCancelled, RequestRejected, LiveOffered,
-                 LiveEnded, FateForgotten, limits::SliceUpdate>;
+using Event = std::variant<RequestAccepted, TaskOffered, TaskStarted, TaskEnded,
+                           AttemptLost, RequestCancelled, RequestRejected,
+                           LiveOffered, LiveEnded, FateForgotten,
+                           limits::SliceUpdate, ReservationChanged>;
 
 } // namespace jujube::fate
 
--- a/jujube/fate/fate_book.cc
+++ b/jujube/fate/fate_book.cc
@@ -73,6 +73,15 @@
   return true;
 }
 
+bool FateBook::on(const ReservationChanged &event) {
+  const auto ref = findOpenAttempt(event.Task, event.Token);
+  if (!ref || !ref->Task.IsLive || ref->Task.Reserved == event.Reserved)
+    return false;
+  Used[ref->Request.Work.Team] += event.Reserved - ref->Task.Reserved;
+  ref->Task.Reserved = event.Reserved;
+  return true;
+}
+
 bool FateBook::on(const TaskEnded &event) {
   const auto ref = findOpenAttempt(event.Task, event.Token);
   const bool isRefused = event.Phase == TaskPhase::Refused;
--- a/jujube/fate/fate_book.h
+++ b/jujube/fate/fate_book.h
@@ -149,6 +149,12 @@
                              const WorkerId &worker, Incarnation start,
                              const Resources &reserved, Instant now) const;
 
+  // The event that changes what a live attempt reserves; nothing if there is no
+  // such attempt or it reserves that much already.
+  std::optional<Event> changeReservation(const TaskId &id,
+                                         const Resources &reserved,
+                                         Instant now) const;
+
   // Events that follow from a worker's report.
   std::vector<Event> report(const WorkerId &worker, Incarnation start,
                             const TaskReport &report, Instant now) const;
@@ -208,6 +214,7 @@
   bool on(const RequestAccepted &event);
   bool on(const TaskOffered &event);
   bool on(const TaskStarted &event);
+  bool on(const ReservationChanged &event);
   bool on(const TaskEnded &event);
   bool on(const AttemptLost &event);
   bool on(const RequestCancelled &event);
--- a/jujube/fate/fate_decisions.cc
+++ b/jujube/fate/fate_decisions.cc
@@ -169,6 +169,15 @@
   return TaskOffered{id, token, worker, start, reserved, now};
 }
 
+std::optional<Event> FateBook::changeReservation(const TaskId &id,
+                                                 const Resources &reserved,
+                                                 Instant now) const {
+  const TaskRecord *task = findTask(id);
+  if (task == nullptr || !task->IsLive || task->Reserved == reserved)
+    return std::nullopt;
+  return ReservationChanged{id, task->Token, reserved, now};
+}
+
 std::vector<Event> FateBook::report(const WorkerId &worker, Incarnation start,
                                     const TaskReport &report,
                                     Instant now) const {
--- a/jujube/fate/fate_test.cc
+++ b/jujube/fate/fate_test.cc
@@ -205,6 +205,22 @@
       (errorOf(FateBook::fromState(bad)).Kind == ErrorKind::CorruptData));
 }
 
+BOOST_AUTO_TEST_CASE(ChangedReservationIsKeptAndFreedWithItsAttempt) {
+  FateBook book = offered(true);
+  BOOST_TEST(!book.changeReservation(Task, Ask, at(3)).has_value());
+  const auto change = book.changeReservation(Task, Ask * 3, at(3));
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(book.apply(*change));
+  BOOST_TEST(!book.apply(*change));
+  BOOST_TEST((book.usedBy(Team) == Ask * 3));
+  BOOST_TEST((book.liveAttempts()[0].Reserved == Ask * 3));
+  applyAll(book, book.report(Worker, Incarnation{1},
+                             reportOf(TaskPhase::Stopped), at(4)));
+  BOOST_TEST((book.usedBy(Team) == Resources{}));
+  // The token is of an attempt that has ended.
+  BOOST_TEST(!book.apply(*change));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/replay/placement_oracle_test.cc
+++ b/jujube/replay/placement_oracle_test.cc
@@ -7,6 +7,7 @@
 #include <rapidcheck/boost_test.h>
 
 #include "absl/strings/str_cat.h"
+#include "jujube/fate/fate_book.h"
 #include "jujube/placement/planner.h"
 #include "jujube/replay/ledger.h"
 
@@ -102,7 +103,48 @@
   return entry;
 }
 
-// A planner and a ledger that see the same events.
+// A zone's journal as far as reservations go. It takes each attempt's end for
+// one after which the task may run again, as the script does.
+class Journal {
+public:
+  void submitted(fate::Submission work) {
+    work.Entry.Class = WorkClass::Batch;
+    work.Entry.IsIdempotent = true;
+    work.Entry.MaxAttempts = UINT32_MAX;
+    Book.apply(fate::RequestAccepted{work, Instant()});
+  }
+
+  void apply(const std::vector<placement::Action> &actions) {
+    for (const placement::Action &action : actions) {
+      if (const auto *offer = std::get_if<placement::Offer>(&action))
+        commit(Book.offer(offer->Task, Term{1}, offer->Worker, Incarnation{1},
+                          offer->Reserved, Instant()));
+      if (const auto *change = std::get_if<placement::ThrottleTask>(&action))
+        commit(Book.changeReservation(change->Task, change->Grant, Instant()));
+    }
+  }
+
+  void ended(const TaskId &id, EndKind kind) {
+    const auto phase = kind == EndKind::Finished ? fate::TaskPhase::Finished
+                                                 : fate::TaskPhase::Stopped;
+    Book.apply(
+        fate::TaskEnded{id, Book.findTask(id)->Token, phase, "", Instant()});
+  }
+
+  Resources reserved(const TaskId &id) const {
+    return Book.findTask(id)->Reserved;
+  }
+
+private:
+  void commit(const std::optional<fate::Event> &event) {
+    if (event)
+      Book.apply(*event);
+  }
+
+  fate::FateBook Book;
+};
+
+// A planner, a ledger and a journal that see the same events.
 class Pair {
 public:
   explicit Pair(placement::PolicyName policy)
@@ -193,8 +235,9 @@
       const replay::Ledger::Task &task = request.Tasks[i];
       const TaskId id = {request.Work.Request, i};
       if (task.Book == replay::TaskBook::Placed)
-        Subject.restore(request.Work, Now,
-                        {id, task.Worker, task.Reserved, Now, task.IsStopping});
+        Subject.restore(
+            request.Work, Now,
+            {id, task.Worker, Durable.reserved(id), Now, task.IsStopping});
       if (task.Book == replay::TaskBook::Done)
         Subject.restoreFinished(request.Work, Now, i);
       if (task.Book == replay::TaskBook::Waiting)
@@ -246,6 +289,7 @@
     for (uint32_t i = 0; i < tasks; ++i)
       pending.Tasks.push_back(i);
     Books.submitted(work);
+    Durable.submitted(work);
     Subject.enqueue(pending, Now);
     // A repeated hand-over changes nothing.
     Subject.enqueue(pending, Now);
@@ -263,6 +307,7 @@
   void end(const TaskId &id, EndKind kind) {
     Subject.ended(id, kind, Now);
     Books.ended(id, kind);
+    Durable.ended(id, kind);
     if (kind == EndKind::Finished)
       return;
     Subject.requeue(id, Now);
@@ -294,7 +339,9 @@
   }
 
   void plan() {
-    const auto findings = Books.apply(Subject.plan(Now));
+    const auto actions = Subject.plan(Now);
+    const auto findings = Books.apply(actions);
+    Durable.apply(actions);
     for (const replay::Finding &finding : findings)
       RC_FAIL(absl::StrCat(nameIn(replay::ViolationNames, finding.What), " ",
                            finding.Detail));
@@ -320,6 +367,7 @@
   std::map<TeamId, Resources> Slices;
   std::map<WorkerId, fate::WorkerAnnouncement> Announced;
   replay::Ledger Books;
+  Journal Durable;
   Instant Now;
   uint32_t Submitted = 0;
   std::map<WorkerId, Incarnation> Starts;
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -44,6 +44,11 @@
       LogIndex{1}, Term{2}, EntryKind::Membership, "p", Membership{{Voter}}});
 }
 
+BOOST_AUTO_TEST_CASE(ChangedReservationKeepsAllFields) {
+  checkRoundTrip(std::vector<fate::Event>{fate::ReservationChanged{
+      {RequestId("z.a"), 1}, {Term{2}, 3}, {4, 5, 6}, Instant::atMillis(7)}});
+}
+
 BOOST_AUTO_TEST_CASE(FateStateKeepsAllFields) {
   fate::TaskRecord task;
   task.State = fate::FateState::Running;
--- a/jujube/wire/state_encoding.h
+++ b/jujube/wire/state_encoding.h
@@ -89,6 +89,9 @@
 template <typename Archive> void serialize(Archive &ar, TaskStarted &v) {
   ar(v.Task, v.Token, v.At);
 }
+template <typename Archive> void serialize(Archive &ar, ReservationChanged &v) {
+  ar(v.Task, v.Token, v.Reserved, v.At);
+}
 template <typename Archive> void serialize(Archive &ar, TaskEnded &v) {
   ar(v.Task, v.Token, v.Phase, v.Text, v.At);
 }
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -327,30 +327,26 @@
   return event;
 }
 
-void Scheduler::direct(const TaskId &task, fate::DirectiveKind kind) {
+std::nullopt_t Scheduler::direct(const TaskId &task, fate::DirectiveKind kind) {
   Orders.requestStop(task, kind);
   if (const fate::TaskRecord *record = Book.findTask(task))
     Hooks.WakeWorker(record->Worker);
-}
-
-std::optional<fate::Event> Scheduler::carryOut(const placement::StopTask &stop,
-                                               Moment) {
-  direct(stop.Task, fate::DirectiveKind::Stop);
   return std::nullopt;
 }
 
-std::optional<fate::Event>
-Scheduler::carryOut(const placement::CheckpointTask &stop, Moment) {
-  direct(stop.Task, fate::DirectiveKind::Checkpoint);
-  return std::nullopt;
+void Scheduler::grant(const TaskId &task, const Resources &size) {
+  Orders.requestThrottle(task, size);
+  if (const fate::TaskRecord *record = Book.findTask(task))
+    Hooks.WakeWorker(record->Worker);
 }
 
 std::optional<fate::Event>
-Scheduler::carryOut(const placement::ThrottleTask &throttle, Moment) {
-  Orders.requestThrottle(throttle.Task, throttle.Grant);
-  if (const fate::TaskRecord *record = Book.findTask(throttle.Task))
-    Hooks.WakeWorker(record->Worker);
-  return std::nullopt;
+Scheduler::carryOut(const placement::ThrottleTask &throttle, Moment at) {
+  auto event = Book.changeReservation(throttle.Task, throttle.Grant, at.Wall);
+  // A grant of what the journal has reserved already may leave at once.
+  if (!event)
+    grant(throttle.Task, throttle.Grant);
+  return event;
 }
 
 std::optional<fate::Event>
--- a/jujube/zone/scheduler.h
+++ b/jujube/zone/scheduler.h
@@ -100,6 +100,9 @@
   void on(const fate::RequestAccepted &event, Moment at);
   void on(const fate::TaskOffered &event, Moment at);
   void on(const fate::TaskStarted &event, Moment at);
+  void on(const fate::ReservationChanged &event, Moment) {
+    grant(event.Task, event.Reserved);
+  }
   void on(const fate::TaskEnded &event, Moment at);
   void on(const fate::AttemptLost &event, Moment at);
   void on(const fate::RequestCancelled &event, Moment at);
@@ -110,16 +113,21 @@
   void on(const limits::SliceUpdate &, Moment at);
 
   std::optional<fate::Event> carryOut(const placement::Offer &offer, Moment at);
-  std::optional<fate::Event> carryOut(const placement::StopTask &stop,
-                                      Moment at);
+  std::optional<fate::Event> carryOut(const placement::StopTask &stop, Moment) {
+    return direct(stop.Task, fate::DirectiveKind::Stop);
+  }
   std::optional<fate::Event> carryOut(const placement::CheckpointTask &stop,
-                                      Moment at);
+                                      Moment) {
+    return direct(stop.Task, fate::DirectiveKind::Checkpoint);
+  }
   std::optional<fate::Event> carryOut(const placement::ThrottleTask &throttle,
                                       Moment at);
   std::optional<fate::Event> carryOut(const placement::RejectRequest &reject,
                                       Moment at);
   std::vector<fate::Directive> answersFor(const WorkerId &worker);
-  void direct(const TaskId &task, fate::DirectiveKind kind);
+  // Orders that need no event.
+  std::nullopt_t direct(const TaskId &task, fate::DirectiveKind kind);
+  void grant(const TaskId &task, const Resources &size);
 
   ZoneOptions Settings;
   Term LeaderTerm;
--- a/jujube/zone/scheduler_test.cc
+++ b/jujube/zone/scheduler_test.cc
@@ -95,6 +95,20 @@
     return reply ? reply->Directives : std::vector<fate::Directive>{};
   }
 
+  // The same, but nothing that it leads to is committed.
+  std::vector<fate::Directive>
+  syncWithoutCommit(const std::string &worker, uint64_t start,
+                    std::vector<fate::TaskReport> reports) {
+    const WorkerId id(worker);
+    (void)Leader->takeSync(
+        {{id, Incarnation{start}, RackId("rack"), WorkerSize, false},
+         std::move(reports)},
+        at());
+    Leader->plan(at());
+    auto reply = Leader->replyTo(id, true, at());
+    return reply ? reply->Directives : std::vector<fate::Directive>{};
+  }
+
   // A sync whose reply and plan are still to come.
   void announce(const std::string &worker, uint64_t start) {
     (void)Leader->takeSync({{WorkerId(worker), Incarnation{start},
@@ -123,6 +137,14 @@
   return {directive.Task, directive.Token, phase, Resources{}, text};
 }
 
+fate::TaskReport usageOf(const fate::Directive &directive,
+                         const Resources &usage) {
+  return {directive.Task, directive.Token, TaskPhase::Running, usage, ""};
+}
+
+// Leaves room for five tasks of 1,000 MiB on the worker.
+constexpr Resources LargeUse{1000, 60000, 0};
+
 BOOST_AUTO_TEST_SUITE(SchedulerSuite)
 
 BOOST_AUTO_TEST_CASE(RequestRunsOnAWorkerThatAnnouncedItself) {
@@ -192,6 +214,39 @@
   BOOST_TEST((zone.state(id) == FateState::Finished));
 }
 
+BOOST_AUTO_TEST_CASE(WidenedReservationOutlivesAChangeOfLeader) {
+  Zone zone;
+  zone.sync("w1", 1);
+  zone.submit("wide");
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  const auto grant = zone.sync("w1", 1, {usageOf(start[0], LargeUse)});
+  BOOST_REQUIRE(grant.size() == 1U);
+  BOOST_TEST((grant[0].Kind == fate::DirectiveKind::Throttle));
+  BOOST_TEST((grant[0].Grant == LargeUse));
+  zone.lead();
+  zone.sync("w1", 1);
+  std::vector<RequestId> others;
+  for (int n = 0; n < 6; ++n)
+    others.push_back(zone.submit("r" + std::to_string(n)));
+  BOOST_TEST((zone.state(others[4]) == FateState::Offered));
+  BOOST_TEST((zone.state(others[5]) == FateState::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(GrantLeavesOnlyOnceItIsCommitted) {
+  Zone zone;
+  zone.sync("w1", 1);
+  const RequestId id = zone.submit("wide");
+  const auto start = zone.sync("w1", 1);
+  zone.sync("w1", 1, {reportOf(start[0], TaskPhase::Started)});
+  BOOST_TEST(
+      zone.syncWithoutCommit("w1", 1, {usageOf(start[0], LargeUse)}).empty());
+  // The proposal is lost with its leader.
+  zone.lead();
+  BOOST_TEST(zone.sync("w1", 1).empty());
+  BOOST_TEST((zone.Book.findTask({id, 0})->Reserved.MemoryMb == 1000));
+}
+
 BOOST_AUTO_TEST_CASE(WorkThatIsNotIdempotentRunsAtMostOnce) {
   Zone zone;
   zone.sync("w1", 1);
