A quiet sync is answered a quarter of the lease after the answer before

Cause: the first version held a sync with a digest for 2 s after it arrived. A lease counts from when the answered sync was sent, so a lease of 3 s ended between two quiet syncs: CellSuite/ZoneWithoutKeepersGoesOnWithWhatItMay failed with 22 tasks stopped by their lease.

Change: SyncScopes::holdOf decides: a quarter of the lease, at most 1.5 s, after the last answer, so a sync that is sent again after a loss is answered at once. Entry hosts send a sync again after 1.9 s. Of a lease of 6 s 3 s are left at the answer, 2.6 s after one lost sync and 0.7 s after two (LeaseOutlivesTwoLostSyncs InARow in fate_test).

--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -19,7 +19,7 @@
 constexpr Duration FateStep = Duration::seconds(1);
 constexpr Duration SyncTimeout = Duration::seconds(4);
 // Exceeds the span for which a zone's leader holds a sync.
-constexpr Duration SyncAttemptTimeout = Duration::millis(2400);
+constexpr Duration SyncAttemptTimeout = Duration::millis(1900);
 constexpr Duration StatusTimeout = Duration::millis(800);
 constexpr Duration LongestLiveTimeout = Duration::seconds(10);
 
--- a/jujube/fate/sync_scopes.cc
+++ b/jujube/fate/sync_scopes.cc
@@ -1,8 +1,18 @@
 #include "jujube/fate/sync_scopes.h"
 
+#include <algorithm>
+
 #include "jujube/fate/attempt_digest.h"
 
 namespace jujube::fate {
+namespace {
+
+constexpr Duration FullSyncHold = Duration::seconds(1);
+// Bounds the hold of a sync with a digest also under a long lease.
+constexpr Duration MaxDigestSyncHold = Duration::millis(1500);
+constexpr int64_t HoldsPerLease = 4;
+
+} // namespace
 
 bool agreesWith(const FateBook &book, const WorkerSync &sync) {
   if (!sync.Unreported)
@@ -30,6 +40,17 @@
   }
 }
 
+Duration SyncScopes::holdOf(const WorkerSync &sync, Duration lease,
+                            Instant now) const {
+  if (!sync.Unreported)
+    return FullSyncHold;
+  const auto it = Rows.find(sync.Announcement.Worker);
+  if (it == Rows.end() || !it->second.RepliedAt)
+    return Duration();
+  const Duration most = std::min(MaxDigestSyncHold, lease / HoldsPerLease);
+  return std::clamp(*it->second.RepliedAt + most - now, Duration(), most);
+}
+
 SyncScope SyncScopes::wanted(const WorkerId &worker) const {
   const auto it = Rows.find(worker);
   return it != Rows.end() && it->second.IsFullWanted ? SyncScope::Full
@@ -41,10 +62,12 @@
   return it != Rows.end() && it->second.IsFullWanted && !it->second.IsAsked;
 }
 
-void SyncScopes::onReply(const WorkerId &worker) {
+void SyncScopes::onReply(const WorkerId &worker, Instant now) {
   const auto it = Rows.find(worker);
-  if (it != Rows.end())
-    it->second.IsAsked = it->second.IsFullWanted;
+  if (it == Rows.end())
+    return;
+  it->second.IsAsked = it->second.IsFullWanted;
+  it->second.RepliedAt = now;
 }
 
 } // namespace jujube::fate
--- a/jujube/fate/sync_scopes.h
+++ b/jujube/fate/sync_scopes.h
@@ -3,7 +3,9 @@
 #define JUJUBE_FATE_SYNC_SCOPES_H_
 
 #include <map>
+#include <optional>
 
+#include "jujube/base/clock.h"
 #include "jujube/base/ids.h"
 #include "jujube/fate/fate_book.h"
 #include "jujube/fate/types.h"
@@ -26,8 +28,13 @@
   SyncScope wanted(const WorkerId &worker) const;
   // True if that should not wait until the reply is due.
   bool isUrgent(const WorkerId &worker) const;
+  // How long the reply may wait for a directive. One to a sync with a digest is
+  // due a quarter of the lease after the reply before, so that two syncs in a
+  // row may be lost: a lease counts from when the worker sent its sync, and an
+  // entry host sends a sync again after its SyncAttemptTimeout.
+  Duration holdOf(const WorkerSync &sync, Duration lease, Instant now) const;
   // A reply with wanted() leaves.
-  void onReply(const WorkerId &worker);
+  void onReply(const WorkerId &worker, Instant now);
   void forget(const WorkerId &worker) { Rows.erase(worker); }
 
 private:
@@ -38,6 +45,7 @@
     bool IsFullWanted = false;
     // A reply has asked for it.
     bool IsAsked = false;
+    std::optional<Instant> RepliedAt;
   };
 
   std::map<WorkerId, Row> Rows;
--- a/jujube/fate/sync_test.cc
+++ b/jujube/fate/sync_test.cc
@@ -132,7 +132,7 @@
   scopes.onSync(quietSync(2), book);
   BOOST_TEST(scopes.isUrgent(Worker));
   BOOST_TEST((scopes.wanted(Worker) == SyncScope::Full));
-  scopes.onReply(Worker);
+  scopes.onReply(Worker, Instant());
   // One that ignores this is not answered at once again.
   scopes.onSync(quietSync(2), book);
   BOOST_TEST(!scopes.isUrgent(Worker));
@@ -154,7 +154,7 @@
   for (const uint32_t n : {1U, 3U}) {
     scopes.onSync(quietSync(n), bookWith(2));
     BOOST_TEST(scopes.isUrgent(Worker));
-    scopes.onReply(Worker);
+    scopes.onReply(Worker, Instant());
     scopes.onSync(quietSync(0), bookWith(2));
     BOOST_TEST(!scopes.isUrgent(Worker));
   }
@@ -167,11 +167,40 @@
   BOOST_TEST(!agreesWith(bookWith(2), mixed));
 }
 
+// What is left of a lease when the reply to the next sync is sent, if that sync
+// is lost some times and sent again after `timeout`.
+Duration leaseLeft(Duration lease, Duration timeout, int64_t lost) {
+  const FateBook book = bookWith(0);
+  const WorkerSync sync = quietSync(0);
+  SyncScopes scopes;
+  scopes.onSync(sync, book);
+  scopes.onReply(Worker, Instant());
+  // The lease counts from now; its sync waits as long as it may.
+  const Instant renewedAt = Instant() + scopes.holdOf(sync, lease, Instant());
+  scopes.onReply(Worker, renewedAt);
+  const Instant arrivedAt = renewedAt + timeout * lost;
+  return Instant() + lease -
+         (arrivedAt + scopes.holdOf(sync, lease, arrivedAt));
+}
+
+BOOST_AUTO_TEST_CASE(LeaseOutlivesTwoLostSyncsInARow) {
+  const Duration lease = Duration::seconds(6);
+  const Duration timeout = Duration::millis(1900);
+  BOOST_TEST((leaseLeft(lease, timeout, 0) >= Duration::seconds(3)));
+  BOOST_TEST((leaseLeft(lease, timeout, 1) >= Duration::seconds(2)));
+  BOOST_TEST((leaseLeft(lease, timeout, 2) >= Duration::millis(500)));
+  // Also a short lease outlives quiet times.
+  BOOST_TEST(
+      (leaseLeft(Duration::millis(900), timeout, 0) >= Duration::millis(400)));
+}
+
 BOOST_AUTO_TEST_CASE(WorkerWithoutDigestsIsNeverAsked) {
   SyncScopes scopes;
   scopes.onSync({Self, {}}, bookWith(2));
   BOOST_TEST(!scopes.isUrgent(Worker));
   BOOST_TEST((scopes.wanted(Worker) == SyncScope::Changes));
+  BOOST_TEST((scopes.holdOf({Self, {}}, Duration::seconds(6), Instant()) ==
+              Duration::seconds(1)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -299,7 +299,7 @@
   const bool isWanted = isDue || !directives.empty() || Scopes.isUrgent(worker);
   if (!isWanted || !Leases.renew(worker, at.Now))
     return std::nullopt;
-  Scopes.onReply(worker);
+  Scopes.onReply(worker, at.Now);
   return fate::SyncReply{LeaderTerm, Settings.WorkerLease,
                          std::move(directives), Scopes.wanted(worker)};
 }
--- a/jujube/zone/scheduler.h
+++ b/jujube/zone/scheduler.h
@@ -60,6 +60,10 @@
 
   // Takes a worker's sync. An error means that its leases are not renewed now.
   Status takeSync(const fate::WorkerSync &sync, Moment at);
+  // How long its reply may wait for a directive.
+  Duration holdOf(const fate::WorkerSync &sync, Instant now) const {
+    return Scopes.holdOf(sync, Settings.WorkerLease, now);
+  }
   // The reply for the worker, or nothing if it has to be delayed or refused;
   // counts its leases as renewed. Without `isDue` it waits for a directive.
   std::optional<fate::SyncReply> replyTo(const WorkerId &worker, bool isDue,
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -10,11 +10,6 @@
 namespace jujube::zone {
 namespace {
 
-// A worker's sync without directives is answered after this span. One that
-// leaves out what has not changed is held longer, a third of the lease, so that
-// two syncs in a row may be lost.
-constexpr Duration SyncHold = Duration::millis(1000);
-constexpr Duration DigestSyncHold = Duration::millis(2000);
 constexpr Duration PlanPeriod = Duration::millis(50);
 constexpr Duration SweepPeriod = Duration::millis(100);
 constexpr Duration SlicePeriod = Duration::seconds(1);
@@ -282,8 +277,8 @@
   }
   ParkedSyncs &parked = Syncs[worker];
   // One waiting sync is enough; the one that brought news is answered at once.
-  const Duration longest = sync.Sync.Unreported ? DigestSyncHold : SyncHold;
-  const Duration hold = parked.empty() ? longest : Duration();
+  const Duration hold =
+      parked.empty() ? Leading->holdOf(sync.Sync, Loop.now()) : Duration();
   parked.push_back({request, Loop.now() + hold});
   Woken.insert(worker);
 }
--- a/testing/state_fates.cc
+++ b/testing/state_fates.cc
@@ -282,7 +282,7 @@
       return;
     Leases.reset(worker.Id, Now);
   }
-  Scopes.onReply(worker.Id);
+  Scopes.onReply(worker.Id, Now);
   Replies.push_back({sync.Worker,
                      delay(worker),
                      sync.SentAt,
