Credits that others wait for move at once

Change: a grant names the entries that others wait for and the ledger has no slots for; its holder returns spare credits with the next report and gets no reserve. Hedges leave a tenth of the credits free. Reports to a zone are 7 ms apart instead of 10, and requests ask other zones after 5 ms instead of 10.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -21,6 +21,7 @@
 constexpr double MeanServiceMs = 50;
 constexpr Duration Deadline = Duration::millis(1000);
 constexpr Duration WarmUp = Duration::seconds(3);
+constexpr Duration SamplePeriod = Duration::millis(7);
 constexpr double IdempotentPart = 0.7;
 // Parts of the load per team.
 constexpr double TeamParts[] = {0.35, 0.25, 0.15, 0.10, 0.10, 0.05};
@@ -134,8 +135,24 @@
   double ControlPerRequest = 0;
   uint64_t Violations = 0;
   uint64_t Excess = 0;
+  // Summed over the samples.
+  SlotUse Slots;
 };
 
+// Adds what the slots are used for every SamplePeriod.
+void sample(RoutingWorld &world, Instant from, Instant end, SlotUse &sum) {
+  world.at(from, [&world, from, end, &sum] {
+    const SlotUse use = world.slotUse();
+    sum.Running += use.Running;
+    sum.InFlight += use.InFlight;
+    sum.Spare += use.Spare;
+    sum.Committed += use.Committed;
+    sum.Slots += use.Slots;
+    if (from < end)
+      sample(world, from + SamplePeriod, end, sum);
+  });
+}
+
 void count(const RequestRecord &record, const RunnerOracle &oracle,
            Figures &figures) {
   ++figures.Requests;
@@ -166,8 +183,9 @@
   const Instant from = world.now() + WarmUp;
   Arrivals arrivals(world, trial, world.runnerCount() * options.Slots);
   arrivals.arm();
-  world.runUntil(from + trial.Length + Deadline * 5);
   Figures figures;
+  sample(world, from, from + trial.Length, figures.Slots);
+  world.runUntil(from + trial.Length + Deadline * 5);
   int64_t useful = 0;
   for (const auto &[id, record] : world.records()) {
     const auto run = world.oracle().Runs.find({id, record.DeliveredAttempt});
@@ -192,7 +210,8 @@
                   : 100.0 * static_cast<double>(n) / static_cast<double>(all);
 }
 
-void print(const Trial &trial, Figures &figures, bool showsTeams) {
+void print(const Trial &trial, Figures &figures, bool showsTeams,
+           bool showsSlots) {
   std::vector<int64_t> waits;
   for (const auto &[team, some] : figures.WaitMs)
     waits.insert(waits.end(), some.begin(), some.end());
@@ -210,6 +229,16 @@
               percent(figures.Unresolved, figures.Requests),
               100 * figures.WastedPart, figures.ControlPerRequest,
               figures.Excess);
+  const SlotUse &slots = figures.Slots;
+  if (showsSlots)
+    std::printf(
+        "    slots: running %4.1f%% on the way %4.1f%% spare at entry "
+        "hosts %4.1f%% unconfirmed %4.1f%% at ledgers %4.1f%%\n",
+        percent(slots.Running, slots.Slots),
+        percent(slots.InFlight - slots.Running, slots.Slots),
+        percent(slots.Spare, slots.Slots),
+        percent(slots.Committed - slots.InFlight - slots.Spare, slots.Slots),
+        percent(slots.Slots - slots.Committed, slots.Slots));
   if (showsTeams)
     for (auto &[team, some] : figures.WaitMs)
       std::printf("    %s wait p50 %4ld p99 %5ld p99.9 %5ld, delivered %5.1f%% "
@@ -229,7 +258,9 @@
            "percent of the slots; 0 for 50, 80, 95 and 120", false, 0, 1000},
           {"policy", SettingKind::Text, "", "only this policy"},
           {"scenario", SettingKind::Text, "", "only this scenario"},
-          {"teams", SettingKind::Switch, "false", "also print each team"}};
+          {"teams", SettingKind::Switch, "false", "also print each team"},
+          {"slots", SettingKind::Switch, "false",
+           "also print what the slots are used for"}};
 }
 
 int run(int argc, char **argv) {
@@ -256,7 +287,7 @@
                           settings.duration("length"),
                           static_cast<uint64_t>(settings.integer("seed"))};
         Figures figures = measure(trial);
-        print(trial, figures, settings.isOn("teams"));
+        print(trial, figures, settings.isOn("teams"), settings.isOn("slots"));
       }
   return 0;
 }
--- a/jujube/routing/credit_ledger.cc
+++ b/jujube/routing/credit_ledger.cc
@@ -126,8 +126,8 @@
   holder.ReportedAt = now;
   holder.GoneAt = now + withDrift(Options.Lease + Options.MaxRequestTime);
   if (isWaiting(now))
-    return issue(holder, renewals(holder), true);
-  return issue(holder, allotments(report.From, holder, now), false);
+    return issue(holder, renewals(holder), true, now);
+  return issue(holder, allotments(report.From, holder, now), false, now);
 }
 
 CreditLedger::Wanted CreditLedger::renewals(const HolderState &holder) const {
@@ -224,12 +224,46 @@
   const uint32_t wanted = std::accumulate(
       home.begin(), home.end(), 0U,
       [](uint32_t sum, const HolderDemand &it) { return sum + it.Requests; });
-  return fairSlots(home, id, slots) +
-         fairSlots(foreign, id, slots > wanted ? slots - wanted : 0);
+  const std::vector<EntryId> contended = contendedFor(id, now);
+  const bool isContended =
+      std::ranges::find(contended, entry) != contended.end();
+  const auto slotsOf = [&](const std::vector<HolderDemand> &demands,
+                           uint32_t part) {
+    return fairSlots(demands, id, part, !isContended);
+  };
+  return slotsOf(home, slots) +
+         slotsOf(foreign, slots > wanted ? slots - wanted : 0);
+}
+
+std::vector<EntryId> CreditLedger::contendedFor(const Holder &id,
+                                                Instant now) const {
+  std::map<EntryId, uint32_t> queued;
+  for (const auto &[holder, state] : Holders) {
+    if (holder == id || now - state.ReportedAt >= withDrift(Options.Lease))
+      continue;
+    for (const TeamDemand &demand : state.Last.Demand)
+      queued[demand.Entry] += demand.Queued;
+  }
+  std::vector<EntryId> entries;
+  for (const auto &[entry, requests] : queued)
+    if (requests > uncommitted(entry, now))
+      entries.push_back(entry);
+  return entries;
+}
+
+uint32_t CreditLedger::uncommitted(const EntryId &entry, Instant now) const {
+  uint32_t sum = 0;
+  for (const auto &[id, runner] : Runners)
+    if (runner.Announcement.Entry == entry && isUsable(runner, now)) {
+      const uint32_t bound = committed(id);
+      const uint32_t slots = runner.Announcement.Slots;
+      sum += slots > bound ? slots - bound : 0;
+    }
+  return sum;
 }
 
 CreditGrant CreditLedger::issue(HolderState &holder, const Wanted &wanted,
-                                bool isRenewal) {
+                                bool isRenewal, Instant now) {
   if (holder.Outstanding.size() >= MaxOutstanding) {
     holder.Outstanding.back().AnswersReport = holder.Last.Sequence;
     return holder.Outstanding.back();
@@ -241,6 +275,7 @@
   grant.IsRenewal = isRenewal;
   for (const auto &[id, credits] : wanted)
     grant.Credits.push_back({id, credits});
+  grant.Contended = contendedFor(holder.Last.From, now);
   holder.Outstanding.push_back(grant);
   return grant;
 }
--- a/jujube/routing/credit_ledger.h
+++ b/jujube/routing/credit_ledger.h
@@ -116,8 +116,12 @@
                               Instant now) const;
   void allotDesk(const EntryId &entry, const Holder &id,
                  const HolderState &holder, Instant now, Wanted &wanted) const;
+  std::vector<EntryId> contendedFor(const Holder &id, Instant now) const;
+  // Slots that no holder has.
+  uint32_t uncommitted(const EntryId &entry, Instant now) const;
   uint32_t target(const EntryId &entry, const Holder &id, Instant now) const;
-  CreditGrant issue(HolderState &holder, const Wanted &wanted, bool isRenewal);
+  CreditGrant issue(HolderState &holder, const Wanted &wanted, bool isRenewal,
+                    Instant now);
 
   LedgerOptions Options;
   Instant StartedAt;
--- a/jujube/routing/credit_ledger_test.cc
+++ b/jujube/routing/credit_ledger_test.cc
@@ -202,6 +202,27 @@
   BOOST_TEST(!ledger.report(newer, at(1)).has_value());
 }
 
+// A holder is told while others wait for what the ledger can't give them, and
+// gets no reserve then.
+BOOST_AUTO_TEST_CASE(HoldersAreToldThatOthersWait) {
+  CreditLedger ledger = settledLedger();
+  ledger.announce(runner(1), at(0));
+  const EntryReport first = report("e1", 1, 6);
+  const CreditGrant all = *ledger.report(first, at(0));
+  BOOST_TEST(total(all) == 7U);
+  BOOST_TEST(all.Contended.empty());
+  const EntryReport busy = following(first, all, 0, 6);
+  (void)ledger.report(busy, at(1));
+  const EntryReport waiting = report("e2", 1, 2);
+  BOOST_TEST(ledger.report(waiting, at(2))->Contended.empty());
+  const CreditGrant less = *ledger.report(following(busy, all, 0, 6), at(3));
+  BOOST_TEST((less.Contended == std::vector<EntryId>{Desk}));
+  BOOST_TEST(total(less) == 6U);
+  (void)ledger.report(report("e2", 2, 0), at(4));
+  const EntryReport last = following(following(busy, all, 0, 6), less, 0, 6);
+  BOOST_TEST(ledger.report(last, at(5))->Contended.empty());
+}
+
 // By share and demand: the small team is served whole, the others 2 to 1, and
 // each team's part follows its demand over the entry hosts.
 BOOST_AUTO_TEST_CASE(SlotsAreDividedByShareThenByDemand) {
@@ -215,8 +236,8 @@
   BOOST_TEST(shares.at(TeamId("small")) == 4.0);
   BOOST_TEST(shares.at(TeamId("large")) == 40.0);
   BOOST_TEST(shares.at(TeamId("medium")) == 20.0);
-  BOOST_TEST(fairSlots(demands, a, 64) == 49U);
-  BOOST_TEST(fairSlots(demands, b, 64) == 15U);
+  BOOST_TEST(fairSlots(demands, a, 64, true) == 49U);
+  BOOST_TEST(fairSlots(demands, b, 64, true) == 15U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/jujube/routing/fair_slots.cc
+++ b/jujube/routing/fair_slots.cc
@@ -112,12 +112,14 @@
 } // namespace
 
 uint32_t fairSlots(const std::vector<HolderDemand> &demands,
-                   const Holder &holder, uint32_t slots) {
+                   const Holder &holder, uint32_t slots, bool hasReserve) {
   std::map<Holder, Part> parts = partsOf(demands, slots);
   roundParts(parts, slots);
   const auto own = parts.find(holder);
   if (own == parts.end())
     return 0;
+  if (!hasReserve)
+    return own->second.Slots;
   const double all = std::accumulate(
       parts.begin(), parts.end(), 0.0,
       [](double sum, const auto &row) { return sum + row.second.Requests; });
--- a/jujube/routing/fair_slots.h
+++ b/jujube/routing/fair_slots.h
@@ -23,10 +23,10 @@
 std::map<TeamId, double> maxMinShares(const std::vector<HolderDemand> &demands,
                                       uint32_t slots);
 
-// The slots that `holder` should have: its part of each team's share and, while
-// slots are left over, a reserve for the next requests.
+// The slots that `holder` should have: its part of each team's share and, if
+// `hasReserve` and while slots are left over, a reserve for the next requests.
 uint32_t fairSlots(const std::vector<HolderDemand> &demands,
-                   const Holder &holder, uint32_t slots);
+                   const Holder &holder, uint32_t slots, bool hasReserve);
 
 } // namespace jujube::routing
 
--- a/jujube/routing/messages.h
+++ b/jujube/routing/messages.h
@@ -97,6 +97,9 @@
   // lesser of its credits and these.
   bool IsRenewal = false;
   std::vector<RunnerCredits> Credits;
+  // Entries that requests of other holders wait for: credits that the holder
+  // does not use are wanted back at once.
+  std::vector<EntryId> Contended;
 
   bool operator==(const CreditGrant &) const = default;
 };
--- a/jujube/routing/router.cc
+++ b/jujube/routing/router.cc
@@ -200,6 +200,7 @@
 
 void Router::finishCall(Instant now, RouterActions &out) {
   spill(now);
+  returnSpare();
   dueReports(now, out);
 }
 
--- a/jujube/routing/router.h
+++ b/jujube/routing/router.h
@@ -162,8 +162,11 @@
   // router_timers.cc: deadlines, hedges, inquiries and reports.
   void expire(Instant now, RouterActions &out);
   void hedge(Instant now, RouterActions &out);
+  bool mayHedge(const EntryId &entry, Instant now) const;
   void followLost(Instant now, RouterActions &out);
   void spill(Instant now);
+  uint32_t keptSpare(const EntryId &entry) const;
+  void returnSpare();
   void dueReports(Instant now, RouterActions &out);
   Instant reportDue(const ZoneId &zone) const;
   std::vector<TeamDemand> demandFor(const ZoneId &zone, Instant now) const;
--- a/jujube/routing/router_options.h
+++ b/jujube/routing/router_options.h
@@ -49,7 +49,7 @@
   Duration RunnerLease = Duration::seconds(3);
   Duration ReportPeriod = Duration::millis(200);
   // Least span between two reports to a zone.
-  Duration ReportGap = Duration::millis(10);
+  Duration ReportGap = Duration::millis(7);
   // The most requests in flight on one runner, for the connection budget.
   uint32_t MaxPerRunner = 6;
   // The most attempts open at once, for the links to runners.
@@ -60,7 +60,7 @@
   Duration ShedGrace = Duration::millis(100);
   Duration MaxQueueWait = Duration::millis(400);
   // Other zones are asked for credits once a request has waited this long...
-  Duration SpillAfter = Duration::millis(10);
+  Duration SpillAfter = Duration::millis(5);
   // ...and no more once none has for this span.
   Duration SpillHold = Duration::seconds(1);
   // Least age of a request that is hedged.
--- a/jujube/routing/router_test.cc
+++ b/jujube/routing/router_test.cc
@@ -245,6 +245,33 @@
   BOOST_TEST(fixture.It->isIdle());
 }
 
+BOOST_AUTO_TEST_CASE(SpareCreditsGoBackAtOnceWhileOthersWait) {
+  Fixture fixture(3);
+  (void)fixture.submit(1, true, at(0));
+  const EntryReport before = fixture.It->report(Zone, at(1));
+  BOOST_TEST(before.Runners.front().Held == 3U);
+  CreditGrant grant{before.From,         Zone, Term{1}, 9, before.Sequence,
+                    Duration::seconds(2)};
+  grant.Credits = {{RunnerId("r1"), 3}};
+  grant.Contended = {Desk};
+  (void)fixture.It->granted(grant, at(2));
+  BOOST_TEST(find<ReportNow>(fixture.It->tick(at(8))) != nullptr);
+  const EntryReport after = fixture.It->report(Zone, at(8));
+  BOOST_TEST(after.Runners.front().Held == 1U);
+  BOOST_TEST(after.Runners.front().InFlight == 1U);
+}
+
+// A hedge takes no slot that other requests will soon need.
+BOOST_AUTO_TEST_CASE(HedgesLeaveHeadroom) {
+  RouterOptions options;
+  options.MaxPerRunner = 10;
+  Fixture fixture(10, 2, options);
+  for (int n = 1; n <= 18; ++n)
+    (void)fixture.submit(n, true, at(0));
+  BOOST_TEST(find<Dispatch>(fixture.It->tick(at(500))) != nullptr);
+  BOOST_TEST(find<Dispatch>(fixture.It->tick(at(501))) == nullptr);
+}
+
 // One failing runner is suspended; if all fail alike, none is blamed.
 BOOST_AUTO_TEST_CASE(FailuresAreBlamedOnTheRunnerThatStandsOut) {
   RunnerHealth outlier;
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr Duration ExpiredRetryAfter = Duration::millis(500);
+// Requests are hedged while one in so many credits is free.
+constexpr uint32_t HedgeHeadroom = 10;
+// Spare credits that are kept while other entry hosts wait for them.
+constexpr uint32_t ContendedSpare = 0;
 
 } // namespace
 
@@ -58,10 +62,10 @@
     Live &live = Requests.at(id);
     if (live.LastAttempt >= Options.MaxAttempts)
       continue;
-    // Waiting requests go first; the hedge is tried again later.
-    const bool isBusy = !deskOf(live.Request.Entry).Queue.empty();
+    const bool isWanted =
+        hasOpenAttempt(live) && mayHedge(live.Request.Entry, now);
     const std::optional<RunnerId> runner =
-        isBusy || !hasOpenAttempt(live) ? std::nullopt : pick(live, now);
+        isWanted ? pick(live, now) : std::nullopt;
     if (!runner || !budgetOf(live.Request.Team).spend()) {
       live.HedgeAt = now + Options.HedgeAfter;
       HedgeTimes.emplace(live.HedgeAt, id);
@@ -72,6 +76,13 @@
   }
 }
 
+// Hedges use spare slots only: first attempts of other requests go first.
+bool Router::mayHedge(const EntryId &entry, Instant now) const {
+  return Desks.at(entry).Queue.empty() &&
+         Table.spareOf(entry, now) * HedgeHeadroom >=
+             Table.capacityOf(entry, now);
+}
+
 void Router::followLost(Instant now, RouterActions &out) {
   while (!LostTimes.empty() && LostTimes.begin()->first <= now) {
     const auto [id, number] = LostTimes.begin()->second;
@@ -113,6 +124,20 @@
   }
 }
 
+uint32_t Router::keptSpare(const EntryId &entry) const {
+  const auto desk = Desks.find(entry);
+  const bool waits = desk != Desks.end() && !desk->second.Queue.empty();
+  return waits ? UINT32_MAX : ContendedSpare;
+}
+
+// Credits that others wait for move as soon as a report may leave.
+void Router::returnSpare() {
+  for (const ZoneId &zone : Table.zones())
+    for (const EntryId &entry : Table.contendedIn(zone))
+      if (Table.spareIn(zone, entry) > keptSpare(entry))
+        Table.setUrgent(zone);
+}
+
 Instant Router::reportDue(const ZoneId &zone) const {
   const auto flight = InFlight.lower_bound({zone, {}});
   const bool isActive =
@@ -171,6 +196,8 @@
 
 EntryReport Router::report(const ZoneId &zone, Instant now) {
   ++Counters.Reports;
+  for (const EntryId &entry : Table.contendedIn(zone))
+    Table.giveBack(zone, entry, keptSpare(entry));
   EntryReport report = Table.beginReport(zone, now);
   report.UpFor = now - StartedAt;
   report.Demand = demandFor(zone, now);
--- a/jujube/routing/runner_table.cc
+++ b/jujube/routing/runner_table.cc
@@ -62,6 +62,7 @@
     return false;
   lease.LedgerTerm = grant.LedgerTerm;
   lease.Serial = grant.Serial;
+  lease.Contended = grant.Contended;
   return replaceCredits(grant);
 }
 
@@ -85,6 +86,17 @@
   return hasFreed;
 }
 
+void RunnerTable::giveBack(const ZoneId &zone, const EntryId &entry,
+                           uint32_t keep) {
+  const auto rank = [&](const auto &row) -> int64_t {
+    const RunnerAnnouncement &runner = row.second.Announcement;
+    const bool isMeant = runner.Zone == zone && runner.Entry == entry;
+    return isMeant ? int64_t{row.second.Credits} - row.second.InFlight : 0;
+  };
+  for (uint32_t spare = spareIn(zone, entry); spare > keep; --spare)
+    --std::ranges::max_element(Runners, {}, rank)->second.Credits;
+}
+
 EntryReport RunnerTable::beginReport(const ZoneId &zone, Instant now) {
   ZoneLease &lease = Leases[zone];
   lease.LastReport = now;
@@ -176,6 +188,14 @@
   return sum;
 }
 
+uint32_t RunnerTable::spareOf(const EntryId &entry, Instant now) const {
+  uint32_t sum = 0;
+  for (const auto &[id, runner] : Runners)
+    if (runner.Announcement.Entry == entry)
+      sum += freeCredits(runner, now);
+  return sum;
+}
+
 std::vector<ZoneId> RunnerTable::zones() const {
   std::vector<ZoneId> names;
   std::ranges::transform(Leases, std::back_inserter(names),
@@ -188,6 +208,21 @@
   return it == Leases.end() ? 0 : it->second.Credits;
 }
 
+const std::vector<EntryId> &RunnerTable::contendedIn(const ZoneId &zone) const {
+  static const std::vector<EntryId> None;
+  const auto it = Leases.find(zone);
+  return it == Leases.end() ? None : it->second.Contended;
+}
+
+uint32_t RunnerTable::spareIn(const ZoneId &zone, const EntryId &entry) const {
+  uint32_t sum = 0;
+  for (const auto &[id, runner] : Runners)
+    if (runner.Announcement.Zone == zone &&
+        runner.Announcement.Entry == entry && runner.Credits > runner.InFlight)
+      sum += runner.Credits - runner.InFlight;
+  return sum;
+}
+
 Instant RunnerTable::lastReport(const ZoneId &zone) const {
   const auto it = Leases.find(zone);
   return it == Leases.end() ? Instant() : it->second.LastReport;
--- a/jujube/routing/runner_table.h
+++ b/jujube/routing/runner_table.h
@@ -38,6 +38,9 @@
   // Returns true if the grant is new and took credits away, so that the ledger
   // should learn soon what is free.
   bool apply(const CreditGrant &grant, Instant now);
+  // Gives up credits of a contended entry that no request in flight uses, but
+  // for `keep` of them; the next report tells the ledger.
+  void giveBack(const ZoneId &zone, const EntryId &entry, uint32_t keep);
   // Starts a report: all but its demand is filled in.
   EntryReport beginReport(const ZoneId &zone, Instant now);
 
@@ -55,9 +58,15 @@
   bool isServedIn(const ZoneId &zone, const EntryId &entry, Instant now) const;
   // Credits that may be used on all runners of the entry.
   uint32_t capacityOf(const EntryId &entry, Instant now) const;
+  // Those of them that no request in flight uses.
+  uint32_t spareOf(const EntryId &entry, Instant now) const;
   std::vector<ZoneId> zones() const;
 
   uint32_t creditsIn(const ZoneId &zone) const;
+  // Entries of the zone that other holders wait for.
+  const std::vector<EntryId> &contendedIn(const ZoneId &zone) const;
+  // Credits on the zone's runners of the entry that nothing in flight uses.
+  uint32_t spareIn(const ZoneId &zone, const EntryId &entry) const;
   // When the last report to the zone was made.
   Instant lastReport(const ZoneId &zone) const;
   void setUrgent(const ZoneId &zone) { Leases[zone].IsUrgent = true; }
@@ -77,6 +86,7 @@
     uint64_t LastSequence = 0;
     Instant LastReport;
     bool IsUrgent = false;
+    std::vector<EntryId> Contended;
     std::deque<SentReport> Reports;
   };
 
--- a/jujube/wire/routing_encoding.h
+++ b/jujube/wire/routing_encoding.h
@@ -25,7 +25,7 @@
 }
 template <typename Archive> void serialize(Archive &ar, CreditGrant &v) {
   ar(v.To, v.Zone, v.LedgerTerm, v.Serial, v.AnswersReport, v.Lease,
-     v.IsRenewal, v.Credits);
+     v.IsRenewal, v.Credits, v.Contended);
 }
 
 } // namespace jujube::routing
--- a/testing/routing_world.cc
+++ b/testing/routing_world.cc
@@ -209,4 +209,27 @@
   return sum;
 }
 
+SlotUse RoutingWorld::slotUse() const {
+  SlotUse use;
+  for (const auto &runner : Runners)
+    use.Running += runner->inProgress();
+  for (const Zone &zone : Zones)
+    for (const routing::LedgerRunner &runner :
+         zone.Ledger->runners(Events.now())) {
+      use.Slots += runner.Announcement.Slots;
+      use.Committed += runner.Committed;
+    }
+  for (const EntryHost &host : EntryHosts) {
+    if (!host.Router)
+      continue;
+    for (const auto &[id, runner] : host.Router->runners().all()) {
+      use.InFlight += runner.InFlight;
+      use.Spare += runner.Credits > runner.InFlight
+                       ? runner.Credits - runner.InFlight
+                       : 0;
+    }
+  }
+  return use;
+}
+
 } // namespace jujube::testing
--- a/testing/routing_world.h
+++ b/testing/routing_world.h
@@ -75,6 +75,19 @@
   uint32_t Conclusions = 0;
 };
 
+// What the slots of all runners are used for at one instant.
+struct SlotUse {
+  // Requests in progress on runners.
+  uint64_t Running = 0;
+  // Credits of entry hosts with a request in flight, on the way included.
+  uint64_t InFlight = 0;
+  // Credits that entry hosts keep free.
+  uint64_t Spare = 0;
+  // What the ledgers count as given away.
+  uint64_t Committed = 0;
+  uint64_t Slots = 0;
+};
+
 class RoutingWorld {
 public:
   explicit RoutingWorld(WorldOptions options);
@@ -104,6 +117,7 @@
   const RunnerOracle &oracle() const { return Oracle; }
   uint64_t controlMessages() const { return ControlMessages; }
   routing::RouterCounters counters() const;
+  SlotUse slotUse() const;
 
 private:
   struct EntryHost {
