Operators' walk: cell.sh restart and standins, wrong group sizes told at the start

Cause, found by following docs/OPERATIONS.md command by command: to replace a host one had to copy its flags out of /proc; there was no command for workers and runners but in the demo; a cell with two hosts a zone started, and no zone ever had a leader (each scheduler gave up with a line in its log); a submit that was refused as unavailable was accepted after all when the zone came back, and the remedy did not name its id; an empty histogram did not say that another host may have it.

--- a/jujube/ctl/ctl_test.cc
+++ b/jujube/ctl/ctl_test.cc
@@ -331,6 +331,14 @@
   BOOST_TEST(absl::StrContains(world.Err, "k2"));
 }
 
+BOOST_AUTO_TEST_CASE(ASubmitThatMayHaveArrivedIsToBeResentWithItsId) {
+  World world;
+  world.Faults.assign(100, TransportFailure::NoAnswer);
+  BOOST_TEST((world.run({"submit", "invoices", "--zone", "pf"}) ==
+              ExitCode::Unreachable));
+  BOOST_TEST(absl::StrContains(world.Err, "resend it with --id pf.aaa"));
+}
+
 BOOST_AUTO_TEST_CASE(ALiveCallIsNotRepeatedWhenItsAnswerIsLost) {
   World world;
   world.Faults = {TransportFailure::NoAnswer};
--- a/jujube/ctl/work_commands.cc
+++ b/jujube/ctl/work_commands.cc
@@ -205,8 +205,10 @@
   if (isOk(view))
     return printFate(session, valueOf(view));
   Error error = errorOf(view);
-  if (session.Api.isUnreachable())
-    error.Remedy = absl::StrCat("resend it with --id ", id.str());
+  if (session.Api.isUnreachable() || http::isRetried(error.Kind))
+    error.Remedy = absl::StrCat("it may have been accepted; resend it with "
+                                "--id ",
+                                id.str());
   return error;
 }
 
@@ -314,7 +316,8 @@
     return Verdict::Done;
   }
   if (snapshot.Histograms.empty())
-    session.Print("no observations yet\n");
+    session.Print("no observations at this entry host and its zone's leader; "
+                  "ask another with --server\n");
   for (const metrics::HistogramValue &histogram : snapshot.Histograms)
     session.Print(absl::StrCat(metrics::renderBars(histogram), "\n"));
   return Verdict::Done;
--- a/jujube/http/client.cc
+++ b/jujube/http/client.cc
@@ -15,7 +15,6 @@
 constexpr Duration ConnectTimeout = Duration::seconds(2);
 constexpr int StatusOk = 200;
 
-// Errors that another server, or the same one later, may not have.
 constexpr std::array RetriedKinds = {
     ErrorKind::Overloaded, ErrorKind::Unavailable, ErrorKind::NotLeader,
     ErrorKind::StaleData};
@@ -103,6 +102,10 @@
 
 } // namespace
 
+bool isRetried(ErrorKind kind) {
+  return std::ranges::find(RetriedKinds, kind) != RetriedKinds.end();
+}
+
 TransportHook makeTransport(std::string tlsAuthority) {
   auto open = std::make_shared<Connections>();
   open->Authority = std::move(tlsAuthority);
@@ -150,8 +153,7 @@
       if (reply.Status == StatusOk)
         return reply.Body;
       last = errorIn(reply);
-      if (!call.MayResend ||
-          std::ranges::find(RetriedKinds, last.Kind) == RetriedKinds.end())
+      if (!call.MayResend || !isRetried(last.Kind))
         return last;
     }
     Preferred = (Preferred + 1) % Settings.Servers.size();
--- a/jujube/http/client.h
+++ b/jujube/http/client.h
@@ -37,6 +37,9 @@
   std::string Body;
 };
 
+// True for errors that another server, or the same one later, may not have.
+bool isRetried(ErrorKind kind);
+
 // Why there is no reply.
 enum class TransportFailure {
   // The request did not leave.
--- a/programs/help_test.cc
+++ b/programs/help_test.cc
@@ -1,10 +1,13 @@
 // The command line of every program: help, version and usage errors.
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <regex>
 #include <set>
 #include <string>
@@ -116,6 +119,24 @@
   BOOST_TEST(absl::StrContains(number.Text, "--count has the value '0'; give"));
 }
 
+BOOST_AUTO_TEST_CASE(AZoneNeedsAnOddNumberOfSchedulers) {
+  std::string path =
+      (std::filesystem::temp_directory_path() / "jujube_help_XXXXXX").string();
+  const int fd = mkstemp(path.data());
+  BOOST_REQUIRE(fd >= 0);
+  close(fd);
+  std::ofstream(path) << "0123456789abcdef";
+  const ProgramExit even =
+      runProgram("jujube-zone",
+                 absl::StrCat("--host a --zone z --keepers 127.0.0.1:1 --peers "
+                              "a=127.0.0.1:2,b=127.0.0.1:3 --fleet-token-file ",
+                              path));
+  std::filesystem::remove(path);
+  BOOST_TEST(even.Code == UsageExitCode);
+  BOOST_TEST(absl::StrContains(even.Text, "--peers names 2 schedulers; name 1"),
+             even.Text);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujube
--- a/programs/jujube_zone.cc
+++ b/programs/jujube_zone.cc
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "jujube/daemon/daemon.h"
 #include "jujube/daemon/identity.h"
 #include "jujube/zone/zone_tree.h"
@@ -31,6 +32,11 @@
   auto peers = daemon::parsePeers(settings.text("peers"));
   if (!isOk(peers))
     return errorOf(peers);
+  if (valueOf(peers).size() % 2 == 0)
+    return Error{
+        ErrorKind::InvalidArgument,
+        absl::StrCat("--peers names ", valueOf(peers).size(), " schedulers"),
+        "name 1, 3 or 5; for a zone of two hosts name one elsewhere"};
   auto listen = daemon::addressOf(valueOf(peers), valueOf(identity).Self);
   if (!isOk(listen))
     return errorOf(listen);
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,18 +1,23 @@
 #!/usr/bin/env bash
 # Starts and stops a cell of jujubedyke on loopback.
 #   scripts/cell.sh start DIR [ZONES] [ENTRY-HOSTS-PER-ZONE]
-#   scripts/cell.sh stop DIR
-# ZONES is a list separated by commas. DIR gets the secrets, data, logs, one
-# PID file per process, and the file "env" with the cell's addresses.
+#   scripts/cell.sh standins DIR [WORKERS-PER-ZONE] [RUNNERS-PER-ZONE]
+#   scripts/cell.sh restart DIR PROCESS
+#   scripts/cell.sh stop DIR [PROCESS]
+# ZONES is a list separated by commas. DIR gets the secrets, data, logs, one file
+# per process with its id (pid/) and its command (command/), and the file "env"
+# with the cell's addresses. Processes are called keeper-N, zone-ZONE-N,
+# entry-ZONE-N, worker-ZONE and runner-ZONE.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 readonly BIN=${JUJUBE_BIN:-build/bin}
 readonly BASE_PORT=${JUJUBE_BASE_PORT:-21000}
 
-# run NAME PROGRAM ARGS...: starts a process and notes its id.
+# run NAME PROGRAM ARGS...: starts a process; notes its command and its id.
 run() {
   local name=$1
   shift
+  printf '%q ' "$@" >"$dir/command/$name"
   "$@" >>"$dir/log/$name.log" 2>&1 &
   echo $! >"$dir/pid/$name"
 }
@@ -24,7 +29,11 @@
 start() {
   IFS=, read -r -a zones <<<"${1:-san-fernando,point-fortin,princes-town}"
   local per_zone=${2:-3}
-  mkdir -p "$dir"/{log,pid}
+  if [ $((per_zone % 2)) = 0 ]; then
+    echo "ENTRY-HOSTS-PER-ZONE is $per_zone; give 1, 3 or 5" >&2
+    exit 2
+  fi
+  mkdir -p "$dir"/{log,pid,command}
   secret "$dir/fleet.token"
   secret "$dir/operator.token"
   local keepers="" keeper_addresses="" k
@@ -60,6 +69,7 @@
     servers+=${servers:+,}$https
     echo "$https" >"$dir/entries-$zone"
   done
+  printf '%s\n' "${zones[@]}" >"$dir/zones"
   cat >"$dir/env" <<EOF
 export JUJUBE_SERVER=$servers
 export JUJUBE_OPERATOR_TOKEN_FILE=$dir/operator.token
@@ -67,13 +77,60 @@
 EOF
 }
 
-# Ends every process that start noted, and waits for it.
+# Fails if a process that was started has ended, for example by a wrong setting.
+check() {
+  sleep 0.5
+  local file name
+  for file in "$dir"/pid/*; do
+    name=$(basename "$file")
+    kill -0 "$(cat "$file")" 2>/dev/null || {
+      echo "$name has ended: $(tail -n 1 "$dir/log/$name.log")" >&2
+      exit 1
+    }
+  done
+}
+
+# Emulated workers, and runners of the entry yard-desk, in every zone. The file
+# "stats" gets their addresses for jujube-load --stats.
+standins() {
+  local workers=${1:-4} runners=${2:-3} z=0 zone entries stats=""
+  while read -r zone; do
+    z=$((z + 1))
+    entries=$(cat "$dir/entries-$zone")
+    run "worker-$zone" "$BIN/standin-worker" --entries "$entries" \
+      --fleet-token-file "$dir/fleet.token" --name "w-$zone" \
+      --count "$workers" --stats "127.0.0.1:$((BASE_PORT + 900 + z))"
+    run "runner-$zone" "$BIN/standin-runner" --entries "$entries" \
+      --fleet-token-file "$dir/fleet.token" --zone "$zone" --entry yard-desk \
+      --name "r-$zone" --count "$runners" \
+      --listen "127.0.0.1:$((BASE_PORT + 950 + z))"
+    stats+=${stats:+,}127.0.0.1:$((BASE_PORT + 900 + z))
+    stats+=,127.0.0.1:$((BASE_PORT + 950 + z))
+  done <"$dir/zones"
+  echo "$stats" >"$dir/stats"
+}
+
+# restart PROCESS: ends it if it runs, and starts it with the same command.
+restart() {
+  if [ ! -e "$dir/command/$1" ]; then
+    echo "no process '$1'; give one of: $(cd "$dir/command" && echo *)" >&2
+    exit 2
+  fi
+  stop "$1"
+  local -a words
+  eval "words=($(cat "$dir/command/$1"))"
+  run "$1" "${words[@]}"
+}
+
+# stop [PROCESS]: ends the process, or all that were started, and waits.
 stop() {
   local file pid
-  for file in "$dir"/pid/*; do
-    [ -e "$file" ] && kill "$(cat "$file")" 2>/dev/null || true
+  local -a files=("$dir"/pid/${1:-*})
+  for file in "${files[@]}"; do
+    [ -e "$file" ] && kill "$(cat "$file")" 2>/dev/null &&
+      kill -CONT "$(cat "$file")" 2>/dev/null || true # It may be paused.
   done
-  for file in "$dir"/pid/*; do
+  for file in "${files[@]}"; do
     [ -e "$file" ] || continue
     pid=$(cat "$file")
     for _ in $(seq 300); do
@@ -85,14 +142,25 @@
 }
 
 if [ $# -lt 2 ]; then
-  sed -n '2,6p' "$0"
+  sed -n '2,11p' "$0"
   exit 2
 fi
 command=$1
 dir=$2
 shift 2
 case $command in
-start) start "$@" ;;
-stop) stop ;;
-*) sed -n '2,6p' "$0" && exit 2 ;;
+start)
+  start "$@"
+  check
+  ;;
+standins)
+  standins "$@"
+  check
+  ;;
+restart)
+  restart "$@"
+  check
+  ;;
+stop) stop "$@" ;;
+*) sed -n '2,11p' "$0" && exit 2 ;;
 esac
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,7 +8,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 readonly ZONES=(san-fernando point-fortin princes-town)
-readonly BASE_PORT=${JUJUBE_BASE_PORT:-21000}
 readonly HOSTS_PER_ZONE=3
 workers=4
 runners=3
@@ -55,27 +54,7 @@
   echo "$team $(ctl key issue "$team")"
 done >"$dir/keys"
 
-# standin NAME PROGRAM ARGS...: starts a stand-in that cell.sh stops.
-standin() {
-  local name=$1
-  shift
-  "$@" --fleet-token-file "$dir/fleet.token" >"$dir/log/$name.log" 2>&1 &
-  echo $! >"$dir/pid/$name"
-}
-stats=""
-z=0
-for zone in "${ZONES[@]}"; do
-  z=$((z + 1))
-  entries=$(cat "$dir/entries-$zone")
-  standin "worker-$zone" build/bin/standin-worker --entries "$entries" \
-    --name "w-$zone" --count "$workers" \
-    --stats "127.0.0.1:$((BASE_PORT + 900 + z))"
-  standin "runner-$zone" build/bin/standin-runner --entries "$entries" \
-    --zone "$zone" --entry yard-desk --name "r-$zone" --count "$runners" \
-    --listen "127.0.0.1:$((BASE_PORT + 950 + z))"
-  stats+=${stats:+,}127.0.0.1:$((BASE_PORT + 900 + z))
-  stats+=,127.0.0.1:$((BASE_PORT + 950 + z))
-done
+scripts/cell.sh standins "$dir" "$workers" "$runners"
 # count TEXT: how often the fleet's status has it.
 count() { ctl status --json | grep -o "$1" | wc -l; }
 everyone_is_there() {
@@ -107,7 +86,7 @@
 echo "== a mixed day"
 status=0
 build/bin/jujube-load --trace traces/day.load --keys-file "$dir/keys" \
-  --stats "$stats" --processes "$processes" --faults "$faults" \
+  --stats "$(cat "$dir/stats")" --processes "$processes" --faults "$faults" \
   --report "$dir/report" || status=$?
 echo "== one fate"
 request=$(ctl submit plans --key "$(awk '$1 == "farms" {print $2}' "$dir/keys")" \
