wire: nothing is copied for an empty list of numbers

Cause: the first fuzz run with a seed for every message found it after 183 inputs: reading an empty vector of numbers passed its null data to memcpy, which is undefined behaviour. Change: read() returns at once for 0 bytes.

--- a/jujube/wire/archive.h
+++ b/jujube/wire/archive.h
@@ -41,6 +41,9 @@
 
   void read(void *data, std::size_t n) {
     checkSize(n);
+    // An empty vector has no data.
+    if (n == 0)
+      return;
     std::memcpy(data, Left.data(), n);
     Left.remove_prefix(n);
   }
