--- a/jujube/ctl/catalogue_commands.cc
+++ b/jujube/ctl/catalogue_commands.cc
@@ -123,33 +123,23 @@
 }
 
 Result<Verdict> getCatalogue(Session &session, const Arguments & /*args*/) {
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  session.Print(session.Options.IsJson
-                    ? http::toJson(valueOf(contents)) + "\n"
-                    : http::toIndentedJson(toFile(valueOf(contents))) + "\n");
-  return Verdict::Done;
+  return printCatalogue(session, [](const catalogue::Contents &contents) {
+    return http::toIndentedJson(toFile(contents)) + "\n";
+  });
 }
 
 Result<Verdict> listCatalogue(Session &session, const Arguments & /*args*/) {
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  if (session.Options.IsJson) {
-    session.Print(http::toJson(valueOf(contents)) + "\n");
-    return Verdict::Done;
-  }
-  Table table({"ENTRY", "OWNER", "CLASS", "PRIORITY", "TASKS", "ASK", "OPEN",
-               "CHANGED"});
-  for (const auto &[entry, changed] : valueOf(contents).Entries)
-    table.add({entry.Id.str(), entry.Owner.str(),
-               std::string(nameIn(catalogue::WorkClassNames, entry.Class)),
-               std::string(nameIn(catalogue::UrgencyNames, entry.Priority)),
-               absl::StrCat(entry.Tasks), resourcesText(entry.Ask),
-               entry.IsOpen ? "yes" : "no", absl::StrCat(changed.Value)});
-  session.Print(table.text());
-  return Verdict::Done;
+  return printCatalogue(session, [](const catalogue::Contents &contents) {
+    Table table({"ENTRY", "OWNER", "CLASS", "PRIORITY", "TASKS", "ASK", "OPEN",
+                 "CHANGED"});
+    for (const auto &[entry, changed] : contents.Entries)
+      table.add({entry.Id.str(), entry.Owner.str(),
+                 std::string(nameIn(catalogue::WorkClassNames, entry.Class)),
+                 std::string(nameIn(catalogue::UrgencyNames, entry.Priority)),
+                 absl::StrCat(entry.Tasks), resourcesText(entry.Ask),
+                 entry.IsOpen ? "yes" : "no", absl::StrCat(changed.Value)});
+    return table.text();
+  });
 }
 
 Result<Verdict> deleteObject(Session &session, const Arguments &args) {
--- a/jujube/ctl/edits.cc
+++ b/jujube/ctl/edits.cc
@@ -69,6 +69,17 @@
       {http::Method::Get, "/v1/catalogue", session.Options.OperatorToken});
 }
 
+Result<Verdict> printCatalogue(
+    Session &session,
+    const std::function<std::string(const catalogue::Contents &)> &render) {
+  const Result<catalogue::Contents> contents = readCatalogue(session);
+  if (!isOk(contents))
+    return errorOf(contents);
+  session.Print(session.Options.IsJson ? http::toJson(valueOf(contents)) + "\n"
+                                       : render(valueOf(contents)));
+  return Verdict::Done;
+}
+
 std::string outcomeText(const EditOutcome &outcome) {
   const absl::string_view state =
       outcome.WasMadeBefore       ? "made by an earlier run"
--- a/jujube/ctl/edits.h
+++ b/jujube/ctl/edits.h
@@ -2,6 +2,7 @@
 #ifndef JUJUBE_CTL_EDITS_H_
 #define JUJUBE_CTL_EDITS_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,12 @@
 // Reads the catalogue.
 Result<catalogue::Contents> readCatalogue(Session &session);
 
+// Reads the catalogue and prints it: as JSON, or as `render` puts it for
+// people.
+Result<Verdict> printCatalogue(
+    Session &session,
+    const std::function<std::string(const catalogue::Contents &)> &render);
+
 // "revision 12, in force" or how it is not.
 std::string outcomeText(const EditOutcome &outcome);
 
--- a/jujube/ctl/session.h
+++ b/jujube/ctl/session.h
@@ -69,6 +69,9 @@
 
 using Arguments = std::vector<std::string>;
 
+// Reads the fleet's state as the entry host knows it.
+Result<api::FleetStatus> readStatus(Session &session);
+
 } // namespace jujube::ctl
 
 #endif // JUJUBE_CTL_SESSION_H_
--- a/jujube/ctl/team_commands.cc
+++ b/jujube/ctl/team_commands.cc
@@ -42,19 +42,13 @@
 }
 
 Result<Verdict> listTeams(Session &session, const Arguments & /*args*/) {
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  if (session.Options.IsJson) {
-    session.Print(http::toJson(valueOf(contents)) + "\n");
-    return Verdict::Done;
-  }
-  Table table({"TEAM", "SHARE", "CEILING", "CHANGED"});
-  for (const auto &[team, changed] : valueOf(contents).Teams)
-    table.add({team.Id.str(), absl::StrCat(team.Share),
-               resourcesText(team.Ceiling), absl::StrCat(changed.Value)});
-  session.Print(table.text());
-  return Verdict::Done;
+  return printCatalogue(session, [](const catalogue::Contents &contents) {
+    Table table({"TEAM", "SHARE", "CEILING", "CHANGED"});
+    for (const auto &[team, changed] : contents.Teams)
+      table.add({team.Id.str(), absl::StrCat(team.Share),
+                 resourcesText(team.Ceiling), absl::StrCat(changed.Value)});
+    return table.text();
+  });
 }
 
 Result<Verdict> deleteTeam(Session &session, const Arguments &args) {
@@ -106,16 +100,13 @@
 }
 
 Result<Verdict> listKeys(Session &session, const Arguments &args) {
-  const Result<catalogue::Contents> contents = readCatalogue(session);
-  if (!isOk(contents))
-    return errorOf(contents);
-  Table table({"KEY", "TEAM", "ISSUED"});
-  for (const auto &[key, changed] : valueOf(contents).Keys)
-    if (args.empty() || key.Team.str() == args[0])
-      table.add({key.Id.str(), key.Team.str(), absl::StrCat(changed.Value)});
-  session.Print(session.Options.IsJson ? http::toJson(valueOf(contents)) + "\n"
-                                       : table.text());
-  return Verdict::Done;
+  return printCatalogue(session, [&args](const catalogue::Contents &contents) {
+    Table table({"KEY", "TEAM", "ISSUED"});
+    for (const auto &[key, changed] : contents.Keys)
+      if (args.empty() || key.Team.str() == args[0])
+        table.add({key.Id.str(), key.Team.str(), absl::StrCat(changed.Value)});
+    return table.text();
+  });
 }
 
 } // namespace jujube::ctl
--- a/jujube/http/fields.cc
+++ b/jujube/http/fields.cc
@@ -54,6 +54,22 @@
                std::string(remedy)};
 }
 
+// Says where text stops to be JSON. Only for text that the parser refused.
+std::string syntaxProblem(absl::string_view text) {
+  std::size_t at = 0;
+  try {
+    const Json parsed = Json::parse(text.begin(), text.end());
+  } catch (const Json::parse_error &error) {
+    // Counted from 1; the end of the text counts as a character.
+    at = std::min(error.byte > 0 ? error.byte - 1 : 0, text.size());
+  }
+  const absl::string_view before = text.substr(0, at);
+  const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+  // At the start of the text rfind() returns npos, and npos + 1 is 0.
+  const std::size_t column = before.size() - (before.rfind('\n') + 1) + 1;
+  return absl::StrCat("is not JSON at line ", line, ", column ", column);
+}
+
 Result<Json> parseText(absl::string_view text) {
   bool isTooDeep = false;
   const auto checkDepth = [&isTooDeep](int depth, Json::parse_event_t, Json &) {
@@ -65,7 +81,7 @@
     return malformed({}, "is nested too deeply",
                      absl::StrCat("nest at most ", MaxJsonDepth, " levels"));
   if (json.is_discarded())
-    return malformed({}, "is not JSON", "send one JSON object in UTF-8");
+    return malformed({}, syntaxProblem(text), "send one JSON object in UTF-8");
   return json;
 }
 
--- a/jujube/http/fields.h
+++ b/jujube/http/fields.h
@@ -180,7 +180,7 @@
     return status;
   Result<Id> id = Id::parse(text);
   if (!isOk(id))
-    return malformed(path, errorOf(id).Message, errorOf(id).Remedy);
+    return malformed(path, "is a " + errorOf(id).Message, errorOf(id).Remedy);
   out = valueOf(std::move(id));
   return Ok{};
 }
--- a/jujube/http/json_test.cc
+++ b/jujube/http/json_test.cc
@@ -201,6 +201,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ASyntaxErrorNamesItsPlace) {
+  const auto messageOf = [](absl::string_view text) {
+    return problemOf(fromJson<catalogue::Edit>(text)).Message;
+  };
+  BOOST_TEST(messageOf("{\n  \"id\": oops}") ==
+             "the body is not JSON at line 2, column 9");
+  BOOST_TEST(messageOf("") == "the body is not JSON at line 1, column 1");
+  BOOST_TEST(messageOf("{\"id\":") ==
+             "the body is not JSON at line 1, column 7");
+}
+
 BOOST_AUTO_TEST_CASE(DeepNestingIsRefused) {
   const std::string deep = std::string(100000, '[') + std::string(100000, ']');
   BOOST_TEST(absl::StrContains(
