--- a/jujube/ctl/app.cc
+++ b/jujube/ctl/app.cc
@@ -47,8 +47,8 @@
       {Action::CatalogueList, "", 0, 0, listCatalogue, "lists the entries"},
       {Action::CatalogueDelete, "team|entry NAME", 2, 2, deleteObject,
        "deletes a team or an entry"},
-      {Action::CatalogueHistory, "", 0, 0, showHistory,
-       "lists the latest edits"},
+      {Action::CatalogueHistory, "[LINES]", 0, 1, showHistory,
+       "lists the latest edits, 100 or as many as LINES says"},
       {Action::TeamPut, "TEAM", 1, 1, putTeam,
        "creates a team or changes its share and ceiling"},
       {Action::TeamList, "", 0, 0, listTeams, "lists the teams"},
@@ -78,6 +78,7 @@
       {"operator-token-file", SettingKind::Text, "",
        "file with the operators' token"},
       {"key", SettingKind::Text, "", "KEYID.SECRET of a team"},
+      {"key-file", SettingKind::Text, "", "file with it instead"},
       {"tls-ca", SettingKind::Text, "",
        "PEM file of the authority; turns TLS on"},
       {"json", SettingKind::Switch, "false", "print JSON"},
@@ -206,7 +207,24 @@
   return Ok{};
 }
 
+Status readKey(const Settings &settings, SessionOptions &options) {
+  options.PresentedKey = settings.text("key");
+  const std::string &path = settings.text("key-file");
+  if (path.empty())
+    return Ok{};
+  if (!options.PresentedKey.empty())
+    return Error{ErrorKind::InvalidArgument,
+                 "--key and --key-file are both given", "give one of them"};
+  Result<std::string> key = readSecretFile(path);
+  if (!isOk(key))
+    return errorOf(key);
+  options.PresentedKey = valueOf(std::move(key));
+  return Ok{};
+}
+
 Status readFiles(const Settings &settings, SessionOptions &options) {
+  if (Status status = readKey(settings, options); !isOk(status))
+    return status;
   const std::string &tokenFile = settings.text("operator-token-file");
   if (!tokenFile.empty()) {
     Result<std::string> token = readSecretFile(tokenFile);
@@ -220,7 +238,6 @@
 Result<SessionOptions> readOptions(const Settings &settings,
                                    const AppHooks &hooks) {
   SessionOptions options;
-  options.PresentedKey = settings.text("key");
   options.Author = settings.text("author");
   if (options.Author.empty())
     options.Author = hooks.Environment("USER").value_or("operator");
--- a/jujube/ctl/catalogue_commands.cc
+++ b/jujube/ctl/catalogue_commands.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <sstream>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "jujube/ctl/catalogue_plan.h"
@@ -16,6 +17,8 @@
 namespace jujube::ctl {
 namespace {
 
+constexpr uint32_t DefaultHistoryLines = 100;
+
 // Objects that the catalogue commands name on the command line.
 enum class ObjectKind { Team, Entry };
 
@@ -154,10 +157,14 @@
       session, args[1], &catalogue::Contents::Entries, "deleted entry");
 }
 
-Result<Verdict> showHistory(Session &session, const Arguments & /*args*/) {
-  const auto lines = session.Api.callFor<std::vector<catalogue::HistoryLine>>(
-      {http::Method::Get, "/v1/catalogue/history",
-       session.Options.OperatorToken});
+Result<Verdict> showHistory(Session &session, const Arguments &args) {
+  uint32_t wanted = DefaultHistoryLines;
+  if (!args.empty() && (!absl::SimpleAtoi(args[0], &wanted) || wanted == 0 ||
+                        wanted > MaxHistoryLines))
+    return Error{
+        ErrorKind::InvalidArgument, absl::StrCat("LINES is '", args[0], "'"),
+        absl::StrCat("give a whole number from 1 to ", MaxHistoryLines)};
+  const auto lines = readHistory(session, wanted);
   if (!isOk(lines))
     return errorOf(lines);
   if (session.Options.IsJson) {
--- a/jujube/ctl/ctl_test.cc
+++ b/jujube/ctl/ctl_test.cc
@@ -141,6 +141,20 @@
   BOOST_TEST(!valueOf(error).Problem.Remedy.empty());
 }
 
+BOOST_AUTO_TEST_CASE(TheHistoryIsAsLongAsAskedFor) {
+  World world;
+  for (const char *share : {"4", "5", "6"})
+    (void)world.run({"team", "put", "events", "--share", share});
+  world.Out.clear();
+  BOOST_TEST((world.run({"catalogue", "history", "2"}) == ExitCode::Done));
+  BOOST_TEST(absl::StrContains(world.Out, "\n4 "), world.Out);
+  BOOST_TEST(!absl::StrContains(world.Out, "\n2 "), world.Out);
+  for (const char *lines : {"0", "x", "10001"})
+    BOOST_TEST(
+        (world.run({"catalogue", "history", lines}) == ExitCode::Refused));
+  BOOST_TEST(absl::StrContains(world.Err, "LINES is 'x'; give a whole number"));
+}
+
 BOOST_AUTO_TEST_CASE(ListsShowWhatTheCatalogueHolds) {
   World world;
   BOOST_TEST((world.run({"key", "issue", "events", "k1"}) == ExitCode::Done));
--- a/jujube/ctl/edits.cc
+++ b/jujube/ctl/edits.cc
@@ -11,7 +11,6 @@
 // Longer than an edit may take to be in force everywhere.
 constexpr Duration EditTimeout = Duration::seconds(20);
 constexpr std::size_t DigestPartLength = 16;
-constexpr uint32_t MaxHistoryLines = 10000;
 
 Result<EditId> editIdOf(const Session &session,
                         const catalogue::Change &change) {
@@ -24,10 +23,7 @@
 
 // The revision of an accepted edit, if the history still has it.
 std::optional<Revision> revisionOf(Session &session, const EditId &id) {
-  const auto lines = session.Api.callFor<std::vector<catalogue::HistoryLine>>(
-      {http::Method::Get,
-       absl::StrCat("/v1/catalogue/history?max_lines=", MaxHistoryLines),
-       session.Options.OperatorToken});
+  const auto lines = readHistory(session, MaxHistoryLines);
   if (!isOk(lines))
     return std::nullopt;
   const auto it =
@@ -69,6 +65,14 @@
       {http::Method::Get, "/v1/catalogue", session.Options.OperatorToken});
 }
 
+Result<std::vector<catalogue::HistoryLine>> readHistory(Session &session,
+                                                        uint32_t lines) {
+  return session.Api.callFor<std::vector<catalogue::HistoryLine>>(
+      {http::Method::Get,
+       absl::StrCat("/v1/catalogue/history?max_lines=", lines),
+       session.Options.OperatorToken});
+}
+
 Result<Verdict> printCatalogue(
     Session &session,
     const std::function<std::string(const catalogue::Contents &)> &render) {
--- a/jujube/ctl/edits.h
+++ b/jujube/ctl/edits.h
@@ -27,6 +27,13 @@
 // Reads the catalogue.
 Result<catalogue::Contents> readCatalogue(Session &session);
 
+// The most lines that the history tells.
+inline constexpr uint32_t MaxHistoryLines = 10000;
+
+// Reads the newest lines of the history, newest first.
+Result<std::vector<catalogue::HistoryLine>> readHistory(Session &session,
+                                                        uint32_t lines);
+
 // Reads the catalogue and prints it: as JSON, or as `render` puts it for
 // people.
 Result<Verdict> printCatalogue(
--- a/jujube/ctl/work_test.cc
+++ b/jujube/ctl/work_test.cc
@@ -9,6 +9,22 @@
 
 BOOST_AUTO_TEST_SUITE(WorkTest)
 
+BOOST_AUTO_TEST_CASE(AKeyIsReadFromAFileThatOnlyItsOwnerMayRead) {
+  World world;
+  const TestFile key("k1.0123456789abcdef\n");
+  const std::vector<std::string> args = {"submit", "invoices",   "--zone",
+                                         "pf",     "--key-file", key.path()};
+  std::filesystem::permissions(key.path(), std::filesystem::perms(0644));
+  BOOST_TEST((world.run(args) == ExitCode::Usage));
+  std::filesystem::permissions(key.path(), std::filesystem::perms(0600));
+  BOOST_TEST((world.run(args) == ExitCode::Done));
+  BOOST_REQUIRE(world.Commands.size() == 1U);
+  BOOST_TEST(std::get<api::Submit>(world.Commands[0]).PresentedKey ==
+             "k1.0123456789abcdef");
+  BOOST_TEST((world.run({"submit", "invoices", "--key", "a.b", "--key-file",
+                         key.path()}) == ExitCode::Usage));
+}
+
 BOOST_AUTO_TEST_CASE(AWaveOfCancelsGoesOnAfterRefusals) {
   World world;
   world.In = "pf.done\n\npf.gone\nno spaces\n";
--- a/programs/jujube_load.cc
+++ b/programs/jujube_load.cc
@@ -71,6 +71,8 @@
   std::map<TeamId, std::string> keys;
   if (path.empty())
     return keys;
+  if (const Status status = checkSecretFile(path); !isOk(status))
+    return errorOf(status);
   const Result<std::string> text = readFile(path);
   if (!isOk(text))
     return errorOf(text);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -50,6 +50,7 @@
 until_ok ctl catalogue list
 ctl catalogue apply traces/day.catalogue.json | tail -n 1
 ctl catalogue list
+(umask 077 && : >"$dir/keys")
 for team in events farms billing; do
   echo "$team $(ctl key issue "$team")"
 done >"$dir/keys"
