--- a/jujube/ctl/app.cc
+++ b/jujube/ctl/app.cc
@@ -111,6 +111,8 @@
        "team put: ceiling; -1: unchanged", false, -1},
       {"team", SettingKind::Text, "", "histogram: only this team"},
       {"class", SettingKind::Text, "", "histogram: only this class"},
+      {"each", SettingKind::Switch, "false",
+       "histogram: of every entry host of --server"},
   };
 }
 
@@ -258,6 +260,7 @@
                      settings.integer("accelerators")};
   options.Team = settings.text("team");
   options.Class = settings.text("class");
+  options.OfEachServer = settings.isOn("each");
   if (Status status = readFiles(settings, options); !isOk(status))
     return errorOf(status);
   return options;
--- a/jujube/ctl/fleet_commands.cc
+++ b/jujube/ctl/fleet_commands.cc
@@ -17,10 +17,66 @@
          (options.Class.empty() || histogram.For.Class == options.Class);
 }
 
+Result<metrics::Snapshot> readHistograms(http::Client &api,
+                                         const SessionOptions &options,
+                                         const Arguments &args) {
+  auto read =
+      api.callFor<metrics::Snapshot>({http::Method::Get, "/v1/metrics"});
+  if (!isOk(read))
+    return errorOf(read);
+  metrics::Snapshot &snapshot = valueOf(read);
+  snapshot.Counters.clear();
+  std::erase_if(snapshot.Histograms, [&](const auto &histogram) {
+    return !isSelected(options, args, histogram);
+  });
+  return std::move(snapshot);
+}
+
+std::string histogramsText(const metrics::Snapshot &snapshot) {
+  if (snapshot.Histograms.empty())
+    return "no observations at this entry host and its zone's leader; see "
+           "--each\n";
+  std::string text;
+  for (const metrics::HistogramValue &histogram : snapshot.Histograms)
+    absl::StrAppend(&text, metrics::renderBars(histogram), "\n");
+  return text;
+}
+
+// Shows what one entry host has; its name and zone come first.
+Status showHistogramsOf(http::Client &api, Session &session,
+                        const Arguments &args) {
+  const auto status = readStatus(api);
+  if (!isOk(status))
+    return errorOf(status);
+  const auto snapshot = readHistograms(api, session.Options, args);
+  if (!isOk(snapshot))
+    return errorOf(snapshot);
+  const std::string &host = valueOf(status).Host.str();
+  const std::string &zone = valueOf(status).Zone.str();
+  session.Print(session.Options.IsJson
+                    ? absl::StrCat("{\"host\":\"", host, "\",\"zone\":\"", zone,
+                                   "\",\"metrics\":",
+                                   http::toJson(valueOf(snapshot)), "}\n")
+                    : absl::StrCat("== ", host, " in ", zone, "\n",
+                                   histogramsText(valueOf(snapshot))));
+  return Ok{};
+}
+
+Result<Verdict> showHistogramsOfEach(Session &session, const Arguments &args) {
+  Verdict verdict = Verdict::Done;
+  for (http::Client &api : session.Api.ofEachServer())
+    if (const Status shown = showHistogramsOf(api, session, args);
+        !isOk(shown)) {
+      session.PrintError(absl::StrCat(errorOf(shown).text(), "\n"));
+      verdict = Verdict::WorkFailed;
+    }
+  return verdict;
+}
+
 } // namespace
 
 Result<Verdict> showStatus(Session &session, const Arguments & /*args*/) {
-  const Result<api::FleetStatus> read = readStatus(session);
+  const Result<api::FleetStatus> read = readStatus(session.Api);
   if (!isOk(read))
     return errorOf(read);
   const api::FleetStatus &status = valueOf(read);
@@ -52,24 +108,13 @@
 }
 
 Result<Verdict> showHistograms(Session &session, const Arguments &args) {
-  auto read = session.Api.callFor<metrics::Snapshot>(
-      {http::Method::Get, "/v1/metrics"});
-  if (!isOk(read))
-    return errorOf(read);
-  metrics::Snapshot &snapshot = valueOf(read);
-  std::erase_if(snapshot.Histograms, [&](const auto &histogram) {
-    return !isSelected(session.Options, args, histogram);
-  });
-  if (session.Options.IsJson) {
-    snapshot.Counters.clear();
-    session.Print(http::toJson(snapshot) + "\n");
-    return Verdict::Done;
-  }
-  if (snapshot.Histograms.empty())
-    session.Print("no observations at this entry host and its zone's leader; "
-                  "ask another with --server\n");
-  for (const metrics::HistogramValue &histogram : snapshot.Histograms)
-    session.Print(absl::StrCat(metrics::renderBars(histogram), "\n"));
+  if (session.Options.OfEachServer)
+    return showHistogramsOfEach(session, args);
+  const auto snapshot = readHistograms(session.Api, session.Options, args);
+  if (!isOk(snapshot))
+    return errorOf(snapshot);
+  session.Print(session.Options.IsJson ? http::toJson(valueOf(snapshot)) + "\n"
+                                       : histogramsText(valueOf(snapshot)));
   return Verdict::Done;
 }
 
--- a/jujube/ctl/session.cc
+++ b/jujube/ctl/session.cc
@@ -2,9 +2,8 @@
 
 namespace jujube::ctl {
 
-Result<api::FleetStatus> readStatus(Session &session) {
-  return session.Api.callFor<api::FleetStatus>(
-      {http::Method::Get, "/v1/status"});
+Result<api::FleetStatus> readStatus(http::Client &api) {
+  return api.callFor<api::FleetStatus>({http::Method::Get, "/v1/status"});
 }
 
 } // namespace jujube::ctl
--- a/jujube/ctl/session.h
+++ b/jujube/ctl/session.h
@@ -50,6 +50,8 @@
   // Filters of histograms; empty for all.
   std::string Team;
   std::string Class;
+  // Histograms of every server instead of the first that answers.
+  bool OfEachServer = false;
 };
 
 struct Session {
@@ -70,7 +72,7 @@
 using Arguments = std::vector<std::string>;
 
 // Reads the fleet's state as the entry host knows it.
-Result<api::FleetStatus> readStatus(Session &session);
+Result<api::FleetStatus> readStatus(http::Client &api);
 
 } // namespace jujube::ctl
 
--- a/jujube/ctl/test_world.h
+++ b/jujube/ctl/test_world.h
@@ -84,6 +84,9 @@
     if (const auto *get = std::get_if<api::GetFate>(&command))
       return fate::FateView{get->Request, TeamId("events"), EntryId("invoices"),
                             fate::FateState::Failed};
+    if (std::holds_alternative<api::GetMetrics>(command))
+      return metrics::Snapshot{
+          {}, {{"wait_ms", {"events", "batch"}, 2, 1, 1, 1, 1, 1, {0, 2}}}};
     if (std::holds_alternative<api::GetStatus>(command))
       return api::FleetStatus{HostId("e1"), ZoneId("pf")};
     return Error{ErrorKind::NotFound, "nothing there", "look elsewhere"};
--- a/jujube/ctl/work_commands.cc
+++ b/jujube/ctl/work_commands.cc
@@ -23,7 +23,7 @@
   if (text.find('.') == std::string::npos) {
     std::string zone = session.Options.Zone;
     if (zone.empty()) {
-      const Result<api::FleetStatus> status = readStatus(session);
+      const Result<api::FleetStatus> status = readStatus(session.Api);
       if (!isOk(status))
         return errorOf(status);
       zone = valueOf(status).Zone.str();
--- a/jujube/ctl/work_test.cc
+++ b/jujube/ctl/work_test.cc
@@ -3,6 +3,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "jujube/ctl/test_world.h"
 
 namespace jujube::ctl {
@@ -79,6 +80,24 @@
   BOOST_TEST(absl::StrContains(world.Out, "failed"));
 }
 
+BOOST_AUTO_TEST_CASE(HistogramsOfEachServerGoOnAfterOneThatIsGone) {
+  World world;
+  world.Faults = {TransportFailure::NotConnected};
+  BOOST_TEST((world.run({"histogram", "--each", "--server",
+                         "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3"}) ==
+              ExitCode::Refused));
+  BOOST_TEST(absl::StrContains(world.Err, "no connection to 127.0.0.1:1"));
+  const std::vector<std::string> hosts =
+      absl::StrSplit(world.Out, "== e1 in pf\nwait_ms{");
+  BOOST_TEST(hosts.size() == 3U);
+  world.Out.clear();
+  BOOST_TEST((world.run({"histogram", "--each", "--json", "--team", "farms"}) ==
+              ExitCode::Done));
+  BOOST_TEST(world.Out == R"({"host":"e1","zone":"pf","metrics":)"
+                          R"({"counters":[],"histograms":[]}})"
+                          "\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jujube::ctl
--- a/jujube/http/client.cc
+++ b/jujube/http/client.cc
@@ -133,6 +133,17 @@
   return Client(std::move(options));
 }
 
+std::vector<Client> Client::ofEachServer() const {
+  std::vector<Client> clients;
+  for (const Address &server : Settings.Servers) {
+    Options options = Settings;
+    options.Servers = {server};
+    options.Rounds = 1;
+    clients.push_back(Client(std::move(options)));
+  }
+  return clients;
+}
+
 std::optional<Result<std::string>> Client::tryAll(const HttpCall &call,
                                                   Error &last) {
   for (std::size_t i = 0; i < Settings.Servers.size(); ++i) {
--- a/jujube/http/client.h
+++ b/jujube/http/client.h
@@ -93,6 +93,9 @@
     return fromJson<T>(valueOf(body));
   }
 
+  // Clients of each server alone, which try once.
+  std::vector<Client> ofEachServer() const;
+
   // True if no server answered the last call.
   bool isUnreachable() const { return IsUnreachable; }
 
--- a/jujube/metrics/metrics.cc
+++ b/jujube/metrics/metrics.cc
@@ -124,9 +124,10 @@
                                   " count ", histogram.Count, "\n");
   for (std::size_t i = 0; i < histogram.Buckets.size(); ++i) {
     const uint64_t n = histogram.Buckets[i];
-    absl::StrAppendFormat(&text, "  < %10.0f %8d %s\n",
+    const std::string bar(most ? n * Width / most : 0, '#');
+    absl::StrAppendFormat(&text, "  < %10.0f %8d%s%s\n",
                           std::ldexp(1.0, static_cast<int>(i)), n,
-                          std::string(most ? n * Width / most : 0, '#'));
+                          bar.empty() ? "" : " ", bar);
   }
   return text;
 }
--- a/jujube/metrics/metrics_test.cc
+++ b/jujube/metrics/metrics_test.cc
@@ -33,6 +33,7 @@
   BOOST_TEST(renderText(all).find("wait_ms_p50{team=\"\",class=\"\"} 7.000") !=
              std::string::npos);
   BOOST_TEST(renderBars(all.Histograms[0]).find('#') != std::string::npos);
+  BOOST_TEST(renderBars(all.Histograms[0]).find(" \n") == std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
