--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -26,12 +26,12 @@
 constexpr Duration AcceptPause = Duration::millis(100);
 // How long a thread waits for the next request before it gives the connection
 // back; saves the hand-over for clients that go on at once.
-constexpr Duration HotWait = Duration::millis(5);
+constexpr Duration NextRequestWait = Duration::millis(5);
 // Between looks for connections that were idle too long.
 constexpr Duration SweepPeriod = Duration::seconds(1);
 
 // Everything that serving needs, checked; copied into each start of the task.
-struct Blueprint {
+struct ServerPlan {
   ServerOptions Options;
   api::ExecuteHook Execute;
   std::function<bool()> IsHealthy;
@@ -48,7 +48,7 @@
 // of the pool.
 class RequestServer {
 public:
-  RequestServer(const Blueprint &plan, ReturnMailbox returns)
+  RequestServer(const ServerPlan &plan, ReturnMailbox returns)
       : Requests({{plan.Options.MaxPayload},
                   plan.Options.MaxBody,
                   plan.Options.KeepAlive,
@@ -71,7 +71,8 @@
       next = Requests.process(stream);
       if (!stream.flush())
         return false;
-    } while (next == Disposition::Reuse && stream.waitForRequest(HotWait));
+    } while (next == Disposition::Reuse &&
+             stream.waitForRequest(NextRequestWait));
     if (next == Disposition::DrainAndClose)
       stream.drain();
     return next == Disposition::Reuse;
@@ -84,7 +85,7 @@
 // The state of the server's task.
 class ServerTask {
 public:
-  ServerTask(const Blueprint &plan, runtime::TaskContext &context)
+  ServerTask(const ServerPlan &plan, runtime::TaskContext &context)
       : Plan(plan), Context(context),
         Returns(runtime::makeMailbox<Returned>(plan.Options.MaxConnections)),
         Requests(plan, Returns), Threads(poolOptions()) {}
@@ -172,10 +173,10 @@
   void resume(uint64_t serial) {
     const auto it = Idle.find(serial);
     if (it != Idle.end())
-      hand(unpark(it));
+      serveOnThread(unpark(it));
   }
 
-  void hand(ConnectionPtr connection) {
+  void serveOnThread(ConnectionPtr connection) {
     if (!connection->hasInput())
       return;
     if (isOk(Threads.serve(connection)))
@@ -189,7 +190,7 @@
     if (message.Reusable && !IsStopping)
       park(std::move(message.Reusable));
     else if (message.Reusable)
-      hand(std::move(message.Reusable));
+      serveOnThread(std::move(message.Reusable));
     if (IsStopping && InProgress == 0)
       Threads.stop();
   }
@@ -245,12 +246,12 @@
     Context.loop().unwatch(Listening.Socket.get());
     Listening.Socket = runtime::FileDescriptor();
     while (!Idle.empty())
-      hand(unpark(Idle.begin()));
+      serveOnThread(unpark(Idle.begin()));
     if (InProgress == 0)
       Threads.stop();
   }
 
-  const Blueprint &Plan;
+  const ServerPlan &Plan;
   runtime::TaskContext &Context;
   Listener Listening;
   runtime::SignalEvent AllEnded;
@@ -272,7 +273,7 @@
 Result<runtime::ChildSpec> serverTask(ServerOptions options,
                                       api::ExecuteHook execute,
                                       std::function<bool()> isHealthy) {
-  Blueprint plan{std::move(options), std::move(execute), std::move(isHealthy)};
+  ServerPlan plan{std::move(options), std::move(execute), std::move(isHealthy)};
   if (plan.Options.Listen.Ip.empty())
     return Error{ErrorKind::InvalidArgument, "no address to listen on",
                  "give IP:PORT"};
