--- a/jujube/ctl/work_commands.cc
+++ b/jujube/ctl/work_commands.cc
@@ -1,7 +1,6 @@
 // Commands for requests.
 #include <algorithm>
 #include <map>
-#include <ranges>
 
 #include "absl/strings/str_cat.h"
 #include "jujube/ctl/commands.h"
@@ -224,7 +223,7 @@
 // and work that is queued behind them must not start while they are stopped.
 Result<Verdict> cancel(Session &session, const Arguments &args) {
   CancelTally tally;
-  for (const std::string &id : args | std::views::reverse) {
+  for (const std::string &id : Arguments(args.rbegin(), args.rend())) {
     const auto view = cancelOne(session, id);
     if (isOk(view)) {
       ++tally.ByState[valueOf(view).State];
