--- a/jujube/load/load_test.cc
+++ b/jujube/load/load_test.cc
@@ -215,6 +215,14 @@
     BOOST_TEST(absl::StrContains(svg, tick), tick);
 }
 
+BOOST_AUTO_TEST_CASE(AThinnedLineKeepsItsEnd) {
+  PlotLine line{"a", {}};
+  for (int i = 0; i < 1250; ++i)
+    line.Points.push_back({i * 1.0, i == 1249 ? 10.0 : 0.0});
+  const std::string svg = renderSvg({"Waiting", "ms", "part", {line}});
+  BOOST_TEST(absl::StrContains(svg, "L670.0 40.0\""));
+}
+
 BOOST_AUTO_TEST_CASE(ALogarithmicAxisHasPowersOfTen) {
   const Plot plot{"Waiting", "ms",      "part", {{"a", {{0, 0.5}, {350, 1}}}},
                   {},        XAxis::Log};
--- a/jujube/load/report.cc
+++ b/jujube/load/report.cc
@@ -140,8 +140,11 @@
   for (const WaitingRow &row : rows) {
     PlotLine line{absl::StrCat(row.Team, " ", row.Class), {}};
     const auto n = static_cast<double>(row.Millis.size());
-    for (std::size_t i = 0; i < row.Millis.size(); ++i)
+    // Steps: the part grows at each request's waiting time.
+    for (std::size_t i = 0; i < row.Millis.size(); ++i) {
+      line.Points.push_back({row.Millis[i], static_cast<double>(i) / n});
       line.Points.push_back({row.Millis[i], static_cast<double>(i + 1) / n});
+    }
     plot.Lines.push_back(std::move(line));
   }
   return plot;
--- a/jujube/load/svg.cc
+++ b/jujube/load/svg.cc
@@ -150,9 +150,15 @@
   const std::size_t step =
       std::max<std::size_t>(1, line.Points.size() / MaxPoints);
   std::string path;
-  for (std::size_t i = 0; i < line.Points.size(); i += step)
+  const auto add = [&](const PlotPoint &point) {
     absl::StrAppendFormat(&path, "%s%.1f %.1f", path.empty() ? "M" : "L",
-                          scale.x(line.Points[i].X), scale.y(line.Points[i].Y));
+                          scale.x(point.X), scale.y(point.Y));
+  };
+  for (std::size_t i = 0; i < line.Points.size(); i += step)
+    add(line.Points[i]);
+  // Thinning must not lose the end.
+  if (!line.Points.empty() && (line.Points.size() - 1) % step != 0)
+    add(line.Points.back());
   return path;
 }
 
