--- a/jujube/http/client.cc
+++ b/jujube/http/client.cc
@@ -15,7 +15,6 @@
 constexpr Duration ConnectTimeout = Duration::seconds(2);
 constexpr int StatusOk = 200;
 
-// Errors that another server, or the same one later, may not have.
 constexpr std::array RetriedKinds = {
     ErrorKind::Overloaded, ErrorKind::Unavailable, ErrorKind::NotLeader,
     ErrorKind::StaleData};
@@ -103,6 +102,10 @@
 
 } // namespace
 
+bool isRetried(ErrorKind kind) {
+  return std::ranges::find(RetriedKinds, kind) != RetriedKinds.end();
+}
+
 TransportHook makeTransport(std::string tlsAuthority) {
   auto open = std::make_shared<Connections>();
   open->Authority = std::move(tlsAuthority);
@@ -130,6 +133,17 @@
   return Client(std::move(options));
 }
 
+std::vector<Client> Client::ofEachServer() const {
+  std::vector<Client> clients;
+  for (const Address &server : Settings.Servers) {
+    Options options = Settings;
+    options.Servers = {server};
+    options.Rounds = 1;
+    clients.push_back(Client(std::move(options)));
+  }
+  return clients;
+}
+
 std::optional<Result<std::string>> Client::tryAll(const HttpCall &call,
                                                   Error &last) {
   for (std::size_t i = 0; i < Settings.Servers.size(); ++i) {
@@ -150,8 +164,7 @@
       if (reply.Status == StatusOk)
         return reply.Body;
       last = errorIn(reply);
-      if (!call.MayResend ||
-          std::ranges::find(RetriedKinds, last.Kind) == RetriedKinds.end())
+      if (!call.MayResend || !isRetried(last.Kind))
         return last;
     }
     Preferred = (Preferred + 1) % Settings.Servers.size();
--- a/jujube/http/client.h
+++ b/jujube/http/client.h
@@ -37,6 +37,9 @@
   std::string Body;
 };
 
+// True for errors that another server, or the same one later, may not have.
+bool isRetried(ErrorKind kind);
+
 // Why there is no reply.
 enum class TransportFailure {
   // The request did not leave.
@@ -90,6 +93,9 @@
     return fromJson<T>(valueOf(body));
   }
 
+  // Clients of each server alone, which try once.
+  std::vector<Client> ofEachServer() const;
+
   // True if no server answered the last call.
   bool isUnreachable() const { return IsUnreachable; }
 
