Aged gangs are not overtaken by their own team, and get the accelerators they wait for

Cause, from replays that logged why each gang at the head of its lane waited: the slowest belong to small teams that flood themselves. The team stood above its part of the shares, so the gang might reserve nothing, and each room that came free went to the team's own later tasks. The part was also too small when other teams wanted less than theirs. Change: - a team's part is found by levelling: what a team does not want is due to the others; - an aged gang above its team's part keeps the team's later work back until the part has room for it; then it preempts or reserves; - no reservation is made while 2% of the zone is held (5% before); - 'waiting' puts a gang behind by its run time, not by that of all its tasks, and any request by at most 20 minutes (30 before); - work without accelerators stays off workers with a free one while other work waits for them, if its own team has its part or the other is below its own.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t MaxHolders = 64;
 // No room is reserved for aged work while this part of the zone is held: held
 // room stands idle until all of a reservation is free.
-constexpr double MaxHeldPart = 0.05;
+constexpr double MaxHeldPart = 0.02;
 // Workers that are compared for one preemption.
 constexpr uint32_t PreemptCandidates = 16;
 // Workers on which tasks are stopped for one gang.
@@ -222,9 +222,7 @@
 bool preemptForGang(PlannerState &state, RequestState &claimant,
                     const StartNeed &need, Instant now,
                     std::vector<Action> &actions) {
-  const TeamState &team = *claimant.Team;
-  const Resources after = team.Reserved + team.Held + need.total();
-  if (!claimant.isUrgent() && relativeShare(state, team, after) > 1)
+  if (!claimant.isUrgent() && !state.isInPart(*claimant.Team, need.total()))
     return false;
   const std::optional<GangRoom> room = findGangRoom(state, claimant, need, now);
   if (!room)
--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -71,15 +71,33 @@
   });
 }
 
+// True if the request leaves the workers with a free accelerator to work that
+// waits for them: its team has its part, or the other team has less than its
+// own.
+bool mustSpareAccelerators(const PlannerState &state,
+                           const RequestState &request, const Resources &size) {
+  if (size.Accelerators > 0 || request.isUrgent() || !request.hasEnd())
+    return false;
+  return state.PlanNumber <= state.AcceleratorsDueUntil ||
+         (state.PlanNumber <= state.AcceleratorsShortUntil &&
+          !state.isInPart(*request.Team, size));
+}
+
 uint32_t findWorker(PlannerState &state, const RequestState &request,
                     uint32_t index, const Resources &size) {
   if (isKnownUnfit(state, size))
     return NoWorker;
-  const std::vector<uint32_t> slots = findCandidates(state, size);
+  std::vector<uint32_t> slots = findCandidates(state, size);
   if (slots.empty()) {
     state.Unfit.push_back(size);
     return NoWorker;
   }
+  if (mustSpareAccelerators(state, request, size))
+    std::erase_if(slots, [&state](uint32_t slot) {
+      return state.Workers[slot].IndexedFree.Accelerators > 0;
+    });
+  if (slots.empty())
+    return NoWorker;
   std::vector<double> scores;
   scores.reserve(slots.size());
   std::ranges::transform(slots, std::back_inserter(scores), [&](uint32_t slot) {
@@ -241,6 +259,12 @@
          !request.isUrgent() && request.Team->SliceClaim < request.Order;
 }
 
+bool isPartClaimed(const PlannerState &state, const RequestState &request) {
+  return request.Team->PartClaimPlan == state.PlanNumber &&
+         !request.isUrgent() && request.hasEnd() &&
+         request.Team->PartClaim < request.Order;
+}
+
 StartNeed startNeed(const PlannerState &state, const RequestState &request) {
   const auto tasks = static_cast<uint32_t>(
       request.isGang() ? request.Queued.size() : std::size_t{1});
@@ -260,6 +284,8 @@
   if (isSliceClaimed(state, request) ||
       !(request.Team->Reserved + need.total()).fitsIn(request.Team->Slice))
     return PlaceOutcome::SliceFull;
+  if (isPartClaimed(state, request))
+    return PlaceOutcome::PartClaimed;
   // A gang larger than a whole plan is offered in a plan of its own.
   if (!actions.empty() && actions.size() + need.Tasks > state.Config.MaxActions)
     return PlaceOutcome::OutOfActions;
--- a/jujube/placement/placing.h
+++ b/jujube/placement/placing.h
@@ -16,16 +16,19 @@
   NoRoom,
   // The team's slice is used up.
   SliceFull,
+  // An older gang of the team has the next room.
+  PartClaimed,
   // The entry's limit of running tasks is reached.
   EntryFull,
   // The plan has no actions left.
   OutOfActions,
 };
 
-inline constexpr NameTable<PlaceOutcome, 5> PlaceOutcomeNames = {{
+inline constexpr NameTable<PlaceOutcome, 6> PlaceOutcomeNames = {{
     {PlaceOutcome::Placed, "placed"},
     {PlaceOutcome::NoRoom, "no_room"},
     {PlaceOutcome::SliceFull, "slice_full"},
+    {PlaceOutcome::PartClaimed, "part_claimed"},
     {PlaceOutcome::EntryFull, "entry_full"},
     {PlaceOutcome::OutOfActions, "out_of_actions"},
 }};
@@ -47,6 +50,8 @@
 bool areHoldsReady(const PlannerState &state, const RequestState &request);
 // True if an older request of the team waits for the rest of the slice.
 bool isSliceClaimed(const PlannerState &state, const RequestState &request);
+// True if an older gang of the team waits for the team's part.
+bool isPartClaimed(const PlannerState &state, const RequestState &request);
 
 // Places one task of a request, or the whole gang; appends the offers.
 // Precondition: tasks are queued, and isReady().
--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -120,13 +120,6 @@
   return actions;
 }
 
-void countShares(PlannerState &state) {
-  state.ActiveShares = 0;
-  for (const auto &team : state.Teams)
-    if (team->QueuedTasks > 0 || team->Reserved != Resources{})
-      state.ActiveShares += team->Share;
-}
-
 void count(PlannerCounters &counters, const std::vector<Action> &actions) {
   const auto countOf = [&actions]<typename T>(const T &) {
     return static_cast<uint64_t>(
@@ -312,7 +305,7 @@
   forgetLostWorkers(*State, now);
   internal::runQueueTimers(*State, now);
   internal::expireHolds(*State, now);
-  countShares(*State);
+  State->levelShares();
   std::vector<Action> actions = takeOutbox(*State);
   internal::relieve(*State, actions);
   internal::placeHolders(*State, now, actions);
--- /dev/null
+++ b/jujube/placement/planner_shares_test.cc
@@ -0,0 +1,83 @@
+// Shares: whose turn it is when the zone is full.
+#include <algorithm>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "testing/planner_bed.h"
+
+namespace jujube::placement {
+namespace {
+
+using catalogue::WorkClass;
+
+// Rounds in which tasks end until the request is placed; team "a" submits more
+// small work in each.
+std::size_t roundsUntilPlaced(Bed &bed, const RequestId &request,
+                              const catalogue::Entry &endless) {
+  std::size_t rounds = 0;
+  for (; rounds < 100 && !bed.isPlaced(request); ++rounds) {
+    bed.submit(Bed::entry("a"), 1);
+    const auto it = std::ranges::find_if(bed.Placed, [&](const Offer &offer) {
+      return offer.Reserved != endless.Ask;
+    });
+    if (it != bed.Placed.end())
+      bed.end(it->Task, EndKind::Finished);
+    bed.plan(Duration::seconds(2));
+  }
+  return rounds;
+}
+
+BOOST_AUTO_TEST_SUITE(PlannerSharesSuite)
+
+// What other teams leave is due to the team that wants it.
+BOOST_AUTO_TEST_CASE(AgedGangStartsOnWhatOtherTeamsLeave) {
+  Bed bed(4);
+  const catalogue::Entry small =
+      Bed::entry("b", WorkClass::Service, {4000, 1000, 0});
+  bed.submit(small);
+  bed.submit(Bed::entry("a"), 9);
+  bed.plan();
+  const RequestId gang =
+      bed.submit(Bed::entry("a", WorkClass::Gang, WorkerSize), 3);
+  BOOST_TEST(roundsUntilPlaced(bed, gang, small) <= 40U);
+}
+
+// The other team wants its part and can't take it, so this one stays above its
+// own.
+BOOST_AUTO_TEST_CASE(AgedGangIsNotOvertakenByItsOwnTeam) {
+  Bed bed(4);
+  catalogue::Entry limited =
+      Bed::entry("b", WorkClass::Service, {8000, 2000, 0});
+  limited.MaxRunning = 1;
+  bed.submit(limited, 9);
+  bed.submit(Bed::entry("a"), 9);
+  bed.plan();
+  const RequestId gang =
+      bed.submit(Bed::entry("a", WorkClass::Gang, WorkerSize), 2);
+  BOOST_TEST(roundsUntilPlaced(bed, gang, limited) <= 40U);
+}
+
+BOOST_AUTO_TEST_CASE(OtherWorkLeavesAcceleratorsToWorkThatWaitsForThem) {
+  Bed bed(1);
+  bed.see(1, 1, WorkerSize + Resources{0, 0, 1});
+  bed.submit(Bed::entry("a"), 12);
+  bed.plan();
+  BOOST_TEST(bed.Placed.size() == 4U);
+  const RequestId request =
+      bed.submit(Bed::entry("b", WorkClass::Batch, {16000, 1000, 1}));
+  bed.plan();
+  const std::vector<Offer> placed = bed.Placed;
+  for (const Offer &offer : placed) {
+    if (offer.Worker != Bed::worker(1))
+      continue;
+    bed.end(offer.Task, EndKind::Finished);
+    bed.plan(Duration::millis(100));
+  }
+  BOOST_TEST(bed.isPlaced(request));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::placement
--- a/jujube/placement/policy.cc
+++ b/jujube/placement/policy.cc
@@ -12,9 +12,9 @@
 // Urgent lanes rank below every share.
 constexpr double UrgentRank = -1;
 // Small requests go first: a request stands in its team's order as if it had
-// been accepted later by its expected run time over all tasks. The bound gives
-// large requests their turn.
-constexpr Duration LongestWorkPenalty = Duration::minutes(30);
+// been accepted later by its expected run time over all tasks; those of a gang
+// run side by side. The bound gives large requests their turn.
+constexpr Duration LongestWorkPenalty = Duration::minutes(20);
 // Hysteresis of fair shares: a claimant is below and a victim above its fair
 // part by a fraction, and both have lasted for a while. A narrow band keeps
 // closer to the shares and costs more checkpoints.
@@ -45,7 +45,9 @@
 }
 
 int64_t smallFirst(const QueuedView &work) {
-  const Duration total = work.ExpectedRun * work.Tasks;
+  const Duration total = work.Class == WorkClass::Gang
+                             ? work.ExpectedRun
+                             : work.ExpectedRun * work.Tasks;
   return (work.AcceptedAt + std::min(total, LongestWorkPenalty)).millis();
 }
 
--- a/jujube/placement/serving.cc
+++ b/jujube/placement/serving.cc
@@ -74,6 +74,28 @@
   return true;
 }
 
+// Keeps later work of its team from taking the room that an aged gang needs,
+// until the team's part has room for the gang.
+void claimPart(const PlannerState &state, const RequestState &head,
+               Instant now) {
+  TeamState &team = *head.Team;
+  if (!head.isGang() || head.isUrgent() || !state.isAged(head, now) ||
+      !head.Holds.empty() || isPartClaimed(state, head) ||
+      state.isInPart(team, startNeed(state, head).total()))
+    return;
+  team.PartClaimPlan = state.PlanNumber;
+  team.PartClaim = head.Order;
+}
+
+// Keeps other work off the accelerators' workers until the next plan.
+void claimAccelerators(PlannerState &state, const RequestState &head) {
+  if (head.Work.Entry.Ask.Accelerators == 0 || isPartClaimed(state, head))
+    return;
+  state.AcceleratorsShortUntil = state.PlanNumber + 1;
+  if (state.isInPart(*head.Team, startNeed(state, head).total()))
+    state.AcceleratorsDueUntil = state.PlanNumber + 1;
+}
+
 // Deals with a head that could not be placed.
 void handleBlocked(PlannerState &state, RequestState &head,
                    PlaceOutcome outcome, Instant now,
@@ -83,6 +105,8 @@
   if (outcome == PlaceOutcome::NoRoom) {
     if (mayMakeRoom(state, head, now))
       makeRoom(state, lane, now, actions);
+    claimPart(state, head, now);
+    claimAccelerators(state, head);
     return;
   }
   if (outcome != PlaceOutcome::SliceFull)
--- a/jujube/placement/state.cc
+++ b/jujube/placement/state.cc
@@ -236,9 +236,40 @@
 }
 
 double PlannerState::fairPart(const TeamState &team) const {
-  return ActiveShares > 0 ? static_cast<double>(team.Share) /
-                                static_cast<double>(ActiveShares)
-                          : 1.0;
+  return std::min(1.0, ShareLevel * team.Share);
+}
+
+bool PlannerState::isInPart(const TeamState &team,
+                            const Resources &more) const {
+  const double part = fairPart(team);
+  return shareOf(team.Reserved + team.Held) +
+             std::min(shareOf(more), part / 2) <=
+         part;
+}
+
+void PlannerState::levelShares() {
+  // Wanted dominant share for each unit of share, and the shares.
+  std::vector<std::pair<double, double>> wants;
+  double shares = 0;
+  for (const auto &team : Teams) {
+    const Resources demand = team->Reserved + team->Queued;
+    if (demand == Resources{})
+      continue;
+    const auto share = static_cast<double>(team->Share);
+    wants.emplace_back(shareOf(minOf(demand, team->Slice)) / share, share);
+    shares += share;
+  }
+  std::ranges::sort(wants);
+  double left = 1;
+  ShareLevel = 1;
+  for (const auto &[want, share] : wants) {
+    ShareLevel = left / shares;
+    if (want >= ShareLevel)
+      return;
+    left -= want * share;
+    shares -= share;
+  }
+  ShareLevel = 1;
 }
 
 bool PlannerState::isAged(const RequestState &request, Instant now) const {
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -56,6 +56,9 @@
   // position.
   uint64_t SliceClaimPlan = 0;
   OrderKey SliceClaim;
+  // The same for an aged gang that waits until the team's part has room for it.
+  uint64_t PartClaimPlan = 0;
+  OrderKey PartClaim;
   std::vector<LaneState *> Lanes;
   // Counts the placements, which change the ranks of its lanes.
   uint64_t Version = 0;
@@ -241,8 +244,14 @@
   Duration expectedRun(const RequestState &request) const;
   // Dominant share of `part` of the zone.
   double shareOf(const Resources &part) const;
-  // The team's part of the shares of all teams with work.
+  // The dominant share that is due to the team if all teams with work get room
+  // in proportion to their shares, none more than it wants; 1 at most.
   double fairPart(const TeamState &team) const;
+  // True if the team's part has room for `more` beside what the team has and
+  // holds. A need of more than half of the part counts as half of it.
+  bool isInPart(const TeamState &team, const Resources &more) const;
+  // Computes what fairPart() needs, for this plan.
+  void levelShares();
   bool isAged(const RequestState &request, Instant now) const;
 
   Options Config;
@@ -290,7 +299,8 @@
 
   // Sizes that were found to fit nowhere since room last grew.
   std::vector<Resources> Unfit;
-  uint64_t ActiveShares = 0;
+  // Dominant share that is due for each unit of a team's share.
+  double ShareLevel = 1;
   uint64_t NextSeq = 1;
   uint64_t PlanNumber = 0;
   uint64_t QueuedTasks = 0;
@@ -299,6 +309,10 @@
   Instant FirstWorkerAt = Instant::never();
   bool WasCutShort = false;
   bool IsUrgentBlocked = false;
+  // Up to which plan work that asks for accelerators counts as short of room:
+  // of any team, and of a team whose part has room for it.
+  uint64_t AcceleratorsShortUntil = 0;
+  uint64_t AcceleratorsDueUntil = 0;
   // Lanes for which room was made in this plan.
   uint32_t RoomsMade = 0;
   PlannerCounters Counters;
