Several failures of one entry count once against their worker

Change: a second failure on the same worker counts only if the entry has finished somewhere. Test: SeveralFailuresOfOneEntryCountOnceAgainstTheirWorker failed before.

--- a/jujube/placement/blame.cc
+++ b/jujube/placement/blame.cc
@@ -30,6 +30,12 @@
                 [source](const Item &item) { return item.Source == source; });
 }
 
+bool Evidence::contains(uint32_t source, Instant now) const {
+  return std::ranges::any_of(Items, [&](const Item &item) {
+    return item.Source == source && now - item.At <= EvidenceWindow;
+  });
+}
+
 uint32_t Evidence::count(Instant now) const {
   return static_cast<uint32_t>(
       std::ranges::count_if(Items, [now](const Item &item) {
@@ -45,10 +51,15 @@
 bool recordFailure(WorkerHistory &worker, EntryHistory &entry, uint32_t slot,
                    Instant now) {
   entry.FinishedOn.remove(slot);
+  // Several failures of one entry tell no more of the worker than one, as long
+  // as the entry finishes nowhere.
+  const bool isKnown =
+      entry.FailedOn.contains(slot, now) && entry.FinishedOn.count(now) == 0;
   entry.FailedOn.add(slot, now);
   if (entry.isSuspect(now))
     return false;
-  ++worker.Suspicion;
+  if (!isKnown)
+    ++worker.Suspicion;
   return worker.Health == WorkerHealth::Probation ||
          (worker.Health == WorkerHealth::Healthy &&
           worker.Suspicion >= QuarantineSuspicion);
--- a/jujube/placement/blame.h
+++ b/jujube/placement/blame.h
@@ -17,6 +17,7 @@
   // Records an outcome that involves `source`.
   void add(uint32_t source, Instant now);
   void remove(uint32_t source);
+  bool contains(uint32_t source, Instant now) const;
   // Distinct sources within the window.
   uint32_t count(Instant now) const;
   void clear() { Items.clear(); }
--- a/jujube/placement/planner_faults_test.cc
+++ b/jujube/placement/planner_faults_test.cc
@@ -47,6 +47,19 @@
   BOOST_TEST(attempts <= 4U * 9U);
 }
 
+// They start on one worker, as they pack well there.
+BOOST_AUTO_TEST_CASE(SeveralFailuresOfOneEntryCountOnceAgainstTheirWorker) {
+  Bed bed(8);
+  bed.submit(Bed::entry("a", WorkClass::Batch, {1000, 1000, 0}), 5);
+  bed.plan();
+  BOOST_REQUIRE(std::ranges::all_of(bed.Placed, [&](const Offer &offer) {
+    return offer.Worker == bed.Placed.front().Worker;
+  }));
+  for (const Offer &offer : std::vector<Offer>(bed.Placed))
+    bed.end(offer.Task, EndKind::Failed);
+  BOOST_TEST(bed.Subject.quarantined().empty());
+}
+
 BOOST_AUTO_TEST_CASE(NewIncarnationOfAWorkerIsTrustedAgain) {
   Bed bed(4);
   for (int i = 0; i < 4; ++i) {
