Traces state that services outlive a lost rack and leaving workers

Cause: that services are spread and start elsewhere was checked by no trace. Bounds: the tasks beside an even part of one rack; the lease of 5 s and the 1.4 s of urgent work.

--- a/jujube/replay/generator.cc
+++ b/jujube/replay/generator.cc
@@ -54,6 +54,9 @@
 constexpr int64_t UrgentWaitMs = 1400;
 constexpr int64_t MeanShareGapPoints = 6;
 constexpr int64_t PackingPercent = 85;
+// From the loss of a worker to the start elsewhere: the lease, then as long as
+// urgent work may wait.
+constexpr int64_t ServiceOutageMs = 5000 + UrgentWaitMs;
 
 Shape shapeOf(Deployment deployment) {
   if (deployment == Deployment::Mkwawa)
@@ -212,10 +215,20 @@
     return id;
   }
 
+  // A service is spread over the racks, so that the loss of one leaves the
+  // tasks on the others.
   void addServices() {
-    for (uint32_t i = 0; i < Place.Teams.size(); ++i)
-      submit(Instant::atMillis(6000), entryOf(i, "desk"),
-             Shares[i] > 1 ? 12 : 4, Duration(), size(600, 1500));
+    const uint32_t racks = (Place.Workers + Place.PerRack - 1) / Place.PerRack;
+    for (uint32_t i = 0; i < Place.Teams.size(); ++i) {
+      const uint32_t tasks = Shares[i] > 1 ? 12 : 4;
+      const RequestId id = submit(Instant::atMillis(6000), entryOf(i, "desk"),
+                                  tasks, Duration(), size(600, 1500));
+      const uint32_t onOneRack = (tasks + racks - 1) / racks;
+      expect(
+          {OutcomeKind::ServiceRunning, "", id.str(), "", tasks - onOneRack});
+      expect(
+          {OutcomeKind::ServiceOutage, "", id.str(), "", 0, ServiceOutageMs});
+    }
   }
 
   // Declared sizes are wrong: invoices use more memory than they ask, replays
--- a/jujube/replay/outcomes.cc
+++ b/jujube/replay/outcomes.cc
@@ -52,6 +52,18 @@
   return compare(expected, it->second.quantile(0.99));
 }
 
+OutcomeCheck checkService(const ExpectRecord &expected,
+                          const ReplayResult &result) {
+  const auto it = result.Services.find(RequestId(expected.Subject));
+  if (it == result.Services.end())
+    return {expected, "no such service", false};
+  const ServiceRecord &service = it->second;
+  return compare(expected,
+                 expected.Kind == OutcomeKind::ServiceRunning
+                     ? service.FewestRunning
+                     : static_cast<double>(service.LongestOutage.millis()));
+}
+
 OutcomeCheck check(const ExpectRecord &expected, const ReplayResult &result) {
   switch (expected.Kind) {
   case OutcomeKind::Fate:
@@ -61,6 +73,9 @@
   case OutcomeKind::Quarantined:
   case OutcomeKind::NeverQuarantined:
     return checkQuarantine(expected, result);
+  case OutcomeKind::ServiceRunning:
+  case OutcomeKind::ServiceOutage:
+    return checkService(expected, result);
   case OutcomeKind::Unsettled:
     return compare(expected, static_cast<double>(result.Measured.Unsettled));
   case OutcomeKind::ShareGap:
--- a/jujube/replay/replayer.cc
+++ b/jujube/replay/replayer.cc
@@ -88,6 +88,7 @@
   void handle(const LostRecord &record) {
     Books.workerLost(record.Worker);
     Tasks.loseWorker(record.Worker, Now);
+    Services.workerLost(record.Worker, Now);
     timed([&] { Subject.workerLost(record.Worker, Now); });
   }
   void handle(const SliceRecord &record) {
@@ -109,6 +110,8 @@
       pending.Tasks.push_back(i);
     Books.submitted(work);
     Tasks.add(record, work.Entry, Now);
+    if (work.Entry.Class == catalogue::WorkClass::Service)
+      Services.add(record.Request, record.Tasks);
     Result.Fates[record.Request] = FateState::Queued;
     timed([&] { Subject.enqueue(pending, Now); });
   }
@@ -134,6 +137,7 @@
     const LiveRequest &request = Tasks.request(id.Request);
     if (!std::exchange(Tasks.task(id).WasStarted, true))
       addWait(request, Now - request.AcceptedAt);
+    Services.started(id, Tasks.task(id).Worker, Now);
     timed([&] { Subject.started(id, Now); });
     if (!fate::isTerminal(Result.Fates[id.Request]))
       Result.Fates[id.Request] = FateState::Running;
@@ -147,6 +151,7 @@
 
   void endTask(const TaskEvent &event) {
     Books.ended(event.Task, event.End);
+    Services.ended(event.Task, Now);
     timed([&] { Subject.ended(event.Task, event.End, Now); });
     const RequestId &id = event.Task.Request;
     if (event.End == EndKind::Finished) {
@@ -228,6 +233,7 @@
     measured.MicrosPerOffer =
         static_cast<double>(PlannerNanos) / 1000 /
         static_cast<double>(std::max<uint64_t>(counters.Offers, 1));
+    Result.Services = Services.finish(Now);
     Result.Quarantined.assign(Quarantined.begin(), Quarantined.end());
     return std::move(Result);
   }
@@ -246,6 +252,7 @@
   const std::vector<Record> &Records;
   Platform Tasks;
   Ledger Books;
+  ServiceWatch Services;
   ReplayResult Result;
   std::vector<catalogue::Team> Teams;
   std::vector<ShareView> Shares;
--- a/jujube/replay/replayer.h
+++ b/jujube/replay/replayer.h
@@ -13,6 +13,7 @@
 #include "jujube/placement/types.h"
 #include "jujube/replay/ledger.h"
 #include "jujube/replay/measures.h"
+#include "jujube/replay/service_watch.h"
 #include "jujube/replay/trace.h"
 
 namespace jujube::replay {
@@ -34,6 +35,7 @@
   std::vector<Finding> Findings;
   std::map<RequestId, fate::FateState> Fates;
   std::map<RequestId, std::string> Rejections;
+  std::map<RequestId, ServiceRecord> Services;
   // Workers that were in quarantine at some time.
   std::vector<WorkerId> Quarantined;
 };
--- a/jujube/replay/trace.h
+++ b/jujube/replay/trace.h
@@ -99,9 +99,13 @@
   ShareGap,
   // Mean of reserved over the smaller of held and demanded, in percent.
   Packing,
+  // Fewest tasks of a service that ran at once since all had started.
+  ServiceRunning,
+  // Longest time for which a task of a service did not run.
+  ServiceOutage,
 };
 
-inline constexpr NameTable<OutcomeKind, 7> OutcomeKindNames = {{
+inline constexpr NameTable<OutcomeKind, 9> OutcomeKindNames = {{
     {OutcomeKind::Fate, "fate"},
     {OutcomeKind::WaitP99, "wait_p99_ms"},
     {OutcomeKind::Quarantined, "quarantined"},
@@ -109,6 +113,8 @@
     {OutcomeKind::Unsettled, "unsettled"},
     {OutcomeKind::ShareGap, "share_gap_mean_pp"},
     {OutcomeKind::Packing, "packing_percent"},
+    {OutcomeKind::ServiceRunning, "service_running_min"},
+    {OutcomeKind::ServiceOutage, "service_outage_max_ms"},
 }};
 static_assert(isComplete(OutcomeKindNames));
 
