--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -222,7 +222,8 @@
           wire::ReadMetrics{},
           wire::MetricsNews{snapshot()},
           wire::Done{},
-          wire::Refusal{{ErrorKind::NotLeader, "message", "remedy"}, At}};
+          wire::Refusal{{ErrorKind::NotLeader, "message", "remedy"}, At},
+          wire::AnnounceLeader{Zone, Term{2}}};
 }
 
 std::vector<fate::Event> zoneEvents() {
@@ -237,7 +238,8 @@
           liveOffered(),
           liveEnded(),
           fate::FateForgotten{Request},
-          limits::SliceUpdate{limits::GrantVersion{1}, {slice()}}};
+          limits::SliceUpdate{limits::GrantVersion{1}, {slice()}},
+          fate::ReservationChanged{Task, Token, Amounts, Now}};
 }
 
 std::vector<wire::FleetCommand> fleetCommands() {
