A smaller slice stops no more than its surplus, and services last

And services were stopped before older batch work. Change: the surplus is asked for anew after each stop; services are stopped after other work that may be repeated.

--- a/jujube/placement/relief.cc
+++ b/jujube/placement/relief.cc
@@ -1,6 +1,7 @@
 #include "jujube/placement/relief.h"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 
 #include "jujube/placement/making_room.h"
@@ -59,29 +60,29 @@
   return request.Work.Entry.CanCheckpoint || request.Work.Entry.IsIdempotent;
 }
 
-// Work that loses least goes first, then the newest.
+// Work that loses least goes first, services after other work that may be
+// repeated, then the newest.
 auto stopOrder(const TaskRef &ref) {
   const catalogue::Entry &entry = ref.Request->Work.Entry;
   const TaskState &task = ref.Request->Tasks[ref.Index];
-  return std::tuple(!entry.CanCheckpoint, !entry.IsIdempotent,
+  const bool isRepeatable = entry.CanCheckpoint || entry.IsIdempotent;
+  return std::tuple(!isRepeatable, !ref.Request->hasEnd(), !entry.CanCheckpoint,
                     -task.Since.millis(), ref.Request->Seq, ref.Index);
 }
 
-// Stops tasks until `surplus` is covered. Tasks that hold nothing of what is
-// missing go on.
+// Stops tasks until there is no surplus, which is asked for anew after each, as
+// a gang stops whole. Tasks that hold nothing of what is missing go on.
 void stopSurplus(PlannerState &state, std::vector<TaskRef> tasks,
-                 Resources surplus, StopReason why,
+                 const std::function<Resources()> &surplus, StopReason why,
                  std::vector<Action> &actions) {
   std::ranges::sort(tasks, {}, stopOrder);
   for (const TaskRef &ref : tasks) {
-    if (surplus.fitsIn(Resources{}))
+    const Resources missing = clipped(surplus());
+    if (missing == Resources{})
       return;
     const TaskState &task = ref.Request->Tasks[ref.Index];
-    const Resources helps = minOf(task.Reserved, clipped(surplus));
-    if (task.IsStopping || helps == Resources{})
-      continue;
-    surplus -= task.Reserved;
-    evict(state, ref, why, actions);
+    if (!task.IsStopping && minOf(task.Reserved, missing) != Resources{})
+      evict(state, ref, why, actions);
   }
 }
 
@@ -96,8 +97,10 @@
 
 void relieveSlice(PlannerState &state, const TeamState &team,
                   std::vector<Action> &actions) {
-  const Resources surplus = team.Reserved - team.Stopping - team.Slice;
-  if (!surplus.fitsIn(Resources{}))
+  const auto surplus = [&team] {
+    return team.Reserved - team.Stopping - team.Slice;
+  };
+  if (!surplus().fitsIn(Resources{}))
     stopSurplus(state, tasksOf(state, team), surplus, StopReason::OverSlice,
                 actions);
 }
@@ -120,9 +123,10 @@
     return;
   if (worker.IsLeaving)
     clearLeaving(state, worker, actions);
-  stopSurplus(state, worker.Tasks,
-              worker.Reserved - worker.Stopping - worker.Holds,
-              StopReason::WorkerShrunk, actions);
+  const auto surplus = [&worker] {
+    return worker.Reserved - worker.Stopping - worker.Holds;
+  };
+  stopSurplus(state, worker.Tasks, surplus, StopReason::WorkerShrunk, actions);
 }
 
 // Deals with a task that uses more than its reservation.
@@ -217,8 +221,10 @@
                    const Resources &need, Instant now,
                    std::vector<Action> &actions) {
   const TeamState &team = *claimant.Team;
-  const Resources surplus = team.Reserved - team.Stopping + need - team.Slice;
-  if (surplus.fitsIn(Resources{}))
+  const auto surplus = [&team, &need] {
+    return team.Reserved - team.Stopping + need - team.Slice;
+  };
+  if (surplus().fitsIn(Resources{}))
     return;
   std::vector<TaskRef> tasks = tasksOf(state, team);
   std::erase_if(tasks, [&](const TaskRef &ref) {
@@ -229,7 +235,7 @@
                       [](const Resources &sum, const TaskRef &ref) {
                         return sum + ref.Request->Tasks[ref.Index].Reserved;
                       });
-  if (surplus.fitsIn(yield))
+  if (surplus().fitsIn(yield))
     stopSurplus(state, std::move(tasks), surplus, StopReason::Urgent, actions);
 }
 
