Reservations know when tasks end; gangs wait less; a lost service starts at once

Changes: - the team's later work waits until its part has room for the gang twice; - among the 256 options that miss least, a reservation takes those that are expected to be free first (start and learned run time of the tasks there); - a service that has to be started again goes with urgent work; - reservations have a file of their own.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -6,6 +6,7 @@
 
 #include "jujube/placement/placing.h"
 #include "jujube/placement/queue.h"
+#include "jujube/placement/reserving.h"
 
 namespace jujube::placement::internal {
 namespace {
@@ -23,8 +24,6 @@
 constexpr uint32_t PreemptCandidates = 16;
 // Workers on which tasks are stopped for one gang.
 constexpr uint32_t GangCandidates = 64;
-// A hold is chosen anew after this span.
-constexpr Duration HoldTime = Duration::seconds(15);
 // How often a blocked request is checked for being impossible.
 constexpr Duration RecheckInterval = Duration::seconds(60);
 // Part of a task's progress that a stop with a checkpoint costs.
@@ -39,11 +38,6 @@
   double Cost = 0;
 };
 
-// Room on the worker once all tasks that were told to stop are gone.
-Resources comingRoom(const PlannerState &state, const WorkerState &worker) {
-  return state.freeOn(worker) + worker.Stopping;
-}
-
 // The team's share over its fair part, with `part` in place of its
 // reservations.
 double relativeShare(const PlannerState &state, const TeamState &team,
@@ -87,7 +81,7 @@
 void evictAll(PlannerState &state, const RequestState &claimant,
               const Eviction &eviction, std::vector<Action> &actions) {
   const StopReason why =
-      claimant.isUrgent() ? StopReason::Urgent : StopReason::FairShare;
+      claimant.isPressing() ? StopReason::Urgent : StopReason::FairShare;
   for (const TaskRef &ref : eviction.Victims)
     evict(state, ref, why, actions);
 }
@@ -104,7 +98,7 @@
   std::optional<Eviction> best;
   for (uint32_t slot : slots) {
     const Resources deficit =
-        clipped(size - comingRoom(state, state.Workers[slot]));
+        clipped(size - state.comingOn(state.Workers[slot]));
     Eviction eviction = chooseVictims(state, claimant, slot, deficit, now);
     if (deficit.fitsIn(eviction.Yield) && (!best || eviction.Cost < best->Cost))
       best = std::move(eviction);
@@ -116,59 +110,12 @@
   return true;
 }
 
-// Room for one more task of a reservation on a worker.
-struct HoldOption {
-  uint32_t Slot = NoWorker;
-  // Dominant share of the worker that has to become free first.
-  double Missing = 0;
-};
-
-// Each worker offers as many options as it could hold tasks, each with more
-// missing than the one before.
-std::vector<HoldOption> findHoldOptions(const PlannerState &state,
-                                        const StartNeed &need) {
-  std::vector<HoldOption> options;
-  for (uint32_t slot = 0; slot < state.Workers.size(); ++slot) {
-    const WorkerState &worker = state.Workers[slot];
-    if (!state.isUsable(worker))
-      continue;
-    const Resources room = worker.Holds - worker.Lasting - worker.Held;
-    const uint32_t tasks = countFitting(room, need.Size, need.Tasks);
-    const Resources coming = comingRoom(state, worker);
-    for (uint32_t i = 1; i <= tasks; ++i)
-      options.push_back(
-          {slot, dominantShare(clipped(need.Size * i - coming), worker.Holds)});
-  }
-  std::ranges::stable_sort(options, {}, &HoldOption::Missing);
-  return options;
-}
-
-// Holds room for the whole need where it becomes free soonest.
-bool reserveRoom(PlannerState &state, RequestState &request,
-                 const StartNeed &need, Instant now) {
-  std::vector<HoldOption> options = findHoldOptions(state, need);
-  if (options.size() < need.Tasks)
-    return false;
-  options.resize(need.Tasks);
-  std::ranges::sort(options, {}, &HoldOption::Slot);
-  std::vector<Hold> holds;
-  for (const HoldOption &option : options) {
-    if (holds.empty() || holds.back().Slot != option.Slot)
-      holds.push_back({option.Slot, Resources{}, now + HoldTime});
-    holds.back().Room += need.Size;
-  }
-  for (const Hold &hold : holds)
-    state.hold(request, hold);
-  ++state.Counters.Reservations;
-  return true;
-}
-
 // Stops what the policy allows on the workers where the request holds room.
 void preemptOnHolds(PlannerState &state, RequestState &claimant, Instant now,
                     std::vector<Action> &actions) {
   for (const Hold &hold : claimant.Holds) {
     const Resources deficit =
-        clipped(Resources{} - comingRoom(state, state.Workers[hold.Slot]));
+        clipped(Resources{} - state.comingOn(state.Workers[hold.Slot]));
     evictAll(state, claimant,
              chooseVictims(state, claimant, hold.Slot, deficit, now), actions);
   }
@@ -177,7 +124,7 @@
 // Room on a worker that the policy lets the claimant take.
 Resources takeableRoom(const PlannerState &state, const RequestState &claimant,
                        uint32_t slot, Instant now) {
-  Resources room = comingRoom(state, state.Workers[slot]);
+  Resources room = state.comingOn(state.Workers[slot]);
   for (const TaskRef &ref : state.Workers[slot].Tasks)
     if (mayEvict(state, claimant, ref, now))
       room += ref.Request->Tasks[ref.Index].Reserved;
@@ -206,7 +153,7 @@
       continue;
     const Resources room = need.Size * tasks;
     const Resources deficit =
-        clipped(room - comingRoom(state, state.Workers[slot]));
+        clipped(room - state.comingOn(state.Workers[slot]));
     found.Holds.push_back({slot, room, now + HoldTime});
     found.Evictions.push_back(
         chooseVictims(state, claimant, slot, deficit, now));
@@ -253,7 +200,7 @@
 void makeRoomForOne(PlannerState &state, RequestState &request, Instant now,
                     std::vector<Action> &actions) {
   const StartNeed need = startNeed(state, request);
-  const std::size_t wanted = request.isUrgent()
+  const std::size_t wanted = request.isPressing()
                                  ? std::min(request.Queued.size(), MaxHolds)
                                  : std::size_t{1};
   for (std::size_t i = 0; i < wanted; ++i) {
@@ -307,7 +254,8 @@
     return false;
   const TeamState &team = *victim.Team;
   PreemptView view;
-  view.ClaimantPriority = claimant.Work.Entry.Priority;
+  view.ClaimantPriority = claimant.isPressing() ? catalogue::Urgency::Urgent
+                                                : claimant.Work.Entry.Priority;
   view.VictimPriority = victim.Work.Entry.Priority;
   view.VictimClass = victim.Work.Entry.Class;
   view.ClaimantShare = relativeShare(
@@ -322,14 +270,14 @@
 
 void makeRoom(PlannerState &state, LaneState &lane, Instant now,
               std::vector<Action> &actions) {
-  const bool isUrgent = lane.Priority == catalogue::Urgency::Urgent;
-  state.IsUrgentBlocked |= isUrgent;
-  const uint32_t reach = isUrgent ? UrgentReach : 1;
+  const uint32_t reach =
+      lane.Priority == catalogue::Urgency::Urgent ? UrgentReach : 1;
   std::vector<RequestState *> requests;
   for (const auto &[key, request] : lane.Queue) {
     if (requests.size() == reach)
       break;
     requests.push_back(request);
+    state.IsUrgentBlocked |= request->isPressing();
   }
   for (RequestState *request : requests) {
     if (!isStillPossible(state, *request, now))
--- a/jujube/placement/planner_faults_test.cc
+++ b/jujube/placement/planner_faults_test.cc
@@ -60,6 +60,54 @@
   BOOST_TEST(bed.Subject.quarantined().empty());
 }
 
+// A gang stops whole, and all of it counts.
+BOOST_AUTO_TEST_CASE(SmallerSliceStopsNoMoreThanItsSurplus) {
+  Bed bed(4);
+  bed.submit(Bed::entry("a", WorkClass::Service, {1000, 1000, 0}), 4);
+  catalogue::Entry gang = Bed::entry("a", WorkClass::Gang, {4000, 1000, 0});
+  gang.CanCheckpoint = true;
+  bed.submit(gang, 6);
+  bed.submit(Bed::entry("a", WorkClass::Batch, {2000, 1000, 0}), 2);
+  bed.plan();
+  BOOST_REQUIRE(bed.Placed.size() == 12U);
+  bed.Subject.setSlice(TeamId("a"), {10000, 64000, 0});
+  const auto actions = bed.plan();
+  BOOST_TEST(only<CheckpointTask>(actions).size() == 6U);
+  BOOST_TEST(only<StopTask>(actions).empty());
+}
+
+BOOST_AUTO_TEST_CASE(SmallerSliceStopsServicesAfterOtherRepeatableWork) {
+  Bed bed(2);
+  bed.submit(Bed::entry("a"), 2);
+  bed.plan();
+  const RequestId service =
+      bed.submit(Bed::entry("a", WorkClass::Service, HalfWorker), 2);
+  bed.plan(Duration::seconds(1));
+  bed.Subject.setSlice(TeamId("a"), {16000, 64000, 0});
+  const auto stops = only<StopTask>(bed.plan());
+  BOOST_REQUIRE(stops.size() == 2U);
+  BOOST_CHECK(std::ranges::none_of(stops, [&](const StopTask &stop) {
+    return stop.Task.Request == service;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(LostServiceTakesTheRoomOfRepeatableWork) {
+  Bed bed(2);
+  const RequestId service =
+      bed.submit(Bed::entry("a", WorkClass::Service, HalfWorker));
+  bed.plan();
+  const Offer lost = bed.Placed.front();
+  bed.submit(Bed::entry("b"), 9);
+  bed.plan();
+  bed.Subject.workerLost(lost.Worker, bed.Now);
+  bed.end(lost.Task, EndKind::Lost);
+  const auto stops = only<StopTask>(bed.plan());
+  BOOST_REQUIRE(stops.size() == 1U);
+  bed.end(stops[0].Task, EndKind::Stopped);
+  bed.plan();
+  BOOST_TEST(bed.isPlaced(service));
+}
+
 BOOST_AUTO_TEST_CASE(NewIncarnationOfAWorkerIsTrustedAgain) {
   Bed bed(4);
   for (int i = 0; i < 4; ++i) {
--- a/jujube/placement/planner_shares_test.cc
+++ b/jujube/placement/planner_shares_test.cc
@@ -58,6 +58,33 @@
   BOOST_TEST(roundsUntilPlaced(bed, gang, limited) <= 40U);
 }
 
+// Room is reserved where it is expected to be free first, not where least is
+// missing.
+BOOST_AUTO_TEST_CASE(ReservationKnowsWhenTasksEnd) {
+  Bed bed(2);
+  catalogue::Entry lasting = Bed::entry("a", WorkClass::Batch, {9000, 1000, 0});
+  lasting.RunTime = Duration::minutes(30);
+  catalogue::Entry brief = Bed::entry("a", WorkClass::Batch, {7500, 1000, 0});
+  brief.RunTime = Duration::seconds(40);
+  bed.submit(lasting);
+  bed.plan();
+  bed.submit(brief, 2);
+  bed.plan();
+  BOOST_REQUIRE(bed.Placed.size() == 3U);
+  BOOST_REQUIRE(bed.Placed[1].Worker == bed.Placed[2].Worker);
+  const std::vector<Offer> ending = {bed.Placed[1], bed.Placed[2]};
+  const RequestId waiting =
+      bed.submit(Bed::entry("b", WorkClass::Batch, {10000, 1000, 0}));
+  bed.plan(Duration::seconds(31));
+  // Takes the room of the first task that ends unless that is held.
+  bed.submit(brief, 2);
+  for (const Offer &offer : ending) {
+    bed.end(offer.Task, EndKind::Finished);
+    bed.plan();
+  }
+  BOOST_TEST(bed.isPlaced(waiting));
+}
+
 BOOST_AUTO_TEST_CASE(OtherWorkLeavesAcceleratorsToWorkThatWaitsForThem) {
   Bed bed(1);
   bed.see(1, 1, WorkerSize + Resources{0, 0, 1});
--- a/jujube/placement/serving.cc
+++ b/jujube/placement/serving.cc
@@ -57,14 +57,16 @@
   if (!head)
     return;
   const double share = state.shareOf(lane.Team->Reserved);
+  const catalogue::Urgency priority =
+      head->isPressing() ? catalogue::Urgency::Urgent : lane.Priority;
   const double rank = state.Hooks.Rank(
-      {head->Work.Entry.Class, lane.Priority, share / lane.Team->Share});
+      {head->Work.Entry.Class, priority, share / lane.Team->Share});
   all.push({&lane, head, rank, lane.Team->Version});
 }
 
 // Bounds the time that a plan spends on blocked lanes.
 bool mayMakeRoom(PlannerState &state, const RequestState &head, Instant now) {
-  if (head.isUrgent())
+  if (head.isPressing())
     return true;
   if (now - head.Lane->RoomMadeAt < RoomInterval ||
       state.RoomsMade >= MaxRoomsMade)
@@ -75,13 +77,15 @@
 }
 
 // Keeps later work of its team from taking the room that an aged gang needs,
-// until the team's part has room for the gang.
+// until the team's part has room for it twice: so the team stays below its part
+// by a gang's size at most, and no more of its work passes a gang that waits
+// for its turn to reserve.
 void claimPart(const PlannerState &state, const RequestState &head,
                Instant now) {
   TeamState &team = *head.Team;
   if (!head.isGang() || head.isUrgent() || !state.isAged(head, now) ||
       !head.Holds.empty() || isPartClaimed(state, head) ||
-      state.isInPart(team, startNeed(state, head).total()))
+      state.isInPart(team, startNeed(state, head).total() * 2))
     return;
   team.PartClaimPlan = state.PlanNumber;
   team.PartClaim = head.Order;
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -170,6 +170,8 @@
   bool isUrgent() const {
     return Work.Entry.Priority == catalogue::Urgency::Urgent;
   }
+  // True for urgent work and for services that have to be started again.
+  bool isPressing() const { return isUrgent() || (!hasEnd() && HasRun); }
   // True for classes whose tasks run to an end.
   bool hasEnd() const {
     return Work.Entry.Class != catalogue::WorkClass::Service;
@@ -225,6 +227,10 @@
   bool isUsable(const WorkerState &worker) const;
   // Room that is neither reserved nor held; may be negative.
   Resources freeOn(const WorkerState &worker) const;
+  // The same once all tasks that were told to stop are gone.
+  Resources comingOn(const WorkerState &worker) const {
+    return freeOn(worker) + worker.Stopping;
+  }
   // Updates indexes and sums after a change of the worker.
   void refresh(uint32_t slot);
 
