--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -253,8 +253,9 @@
 
 // A message with what is needed to answer it.
 struct Envelope {
+  // Sent only with messages that want no reply.
   HostId From;
-  // Where the sender takes messages.
+  // Where the sender takes messages. Sent only with those that want a reply.
   Address ReplyTo;
   // Pairs a reply with its request; 0 if no reply is wanted.
   uint64_t Correlation = 0;
