Messages between processes and zones' journals are packed

Cause: 804 B a start went to two followers; every integer took 4 or 8 bytes, every id came in full, and every message named its sender and its address.

An envelope carries its sender only if it wants no reply, and the reply's address only if it wants one.

--- a/bench/state_bench.cc
+++ b/bench/state_bench.cc
@@ -18,7 +18,7 @@
 #include "jujube/fate/fate_book.h"
 #include "jujube/limits/slice_ledger.h"
 #include "jujube/limits/zone_slices.h"
-#include "jujube/wire/archive.h"
+#include "jujube/wire/packed_archive.h"
 #include "jujube/wire/state_encoding.h"
 
 namespace jujube {
@@ -199,10 +199,14 @@
   print({"fate.freed_ended_task", tasks, tasks, 0, before - heapBytes()});
 }
 
+void printBytes(const std::string &name, const std::string &encoded) {
+  print({name, 1, 1, 0, static_cast<int64_t>(encoded.size())});
+}
+
 // Encoded bytes of one message or journal event.
 template <typename T>
 void measureBytes(const std::string &name, const T &value) {
-  print({name, 1, 1, 0, static_cast<int64_t>(wire::encode(value).size())});
+  printBytes(name, wire::encodePacked(value));
 }
 
 void measureMessages() {
@@ -214,9 +218,10 @@
   measureBytes("bytes.slice_reply", limits::SliceReply{});
   measureBytes("bytes.slice", slice);
   measureBytes("bytes.catalogue_poll_reply", catalogue::Update{});
-  measureBytes("bytes.edit",
-               editOf("0123456789abcdef", 1,
-                      catalogue::PutTeam{{TeamId("events"), 1, {}}}));
+  // On the keepers' disks.
+  printBytes("bytes.edit", wire::encode(editOf(
+                               "0123456789abcdef", 1,
+                               catalogue::PutTeam{{TeamId("events"), 1, {}}})));
   const TaskId task = taskId(1);
   measureBytes("bytes.request_accepted", RequestAccepted{workOf(1), {}});
   measureBytes("bytes.task_offered",
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -1,6 +1,7 @@
 #include "jujube/wire/messages.h"
 
 #include "jujube/wire/consensus_encoding.h"
+#include "jujube/wire/packed_archive.h"
 #include "jujube/wire/routing_encoding.h"
 #include "jujube/wire/state_encoding.h"
 
@@ -94,19 +95,25 @@
   ar(v.Why, v.Leader);
 }
 template <typename Archive> void serialize(Archive &ar, Envelope &v) {
-  ar(v.From, v.ReplyTo, v.Correlation, v.IsReply, v.What);
+  ar(v.Correlation, v.IsReply);
+  if (!v.IsReply && v.Correlation == 0)
+    ar(v.From);
+  else if (!v.IsReply)
+    ar(v.ReplyTo);
+  ar(v.What);
 }
 template <typename Archive> void serialize(Archive &ar, FleetState &v) {
   ar(v.Catalogue, v.Slices);
 }
 
 std::string encodeEnvelope(const Envelope &envelope) {
-  return encode(envelope);
+  return encodePacked(envelope);
 }
 Result<Envelope> decodeEnvelope(absl::string_view bytes) {
-  return decode<Envelope>(bytes);
+  return decodePacked<Envelope>(bytes);
 }
 
+// The fleet log lasts on the keepers' disks, so its format stays.
 std::string encodeFleetCommand(const FleetCommand &command) {
   return encode(command);
 }
@@ -120,17 +127,17 @@
 }
 
 std::string encodeZoneEvents(const std::vector<fate::Event> &events) {
-  return encode(events);
+  return encodePacked(events);
 }
 Result<std::vector<fate::Event>> decodeZoneEvents(absl::string_view bytes) {
-  return decode<std::vector<fate::Event>>(bytes);
+  return decodePacked<std::vector<fate::Event>>(bytes);
 }
 
 std::string encodeBookState(const fate::BookState &state) {
-  return encode(state);
+  return encodePacked(state);
 }
 Result<fate::BookState> decodeBookState(absl::string_view bytes) {
-  return decode<fate::BookState>(bytes);
+  return decodePacked<fate::BookState>(bytes);
 }
 
 } // namespace jujube::wire
