A zone's leader proposes the events of one turn as one record

Cause: each sync and each plan made a record of its own, so that a record seldom named a request or worker twice, and each paid for an entry of the log.

Change: the scheduler's events are gathered and proposed at the end of the turn, before syncs are answered.

--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -1,6 +1,7 @@
 #include "jujube/zone/zone_task.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -67,10 +68,11 @@
     return errorOf(log);
   Log = valueOf(std::move(log));
   Log->onTurnEnd([this] {
+    if (isServing() && Leading->needsPlan())
+      Leading->plan(moment());
+    proposeGathered();
     if (!isServing())
       return;
-    if (Leading->needsPlan())
-      Leading->plan(moment());
     for (const WorkerId &worker : std::exchange(Woken, {}))
       answerSync(worker);
   });
@@ -124,14 +126,16 @@
     return;
   }
   Leading.reset();
+  Gathered.clear();
   Runners.reset();
   refuseParked();
 }
 
 void ZoneTask::lead(Term term) {
+  Gathered.clear();
   SchedulerHooks hooks;
-  hooks.Propose = [this](const std::vector<fate::Event> &events) {
-    propose(events, [](const Status &) {});
+  hooks.Propose = [this](std::vector<fate::Event> events) {
+    std::ranges::move(events, std::back_inserter(Gathered));
   };
   hooks.WakeWorker = [this](const WorkerId &worker) { Woken.insert(worker); };
   hooks.RequestEnded = [this](const RequestId &id) { answerAsks(id); };
@@ -191,6 +195,11 @@
   Log->propose(wire::encodeZoneEvents(events), std::move(done));
 }
 
+void ZoneTask::proposeGathered() {
+  if (!Gathered.empty())
+    propose(std::exchange(Gathered, {}), [](const Status &) {});
+}
+
 TeamId ZoneTask::actingTeam(const RequestId &id,
                             const TeamId &presented) const {
   const fate::RequestRecord *record = Book.findRequest(id);
--- a/jujube/zone/zone_task.h
+++ b/jujube/zone/zone_task.h
@@ -88,6 +88,8 @@
   // owner if the request came without one to an open entry.
   TeamId actingTeam(const RequestId &id, const TeamId &presented) const;
   bool maySee(const RequestId &id, const TeamId &presented) const;
+  // Proposes what the scheduler asked for since the last turn as one record.
+  void proposeGathered();
   void answerSync(const WorkerId &worker);
   void answerAsks(const RequestId &id);
   void answerOverdue();
@@ -108,6 +110,8 @@
   // While this scheduler leads.
   std::unique_ptr<Scheduler> Leading;
   std::unique_ptr<RunnerDesk> Runners;
+  // Events that the scheduler proposes at the end of this turn.
+  std::vector<fate::Event> Gathered;
   // Workers that have directives since the last turn.
   std::set<WorkerId> Woken;
   Status Outcome = Ok{};
