Live requests are journaled while they wait, and callers learn their true fate

Change: an offer is journaled once per request and entry host, without a runner, while the request waits; its end goes after it, also before a hand-over. Errors of live calls are not_run with retry_after_ms and Retry-After, run_failed, or outcome_unknown. A router that was started less than 5 s ago and has not heard of its zone's leader queues instead of refusing; no wait is estimated in the first 100 ms of credits; the queue's head is given up by the present service time.

--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -20,6 +20,8 @@
 constexpr Duration SyncTimeout = Duration::seconds(4);
 constexpr Duration StatusTimeout = Duration::millis(800);
 constexpr Duration LongestLiveTimeout = Duration::seconds(10);
+// The balancer sends callers elsewhere once it knows that a host is leaving.
+constexpr Duration HandOverRetryAfter = Duration::seconds(1);
 
 void append(const metrics::Snapshot &from, metrics::Snapshot &to) {
   std::ranges::copy(from.Counters, std::back_inserter(to.Counters));
@@ -386,16 +388,17 @@
   if (it == hosts.end())
     it = std::ranges::find_if(hosts, isOther);
   if (it == hosts.end()) {
-    done(Error{ErrorKind::Unavailable,
+    done(Error{ErrorKind::NotRun,
                "this entry host is leaving; the request was not run",
-               "send it to another entry host"});
+               "send it to another entry host", HandOverRetryAfter});
     return;
   }
   Messages.call(
       it->Host.Peer, wire::PassLive{call}, call.Timeout + SubmitTimeout,
-      [done](Result<wire::Message> reply) {
+      [done, id = call.Request](Result<wire::Message> reply) {
+        // The other entry host may have sent it, whatever was lost.
         if (!isOk(reply))
-          done(errorOf(reply));
+          done(outcomeUnknown(id));
         else if (auto *answer = std::get_if<wire::LiveDone>(&valueOf(reply)))
           done(std::move(answer->Answer));
         else if (auto *refusal = std::get_if<wire::Refusal>(&valueOf(reply)))
--- a/jujube/entry/entry_tree.cc
+++ b/jujube/entry/entry_tree.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jujube/entry/entry_task.h"
+#include "jujube/entry/live_desk.h"
 #include "jujube/runtime/reply_slot.h"
 
 namespace jujube::entry {
@@ -62,8 +63,10 @@
         !isOk(status))
       return errorOf(status);
     auto result = slot->wait(patience);
-    if (!isOk(result))
-      return errorOf(result);
+    if (!isOk(result)) {
+      const auto *call = std::get_if<api::CallLive>(&command);
+      return call ? outcomeUnknown(call->Request) : errorOf(result);
+    }
     return valueOf(std::move(result));
   };
 }
--- a/jujube/entry/live_desk.cc
+++ b/jujube/entry/live_desk.cc
@@ -4,14 +4,12 @@
 #include <iterator>
 
 #include "absl/strings/str_cat.h"
-#include "jujube/base/digest.h"
 
 namespace jujube::entry {
 namespace {
 
-// How long the home zone's leader may take to journal an offer or its end.
-constexpr Duration OfferTimeout = Duration::seconds(3);
-constexpr Duration EndTimeout = Duration::seconds(20);
+// When a request that was just given up can be sent again under the same id.
+constexpr Duration RepeatAfter = Duration::millis(500);
 constexpr Duration ReportTimeout = Duration::millis(1000);
 // Answers that are kept for callers that are gone.
 constexpr std::size_t MaxAnswers = 2000;
@@ -23,13 +21,6 @@
 
 metrics::Labels labelsOf(const TeamId &team) { return {team.str(), "live"}; }
 
-Error unresolvedError(const RequestId &id) {
-  return {ErrorKind::Unavailable,
-          absl::StrCat("request ", id.str(),
-                       " was sent and its outcome is not known"),
-          "ask for its fate by id; it is not sent again"};
-}
-
 } // namespace
 
 LiveDesk::LiveDesk(Options options, runtime::PollLoop &loop,
@@ -70,8 +61,11 @@
                  absl::StrCat("request id ", request.Request.str(),
                               " was used for another request"),
                  "use a new id for each request"});
+    else if (call.IsConcluded)
+      done(Error{ErrorKind::NotRun, "the request was not run", "send it again",
+                 RepeatAfter});
     else if (call.Waiters.empty())
-      done(unresolvedError(request.Request));
+      done(outcomeUnknown(request.Request));
     else
       call.Waiters.push_back(std::move(done));
     return;
@@ -180,98 +174,6 @@
                       Loop.now()));
 }
 
-void LiveDesk::carryOut(const routing::JournalOffer &offer) {
-  const auto it = Calls.find(offer.Request);
-  if (it == Calls.end()) {
-    run(Router.offerJournaled(
-        offer.Request, offer.Attempt,
-        Error{ErrorKind::Internal, "the request is gone", ""}, Loop.now()));
-    return;
-  }
-  // An earlier attempt surely did not run; the journal learns that first.
-  if (it->second.IsJournaled)
-    journalEnd(it->second, offer.Runner, fate::FateState::Queued, "refused",
-               [this, offer] { journalOffer(offer); });
-  else
-    journalOffer(offer);
-}
-
-void LiveDesk::journalOffer(const routing::JournalOffer &offer) {
-  const auto it = Calls.find(offer.Request);
-  const auto home = homeZone(offer.Request);
-  wire::LeaderClient *zone = isOk(home) ? Zones.find(valueOf(home)) : nullptr;
-  if (it == Calls.end() || !zone) {
-    takeJournalReply(offer,
-                     Error{ErrorKind::Unavailable, "the home zone is not known",
-                           "use an id of a zone that GET /v1/status lists"});
-    return;
-  }
-  Call &call = it->second;
-  call.IsJournaled = true;
-  fate::LiveOffered record{
-      offer.Request,
-      call.Team,
-      call.Entry.Id,
-      saltedDigest(call.Entry.Id.str(), call.Request.Payload),
-      Settings.Self,
-      offer.Runner,
-      call.Entry.IsIdempotent,
-      Clock::wall().now()};
-  zone->call(wire::JournalLive{std::move(record)}, OfferTimeout,
-             [this, offer](const Result<wire::Message> &reply) {
-               takeJournalReply(offer, reply);
-             });
-}
-
-void LiveDesk::takeJournalReply(const routing::JournalOffer &offer,
-                                const Result<wire::Message> &reply) {
-  Status status = Ok{};
-  if (!isOk(reply)) {
-    status = errorOf(reply);
-  } else if (const auto *news = std::get_if<wire::FateNews>(&valueOf(reply))) {
-    status = Error{ErrorKind::DuplicateRequest,
-                   "the request was offered before", "ask for its fate by id"};
-    answerFromJournal(offer.Request, news->View);
-  }
-  run(Router.offerJournaled(offer.Request, offer.Attempt, status, Loop.now()));
-}
-
-void LiveDesk::answerFromJournal(const RequestId &id,
-                                 const fate::FateView &view) {
-  const auto it = Calls.find(id);
-  if (it == Calls.end())
-    return;
-  // The offer in the journal is another one's.
-  it->second.IsJournaled = false;
-  const bool isAnswered =
-      view.State == fate::FateState::Finished && !view.Tasks.empty();
-  if (view.Team != it->second.Team)
-    answer(id, Error{ErrorKind::DuplicateRequest,
-                     absl::StrCat("request id ", id.str(), " is taken"),
-                     "use a new id for each request"});
-  else if (isAnswered)
-    answer(id, api::LiveAnswer{id, RunnerId(), view.Tasks.front().Answer});
-  else
-    answer(id,
-           Error{ErrorKind::Unavailable,
-                 absl::StrCat("request ", id.str(), " was sent before; it is ",
-                              nameIn(fate::FateStateNames, view.State)),
-                 "ask for its fate by id; it is not sent again"});
-}
-
-void LiveDesk::journalEnd(Call &call, const RunnerId &runner,
-                          fate::FateState state, const std::string &text,
-                          const std::function<void()> &then) {
-  const auto home = homeZone(call.Request.Request);
-  wire::LeaderClient *zone = isOk(home) ? Zones.find(valueOf(home)) : nullptr;
-  if (!call.IsJournaled || !zone)
-    return;
-  call.IsJournaled = state == fate::FateState::Unresolved;
-  zone->call(wire::JournalLiveEnd{{call.Request.Request, Settings.Self, runner,
-                                   state, text, Clock::wall().now()}},
-             EndTimeout, [then](const Result<wire::Message> &) { then(); });
-}
-
 void LiveDesk::keep(const Call &call, fate::FateState state,
                     const std::string &text) {
   fate::FateView view;
@@ -299,8 +201,8 @@
     waiter(result);
 }
 
-void LiveDesk::conclude(const RequestId &id, const RunnerId &runner,
-                        fate::FateState state, const std::string &text,
+void LiveDesk::conclude(const RequestId &id, fate::FateState state,
+                        const std::string &text,
                         const Result<api::LiveAnswer> &result) {
   const auto it = Calls.find(id);
   if (it == Calls.end())
@@ -311,47 +213,60 @@
               labels);
   Metrics.observe("live_total_ms", labels, (Loop.now() - call.Since).millis());
   keep(call, state, text);
-  journalEnd(call, runner, state, text, [] {});
   answer(id, result);
-  if (state != fate::FateState::Unresolved)
-    Calls.erase(id);
+  call.IsConcluded = state != fate::FateState::Unresolved;
+  journalEnd(id, state, text, [] {});
+  eraseIfDone(id);
+}
+
+void LiveDesk::eraseIfDone(const RequestId &id) {
+  const auto it = Calls.find(id);
+  if (it != Calls.end() && it->second.IsConcluded &&
+      it->second.Journal != JournalState::Offering)
+    Calls.erase(it);
 }
 
 void LiveDesk::carryOut(const routing::Shed &action) {
   Error why = action.Why;
+  why.RetryAfter = action.RetryAfter;
   absl::StrAppend(&why.Remedy, why.Remedy.empty() ? "" : "; ", "retry after ",
                   action.RetryAfter.millis(), " ms");
-  conclude(action.Request, RunnerId(), fate::FateState::NotRun, why.Message,
-           why);
+  conclude(action.Request, fate::FateState::NotRun, why.Message, why);
 }
 
 void LiveDesk::carryOut(const routing::Deliver &action) {
   const auto body = Bodies.extract({action.Request, action.Attempt});
   const std::string text = body.empty() ? "" : body.mapped();
-  conclude(action.Request, action.Runner, fate::FateState::Finished, text,
+  conclude(action.Request, fate::FateState::Finished, text,
            api::LiveAnswer{action.Request, action.Runner, text});
 }
 
 void LiveDesk::carryOut(const routing::Fail &action) {
-  conclude(action.Request, action.Runner, fate::FateState::Failed,
-           action.Why.Message, action.Why);
+  conclude(action.Request, fate::FateState::Failed, action.Why.Message,
+           action.Why);
 }
 
 void LiveDesk::carryOut(const routing::MarkUnresolved &action) {
-  conclude(action.Request, action.Runner, fate::FateState::Unresolved,
-           action.Why.Message, unresolvedError(action.Request));
+  conclude(action.Request, fate::FateState::Unresolved, action.Why.Message,
+           outcomeUnknown(action.Request));
 }
 
+// The next entry host may offer it only once the journal knows that this one
+// will not.
 void LiveDesk::carryOut(const routing::HandOver &action) {
-  const auto it = Calls.find(action.Request);
+  journalEnd(action.Request, fate::FateState::Queued, "handed over",
+             [this, id = action.Request] { handOver(id); });
+}
+
+void LiveDesk::handOver(const RequestId &id) {
+  const auto it = Calls.find(id);
   if (it == Calls.end())
     return;
-  Callbacks.HandOver(
-      it->second.Request,
-      [this, id = action.Request](const Result<api::LiveAnswer> &result) {
-        answer(id, result);
-        Calls.erase(id);
-      });
+  Callbacks.HandOver(it->second.Request,
+                     [this, id](const Result<api::LiveAnswer> &result) {
+                       answer(id, result);
+                       Calls.erase(id);
+                     });
 }
 
 void LiveDesk::carryOut(const routing::ReportNow &action) {
--- a/jujube/entry/live_desk.h
+++ b/jujube/entry/live_desk.h
@@ -27,6 +27,9 @@
 // Told the answer of a live request, once.
 using LiveHook = std::function<void(Result<api::LiveAnswer>)>;
 
+// What callers are told of a request that left and has not been answered.
+Error outcomeUnknown(const RequestId &id);
+
 // Owned by the entry task.
 class LiveDesk {
 public:
@@ -64,7 +67,15 @@
   std::vector<api::RunnerStatus> runners() const;
 
 private:
-  // A request whose final outcome is not known yet.
+  // What the home zone's journal holds of the offer by this entry host.
+  enum class JournalState {
+    None,
+    // Asked for and not confirmed yet.
+    Offering,
+    // Without an end.
+    Offered,
+  };
+  // A request whose final outcome is not known or not journaled yet.
   struct Call {
     api::CallLive Request;
     TeamId Team;
@@ -73,8 +84,11 @@
     // Empty once they were answered.
     std::vector<LiveHook> Waiters;
     Instant Since;
-    // The home zone's journal may hold an offer without an end.
-    bool IsJournaled = false;
+    JournalState Journal = JournalState::None;
+    // Done once the offer is confirmed.
+    std::function<void()> AfterOffer;
+    // The callers know the final outcome.
+    bool IsConcluded = false;
   };
 
   LiveDesk(Options options, runtime::PollLoop &loop, ZoneDirectory &zones,
@@ -93,18 +107,23 @@
   void carryOut(const routing::ReportNow &action);
 
   void takeLinkEvent(LinkEvent event);
-  void journalOffer(const routing::JournalOffer &offer);
-  void takeJournalReply(const routing::JournalOffer &offer,
+  void handOver(const RequestId &id);
+
+  // live_desk_journal.cc
+  wire::LeaderClient *homeOf(const RequestId &id);
+  void takeJournalReply(const RequestId &id,
                         const Result<wire::Message> &reply);
-  void journalEnd(Call &call, const RunnerId &runner, fate::FateState state,
+  // Journals how the offer ended, if there was one, and then calls `then`.
+  void journalEnd(const RequestId &id, fate::FateState state,
                   const std::string &text, const std::function<void()> &then);
-  void answer(const RequestId &id, const Result<api::LiveAnswer> &result);
-  // Ends a request: keeps its fate, journals it and answers its callers.
-  void conclude(const RequestId &id, const RunnerId &runner,
-                fate::FateState state, const std::string &text,
-                const Result<api::LiveAnswer> &result);
   // Answers with what the home zone's journal holds of an earlier offer.
   void answerFromJournal(const RequestId &id, const fate::FateView &view);
+
+  void answer(const RequestId &id, const Result<api::LiveAnswer> &result);
+  // Ends a request: keeps its fate, journals it and answers its callers.
+  void conclude(const RequestId &id, fate::FateState state,
+                const std::string &text, const Result<api::LiveAnswer> &result);
+  void eraseIfDone(const RequestId &id);
   void keep(const Call &call, fate::FateState state, const std::string &text);
   void dropAbandoned();
   // The router reports to zones whose runners it knows; the others' leaders
--- /dev/null
+++ b/jujube/entry/live_desk_journal.cc
@@ -0,0 +1,140 @@
+// What the home zone's journal is told of live requests that are not
+// idempotent.
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/base/digest.h"
+#include "jujube/entry/live_desk.h"
+
+namespace jujube::entry {
+namespace {
+
+// How long the home zone's leader may take to journal an offer or its end.
+constexpr Duration OfferTimeout = Duration::seconds(3);
+constexpr Duration EndTimeout = Duration::seconds(20);
+
+// What a caller is told of a request that another entry host offered before.
+Error offeredBefore(const fate::FateView &view) {
+  const bool hasNotRun = view.State == fate::FateState::NotRun ||
+                         view.State == fate::FateState::Cancelled;
+  const bool hasFailed = view.State == fate::FateState::Failed;
+  return {hasNotRun   ? ErrorKind::NotRun
+          : hasFailed ? ErrorKind::RunFailed
+                      : ErrorKind::OutcomeUnknown,
+          absl::StrCat("request ", view.Request.str(),
+                       " was sent before; it is ",
+                       nameIn(fate::FateStateNames, view.State)),
+          hasNotRun ? "send it under a new id"
+                    : "ask for its fate by id; it is not sent again"};
+}
+
+} // namespace
+
+Error outcomeUnknown(const RequestId &id) {
+  return {
+      ErrorKind::OutcomeUnknown,
+      absl::StrCat("request ", id.str(),
+                   " was sent and its outcome is not known"),
+      absl::StrCat("ask for the fate of ", id.str(), "; it is not sent again")};
+}
+
+wire::LeaderClient *LiveDesk::homeOf(const RequestId &id) {
+  const auto home = homeZone(id);
+  return isOk(home) ? Zones.find(valueOf(home)) : nullptr;
+}
+
+void LiveDesk::carryOut(const routing::JournalOffer &offer) {
+  const auto it = Calls.find(offer.Request);
+  wire::LeaderClient *zone = homeOf(offer.Request);
+  if (it == Calls.end() || !zone) {
+    takeJournalReply(offer.Request,
+                     Error{ErrorKind::Unavailable, "the home zone is not known",
+                           "use an id of a zone that GET /v1/status lists"});
+    return;
+  }
+  Call &call = it->second;
+  call.Journal = JournalState::Offering;
+  // Whichever runner gets it: the entry host answers for the offer.
+  fate::LiveOffered record{
+      offer.Request,
+      call.Team,
+      call.Entry.Id,
+      saltedDigest(call.Entry.Id.str(), call.Request.Payload),
+      Settings.Self,
+      RunnerId(),
+      call.Entry.IsIdempotent,
+      Clock::wall().now()};
+  zone->call(wire::JournalLive{std::move(record)}, OfferTimeout,
+             [this, id = offer.Request](const Result<wire::Message> &reply) {
+               takeJournalReply(id, reply);
+             });
+}
+
+void LiveDesk::takeJournalReply(const RequestId &id,
+                                const Result<wire::Message> &reply) {
+  const auto *news =
+      isOk(reply) ? std::get_if<wire::FateNews>(&valueOf(reply)) : nullptr;
+  const auto it = Calls.find(id);
+  if (it != Calls.end() && it->second.Journal == JournalState::Offering) {
+    // The offer in the journal is another one's if it is told.
+    it->second.Journal = news ? JournalState::None : JournalState::Offered;
+    if (news)
+      answerFromJournal(id, news->View);
+    const auto then = std::exchange(it->second.AfterOffer, {});
+    if (then && !news)
+      then();
+    eraseIfDone(id);
+  }
+  Status status = Ok{};
+  if (!isOk(reply))
+    status = errorOf(reply);
+  else if (news)
+    status = Error{ErrorKind::DuplicateRequest,
+                   "the request was offered before", "ask for its fate by id"};
+  run(Router.offerJournaled(id, status, Loop.now()));
+}
+
+void LiveDesk::answerFromJournal(const RequestId &id,
+                                 const fate::FateView &view) {
+  Call &call = Calls.at(id);
+  // Nothing more is kept or journaled of it here.
+  call.IsConcluded = true;
+  const bool isAnswered =
+      view.State == fate::FateState::Finished && !view.Tasks.empty();
+  if (view.Team != call.Team)
+    answer(id, Error{ErrorKind::DuplicateRequest,
+                     absl::StrCat("request id ", id.str(), " is taken"),
+                     "use a new id for each request"});
+  else if (isAnswered)
+    answer(id, api::LiveAnswer{id, RunnerId(), view.Tasks.front().Answer});
+  else
+    answer(id, offeredBefore(view));
+}
+
+void LiveDesk::journalEnd(const RequestId &id, fate::FateState state,
+                          const std::string &text,
+                          const std::function<void()> &then) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end())
+    return;
+  Call &call = it->second;
+  // The end must not overtake the offer.
+  if (call.Journal == JournalState::Offering) {
+    call.AfterOffer = [this, id, state, text, then] {
+      journalEnd(id, state, text, then);
+    };
+    return;
+  }
+  wire::LeaderClient *zone = homeOf(id);
+  if (call.Journal == JournalState::None || !zone) {
+    then();
+    return;
+  }
+  if (state != fate::FateState::Unresolved)
+    call.Journal = JournalState::None;
+  zone->call(wire::JournalLiveEnd{{id, Settings.Self, RunnerId(), state, text,
+                                   Clock::wall().now()}},
+             EndTimeout, [then](const Result<wire::Message> &) { then(); });
+}
+
+} // namespace jujube::entry
--- a/jujube/http/descriptions.h
+++ b/jujube/http/descriptions.h
@@ -13,6 +13,8 @@
   v.named("kind", ErrorKindNames, x.Kind, true);
   v.required("message", x.Message);
   v.required("remedy", x.Remedy);
+  if (V::IsReader || x.RetryAfter > Duration())
+    v.optional("retry_after_ms", x.RetryAfter);
 }
 
 template <typename V> void fields(V &v, Resources &x) {
--- a/jujube/http/processor.cc
+++ b/jujube/http/processor.cc
@@ -59,9 +59,11 @@
 void write(const HttpAnswer &answer, httplib::Response &response) {
   response.status = answer.Status;
   response.set_content(answer.Body, answer.ContentType);
+  // The header counts whole seconds; the body tells the milliseconds.
   if (answer.RetryAfter)
-    response.set_header("Retry-After",
-                        std::to_string(answer.RetryAfter->millis() / 1000));
+    response.set_header(
+        "Retry-After",
+        std::to_string((answer.RetryAfter->millis() + 999) / 1000));
 }
 
 // The error for a status that the library chose by itself.
--- a/jujube/http/server_test.cc
+++ b/jujube/http/server_test.cc
@@ -236,6 +236,38 @@
   BOOST_TEST(leaving->get_header_value("Connection") == "close");
 }
 
+// What a caller of a live request learns: surely not run and when to try again,
+// run and failed, or not known.
+BOOST_AUTO_TEST_CASE(FatesOfALiveRequestAreTold) {
+  Error fate{ErrorKind::NotRun, "expected to wait 1500 ms", "retry later",
+             Duration::millis(1500)};
+  TestServer server(
+      [&fate](const api::Command &) -> Result<api::Reply> { return fate; });
+  httplib::Client client = server.client();
+  const auto call = [&client] {
+    return client.Post("/v1/entries/desk/call",
+                       R"({"request":"pf.a","timeout_ms":1000})",
+                       "application/json");
+  };
+  const auto notRun = call();
+  BOOST_TEST((kindOf(notRun) == ErrorKind::NotRun));
+  BOOST_TEST(notRun->status == 503);
+  BOOST_TEST(notRun->get_header_value("Retry-After") == "2");
+  BOOST_TEST(notRun->body.find(R"("retry_after_ms":1500)") !=
+             std::string::npos);
+  fate = {ErrorKind::RunFailed, "runner r1 failed", "check the request"};
+  const auto failed = call();
+  BOOST_TEST((kindOf(failed) == ErrorKind::RunFailed));
+  BOOST_TEST(failed->status == 502);
+  BOOST_TEST(!failed->has_header("Retry-After"));
+  fate = {ErrorKind::OutcomeUnknown, "not known", "ask for the fate of pf.a"};
+  const auto unknown = call();
+  BOOST_TEST((kindOf(unknown) == ErrorKind::OutcomeUnknown));
+  BOOST_TEST(unknown->status == 504);
+  BOOST_TEST(!unknown->has_header("Retry-After"));
+  BOOST_TEST(unknown->body.find("retry_after_ms") == std::string::npos);
+}
+
 // Connections that stay open beyond both limits don't keep new ones out.
 BOOST_AUTO_TEST_CASE(IdleConnectionsMakeRoom) {
   ServerOptions options;
--- a/jujube/http/translate.cc
+++ b/jujube/http/translate.cc
@@ -305,7 +305,9 @@
 HttpAnswer toAnswer(const Error &error) {
   const StatusRow &row = Statuses[static_cast<std::size_t>(error.Kind)];
   HttpAnswer answer{row.Status, toJson(ErrorBody{error})};
-  if (row.MayRetry)
+  if (error.RetryAfter > Duration())
+    answer.RetryAfter = error.RetryAfter;
+  else if (row.MayRetry)
     answer.RetryAfter = RetryDelay;
   return answer;
 }
--- a/jujube/load/ledger.cc
+++ b/jujube/load/ledger.cc
@@ -62,9 +62,10 @@
   RequestRecord &record = Records[i];
   record.Latency = latency;
   if (!isOk(answer)) {
-    record.State = errorOf(answer).Kind == ErrorKind::DeadlineExceeded
-                       ? RequestState::Unknown
-                       : RequestState::Refused;
+    const ErrorKind kind = errorOf(answer).Kind;
+    const bool isUnknown = kind == ErrorKind::OutcomeUnknown ||
+                           kind == ErrorKind::DeadlineExceeded;
+    record.State = isUnknown ? RequestState::Unknown : RequestState::Refused;
     record.Refusal = errorOf(answer);
     return;
   }
--- a/jujube/routing/actions.h
+++ b/jujube/routing/actions.h
@@ -53,12 +53,11 @@
   bool operator==(const Dispatch &) const = default;
 };
 
-// Journal that a request that is not idempotent is offered to this runner, then
-// call Router::offerJournaled().
+// Journal that this entry host may send a request that is not idempotent, then
+// call Router::offerJournaled(). Asked for once per request, while it waits for
+// a slot if it has to wait.
 struct JournalOffer {
   RequestId Request;
-  RunnerId Runner;
-  uint32_t Attempt = 1;
 
   bool operator==(const JournalOffer &) const = default;
 };
--- a/jujube/routing/router.cc
+++ b/jujube/routing/router.cc
@@ -10,6 +10,8 @@
 
 constexpr Duration MinRetryAfter = Duration::millis(100);
 constexpr Duration MaxRetryAfter = Duration::seconds(10);
+// How long a router that was just started waits to hear of the runners.
+constexpr Duration StartGrace = Duration::seconds(5);
 // Runners announce themselves again within this span.
 constexpr Duration AnnounceRetryAfter = Duration::seconds(1);
 
@@ -63,6 +65,10 @@
   return Desks.try_emplace(entry, Options.Health).first->second;
 }
 
+Duration Router::likelyLatency(const Desk &desk) {
+  return desk.Typical.hasLearned() ? desk.Typical.likelyLatency() : Duration();
+}
+
 RetryBudget &Router::budgetOf(const TeamId &team) {
   return Budgets.try_emplace(team, Options.Retries).first->second;
 }
@@ -86,36 +92,47 @@
   Live &live = Requests[request.Request];
   live.Request = request;
   live.SubmittedAt = now;
+  if (!request.IsIdempotent)
+    live.Offer = OfferState::Missing;
   enqueue(live, false, now);
   pump(request.Entry, now, out);
+  // The journal syncs while the request waits, so that no slot waits for it.
+  if (const auto it = Requests.find(request.Request); it != Requests.end())
+    askForOffer(it->second, out);
   finishCall(now, out);
   return out;
 }
 
+// True if a runner takes requests, or if the zone's leader has not told yet
+// which runners there are.
+bool Router::mayBeServed(const EntryId &entry, Instant now) const {
+  const bool isUninformed =
+      Table.leaseEnd(Options.Zone) == Instant() && now < StartedAt + StartGrace;
+  return isUninformed || Table.isServed(entry, now);
+}
+
 std::optional<Shed> Router::refusal(const LiveRequest &request, Instant now) {
   Desk &desk = deskOf(request.Entry);
-  if (!Table.isServed(request.Entry, now))
+  if (!mayBeServed(request.Entry, now))
     return Shed{
         request.Request,
-        {ErrorKind::Unavailable,
+        {ErrorKind::NotRun,
          absl::StrCat("no runner of ", request.Entry.str(), " takes requests"),
          "start a runner of the entry, or retry later"},
         AnnounceRetryAfter};
   if (desk.Queue.sizeOf(request.Team) >= Options.MaxQueuedPerTeam)
     return Shed{request.Request,
-                {ErrorKind::Overloaded,
+                {ErrorKind::NotRun,
                  absl::StrCat("team ", request.Team.str(),
                               " has too many requests waiting"),
                  "retry later, or ask for a larger share"},
                 MinRetryAfter};
   const Duration wait = expectedWait(desk, request, now);
-  const Duration likely =
-      desk.Typical.hasLearned() ? desk.Typical.likelyLatency() : Duration();
-  const bool isLate = now + wait + likely > request.Deadline;
+  const bool isLate = now + wait + likelyLatency(desk) > request.Deadline;
   if (!isLate && wait <= Options.MaxQueueWait)
     return std::nullopt;
   return Shed{request.Request,
-              {ErrorKind::Overloaded,
+              {ErrorKind::NotRun,
                absl::StrCat("expected to wait ", wait.millis(), " ms"),
                "retry later, or allow a longer timeout"},
               std::clamp(wait, MinRetryAfter, MaxRetryAfter)};
@@ -125,7 +142,7 @@
 // asked for would make an estimate from those held too high.
 Duration Router::expectedWait(Desk &desk, const LiveRequest &request,
                               Instant now) const {
-  const Instant oldest = desk.Queue.oldest();
+  const Instant oldest = std::max(desk.Queue.oldest(), desk.CreditsSince);
   const uint32_t capacity = Table.capacityOf(request.Entry, now);
   if (oldest > now || now - oldest < Options.ShedGrace || capacity == 0)
     return Duration();
@@ -139,9 +156,7 @@
 void Router::enqueue(Live &live, bool isFirst, Instant now) {
   const LiveRequest &request = live.Request;
   Desk &desk = deskOf(request.Entry);
-  const Duration likely =
-      desk.Typical.hasLearned() ? desk.Typical.likelyLatency() : Duration();
-  live.ExpiresAt = request.Deadline - likely;
+  live.ExpiresAt = request.Deadline - likelyLatency(desk);
   live.IsQueued = true;
   Expiries.emplace(live.ExpiresAt, request.Request);
   const uint32_t share = shareOf(request.Team);
@@ -178,6 +193,7 @@
       std::ranges::find(live.Attempts, AttemptState::Lost, &Attempt::State);
   if (lost != live.Attempts.end()) {
     ++Counters.Unresolved;
+    why.Kind = ErrorKind::OutcomeUnknown;
     why.Remedy = "ask for the fate of the request; it is not run again";
     return conclude(
         live, MarkUnresolved{id, lost->Runner, lost->Number, std::move(why)},
@@ -185,9 +201,11 @@
   }
   if (live.HasFailed) {
     ++Counters.Failed;
+    why.Kind = ErrorKind::RunFailed;
     return conclude(live, Fail{id, {}, live.LastAttempt, std::move(why)}, out);
   }
   ++Counters.Shed;
+  why.Kind = ErrorKind::NotRun;
   conclude(live, Shed{id, std::move(why), after}, out);
 }
 
@@ -215,8 +233,15 @@
 
 RouterActions Router::granted(const CreditGrant &grant, Instant now) {
   RouterActions out;
+  std::vector<EntryId> starved;
+  for (const auto &[entry, desk] : Desks)
+    if (Table.capacityOf(entry, now) == 0)
+      starved.push_back(entry);
   if (Table.apply(grant, now))
     Table.setUrgent(grant.Zone);
+  for (const EntryId &entry : starved)
+    if (Table.capacityOf(entry, now) > 0)
+      deskOf(entry).CreditsSince = now;
   for (const auto &[entry, desk] : Desks)
     pump(entry, now, out);
   finishCall(now, out);
--- a/jujube/routing/router.h
+++ b/jujube/routing/router.h
@@ -48,8 +48,8 @@
   RouterActions granted(const CreditGrant &grant, Instant now);
 
   // Tells that a JournalOffer is synced (Ok) or can't be.
-  RouterActions offerJournaled(const RequestId &id, uint32_t attempt,
-                               const Status &status, Instant now);
+  RouterActions offerJournaled(const RequestId &id, const Status &status,
+                               Instant now);
 
   // Tells how an attempt ended, or what an Inquire found. An end that is known
   // already is discarded.
@@ -82,6 +82,8 @@
 
 private:
   enum class AttemptState { Journaling, Sent, Lost };
+  // Whether the journal knows that this entry host may send the request.
+  enum class OfferState { NotNeeded, Missing, Asked, Synced };
   struct Attempt {
     uint32_t Number = 1;
     RunnerId Runner;
@@ -101,6 +103,7 @@
     std::vector<Attempt> Attempts;
     uint32_t LastAttempt = 0;
     bool IsQueued = false;
+    OfferState Offer = OfferState::NotNeeded;
     // Not worth starting from then on.
     Instant ExpiresAt;
     Instant HedgeAt = Instant::never();
@@ -117,6 +120,8 @@
     RunnerHealth Typical;
     // Credits of other zones are asked for until then.
     Instant SpillUntil;
+    // When the first credits came after a time without any.
+    Instant CreditsSince;
   };
   // Requests in flight per runner's zone, entry and team.
   using FlightCounts =
@@ -126,9 +131,12 @@
 
   uint32_t shareOf(const TeamId &team) const;
   Desk &deskOf(const EntryId &entry);
+  // What a request takes on a runner, by what has been learned; zero at first.
+  static Duration likelyLatency(const Desk &desk);
   RetryBudget &budgetOf(const TeamId &team);
 
   // router.cc: the life of a request.
+  bool mayBeServed(const EntryId &entry, Instant now) const;
   std::optional<Shed> refusal(const LiveRequest &request, Instant now);
   Duration expectedWait(Desk &desk, const LiveRequest &request,
                         Instant now) const;
@@ -141,6 +149,9 @@
   void finishCall(Instant now, RouterActions &out);
 
   // router_attempts.cc: from queue to runner and back.
+  static void askForOffer(Live &live, RouterActions &out);
+  void dispatchJournaled(Live &live, Attempt &attempt, Instant now,
+                         RouterActions &out);
   Attempt *findAttempt(const RequestId &id, uint32_t number);
   static bool hasOpenAttempt(const Live &live);
   void pump(const EntryId &entry, Instant now, RouterActions &out);
@@ -161,6 +172,7 @@
 
   // router_timers.cc: deadlines, hedges, inquiries and reports.
   void expire(Instant now, RouterActions &out);
+  void giveUp(const RequestId &id, RouterActions &out);
   void hedge(Instant now, RouterActions &out);
   bool mayHedge(const EntryId &entry, Instant now) const;
   void followLost(Instant now, RouterActions &out);
--- a/jujube/routing/router_attempts.cc
+++ b/jujube/routing/router_attempts.cc
@@ -36,6 +36,11 @@
   Desk &desk = deskOf(entry);
   while (const std::optional<RequestId> id = desk.Queue.front()) {
     Live &live = Requests.at(*id);
+    // Requests may take longer now than when this one was queued.
+    if (now + likelyLatency(desk) > live.Request.Deadline) {
+      giveUp(*id, out);
+      continue;
+    }
     const std::optional<RunnerId> runner = pick(live, now);
     if (!runner)
       break;
@@ -82,9 +87,9 @@
   takeSlot(live, attempt);
   if (Table.find(id)->Announcement.Zone != Options.Zone)
     ++Counters.Spilled;
-  if (live.Request.IsIdempotent) {
+  if (live.Offer == OfferState::NotNeeded || live.Offer == OfferState::Synced) {
     out.emplace_back(dispatchOf(live, attempt, now));
-    if (attempt.Number == 1) {
+    if (live.Request.IsIdempotent && attempt.Number == 1) {
       live.HedgeAt =
           now + std::max(Options.HedgeAfter,
                          deskOf(live.Request.Entry).Typical.unusualLatency());
@@ -92,11 +97,18 @@
     }
   } else {
     attempt.State = AttemptState::Journaling;
-    out.emplace_back(JournalOffer{live.Request.Request, id, attempt.Number});
+    askForOffer(live, out);
   }
   live.Attempts.push_back(std::move(attempt));
 }
 
+void Router::askForOffer(Live &live, RouterActions &out) {
+  if (live.Offer != OfferState::Missing)
+    return;
+  live.Offer = OfferState::Asked;
+  out.emplace_back(JournalOffer{live.Request.Request});
+}
+
 Dispatch Router::dispatchOf(const Live &live, Attempt &attempt, Instant now) {
   const RunnerAnnouncement &runner = Table.find(attempt.Runner)->Announcement;
   attempt.State = AttemptState::Sent;
@@ -140,32 +152,41 @@
   });
 }
 
-RouterActions Router::offerJournaled(const RequestId &id, uint32_t number,
-                                     const Status &status, Instant now) {
+RouterActions Router::offerJournaled(const RequestId &id, const Status &status,
+                                     Instant now) {
   RouterActions out;
-  Attempt *attempt = findAttempt(id, number);
-  if (attempt == nullptr || attempt->State != AttemptState::Journaling)
+  const auto it = Requests.find(id);
+  if (it == Requests.end() || it->second.Offer != OfferState::Asked)
     return out;
-  Live &live = Requests.at(id);
-  const KnownRunner &runner = *Table.find(attempt->Runner);
+  Live &live = it->second;
+  live.Offer = isOk(status) ? OfferState::Synced : OfferState::Missing;
+  const auto attempt = std::ranges::find(
+      live.Attempts, AttemptState::Journaling, &Attempt::State);
+  if (attempt != live.Attempts.end())
+    dispatchJournaled(live, *attempt, now, out);
+  if (!isOk(status))
+    concludeUnserved(live, errorOf(status), RunnerRetryAfter, out);
+  pump(EntryId(live.Request.Entry), now, out);
+  forgetIfDone(id);
+  finishCall(now, out);
+  return out;
+}
+
+// Sends what has waited for the journal with a slot, or gives the slot back if
+// it can't be sent any more.
+void Router::dispatchJournaled(Live &live, Attempt &attempt, Instant now,
+                               RouterActions &out) {
+  const KnownRunner &runner = *Table.find(attempt.Runner);
   const bool isLeased =
       now + Options.LeaseGuard < Table.leaseEnd(runner.Announcement.Zone);
   const bool isInTime = now < live.ExpiresAt;
-  if (isOk(status) && isInTime && isLeased && Table.isUsable(runner, now)) {
-    out.emplace_back(dispatchOf(live, *attempt, now));
-  } else {
-    --OpenAttempts;
-    releaseSlot(live, *attempt);
-    removeAttempt(live, number);
-    if (!isOk(status))
-      concludeUnserved(live, errorOf(status), RunnerRetryAfter, out);
-    else
-      enqueue(live, true, now);
-    pump(live.Request.Entry, now, out);
-    forgetIfDone(id);
-  }
-  finishCall(now, out);
-  return out;
+  if (live.Offer == OfferState::Synced && isInTime && isLeased &&
+      Table.isUsable(runner, now))
+    return out.emplace_back(dispatchOf(live, attempt, now)), void();
+  --OpenAttempts;
+  releaseSlot(live, attempt);
+  removeAttempt(live, attempt.Number);
+  enqueue(live, true, now);
 }
 
 RouterActions Router::answered(const RequestId &id, uint32_t number,
@@ -258,9 +279,9 @@
   if (!isUnresolved(live.Conclusion))
     return;
   const RequestId &id = live.Request.Request;
-  const Error why{ErrorKind::Unavailable,
-                  absl::StrCat("resolved by runner ", attempt.Runner.str()),
-                  "send the request again under a new id"};
+  Error why{ErrorKind::RunFailed,
+            absl::StrCat("resolved by runner ", attempt.Runner.str()),
+            "send the request again under a new id"};
   if (outcome == AttemptOutcome::Answered)
     return conclude(live, Deliver{id, attempt.Runner, attempt.Number}, out);
   live.HasFailed = live.HasFailed || outcome == AttemptOutcome::Failed;
@@ -268,6 +289,7 @@
     return;
   if (live.HasFailed)
     return conclude(live, Fail{id, attempt.Runner, attempt.Number, why}, out);
+  why.Kind = ErrorKind::NotRun;
   conclude(live, Shed{id, why, RunnerRetryAfter}, out);
 }
 
--- a/jujube/routing/router_timers.cc
+++ b/jujube/routing/router_timers.cc
@@ -46,15 +46,19 @@
 void Router::expire(Instant now, RouterActions &out) {
   while (!Expiries.empty() && Expiries.begin()->first <= now) {
     const RequestId id = Expiries.begin()->second;
-    concludeUnserved(Requests.at(id),
-                     {ErrorKind::DeadlineExceeded,
-                      "no slot became free before the deadline",
-                      "retry later, or allow a longer timeout"},
-                     ExpiredRetryAfter, out);
-    forgetIfDone(id);
+    giveUp(id, out);
   }
 }
 
+void Router::giveUp(const RequestId &id, RouterActions &out) {
+  concludeUnserved(Requests.at(id),
+                   {ErrorKind::NotRun,
+                    "no slot became free before the deadline",
+                    "retry later, or allow a longer timeout"},
+                   ExpiredRetryAfter, out);
+  forgetIfDone(id);
+}
+
 void Router::hedge(Instant now, RouterActions &out) {
   while (!HedgeTimes.empty() && HedgeTimes.begin()->first <= now) {
     const RequestId id = HedgeTimes.begin()->second;
--- a/testing/routing_world_actions.cc
+++ b/testing/routing_world_actions.cc
@@ -79,13 +79,12 @@
 }
 
 void RoutingWorld::perform(std::size_t i, const routing::JournalOffer &offer) {
-  Events.callAfter(
-      Options.JournalTime, [this, i, life = EntryHosts[i].Life, offer] {
-        EntryHost &host = EntryHosts[i];
-        if (host.Life == life)
-          act(i, host.Router->offerJournaled(offer.Request, offer.Attempt, Ok{},
-                                             localTime(host)));
-      });
+  Events.callAfter(Options.JournalTime, [this, i, life = EntryHosts[i].Life,
+                                         offer] {
+    EntryHost &host = EntryHosts[i];
+    if (host.Life == life)
+      act(i, host.Router->offerJournaled(offer.Request, Ok{}, localTime(host)));
+  });
 }
 
 void RoutingWorld::perform(std::size_t i, const routing::Inquire &inquiry) {
