--- a/jujube/ctl/ctl_test.cc
+++ b/jujube/ctl/ctl_test.cc
@@ -119,6 +119,15 @@
   BOOST_TEST(world.Applied.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AKeyThatIsNotYetInForceIsSaidSoBesideIt) {
+  World world;
+  world.IsInForce = false;
+  BOOST_TEST((world.run({"key", "issue", "events", "k1"}) == ExitCode::Done));
+  BOOST_TEST(absl::StartsWith(world.Out, "k1."));
+  BOOST_TEST(world.Err == "key k1: revision 2, accepted but not yet in force "
+                          "everywhere\n");
+}
+
 BOOST_AUTO_TEST_CASE(ADryRunShowsNoKeyThatWasNotIssued) {
   World world;
   BOOST_TEST((world.run({"key", "issue", "events", "k1", "--dry-run"}) ==
--- a/jujube/ctl/team_commands.cc
+++ b/jujube/ctl/team_commands.cc
@@ -91,6 +91,9 @@
   session.Print(
       (session.Options.IsJson ? http::toJson(issued) : issued.Presented) +
       "\n");
+  if (!issued.Receipt.IsInForce && !session.Options.IsJson)
+    session.PrintError(absl::StrCat("key ", key.Id.str(), ": ",
+                                    outcomeText(valueOf(outcome)), "\n"));
   return Verdict::Done;
 }
 
--- a/jujube/ctl/test_world.h
+++ b/jujube/ctl/test_world.h
@@ -34,6 +34,8 @@
   std::vector<api::Command> Commands;
   // Outcomes of the next calls that replace the real ones after execution.
   std::vector<std::optional<TransportFailure>> Faults;
+  // What edits are answered with.
+  bool IsInForce = true;
   std::string In;
   std::string Out;
   std::string Err;
@@ -55,7 +57,7 @@
       return errorOf(at);
     if (Store.latest() != before)
       Applied.push_back(command.Edit);
-    return api::EditReceipt{valueOf(at), true};
+    return api::EditReceipt{valueOf(at), IsInForce};
   }
 
   // Request "pf.gone" is not known; "pf.done" has ended.
