--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -125,7 +125,8 @@
 # stop [PROCESS]: ends the process, or all that were started, and waits.
 stop() {
   local file pid
-  local -a files=("$dir"/pid/${1:-*})
+  local -a files=("$dir"/pid/*)
+  [ $# = 0 ] || files=("$dir/pid/$1")
   for file in "${files[@]}"; do
     [ -e "$file" ] && kill "$(cat "$file")" 2>/dev/null &&
       kill -CONT "$(cat "$file")" 2>/dev/null || true # It may be paused.
