Room is made only for work whose policy lets it stop something

Cause: the search for victims looked at each task on up to 64 workers for claimants whose policy would not have anything stopped, a quarter of all processor time at 2,900 workers with a queue; and such a claimant could hold room that others' stops were about to free. Change: the policy is first asked about the best victim that there could be. Parts of the shares are levelled only while work waits.

--- a/jujube/placement/making_room.cc
+++ b/jujube/placement/making_room.cc
@@ -24,6 +24,8 @@
 constexpr uint32_t PreemptCandidates = 16;
 // Workers on which tasks are stopped for one gang.
 constexpr uint32_t GangCandidates = 64;
+// A task that has run for so long has run long enough for any policy.
+constexpr Duration LongRun = Duration::minutes(60);
 // How often a blocked request is checked for being impossible.
 constexpr Duration RecheckInterval = Duration::seconds(60);
 // Part of a task's progress that a stop with a checkpoint costs.
@@ -45,6 +47,35 @@
   return state.shareOf(part) / state.fairPart(team);
 }
 
+// The team's share over its fair part, without what is stopping.
+double yieldingShare(const PlannerState &state, const TeamState &team) {
+  return relativeShare(state, team, team.Reserved - team.Stopping);
+}
+
+PreemptView viewOfClaimant(const PlannerState &state,
+                           const RequestState &claimant, Instant now) {
+  PreemptView view;
+  view.ClaimantPriority = claimant.isPressing() ? catalogue::Urgency::Urgent
+                                                : claimant.Work.Entry.Priority;
+  view.ClaimantShare = relativeShare(
+      state, *claimant.Team, claimant.Team->Reserved + claimant.Team->Held);
+  view.ClaimantWaited = now - claimant.AcceptedAt;
+  return view;
+}
+
+// False if the policy would not even have a batch task stopped that can
+// checkpoint, has run for long and belongs to the team that is highest above
+// its part: then no search is made.
+bool mayEvictAny(const PlannerState &state, const RequestState &claimant,
+                 Instant now) {
+  PreemptView view = viewOfClaimant(state, claimant, now);
+  for (const auto &team : state.Teams)
+    view.VictimShare = std::max(view.VictimShare, yieldingShare(state, *team));
+  view.VictimCanCheckpoint = true;
+  view.VictimRan = LongRun;
+  return state.Hooks.MayPreempt(view);
+}
+
 double costOf(const TaskRef &ref, Instant now) {
   const RequestState &victim = *ref.Request;
   const auto ran =
@@ -91,6 +122,8 @@
 bool preemptForOne(PlannerState &state, RequestState &claimant,
                    const Resources &size, Instant now,
                    std::vector<Action> &actions) {
+  if (!mayEvictAny(state, claimant, now))
+    return false;
   std::vector<uint32_t> slots;
   const uint32_t start =
       state.Hooks.SearchStart(state.Random(), state.Evictable.size());
@@ -113,6 +146,8 @@
 // Stops what the policy allows on the workers where the request holds room.
 void preemptOnHolds(PlannerState &state, RequestState &claimant, Instant now,
                     std::vector<Action> &actions) {
+  if (!mayEvictAny(state, claimant, now))
+    return;
   for (const Hold &hold : claimant.Holds) {
     const Resources deficit =
         clipped(Resources{} - state.comingOn(state.Workers[hold.Slot]));
@@ -171,6 +206,8 @@
                     std::vector<Action> &actions) {
   if (!claimant.isUrgent() && !state.isInPart(*claimant.Team, need.total()))
     return false;
+  if (!mayEvictAny(state, claimant, now))
+    return false;
   const std::optional<GangRoom> room = findGangRoom(state, claimant, need, now);
   if (!room)
     return false;
@@ -252,18 +289,12 @@
   if (task.IsStopping || &victim == &claimant ||
       victim.OfferedPlan == state.PlanNumber)
     return false;
-  const TeamState &team = *victim.Team;
-  PreemptView view;
-  view.ClaimantPriority = claimant.isPressing() ? catalogue::Urgency::Urgent
-                                                : claimant.Work.Entry.Priority;
+  PreemptView view = viewOfClaimant(state, claimant, now);
   view.VictimPriority = victim.Work.Entry.Priority;
   view.VictimClass = victim.Work.Entry.Class;
-  view.ClaimantShare = relativeShare(
-      state, *claimant.Team, claimant.Team->Reserved + claimant.Team->Held);
-  view.VictimShare = relativeShare(state, team, team.Reserved - team.Stopping);
+  view.VictimShare = yieldingShare(state, *victim.Team);
   view.VictimCanCheckpoint = victim.Work.Entry.CanCheckpoint;
   view.VictimIsIdempotent = victim.Work.Entry.IsIdempotent;
-  view.ClaimantWaited = now - claimant.AcceptedAt;
   view.VictimRan = now - task.Since;
   return state.Hooks.MayPreempt(view);
 }
--- a/jujube/placement/planner.cc
+++ b/jujube/placement/planner.cc
@@ -305,7 +305,8 @@
   forgetLostWorkers(*State, now);
   internal::runQueueTimers(*State, now);
   internal::expireHolds(*State, now);
-  State->levelShares();
+  if (State->QueuedTasks > 0)
+    State->levelShares();
   std::vector<Action> actions = takeOutbox(*State);
   internal::relieve(*State, actions);
   internal::placeHolders(*State, now, actions);
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -256,7 +256,7 @@
   // True if the team's part has room for `more` beside what the team has and
   // holds. A need of more than half of the part counts as half of it.
   bool isInPart(const TeamState &team, const Resources &more) const;
-  // Computes what fairPart() needs, for this plan.
+  // Computes what fairPart() needs; called by each plan with work in the queue.
   void levelShares();
   bool isAged(const RequestState &request, Instant now) const;
 
