'packing' lets gangs go first within their team; 'waiting' bounds its penalty by 15 minutes

Cause: with 'packing' gangs of a team that floods itself waited behind the flood; with 'waiting' the last tasks of the flood waited longest. Change: a gang stands in its team's order as if accepted 10 minutes sooner ('packing'); the penalty of large requests is at most 15 minutes instead of 20.

--- a/jujube/placement/policy.cc
+++ b/jujube/placement/policy.cc
@@ -14,7 +14,10 @@
 // Small requests go first: a request stands in its team's order as if it had
 // been accepted later by its expected run time over all tasks; those of a gang
 // run side by side. The bound gives large requests their turn.
-constexpr Duration LongestWorkPenalty = Duration::minutes(20);
+constexpr Duration LongestWorkPenalty = Duration::minutes(15);
+// A gang stands in its team's order as if it had been accepted sooner by this
+// much, as the room for it takes time to gather.
+constexpr Duration GangLead = Duration::minutes(10);
 // Hysteresis of fair shares: a claimant is below and a victim above its fair
 // part by a fraction, and both have lasted for a while. A narrow band keeps
 // closer to the shares and costs more checkpoints.
@@ -44,6 +47,11 @@
   return work.AcceptedAt.millis();
 }
 
+int64_t gangsFirst(const QueuedView &work) {
+  const Duration lead = work.Class == WorkClass::Gang ? GangLead : Duration();
+  return (work.AcceptedAt - lead).millis();
+}
+
 int64_t smallFirst(const QueuedView &work) {
   const Duration total = work.Class == WorkClass::Gang
                              ? work.ExpectedRun
@@ -158,7 +166,7 @@
     return {fairRank,     smallFirst,    learnedSize,
             scorePacking, preemptRarely, anywhere};
   case PolicyName::Packing:
-    return {fairRank,     acceptedFirst,  learnedSize,
+    return {fairRank,     gangsFirst,     learnedSize,
             scorePacking, preemptReadily, fromFirst};
   case PolicyName::FifoFirstFit:
     return {noRank,        acceptedFirst, askedSize,
