--- a/jujube/placement/placing.cc
+++ b/jujube/placement/placing.cc
@@ -240,6 +240,12 @@
   return true;
 }
 
+bool isAfter(const PlannerState &state, const TurnClaim &claim,
+             const RequestState &request) {
+  return claim.Plan == state.PlanNumber && !request.isUrgent() &&
+         claim.Order < request.Order;
+}
+
 } // namespace
 
 bool isReady(const RequestState &request) {
@@ -255,14 +261,11 @@
 }
 
 bool isSliceClaimed(const PlannerState &state, const RequestState &request) {
-  return request.Team->SliceClaimPlan == state.PlanNumber &&
-         !request.isUrgent() && request.Team->SliceClaim < request.Order;
+  return isAfter(state, request.Team->SliceClaim, request);
 }
 
 bool isPartClaimed(const PlannerState &state, const RequestState &request) {
-  return request.Team->PartClaimPlan == state.PlanNumber &&
-         !request.isUrgent() && request.hasEnd() &&
-         request.Team->PartClaim < request.Order;
+  return request.hasEnd() && isAfter(state, request.Team->PartClaim, request);
 }
 
 StartNeed startNeed(const PlannerState &state, const RequestState &request) {
--- a/jujube/placement/serving.cc
+++ b/jujube/placement/serving.cc
@@ -87,8 +87,7 @@
       !head.Holds.empty() || isPartClaimed(state, head) ||
       state.isInPart(team, startNeed(state, head).total() * 2))
     return;
-  team.PartClaimPlan = state.PlanNumber;
-  team.PartClaim = head.Order;
+  team.PartClaim = {state.PlanNumber, head.Order};
 }
 
 // Keeps other work off the accelerators' workers until the next plan.
@@ -124,8 +123,7 @@
   }
   if (!state.isAged(head, now) || isSliceClaimed(state, head))
     return;
-  head.Team->SliceClaimPlan = state.PlanNumber;
-  head.Team->SliceClaim = head.Order;
+  head.Team->SliceClaim = {state.PlanNumber, head.Order};
 }
 
 } // namespace
--- a/jujube/placement/state.h
+++ b/jujube/placement/state.h
@@ -38,6 +38,13 @@
   auto operator<=>(const OrderKey &) const = default;
 };
 
+// Keeps work of a team that is not urgent and stands after `Order` from being
+// placed in plan number `Plan`.
+struct TurnClaim {
+  uint64_t Plan = 0;
+  OrderKey Order;
+};
+
 struct TeamState {
   TeamId Id;
   uint32_t Share = 1;
@@ -52,13 +59,10 @@
   Resources Held;
   Resources Queued;
   uint64_t QueuedTasks = 0;
-  // The plan in which an aged request waits for the rest of the slice, and its
-  // position.
-  uint64_t SliceClaimPlan = 0;
-  OrderKey SliceClaim;
-  // The same for an aged gang that waits until the team's part has room for it.
-  uint64_t PartClaimPlan = 0;
-  OrderKey PartClaim;
+  // Of an aged request that waits for the rest of the slice, and of an aged
+  // gang that waits until the team's part has room for it.
+  TurnClaim SliceClaim;
+  TurnClaim PartClaim;
   std::vector<LaneState *> Lanes;
   // Counts the placements, which change the ranks of its lanes.
   uint64_t Version = 0;
