Failover: lost peers are told, new leaders announce themselves, cut paths are dropped

Cause: a call that waited for a dead or paused leader ended only after its attempt timeout of 1,500 ms, although the connection was reset at once; after it, a member that knew no leader sent the client back to the dead one for another 1,500 ms, and so did the keepers' list of hosts while it named the old leader. Workers' syncs were held back in the same way, so that a new leader had accepted work and nobody to give it to.

Change: the transport posts PeerLost to the task that owns the messenger, which ends the calls to that peer; a connection has to open and send its challenge within 1 s. A new zone leader sends AnnounceLeader to the entry hosts, whose calls to other members move to it, and reports its slices at once. A listed leader counts once, so that a list that is behind brings no old one back. Sockets between processes have TCP_USER_TIMEOUT (3 s) and keep-alive, and what waits for a connection is bounded in bytes.

--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -77,12 +77,14 @@
   return task;
 }
 
-void EntryTask::receive(const std::string &payload) {
-  const auto request = Messages.receive(payload);
+void EntryTask::receive(const wire::TransportEvent &event) {
+  const auto request = Messages.receive(event);
   if (!request)
     return;
   if (const auto *pass = std::get_if<wire::PassLive>(&request->What))
     takePassedLive(*request, *pass);
+  else if (const auto *news = std::get_if<wire::AnnounceLeader>(&request->What))
+    Zones.takeLeader(news->Zone, request->ReplyTo);
   else
     Messages.reply(*request,
                    wire::Refusal{{ErrorKind::InvalidArgument,
--- a/jujube/entry/entry_task.h
+++ b/jujube/entry/entry_task.h
@@ -38,8 +38,8 @@
   create(const EntryOptions &options, runtime::TaskContext &context,
          wire::PacketMailbox outbox, RunnerLinkPool links);
 
-  // Handles a payload from another process.
-  void receive(const std::string &payload);
+  // Handles what the transport tells.
+  void receive(const wire::TransportEvent &event);
   // Carries out a command of a front end.
   void execute(PendingCommand command);
   // Hands over what is queued; status pages say that the host is leaving.
--- a/jujube/entry/entry_tree.cc
+++ b/jujube/entry/entry_tree.cc
@@ -31,8 +31,8 @@
 // What the children of the tree share: mailboxes, and a flag that only the gate
 // sets.
 struct Plumbing {
-  runtime::MailboxPtr<std::string> Inbox =
-      runtime::makeMailbox<std::string>(InboxCapacity);
+  wire::TransportInbox Inbox =
+      runtime::makeMailbox<wire::TransportEvent>(InboxCapacity);
   wire::PacketMailbox Outbox =
       runtime::makeMailbox<wire::Packet>(OutboxCapacity);
   runtime::MailboxPtr<EntryInput> Commands =
@@ -86,9 +86,9 @@
       return errorOf(task);
     EntryTask &entry = *valueOf(task);
     runtime::PollLoop &loop = context.loop();
-    loop.watchMailbox<std::string>(
+    loop.watchMailbox<wire::TransportEvent>(
         plumbing.Inbox,
-        [&](const std::string &payload) { entry.receive(payload); });
+        [&](const wire::TransportEvent &event) { entry.receive(event); });
     loop.watchMailbox<EntryInput>(plumbing.Commands, [&](EntryInput input) {
       if (auto *command = std::get_if<PendingCommand>(&input))
         entry.execute(std::move(*command));
@@ -144,11 +144,7 @@
       {{"entry_host", entryBody(options, plumbing, valueOf(links))},
        valueOf(linkTree).asChild(),
        wire::transportTask({options.Listen, options.FleetToken},
-                           plumbing.Outbox,
-                           [inbox = plumbing.Inbox](std::string payload) {
-                             // A full inbox drops; senders have timeouts.
-                             (void)inbox->post(std::move(payload));
-                           }),
+                           plumbing.Outbox, plumbing.Inbox),
        valueOf(std::move(server)),
        {"gate", gateBody(options, plumbing)}});
 }
--- a/jujube/entry/zone_directory.cc
+++ b/jujube/entry/zone_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "absl/strings/str_join.h"
 
@@ -35,11 +36,21 @@
     wire::LeaderClient &client = clientOf(zone);
     if (zone != Own)
       client.setMembers(std::move(addresses));
-    if (const wire::HostStatus *leader = leaders[zone])
-      client.setLeader(leader->Host.Peer);
+    const wire::HostStatus *leader = leaders[zone];
+    if (!leader)
+      continue;
+    const ListedLeader listed{leader->Host.Peer, leader->LeaderTerm};
+    if (std::exchange(Listed[zone], listed) != listed)
+      client.takeLeader(listed.At);
   }
 }
 
+void ZoneDirectory::takeLeader(const ZoneId &zone, const Address &leader) {
+  const auto it = Clients.find(zone);
+  if (it != Clients.end())
+    it->second->takeLeader(leader);
+}
+
 wire::LeaderClient *ZoneDirectory::find(const ZoneId &zone) {
   const auto it = Clients.find(zone);
   return it == Clients.end() ? nullptr : it->second.get();
--- a/jujube/entry/zone_directory.h
+++ b/jujube/entry/zone_directory.h
@@ -21,8 +21,11 @@
                 const std::vector<Address> &ownPeers);
 
   // Takes the keepers' list of hosts. A zone that is not listed any more keeps
-  // its last known schedulers.
+  // its last known schedulers. A listed leader counts once: the list may still
+  // name one that was replaced since.
   void update(const std::vector<wire::HostStatus> &hosts);
+  // Takes the announcement of a zone's new leader.
+  void takeLeader(const ZoneId &zone, const Address &leader);
 
   // Null if the zone is not known.
   wire::LeaderClient *find(const ZoneId &zone);
@@ -32,12 +35,20 @@
   std::string zoneNames() const;
 
 private:
+  // A leader as the keepers list it.
+  struct ListedLeader {
+    Address At;
+    Term Elected;
+    bool operator==(const ListedLeader &) const = default;
+  };
+
   wire::LeaderClient &clientOf(const ZoneId &zone);
 
   runtime::PollLoop &Loop;
   wire::Messenger &Messages;
   ZoneId Own;
   std::map<ZoneId, std::unique_ptr<wire::LeaderClient>> Clients;
+  std::map<ZoneId, ListedLeader> Listed;
 };
 
 } // namespace jujube::entry
--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -59,9 +59,10 @@
   options.Start = Disk->start();
   options.Configured = Settings.Keepers;
   options.Rule = consensus::Formation::WhenAllBlank;
-  auto log = replica::Replica::create(
-      context.loop(), options, Disk->takeRecovered(), std::random_device()(),
-      replicaHooks(), diskHooks());
+  const uint64_t seed = Settings.ElectionSeed.value_or(std::random_device()());
+  auto log =
+      replica::Replica::create(context.loop(), options, Disk->takeRecovered(),
+                               seed, replicaHooks(), diskHooks());
   if (!isOk(log))
     return errorOf(log);
   Log = valueOf(std::move(log));
@@ -136,8 +137,8 @@
     refuse(edit.Request, why);
 }
 
-void FleetTask::receive(const std::string &payload) {
-  const auto request = Messages.receive(payload);
+void FleetTask::receive(const wire::TransportEvent &event) {
+  const auto request = Messages.receive(event);
   if (!request)
     return;
   if (const auto *group = std::get_if<wire::GroupMessage>(&request->What))
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -3,6 +3,7 @@
 #ifndef JUJUBE_KEEPER_FLEET_TASK_H_
 #define JUJUBE_KEEPER_FLEET_TASK_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,6 +33,8 @@
   // Folder for the journal and snapshots.
   std::string DataFolder;
   std::string FleetToken;
+  // Seed of the random delays of elections; drawn from the system if not set.
+  std::optional<uint64_t> ElectionSeed;
 };
 
 // State of the fleet task; lives on its thread.
@@ -43,8 +46,8 @@
          wire::PacketMailbox outbox);
   ~FleetTask();
 
-  // Handles a payload from another process.
-  void receive(const std::string &payload);
+  // Handles what the transport tells.
+  void receive(const wire::TransportEvent &event);
   // Passes leadership on and ends the loop.
   void stop();
   // Why the task has to end; Ok if it was asked to.
--- a/jujube/wire/leader_client.cc
+++ b/jujube/wire/leader_client.cc
@@ -24,6 +24,16 @@
     Current = static_cast<std::size_t>(it - Members.begin());
 }
 
+void LeaderClient::takeLeader(const Address &leader) {
+  setLeader(leader);
+  if (this->leader() != leader)
+    return; // Not a member.
+  std::vector<Address> others = Members;
+  std::erase(others, leader);
+  std::ranges::for_each(
+      others, [this](const Address &member) { Calls.abandonCalls(member); });
+}
+
 Address LeaderClient::leader() const {
   return Members.empty() ? Address{} : Members[Current];
 }
--- a/jujube/wire/leader_client.h
+++ b/jujube/wire/leader_client.h
@@ -25,6 +25,9 @@
   void setMembers(std::vector<Address> members);
   // Takes a hint about the leader.
   void setLeader(const Address &leader);
+  // Takes the news that `leader` has taken over: calls that wait for another
+  // member are sent to it.
+  void takeLeader(const Address &leader);
 
   // Sends a request to the leader, and again to the next candidate while the
   // answer is NotLeader or an attempt is lost, until `timeout` has passed. The
--- a/jujube/wire/member_tree.h
+++ b/jujube/wire/member_tree.h
@@ -18,10 +18,9 @@
 inline constexpr std::size_t MemberMailboxCapacity = 16384;
 
 // The body of the task that owns a member. Member has a factory create(options,
-// context, outbox), and receive(payload), stop() and outcome().
+// context, outbox), and receive(event), stop() and outcome().
 template <typename Member, typename Options>
-runtime::TaskBody memberBody(const Options &options,
-                             runtime::MailboxPtr<std::string> inbox,
+runtime::TaskBody memberBody(const Options &options, TransportInbox inbox,
                              PacketMailbox outbox) {
   return [options, inbox = std::move(inbox),
           outbox = std::move(outbox)](runtime::TaskContext &context) -> Status {
@@ -30,9 +29,9 @@
       return errorOf(created);
     Member &member = *valueOf(created);
     context.onStop([&member] { member.stop(); });
-    context.loop().template watchMailbox<std::string>(
+    context.loop().template watchMailbox<TransportEvent>(
         inbox,
-        [&member](const std::string &payload) { member.receive(payload); });
+        [&member](const TransportEvent &event) { member.receive(event); });
     const Status status = context.loop().run();
     return isOk(member.outcome()) ? status : member.outcome();
   };
@@ -43,16 +42,13 @@
 template <typename Member, typename Options>
 Result<runtime::Supervisor> memberTree(const std::string &name,
                                        const Options &options) {
-  const auto inbox = runtime::makeMailbox<std::string>(MemberMailboxCapacity);
+  const auto inbox =
+      runtime::makeMailbox<TransportEvent>(MemberMailboxCapacity);
   const auto outbox = runtime::makeMailbox<Packet>(MemberMailboxCapacity);
   runtime::ChildSpec member{name + "_member",
                             memberBody<Member>(options, inbox, outbox)};
   runtime::ChildSpec transport =
-      transportTask({options.Listen, options.FleetToken}, outbox,
-                    [inbox](std::string payload) {
-                      // A full inbox drops; senders have timeouts.
-                      (void)inbox->post(std::move(payload));
-                    });
+      transportTask({options.Listen, options.FleetToken}, outbox, inbox);
   return runtime::Supervisor::create(
       {name, runtime::RestartPolicy::OneForOne, {}},
       {std::move(member), std::move(transport)});
--- a/jujube/wire/messenger.cc
+++ b/jujube/wire/messenger.cc
@@ -39,7 +39,8 @@
                      "no reply from a control host",
                      "retry; the request may have been carried out"});
       });
-  Calls[correlation] = Call{std::move(done), timer};
+  Calls[correlation] = Call{to, std::move(done), timer};
+  CallsTo[to].insert(correlation);
   post(to, via, Envelope{Self, Listen, correlation, false, std::move(what)});
 }
 
@@ -63,7 +64,26 @@
   }
 }
 
-std::optional<Envelope> Messenger::receive(const std::string &payload) {
+void Messenger::abandonCalls(const Address &peer) {
+  const auto it = CallsTo.find(peer);
+  if (it == CallsTo.end())
+    return;
+  const Error lost{ErrorKind::DeadlineExceeded, "a control host was lost",
+                   "retry; the request may have been carried out"};
+  // Hooks may call the same peer again.
+  const std::set<uint64_t> waiting = std::exchange(it->second, {});
+  for (const uint64_t correlation : waiting)
+    finish(correlation, lost);
+}
+
+std::optional<Envelope> Messenger::receive(const TransportEvent &event) {
+  if (const auto *delivery = std::get_if<Delivery>(&event))
+    return take(delivery->Payload);
+  abandonCalls(std::get<PeerLost>(event).Peer);
+  return std::nullopt;
+}
+
+std::optional<Envelope> Messenger::take(const std::string &payload) {
   Result<Envelope> envelope = decodeEnvelope(payload);
   if (!isOk(envelope)) {
     ++Undecodable;
@@ -81,6 +101,7 @@
     return; // A late or repeated reply.
   const Call call = std::move(it->second);
   Calls.erase(it);
+  CallsTo[call.To].erase(correlation);
   Loop.cancel(call.Timeout);
   call.Done(std::move(result));
 }
--- a/jujube/wire/messenger.h
+++ b/jujube/wire/messenger.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
@@ -18,9 +19,9 @@
 
 namespace jujube::wire {
 
-// Called once for each call: with the reply, with the error of a Refusal, or
-// with DeadlineExceeded. After DeadlineExceeded the request may still have been
-// carried out.
+// Called once for each call: with the reply, which may be a Refusal, or with
+// DeadlineExceeded after the timeout or when the peer was lost. After
+// DeadlineExceeded the request may still have been carried out.
 using ReplyHook = std::function<void(Result<Message>)>;
 
 // Encodes messages, sends them through the transport's mailbox and pairs
@@ -42,9 +43,14 @@
   void reply(const Envelope &request, Message what,
              Channel via = Channel::Stream);
 
-  // Takes a payload that arrived. Replies go to the hook of their call; returns
-  // a message for the owner to handle, or nothing.
-  std::optional<Envelope> receive(const std::string &payload);
+  // Ends the calls to `peer` that wait for a reply with DeadlineExceeded, as
+  // none is to be expected soon.
+  void abandonCalls(const Address &peer);
+
+  // Takes what the transport tells. Replies go to the hook of their call, and
+  // calls to a lost peer are abandoned; returns a message for the owner to
+  // handle, or nothing.
+  std::optional<Envelope> receive(const TransportEvent &event);
 
   // Adds counters ROLE_sent_messages and ROLE_sent_bytes, with the kind of
   // message as class.
@@ -55,6 +61,7 @@
 
 private:
   struct Call {
+    Address To;
     ReplyHook Done;
     runtime::TimerId Timeout;
   };
@@ -65,6 +72,7 @@
   };
 
   void post(const Address &to, Channel via, const Envelope &envelope);
+  std::optional<Envelope> take(const std::string &payload);
   void finish(uint64_t correlation, Result<Message> result);
 
   runtime::PollLoop &Loop;
@@ -72,6 +80,8 @@
   Address Listen;
   PacketMailbox Outbox;
   absl::flat_hash_map<uint64_t, Call> Calls;
+  // The calls that wait for each peer.
+  std::map<Address, std::set<uint64_t>> CallsTo;
   std::map<MessageKind, Traffic> Sent;
   uint64_t LastCorrelation = 0;
   uint64_t Undecodable = 0;
--- a/jujube/wire/sockets.cc
+++ b/jujube/wire/sockets.cc
@@ -44,9 +44,24 @@
   return fd;
 }
 
-void disableDelay(int fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+constexpr int wholeSeconds(Duration span) {
+  return static_cast<int>(span.millis() / 1000);
+}
+
+void setOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof value);
+}
+
+// Sends small messages at once, and drops the connection soon after the path to
+// the peer is cut.
+void prepareStream(int fd) {
+  setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(UnacknowledgedTimeout.millis()));
+  setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, wholeSeconds(KeepAliveIdle));
+  setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, wholeSeconds(KeepAlivePeriod));
+  setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
 } // namespace
@@ -67,7 +82,7 @@
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd.isOpen())
     return socketError("open a socket to", address);
-  disableDelay(fd.get());
+  prepareStream(fd.get());
   const sockaddr_in target = toSocketAddress(address);
   if (connect(fd.get(), reinterpret_cast<const sockaddr *>(&target),
               sizeof target) != 0 &&
@@ -80,7 +95,7 @@
   runtime::FileDescriptor fd(
       accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (fd.isOpen())
-    disableDelay(fd.get());
+    prepareStream(fd.get());
   return fd;
 }
 
--- a/jujube/wire/sockets.h
+++ b/jujube/wire/sockets.h
@@ -5,19 +5,31 @@
 #include <sys/socket.h>
 
 #include "jujube/base/address.h"
+#include "jujube/base/clock.h"
 #include "jujube/base/result.h"
 #include "jujube/runtime/file_descriptor.h"
 
 namespace jujube::wire {
 
+// A connection fails once the peer has acknowledged nothing of what was sent
+// for this span. It bounds how long the kernel's retransmission back-off delays
+// messages after a path has healed, as the next connection starts afresh.
+inline constexpr Duration UnacknowledgedTimeout = Duration::seconds(3);
+// An idle connection is probed after this span, and then once in a period; it
+// fails after this many probes without an answer.
+inline constexpr Duration KeepAliveIdle = Duration::seconds(5);
+inline constexpr Duration KeepAlivePeriod = Duration::seconds(1);
+inline constexpr int KeepAliveProbes = 3;
+
 // A non-blocking TCP socket that listens, or a UDP socket that is bound.
 Result<runtime::FileDescriptor> listenTcp(const Address &address);
 Result<runtime::FileDescriptor> bindUdp(const Address &address);
 
-// A non-blocking TCP socket that is connecting.
+// A non-blocking TCP socket that is connecting, with the bounds above.
 Result<runtime::FileDescriptor> connectTcp(const Address &address);
 
-// Accepts a connection as a non-blocking socket; not open if there is none.
+// Accepts a connection as a non-blocking socket with the bounds above; not open
+// if there is none.
 runtime::FileDescriptor acceptTcp(int listener);
 
 // Where a bound socket listens.
--- a/jujube/wire/transport.cc
+++ b/jujube/wire/transport.cc
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -21,8 +22,11 @@
 constexpr std::size_t MaxUdpBytes = 65536;
 // A peer that could not be reached is not tried again for this span.
 constexpr Duration RetryAfter = Duration::millis(200);
-// Most payloads that wait for a connection to open.
+// A peer has to accept a connection and send its challenge within this span.
+constexpr Duration OpenTimeout = Duration::seconds(1);
+// Most payloads that wait for a connection to open, and their bytes.
 constexpr std::size_t MaxWaiting = 4096;
+constexpr std::size_t MaxWaitingBytes = MaxBufferedBytes;
 
 // A connection that another process opened to this one.
 struct Inbound {
@@ -37,15 +41,17 @@
   // True once the answer to the listener's challenge was sent.
   bool IsReady = false;
   std::vector<std::string> Waiting;
+  std::size_t WaitingBytes = 0;
+  std::optional<runtime::TimerId> OpenTimer;
   Instant NoRetryBefore;
 };
 
 // The state of the transport's task.
 class Transport {
 public:
-  Transport(const TransportOptions &options, const DeliverHook &deliver,
+  Transport(const TransportOptions &options, TransportInbox inbox,
             runtime::TaskContext &context)
-      : Settings(options), Deliver(deliver), Loop(context.loop()) {}
+      : Settings(options), Inbox(std::move(inbox)), Loop(context.loop()) {}
 
   Status open() {
     auto listener = listenTcp(Settings.Listen);
@@ -75,18 +81,25 @@
       (void)peer.Stream->send(packet.Payload);
       return;
     }
-    if (peer.Waiting.size() < MaxWaiting)
-      peer.Waiting.push_back(std::move(packet.Payload));
+    if (!peer.Stream && Loop.now() < peer.NoRetryBefore) {
+      (void)Inbox->post(PeerLost{packet.To});
+      return;
+    }
+    queue(peer, std::move(packet.Payload));
     if (!peer.Stream)
       connect(packet.To, peer);
   }
 
 private:
-  void connect(const Address &to, Outbound &peer) {
-    if (Loop.now() < peer.NoRetryBefore) {
-      peer.Waiting.clear();
+  static void queue(Outbound &peer, std::string payload) {
+    if (peer.Waiting.size() >= MaxWaiting ||
+        peer.WaitingBytes + payload.size() > MaxWaitingBytes)
       return;
-    }
+    peer.WaitingBytes += payload.size();
+    peer.Waiting.push_back(std::move(payload));
+  }
+
+  void connect(const Address &to, Outbound &peer) {
     auto fd = connectTcp(to);
     if (!isOk(fd)) {
       dropPeer(to);
@@ -98,6 +111,10 @@
             [] {},
             [this, to](const std::string &challenge) { answer(to, challenge); },
             [this, to] { dropPeer(to); }});
+    peer.OpenTimer = Loop.callAt(Loop.now() + OpenTimeout, [this, to] {
+      Peers[to].OpenTimer.reset();
+      dropPeer(to);
+    });
   }
 
   void answer(const Address &to, const std::string &challenge) {
@@ -106,17 +123,31 @@
       return; // Listeners send nothing after their challenge.
     (void)peer.Stream->send(keyedDigest(Settings.FleetToken, challenge));
     peer.IsReady = true;
+    cancelOpenTimer(peer);
     for (const std::string &payload : peer.Waiting)
       (void)peer.Stream->send(payload);
     peer.Waiting.clear();
+    peer.WaitingBytes = 0;
+  }
+
+  void cancelOpenTimer(Outbound &peer) {
+    if (peer.OpenTimer)
+      Loop.cancel(*peer.OpenTimer);
+    peer.OpenTimer.reset();
   }
 
   // Forgets a connection; its object lives until the next turn of the loop.
   void dropPeer(const Address &to) {
     Outbound &peer = Peers[to];
+    cancelOpenTimer(peer);
     retire(std::move(peer.Stream));
     peer = Outbound{};
     peer.NoRetryBefore = Loop.now() + RetryAfter;
+    (void)Inbox->post(PeerLost{to});
+  }
+
+  void deliver(std::string payload) {
+    (void)Inbox->post(Delivery{std::move(payload)});
   }
 
   void acceptPeer() {
@@ -143,7 +174,7 @@
   // is none.
   void receiveFrame(Inbound &client, std::string payload) {
     if (client.IsTrusted) {
-      Deliver(std::move(payload));
+      deliver(std::move(payload));
       return;
     }
     client.IsTrusted = equalDigests(
@@ -159,7 +190,7 @@
     const absl::string_view payload = all.substr(DigestChars);
     if (equalDigests(all.substr(0, DigestChars),
                      keyedDigest(Settings.FleetToken, payload)))
-      Deliver(std::string(payload));
+      deliver(std::string(payload));
   }
 
   void retire(std::unique_ptr<Connection> connection) {
@@ -171,7 +202,7 @@
   }
 
   const TransportOptions &Settings;
-  const DeliverHook &Deliver;
+  TransportInbox Inbox;
   runtime::PollLoop &Loop;
   runtime::FileDescriptor Listener;
   runtime::FileDescriptor Datagrams;
@@ -183,18 +214,18 @@
 } // namespace
 
 runtime::ChildSpec transportTask(TransportOptions options, PacketMailbox outbox,
-                                 DeliverHook deliver) {
-  return {
-      "transport",
-      [options = std::move(options), outbox = std::move(outbox),
-       deliver = std::move(deliver)](runtime::TaskContext &context) -> Status {
-        Transport transport(options, deliver, context);
-        if (Status status = transport.open(); !isOk(status))
-          return status;
-        context.loop().watchMailbox<Packet>(
-            outbox, [&](Packet packet) { transport.send(std::move(packet)); });
-        return context.loop().run();
-      }};
+                                 TransportInbox inbox) {
+  return {"transport",
+          [options = std::move(options), outbox = std::move(outbox),
+           inbox = std::move(inbox)](runtime::TaskContext &context) -> Status {
+            Transport transport(options, inbox, context);
+            if (Status status = transport.open(); !isOk(status))
+              return status;
+            context.loop().watchMailbox<Packet>(outbox, [&](Packet packet) {
+              transport.send(std::move(packet));
+            });
+            return context.loop().run();
+          }};
 }
 
 } // namespace jujube::wire
--- a/jujube/wire/transport.h
+++ b/jujube/wire/transport.h
@@ -3,9 +3,9 @@
 #define JUJUBE_WIRE_TRANSPORT_H_
 
 #include <cstddef>
-#include <functional>
 #include <memory>
 #include <string>
+#include <variant>
 
 #include "absl/strings/string_view.h"
 #include "jujube/base/address.h"
@@ -52,12 +52,26 @@
   std::string FleetToken;
 };
 
-// Called on the transport's task for every payload that arrived.
-using DeliverHook = std::function<void(std::string payload)>;
+// A payload that arrived from another process.
+struct Delivery {
+  std::string Payload;
+};
+
+// A peer can't be reached: its connection failed, or a packet for it was
+// dropped because the last attempt to connect has just failed. What was sent
+// to it may have arrived, but is not waited for.
+struct PeerLost {
+  Address Peer;
+};
+
+// What the transport tells the task that owns the messages.
+using TransportEvent = std::variant<Delivery, PeerLost>;
+using TransportInbox = runtime::MailboxPtr<TransportEvent>;
 
-// Returns the child that listens, and sends what is posted to `outbox`.
+// Returns the child that listens, sends what is posted to `outbox` and posts
+// what happens to `inbox`. A full inbox drops; senders have timeouts.
 runtime::ChildSpec transportTask(TransportOptions options, PacketMailbox outbox,
-                                 DeliverHook deliver);
+                                 TransportInbox inbox);
 
 } // namespace jujube::wire
 
--- a/jujube/wire/transport_test.cc
+++ b/jujube/wire/transport_test.cc
@@ -1,3 +1,6 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include "jujube/runtime/supervisor.h"
@@ -15,15 +18,11 @@
 struct Host {
   Address Listen;
   PacketMailbox Outbox = runtime::makeMailbox<Packet>(1000);
-  runtime::MailboxPtr<std::string> Inbox =
-      runtime::makeMailbox<std::string>(1000);
+  TransportInbox Inbox = runtime::makeMailbox<TransportEvent>(1000);
   std::unique_ptr<runtime::Task> Running;
 
   Host(const Address &listen, const std::string &token) : Listen(listen) {
-    runtime::ChildSpec child = transportTask(
-        {listen, token}, Outbox, [inbox = Inbox](std::string payload) {
-          (void)inbox->post(std::move(payload));
-        });
+    runtime::ChildSpec child = transportTask({listen, token}, Outbox, Inbox);
     Running =
         valueOf(runtime::Task::start(child.Name, Clock::monotonic(), child.Body,
                                      [](const runtime::TaskExit &) {}));
@@ -35,8 +34,11 @@
     runtime::PollLoop loop(Clock::monotonic());
     std::string received;
     const Instant end = loop.now() + Patience;
-    loop.watchMailbox<std::string>(
-        to.Inbox, [&](const std::string &got) { received = got; });
+    loop.watchMailbox<TransportEvent>(
+        to.Inbox, [&](const TransportEvent &event) {
+          if (const auto *got = std::get_if<Delivery>(&event))
+            received = got->Payload;
+        });
     loop.callEvery(Duration::millis(20), [&] {
       if (received.empty())
         (void)Outbox->post(Packet{to.Listen, via, payload});
@@ -85,6 +87,65 @@
              "good");
 }
 
+// The peer whose loss `host` is told of first; port 0 if it is told of none.
+Address firstLost(Host &host, const Address &to) {
+  runtime::PollLoop loop(Clock::monotonic());
+  Address lost;
+  const Instant end = loop.now() + Patience;
+  loop.watchMailbox<TransportEvent>(host.Inbox, [&](const auto &event) {
+    if (const auto *news = std::get_if<PeerLost>(&event))
+      lost = news->Peer;
+  });
+  // Wakes the loop, so that the bound is kept.
+  loop.callEvery(Duration::millis(100), [] {});
+  (void)host.Outbox->post(Packet{to, Channel::Stream, "hello"});
+  while (lost == Address{} && loop.now() < end)
+    (void)loop.runOnce();
+  return lost;
+}
+
+BOOST_AUTO_TEST_CASE(OwnerIsToldOfAPeerThatIsNotThere) {
+  Host a(freeAddress(), "token");
+  const Address nobody = freeAddress();
+  BOOST_TEST((firstLost(a, nobody) == nobody));
+}
+
+BOOST_AUTO_TEST_CASE(OwnerIsToldOfAPeerThatEnds) {
+  Host a(freeAddress(), "token");
+  const Address listen = freeAddress();
+  {
+    Host b(listen, "token");
+    BOOST_TEST(a.sendUntilReceived(b, Channel::Stream, "one") == "one");
+  }
+  BOOST_TEST((firstLost(a, listen) == listen));
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatSendsNoChallengeIsGivenUp) {
+  Host a(freeAddress(), "token");
+  // The kernel accepts for a process that is paused.
+  const auto listener = listenTcp({"127.0.0.1", 0});
+  const Address silent = localAddress(valueOf(listener).get());
+  BOOST_TEST((firstLost(a, silent) == silent));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsAreGivenUpSoonAfterAPathIsCut) {
+  const auto listener = valueOf(listenTcp({"127.0.0.1", 0}));
+  const auto client = valueOf(connectTcp(localAddress(listener.get())));
+  pollfd ready{listener.get(), POLLIN, 0};
+  BOOST_REQUIRE(poll(&ready, 1, static_cast<int>(Patience.millis())) == 1);
+  const runtime::FileDescriptor served = acceptTcp(listener.get());
+  BOOST_REQUIRE(served.isOpen());
+  for (const int fd : {client.get(), served.get()}) {
+    int timeout = 0;
+    int isProbed = 0;
+    socklen_t n = sizeof timeout;
+    getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &n);
+    getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &isProbed, &n);
+    BOOST_TEST(timeout == UnacknowledgedTimeout.millis());
+    BOOST_TEST(isProbed != 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(FramesAreCutFromAnyPieces) {
   const std::string bytes = frame("one") + frame("") + frame("three");
   FrameReader reader;
--- a/jujube/zone/zone_options.h
+++ b/jujube/zone/zone_options.h
@@ -2,6 +2,8 @@
 #ifndef JUJUBE_ZONE_ZONE_OPTIONS_H_
 #define JUJUBE_ZONE_ZONE_OPTIONS_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,10 @@
   Duration WorkerLease = Duration::seconds(6);
   // Bound on the drift between two clocks over a worker's lease.
   Duration WorkerDrift = Duration::millis(500);
+  // Wall time of the journal's events.
+  Clock WallClock = Clock::wall();
+  // Seed of the random delays of elections; drawn from the system if not set.
+  std::optional<uint64_t> ElectionSeed;
 };
 
 } // namespace jujube::zone
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -59,12 +59,13 @@
   consensus::Options options;
   options.Self = {Settings.Self, Settings.Listen};
   // Diskless members take a higher incarnation on every start.
-  options.Start = Incarnation{static_cast<uint64_t>(WallClock.now().millis())};
+  options.Start =
+      Incarnation{static_cast<uint64_t>(Settings.WallClock.now().millis())};
   options.Configured = Settings.Peers;
   options.Rule = consensus::Formation::WhenMajorityBlank;
-  auto log = replica::Replica::create(context.loop(), options, {},
-                                      std::random_device()(), replicaHooks(),
-                                      std::nullopt);
+  const uint64_t seed = Settings.ElectionSeed.value_or(std::random_device()());
+  auto log = replica::Replica::create(context.loop(), options, {}, seed,
+                                      replicaHooks(), std::nullopt);
   if (!isOk(log))
     return errorOf(log);
   Log = valueOf(std::move(log));
@@ -118,7 +119,9 @@
   Loop.callEvery(SlicePeriod, [this] { pollSlices(); });
 }
 
-Moment ZoneTask::moment() const { return {Loop.now(), WallClock.now()}; }
+Moment ZoneTask::moment() const {
+  return {Loop.now(), Settings.WallClock.now()};
+}
 
 void ZoneTask::changeRole(const consensus::RoleChanged &change) {
   if (change.Now == consensus::Role::Leader && change.Leader == Settings.Self) {
@@ -144,6 +147,15 @@
   Leading = valueOf(std::move(scheduler));
   Runners = valueOf(std::move(runners));
   Runners->expectEntryHosts(Catalogue.hosts());
+  announceLeadership(term);
+  // No worker's lease is renewed before the first reply of the keepers.
+  Loop.callAt(Loop.now(), [this] { pollSlices(); });
+}
+
+void ZoneTask::announceLeadership(Term term) {
+  for (const wire::HostStatus &host : Catalogue.hosts())
+    if (host.Host.Role == catalogue::HostRole::Entry)
+      Messages.send(host.Host.Peer, wire::AnnounceLeader{Settings.Zone, term});
 }
 
 void ZoneTask::apply(const std::string &payload) {
@@ -154,8 +166,8 @@
       Leading->onApplied(event, moment());
 }
 
-void ZoneTask::receive(const std::string &payload) {
-  const auto request = Messages.receive(payload);
+void ZoneTask::receive(const wire::TransportEvent &event) {
+  const auto request = Messages.receive(event);
   if (!request)
     return;
   if (const auto *group = std::get_if<wire::GroupMessage>(&request->What))
@@ -237,7 +249,7 @@
 void ZoneTask::handle(const wire::Envelope &request,
                       const wire::SubmitWork &submit) {
   proposeThenAnswer(request, submit.Work.Request,
-                    Book.submit(submit.Work, WallClock.now()));
+                    Book.submit(submit.Work, Settings.WallClock.now()));
 }
 
 void ZoneTask::handle(const wire::Envelope &request,
@@ -245,7 +257,7 @@
   proposeThenAnswer(request, cancel.Request,
                     Book.cancel(cancel.Request,
                                 actingTeam(cancel.Request, cancel.Team),
-                                WallClock.now()));
+                                Settings.WallClock.now()));
 }
 
 void ZoneTask::handle(const wire::Envelope &request, const wire::AskFate &ask) {
@@ -394,7 +406,7 @@
   Runners->tick(Loop.now());
   std::vector<fate::Event> lost;
   for (const HostId &host : Runners->silentHosts(EntryHostTimeout, Loop.now()))
-    std::ranges::move(Book.hostLost(host, WallClock.now()),
+    std::ranges::move(Book.hostLost(host, Settings.WallClock.now()),
                       std::back_inserter(lost));
   if (!lost.empty())
     propose(lost, [](const Status &) {});
--- a/jujube/zone/zone_task.h
+++ b/jujube/zone/zone_task.h
@@ -32,8 +32,8 @@
                                                   wire::PacketMailbox outbox);
   ~ZoneTask();
 
-  // Handles a payload from another process.
-  void receive(const std::string &payload);
+  // Handles what the transport tells.
+  void receive(const wire::TransportEvent &event);
   // Passes leadership on and ends the loop.
   void stop();
   // Why the task has to end; Ok if it was asked to.
@@ -59,6 +59,8 @@
   void startTimers();
   void changeRole(const consensus::RoleChanged &change);
   void lead(Term term);
+  // Tells the entry hosts, which may still wait for the predecessor.
+  void announceLeadership(Term term);
   void apply(const std::string &payload);
   bool isServing() const { return Leading != nullptr && Log->mayServe(); }
   Moment moment() const;
@@ -97,7 +99,6 @@
 
   ZoneOptions Settings;
   runtime::PollLoop &Loop;
-  Clock WallClock = Clock::wall();
   wire::Messenger Messages;
   wire::LeaderClient Keepers;
   wire::CataloguePoller Catalogue;
--- /dev/null
+++ b/testing/fake_wire.h
@@ -0,0 +1,76 @@
+// Joins tasks of several processes in one thread: their loops run on one manual
+// clock, and their packets arrive at once unless the path is cut.
+#ifndef TESTING_FAKE_WIRE_H_
+#define TESTING_FAKE_WIRE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jujube/base/address.h"
+#include "jujube/base/clock.h"
+#include "jujube/runtime/task.h"
+#include "jujube/wire/transport.h"
+
+namespace jujube::testing {
+
+class FakeWire {
+public:
+  using ReceiveHook = std::function<void(const wire::TransportEvent &)>;
+
+  // A process: the context and the outbox that its task is created with.
+  struct Host {
+    runtime::TaskContext Context;
+    wire::PacketMailbox Outbox;
+    // Set by the owner once the task is created.
+    ReceiveHook Receive = [](const wire::TransportEvent &) {};
+    bool IsPaused = false;
+    // Arrived while it was paused.
+    std::vector<wire::TransportEvent> Held;
+  };
+
+  // The clock starts past 0, which no incarnation may have.
+  FakeWire() { Time.advance(Duration::minutes(1)); }
+
+  // Adds a process; the reference is valid until it is removed.
+  Host &add(const Address &at);
+  // Ends a process: its peers are told that they lost it. The owner destroys
+  // its task before.
+  void remove(const Address &at);
+  // A paused process runs nothing; what arrives is kept for it.
+  void pause(const Address &at);
+  void resume(const Address &at);
+  // Loses all packets between `side` and the other processes, silently.
+  void cut(std::set<Address> side) { Side = std::move(side); }
+  void heal() { Side.clear(); }
+
+  // Runs everything that is due until `span` has passed or `isDone`, which is
+  // asked after each step; returns whether it was.
+  bool run(
+      Duration span,
+      const std::function<bool()> &isDone = [] { return false; });
+
+  Instant now() const { return Time.now(); }
+  Clock clock() const { return Time.clock(); }
+
+private:
+  // Delivers packets and runs loops until nothing is due.
+  void settle();
+  bool deliverAll();
+  bool runDue();
+  void deliver(const Address &from, wire::Packet packet);
+  static void pass(Host &host, wire::TransportEvent event);
+  bool isCut(const Address &a, const Address &b) const;
+  Instant nextTimer() const;
+
+  ManualClock Time;
+  std::map<Address, std::unique_ptr<Host>> Hosts;
+  std::set<Address> Side;
+};
+
+} // namespace jujube::testing
+
+#endif // TESTING_FAKE_WIRE_H_
