--- a/jujube/consensus/consensus_test.cc
+++ b/jujube/consensus/consensus_test.cc
@@ -367,6 +367,30 @@
   BOOST_TEST(node.commitIndex().Value == 4U);
 }
 
+// A disk that tore a journal, or lost a sync, makes a member forget what it has
+// acknowledged.
+BOOST_AUTO_TEST_CASE(MemberThatForgotEntriesIsSentThemAgain) {
+  Node node = nodeWith(stateOfThree({entryAt(2, 1)}));
+  const Instant now = elect(node);
+  (void)node.persisted(SIZE_MAX, now);
+  const auto answer = [&](bool isMatch, uint64_t index) {
+    deliver(node, 2,
+            messageOf(node.term().Value,
+                      AppendReply{isMatch, LogIndex{index}, now.millis()}),
+            now);
+  };
+  answer(true, 3);
+  answer(false, 1);
+  const Actions actions = node.tick(now);
+  const auto requests = sent<AppendRequest>(actions);
+  const auto again = std::ranges::find_if(requests, [](const auto &request) {
+    return request.PrevIndex.Value == 1U && request.Entries.size() == 2U;
+  });
+  BOOST_TEST((again != requests.end()));
+  // What was committed stays so.
+  BOOST_TEST(node.commitIndex().Value == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(ProposalsOfOneTurnGoOutTogether) {
   Node node = nodeWith(stateOfThree());
   const Instant now = elect(node);
--- a/jujube/consensus/node_replication.cc
+++ b/jujube/consensus/node_replication.cc
@@ -124,8 +124,10 @@
       --peer->InFlight;
     updateCommit();
   } else {
-    peer->Next =
-        std::max(peer->Match, std::min(body.Last, Entries.last())).next();
+    // A member whose disk lost what it had acknowledged is sent that again. A
+    // late reply does no harm: it costs one more message with entries.
+    peer->Match = std::min(peer->Match, body.Last);
+    peer->Next = std::min(body.Last, Entries.last()).next();
     peer->InFlight = 0;
   }
   if (peer->Next > Entries.last() && peer->Match == Entries.last())
--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -3,6 +3,7 @@
 #include <sys/stat.h>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <utility>
@@ -66,6 +67,9 @@
   auto parsed = parseOrExplain(usage, specs, argc, argv);
   if (const int *code = std::get_if<int>(&parsed))
     return *code;
+  // A file that may not grow any more is an error of its write, not the end of
+  // the process.
+  std::signal(SIGXFSZ, SIG_IGN);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   auto tree = makeTree(std::get<Settings>(parsed));
--- a/testing/cell.cc
+++ b/testing/cell.cc
@@ -343,6 +343,30 @@
   return "";
 }
 
+pid_t Cell::pidOf(const std::string &name) const {
+  return Processes.at(name).Pid;
+}
+
+std::string Cell::dataFolder(const std::string &keeper) const {
+  return absl::StrCat(Folder, "/", keeper);
+}
+
+std::string Cell::logOf(const std::string &name) const {
+  std::ifstream log(absl::StrCat(Folder, "/", name, ".log"));
+  return {std::istreambuf_iterator<char>(log), {}};
+}
+
+std::optional<int> Cell::awaitEnd(const std::string &name) {
+  Process &process = Processes.at(name);
+  int status = 0;
+  if (!eventually([&] {
+        return waitpid(process.Pid, &status, WNOHANG) == process.Pid;
+      }))
+    return std::nullopt;
+  process.Pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 Status Cell::prepare() {
   const TeamId team("events");
   const std::string secret = randomHex(24);
--- a/testing/cell.h
+++ b/testing/cell.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,16 @@
   // GET /stats of a stand-in.
   Result<std::string> stats(const std::string &standIn);
 
+  // The id of a running process; 0 if it was ended.
+  pid_t pidOf(const std::string &process) const;
+  // Where a keeper keeps its journal.
+  std::string dataFolder(const std::string &keeper) const;
+  // What a process has logged so far.
+  std::string logOf(const std::string &process) const;
+  // Waits up to a minute until a process ends by itself and returns its exit
+  // code; -1 if it was ended by a signal, nothing if it still runs.
+  std::optional<int> awaitEnd(const std::string &process);
+
   const std::string &key() const { return PresentedKey; }
   void useKey(std::string key) { PresentedKey = std::move(key); }
 
