--- a/testing/cell.cc
+++ b/testing/cell.cc
@@ -11,6 +11,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
+#include <iterator>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -28,6 +30,8 @@
 constexpr std::chrono::milliseconds PollPause(20);
 constexpr std::chrono::seconds Patience(60);
 constexpr int Keepers = 3;
+// Bytes of a log that are shown of a process that ended by itself.
+constexpr std::size_t LogTail = 4000;
 
 // A port that the kernel picked; it stays free after the socket is closed.
 Address freeAddress() {
@@ -78,6 +82,10 @@
   std::ranges::for_each(Processes, [this](auto &item) {
     if (item.second.Pid == 0)
       return;
+    if (hasEnded(item.second)) {
+      tellEnd(item.first);
+      return;
+    }
     kill(item.second.Pid, SIGKILL);
     reap(item.second);
   });
@@ -234,6 +242,20 @@
   posix_spawn_file_actions_destroy(&files);
 }
 
+bool Cell::hasEnded(Process &process) {
+  if (waitpid(process.Pid, &process.EndStatus, WNOHANG) != process.Pid)
+    return false;
+  process.Pid = 0;
+  return true;
+}
+
+void Cell::tellEnd(const std::string &name) const {
+  const std::string log = logOf(name);
+  std::cerr << name << " ended by itself, wait status "
+            << Processes.at(name).EndStatus << ":\n"
+            << log.substr(log.size() - std::min(log.size(), LogTail)) << "\n";
+}
+
 void Cell::reap(Process &process) {
   int status = 0;
   waitpid(process.Pid, &status, 0);
@@ -352,6 +374,30 @@
   return "";
 }
 
+pid_t Cell::pidOf(const std::string &name) const {
+  return Processes.at(name).Pid;
+}
+
+std::string Cell::dataFolder(const std::string &keeper) const {
+  return absl::StrCat(Folder, "/", keeper);
+}
+
+std::string Cell::logOf(const std::string &name) const {
+  std::ifstream log(absl::StrCat(Folder, "/", name, ".log"));
+  return {std::istreambuf_iterator<char>(log), {}};
+}
+
+std::optional<int> Cell::awaitEnd(const std::string &name) {
+  Process &process = Processes.at(name);
+  int status = 0;
+  if (!eventually([&] {
+        return waitpid(process.Pid, &status, WNOHANG) == process.Pid;
+      }))
+    return std::nullopt;
+  process.Pid = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 Status Cell::prepare() {
   const TeamId team("events");
   const std::string secret = randomHex(24);
--- a/testing/cell.h
+++ b/testing/cell.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,16 @@
   // GET /stats of a stand-in.
   Result<std::string> stats(const std::string &standIn);
 
+  // The id of a running process; 0 if it was ended.
+  pid_t pidOf(const std::string &process) const;
+  // Where a keeper keeps its journal.
+  std::string dataFolder(const std::string &keeper) const;
+  // What a process has logged so far.
+  std::string logOf(const std::string &process) const;
+  // Waits up to a minute until a process ends by itself and returns its exit
+  // code; -1 if it was ended by a signal, nothing if it still runs.
+  std::optional<int> awaitEnd(const std::string &process);
+
   const std::string &key() const { return PresentedKey; }
   void useKey(std::string key) { PresentedKey = std::move(key); }
 
@@ -70,6 +81,7 @@
   struct Process {
     std::vector<std::string> Args;
     pid_t Pid = 0;
+    int EndStatus = 0;
     Address Listen;
     Address Http;
   };
@@ -81,6 +93,9 @@
   void planStandIns(const std::string &zone, const std::string &entries);
   Status prepare();
   std::string writeSecret(const std::string &name);
+  // True if the process has ended without being told to.
+  static bool hasEnded(Process &process);
+  void tellEnd(const std::string &name) const;
   void reap(Process &process);
   template <typename T>
   Result<T> send(const http::HttpCall &call, const std::string &entryHost);
--- a/testing/cell_test.cc
+++ b/testing/cell_test.cc
@@ -185,7 +185,9 @@
     const auto refused = cell->call(requestId("key", 10 + host), "x",
                                     absl::StrCat("entry-", Zone, "-", host));
     BOOST_REQUIRE(!isOk(refused));
-    BOOST_TEST((errorOf(refused).Kind == ErrorKind::Unauthenticated));
+    BOOST_TEST(nameIn(ErrorKindNames, errorOf(refused).Kind) ==
+                   nameIn(ErrorKindNames, ErrorKind::Unauthenticated),
+               errorOf(refused).text());
   }
 }
 
