--- a/jujube/routing/router_options.h
+++ b/jujube/routing/router_options.h
@@ -49,7 +49,7 @@
   Duration RunnerLease = Duration::seconds(3);
   Duration ReportPeriod = Duration::millis(200);
   // Least span between two reports to a zone.
-  Duration ReportGap = Duration::millis(7);
+  Duration ReportGap = Duration::millis(5);
   // The most requests in flight on one runner, for the connection budget.
   uint32_t MaxPerRunner = 6;
   // The most attempts open at once, for the links to runners.
