A difference of digests has to last, and news never waits

Cause: at 80 starts/s a zone's leader sent 183 answers to syncs a second. A worker told of a start left it out of its next sync before the report of the sync before was journaled, so the leader asked for a full sync. And news that came while no sync waited was held for a second, and let each of the worker's waiting syncs pass at once meanwhile.

Change: SyncScopes asks only when digests differ for 500 ms in a row; news of a worker that sends digests is answered at once.

--- a/jujube/fate/sync_scopes.cc
+++ b/jujube/fate/sync_scopes.cc
@@ -11,6 +11,8 @@
 // Bounds the hold of a sync with a digest also under a long lease.
 constexpr Duration MaxDigestSyncHold = Duration::millis(1500);
 constexpr int64_t HoldsPerLease = 4;
+// A report is journaled within this span.
+constexpr Duration JournalingTime = Duration::millis(500);
 
 } // namespace
 
@@ -25,7 +27,18 @@
   return expected == *sync.Unreported;
 }
 
-void SyncScopes::onSync(const WorkerSync &sync, const FateBook &book) {
+// A worker that was told of a start may leave it out before its report is
+// journaled, so a single digest that differs means nothing.
+bool SyncScopes::isDifferent(Row &row, bool isAgreeing, Instant now) {
+  if (isAgreeing)
+    row.DiffersSince.reset();
+  else if (!row.DiffersSince)
+    row.DiffersSince = now;
+  return row.DiffersSince && now - *row.DiffersSince >= JournalingTime;
+}
+
+void SyncScopes::onSync(const WorkerSync &sync, const FateBook &book,
+                        Instant now) {
   if (!sync.Unreported)
     return;
   Row &row = Rows[sync.Announcement.Worker];
@@ -35,16 +48,18 @@
     // Nothing is left out, so nothing more is to be had.
     row.IsListed = true;
     row.IsFullWanted = row.IsAsked = false;
-  } else if (!row.IsListed || !agreesWith(book, sync)) {
+    row.DiffersSince.reset();
+  } else if (!row.IsListed || isDifferent(row, agreesWith(book, sync), now)) {
     row.IsFullWanted = true;
   }
 }
 
 Duration SyncScopes::holdOf(const WorkerSync &sync, Duration lease,
                             Instant now) const {
-  if (!sync.Unreported)
-    return FullSyncHold;
   const auto it = Rows.find(sync.Announcement.Worker);
+  // A worker that sends digests leaves them out of news only.
+  if (!sync.Unreported)
+    return it == Rows.end() ? FullSyncHold : Duration();
   if (it == Rows.end() || !it->second.RepliedAt)
     return Duration();
   const Duration most = std::min(MaxDigestSyncHold, lease / HoldsPerLease);
--- a/jujube/fate/sync_scopes.h
+++ b/jujube/fate/sync_scopes.h
@@ -17,13 +17,14 @@
 bool agreesWith(const FateBook &book, const WorkerSync &sync);
 
 // Asks for a full sync from every worker that has not sent one to this leader,
-// and from those whose digest differs from the book. Workers whose syncs carry
+// and from those whose digests differ from the book for longer than a report
+// takes to be journaled. Workers whose syncs carry
 // no digest are not asked. Belongs to a zone's leader and is made anew by the
 // next.
 class SyncScopes {
 public:
   // To be called with the book as it is when the sync arrives.
-  void onSync(const WorkerSync &sync, const FateBook &book);
+  void onSync(const WorkerSync &sync, const FateBook &book, Instant now);
   // What the next reply to the worker asks for.
   SyncScope wanted(const WorkerId &worker) const;
   // True if that should not wait until the reply is due.
@@ -46,8 +47,12 @@
     // A reply has asked for it.
     bool IsAsked = false;
     std::optional<Instant> RepliedAt;
+    // The first of a row of digests that differed.
+    std::optional<Instant> DiffersSince;
   };
 
+  static bool isDifferent(Row &row, bool isAgreeing, Instant now);
+
   std::map<WorkerId, Row> Rows;
 };
 
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -257,7 +257,7 @@
     Leases.reset(worker, at.Now);
   Workers[worker] = start;
   Planner.workerSeen(sync.Announcement, at.Now);
-  Scopes.onSync(sync, Book);
+  Scopes.onSync(sync, Book, at.Now);
   // A sync may bring only changes, so earlier ends are kept.
   auto &unanswered = Unanswered[worker];
   std::erase_if(unanswered, [](const auto &item) {
--- a/jujube/zone/scheduler_test.cc
+++ b/jujube/zone/scheduler_test.cc
@@ -274,6 +274,8 @@
   fate::Directive stray;
   stray.Task = {RequestId("ubungo.gone"), 0};
   stray.Token = {Term{1}, 1};
+  BOOST_TEST(!zone.syncWithout("w1", 1, {stray}));
+  zone.advance(Duration::seconds(1));
   const auto reply = zone.syncWithout("w1", 1, {stray});
   BOOST_REQUIRE(reply.has_value());
   BOOST_TEST((reply->NextSync == fate::SyncScope::Full));
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -285,9 +285,10 @@
     return;
   }
   ParkedSyncs &parked = Syncs[worker];
-  // One waiting sync is enough; the one that brought news is answered at once.
+  // One waiting sync is enough; one that brought news is answered at once.
+  const bool isExtra = !parked.empty() && !sync.Sync.Unreported;
   const Duration hold =
-      parked.empty() ? Leading->holdOf(sync.Sync, Loop.now()) : Duration();
+      isExtra ? Duration() : Leading->holdOf(sync.Sync, Loop.now());
   parked.push_back({request, Loop.now() + hold});
   Woken.insert(worker);
 }
--- a/testing/state_fates.cc
+++ b/testing/state_fates.cc
@@ -272,7 +272,7 @@
 void FateDriver::handle(const Sync &sync) {
   const Worker &worker = Workers[sync.Worker];
   const Incarnation start = sync.What.Announcement.Start;
-  Scopes.onSync(sync.What, Book);
+  Scopes.onSync(sync.What, Book, Now);
   propose(Book.workerRestarted(worker.Id, start, Now));
   for (const TaskReport &report : sync.What.Reports)
     propose(Book.report(worker.Id, start, report, Now));
