--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -128,8 +128,9 @@
                 "entry": pid(f"entry-{zone}-1")}
 
     def close(self):
+        # An orderly end would wait for the pending sync of one worker after another.
         for standin in self.standins:
-            standin.terminate()
+            standin.kill()
         for standin in self.standins:
             standin.wait()
         self.shell("scripts/cell.sh", "stop", self.dir)
