--- a/jujube/placement/types.h
+++ b/jujube/placement/types.h
@@ -78,7 +78,7 @@
 // Why the planner stops a task.
 enum class StopReason {
   Cancelled,
-  // For urgent work.
+  // For urgent work, or for a service that has to be started again.
   Urgent,
   // For a team that is under its share.
   FairShare,
--- a/jujube/zone/scheduler_test.cc
+++ b/jujube/zone/scheduler_test.cc
@@ -227,6 +227,7 @@
   zone.lead();
   zone.sync("w1", 1);
   std::vector<RequestId> others;
+  others.reserve(6);
   for (int n = 0; n < 6; ++n)
     others.push_back(zone.submit("r" + std::to_string(n)));
   BOOST_TEST((zone.state(others[4]) == FateState::Offered));
