One piece for members of replicated groups: GroupMember

fleet_task and zone_task had the same handling of messages, refusals, hints at the leader, hooks of the replica and end of the task; replica/group_member has it once. Behaviour is unchanged, but for the wording of two refusals.

--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -1,7 +1,6 @@
 #include "jujube/keeper/fleet_task.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -29,7 +28,13 @@
 FleetTask::FleetTask(const KeeperOptions &options,
                      runtime::TaskContext &context, wire::PacketMailbox outbox)
     : Settings(options), Loop(context.loop()),
-      Messages(Loop, options.Self, options.Listen, std::move(outbox)) {}
+      Messages(Loop, options.Self, options.Listen, std::move(outbox)),
+      Group(Loop, Messages,
+            {"keeper", [this] { return Force && Group.log().mayServe(); },
+             [this](const wire::Envelope &request) {
+               std::visit([&](const auto &what) { handle(request, what); },
+                          request.What);
+             }}) {}
 
 FleetTask::~FleetTask() = default;
 
@@ -38,7 +43,7 @@
                   wire::PacketMailbox outbox) {
   std::unique_ptr<FleetTask> task(
       new FleetTask(options, context, std::move(outbox)));
-  if (Status status = task->openReplica(context); !isOk(status))
+  if (Status status = task->openReplica(); !isOk(status))
     return errorOf(status);
   task->Loop.callEvery(SweepPeriod,
                        [raw = task.get()] { raw->answerParked(); });
@@ -47,7 +52,7 @@
   return task;
 }
 
-Status FleetTask::openReplica(runtime::TaskContext &context) {
+Status FleetTask::openReplica() {
   auto disk = storage::Store::open({Settings.DataFolder}, Clock::wall().now());
   if (!isOk(disk))
     return errorOf(disk);
@@ -59,14 +64,8 @@
   options.Start = Disk->start();
   options.Configured = Settings.Keepers;
   options.Rule = consensus::Formation::WhenAllBlank;
-  const uint64_t seed = Settings.ElectionSeed.value_or(std::random_device()());
-  auto log =
-      replica::Replica::create(context.loop(), options, Disk->takeRecovered(),
-                               seed, replicaHooks(), diskHooks());
-  if (!isOk(log))
-    return errorOf(log);
-  Log = valueOf(std::move(log));
-  return Ok{};
+  return Group.open(options, Disk->takeRecovered(), Settings.ElectionSeed,
+                    replicaHooks(), diskHooks());
 }
 
 replica::DiskHooks FleetTask::diskHooks() {
@@ -105,13 +104,6 @@
   hooks.RoleChanged = [this](const consensus::RoleChanged &change) {
     changeRole(change);
   };
-  hooks.Send = [this](const consensus::Send &send) {
-    Messages.send(send.At, wire::GroupMessage{send.What});
-  };
-  hooks.Fail = [this](const Error &error) {
-    Outcome = error;
-    Loop.stop();
-  };
   return hooks;
 }
 
@@ -129,45 +121,11 @@
   }
   Force.reset();
   SliceLeases.reset();
-  const Error why{ErrorKind::NotLeader, "this keeper does not lead any more",
-                  "ask the leader"};
+  const Error why = Group.lostLeadership();
   for (const ParkedPoll &poll : std::exchange(Polls, {}))
-    refuse(poll.Request, why);
+    Group.refuse(poll.Request, why);
   for (const ParkedEdit &edit : std::exchange(Edits, {}))
-    refuse(edit.Request, why);
-}
-
-void FleetTask::receive(const wire::TransportEvent &event) {
-  const auto request = Messages.receive(event);
-  if (!request)
-    return;
-  if (const auto *group = std::get_if<wire::GroupMessage>(&request->What))
-    Log->receive(request->From, group->What);
-  else if (Log->mayServe() && Force)
-    dispatch(*request);
-  else
-    refuse(*request, Error{ErrorKind::NotLeader, "this keeper does not lead",
-                           "ask the leader"});
-}
-
-void FleetTask::stop() {
-  Log->transferLeadership();
-  Loop.stop();
-}
-
-void FleetTask::refuse(const wire::Envelope &request, const Error &why) {
-  Messages.reply(request, wire::Refusal{why, Log->leaderAddress()});
-}
-
-void FleetTask::dispatch(const wire::Envelope &request) {
-  std::visit([&](const auto &what) { handle(request, what); }, request.What);
-}
-
-template <typename Other>
-void FleetTask::handle(const wire::Envelope &request, const Other &) {
-  refuse(request,
-         Error{ErrorKind::InvalidArgument, "keepers don't take this message",
-               "check which process listens on the address"});
+    Group.refuse(edit.Request, why);
 }
 
 void FleetTask::noteHost(const wire::HostStatus &status) {
@@ -197,7 +155,7 @@
   const auto &poll = std::get<wire::PollCatalogue>(parked.Request.What);
   wire::CatalogueNews news{State.catalogue().updateSince(poll.Have),
                            knownHosts()};
-  news.News.IsConfirmed = Log->mayServe();
+  news.News.IsConfirmed = Group.log().mayServe();
   if (!news.News.IsConfirmed)
     return;
   Force->onReply(poll.Self.Host.Id, poll.Have, news.News.To, Loop.now());
@@ -214,7 +172,7 @@
 
 void FleetTask::propose(const wire::FleetCommand &command,
                         replica::ProposalHook done) {
-  Log->propose(wire::encodeFleetCommand(command), std::move(done));
+  Group.log().propose(wire::encodeFleetCommand(command), std::move(done));
 }
 
 void FleetTask::handle(const wire::Envelope &request,
@@ -224,19 +182,19 @@
     if (isOk(verdict))
       Messages.reply(request, wire::EditDone{{valueOf(verdict), false}});
     else
-      refuse(request, errorOf(verdict));
+      Group.refuse(request, errorOf(verdict));
     return;
   }
   propose(edit.Edit, [this, request, edit = edit.Edit](const Status &status) {
     if (!isOk(status)) {
-      refuse(request, errorOf(status));
+      Group.refuse(request, errorOf(status));
       return;
     }
     const Result<Revision> answer = State.answerTo(edit);
     if (isOk(answer))
       Edits.push_back({request, edit, valueOf(answer), Loop.now() + EditHold});
     else
-      refuse(request, errorOf(answer));
+      Group.refuse(request, errorOf(answer));
   });
 }
 
@@ -294,7 +252,7 @@
 
 void FleetTask::answerReport(const wire::Envelope &request,
                              const limits::SliceReport &report) {
-  if (!SliceLeases || !Log->mayServe())
+  if (!SliceLeases || !Group.log().mayServe())
     return;
   if (SliceLeases->renew(report.Zone, Loop.now()))
     Messages.reply(request, wire::SliceNews{State.slices().replyTo(report)});
@@ -322,7 +280,7 @@
 }
 
 void FleetTask::reclaimEndedLeases() {
-  if (!SliceLeases || !Log->mayServe())
+  if (!SliceLeases || !Group.log().mayServe())
     return;
   for (const limits::LedgerZone &line : State.slices().state().Zones)
     if (SliceLeases->hasEnded(line.Zone, Loop.now()) &&
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -17,7 +17,7 @@
 #include "jujube/catalogue/force_tracker.h"
 #include "jujube/keeper/fleet_state.h"
 #include "jujube/limits/lease_table.h"
-#include "jujube/replica/replica.h"
+#include "jujube/replica/group_member.h"
 #include "jujube/runtime/task.h"
 #include "jujube/storage/store.h"
 #include "jujube/wire/messenger.h"
@@ -47,11 +47,11 @@
   ~FleetTask();
 
   // Handles what the transport tells.
-  void receive(const wire::TransportEvent &event);
+  void receive(const wire::TransportEvent &event) { Group.receive(event); }
   // Passes leadership on and ends the loop.
-  void stop();
+  void stop() { Group.stop(); }
   // Why the task has to end; Ok if it was asked to.
-  const Status &outcome() const { return Outcome; }
+  const Status &outcome() const { return Group.outcome(); }
 
 private:
   struct ParkedPoll {
@@ -72,21 +72,21 @@
   FleetTask(const KeeperOptions &options, runtime::TaskContext &context,
             wire::PacketMailbox outbox);
 
-  Status openReplica(runtime::TaskContext &context);
+  Status openReplica();
   replica::DiskHooks diskHooks();
   replica::ReplicaHooks replicaHooks();
   void changeRole(const consensus::RoleChanged &change);
 
-  void dispatch(const wire::Envelope &request);
   void handle(const wire::Envelope &request, const wire::PollCatalogue &poll);
   void handle(const wire::Envelope &request, const wire::ProposeEdit &propose);
   void handle(const wire::Envelope &request, const wire::ReadHistory &read);
   void handle(const wire::Envelope &request, const wire::ReportSlices &report);
   void handle(const wire::Envelope &request, const wire::ReadMetrics &read);
   template <typename Other>
-  void handle(const wire::Envelope &request, const Other &other);
+  void handle(const wire::Envelope &request, const Other &) {
+    Group.refuseKind(request);
+  }
 
-  void refuse(const wire::Envelope &request, const Error &why);
   void propose(const wire::FleetCommand &command, replica::ProposalHook done);
   void noteHost(const wire::HostStatus &status);
   void answerPoll(const ParkedPoll &poll);
@@ -105,14 +105,13 @@
   wire::Messenger Messages;
   FleetState State;
   std::optional<storage::Store> Disk;
-  std::unique_ptr<replica::Replica> Log;
+  replica::GroupMember Group;
   std::map<HostId, KnownHost> Hosts;
   std::vector<ParkedPoll> Polls;
   std::vector<ParkedEdit> Edits;
   // While this keeper leads.
   std::unique_ptr<catalogue::ForceTracker> Force;
   std::unique_ptr<limits::LeaseTable<ZoneId>> SliceLeases;
-  Status Outcome = Ok{};
 };
 
 } // namespace jujube::keeper
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -1,7 +1,6 @@
 #include "jujube/zone/zone_task.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -33,12 +32,18 @@
                                             catalogue::HostRole::Zone,
                                             Settings.Zone, Settings.Listen},
                                            isServing(),
-                                           Log->term()};
+                                           Group.log().term()};
                  },
                  [this] {
                    if (Leading)
                      Leading->setCatalogue(Catalogue.catalogue());
-                 }}) {}
+                 }}),
+      Group(Loop, Messages,
+            {"scheduler", [this] { return isServing(); },
+             [this](const wire::Envelope &request) {
+               std::visit([&](const auto &what) { handle(request, what); },
+                          request.What);
+             }}) {}
 
 ZoneTask::~ZoneTask() = default;
 
@@ -47,7 +52,7 @@
                  wire::PacketMailbox outbox) {
   std::unique_ptr<ZoneTask> task(
       new ZoneTask(options, context, std::move(outbox)));
-  if (Status status = task->openReplica(context); !isOk(status))
+  if (Status status = task->openReplica(); !isOk(status))
     return errorOf(status);
   task->Keepers.setMembers(options.Keepers);
   task->Catalogue.start();
@@ -55,7 +60,7 @@
   return task;
 }
 
-Status ZoneTask::openReplica(runtime::TaskContext &context) {
+Status ZoneTask::openReplica() {
   consensus::Options options;
   options.Self = {Settings.Self, Settings.Listen};
   // Diskless members take a higher incarnation on every start.
@@ -63,13 +68,11 @@
       Incarnation{static_cast<uint64_t>(Settings.WallClock.now().millis())};
   options.Configured = Settings.Peers;
   options.Rule = consensus::Formation::WhenMajorityBlank;
-  const uint64_t seed = Settings.ElectionSeed.value_or(std::random_device()());
-  auto log = replica::Replica::create(context.loop(), options, {}, seed,
-                                      replicaHooks(), std::nullopt);
-  if (!isOk(log))
-    return errorOf(log);
-  Log = valueOf(std::move(log));
-  Log->onTurnEnd([this] {
+  if (Status status = Group.open(options, {}, Settings.ElectionSeed,
+                                 replicaHooks(), std::nullopt);
+      !isOk(status))
+    return status;
+  Group.log().onTurnEnd([this] {
     if (!isServing())
       return;
     if (Leading->needsPlan())
@@ -94,13 +97,6 @@
   hooks.RoleChanged = [this](const consensus::RoleChanged &change) {
     changeRole(change);
   };
-  hooks.Send = [this](const consensus::Send &send) {
-    Messages.send(send.At, wire::GroupMessage{send.What});
-  };
-  hooks.Fail = [this](const Error &error) {
-    Outcome = error;
-    Loop.stop();
-  };
   return hooks;
 }
 
@@ -166,43 +162,9 @@
       Leading->onApplied(event, moment());
 }
 
-void ZoneTask::receive(const wire::TransportEvent &event) {
-  const auto request = Messages.receive(event);
-  if (!request)
-    return;
-  if (const auto *group = std::get_if<wire::GroupMessage>(&request->What))
-    Log->receive(request->From, group->What);
-  else if (isServing())
-    dispatch(*request);
-  else
-    refuse(*request,
-           Error{ErrorKind::NotLeader, "this scheduler does not lead its zone",
-                 "ask the leader"});
-}
-
-void ZoneTask::stop() {
-  Log->transferLeadership();
-  Loop.stop();
-}
-
-void ZoneTask::refuse(const wire::Envelope &request, const Error &why) {
-  Messages.reply(request, wire::Refusal{why, Log->leaderAddress()});
-}
-
-void ZoneTask::dispatch(const wire::Envelope &request) {
-  std::visit([&](const auto &what) { handle(request, what); }, request.What);
-}
-
-template <typename Other>
-void ZoneTask::handle(const wire::Envelope &request, const Other &) {
-  refuse(request,
-         Error{ErrorKind::InvalidArgument, "schedulers don't take this message",
-               "check which process listens on the address"});
-}
-
 void ZoneTask::propose(const std::vector<fate::Event> &events,
                        replica::ProposalHook done) {
-  Log->propose(wire::encodeZoneEvents(events), std::move(done));
+  Group.log().propose(wire::encodeZoneEvents(events), std::move(done));
 }
 
 TeamId ZoneTask::actingTeam(const RequestId &id,
@@ -222,16 +184,16 @@
   if (auto view = Book.view(id))
     Messages.reply(request, wire::FateNews{std::move(*view)});
   else
-    refuse(request,
-           Error{ErrorKind::NotFound, absl::StrCat("no request ", id.str()),
-                 "check the id; fates are kept for a day"});
+    Group.refuse(request, Error{ErrorKind::NotFound,
+                                absl::StrCat("no request ", id.str()),
+                                "check the id; fates are kept for a day"});
 }
 
 void ZoneTask::proposeThenAnswer(
     const wire::Envelope &request, const RequestId &id,
     const Result<std::optional<fate::Event>> &event) {
   if (!isOk(event)) {
-    refuse(request, errorOf(event));
+    Group.refuse(request, errorOf(event));
     return;
   }
   if (!valueOf(event)) {
@@ -242,7 +204,7 @@
     if (isOk(status))
       answerFate(request, id);
     else
-      refuse(request, errorOf(status));
+      Group.refuse(request, errorOf(status));
   });
 }
 
@@ -262,10 +224,11 @@
 
 void ZoneTask::handle(const wire::Envelope &request, const wire::AskFate &ask) {
   if (!maySee(ask.Request, ask.Team)) {
-    refuse(request,
-           Error{ErrorKind::NotFound,
-                 absl::StrCat("your team has no request ", ask.Request.str()),
-                 "check the id and the key; fates are kept for a day"});
+    Group.refuse(
+        request,
+        Error{ErrorKind::NotFound,
+              absl::StrCat("your team has no request ", ask.Request.str()),
+              "check the id and the key; fates are kept for a day"});
     return;
   }
   if (ask.Wait <= Duration() || fate::isTerminal(*Book.stateOf(ask.Request)))
@@ -286,7 +249,7 @@
   const WorkerId &worker = sync.Sync.Announcement.Worker;
   const Status status = Leading->takeSync(sync.Sync, moment());
   if (!isOk(status)) {
-    refuse(request, errorOf(status));
+    Group.refuse(request, errorOf(status));
     return;
   }
   ParkedSyncs &parked = Syncs[worker];
@@ -328,13 +291,12 @@
 }
 
 void ZoneTask::refuseParked() {
-  const Error why{ErrorKind::NotLeader, "this scheduler does not lead any more",
-                  "ask the leader"};
+  const Error why = Group.lostLeadership();
   for (const auto &[worker, parked] : std::exchange(Syncs, {}))
     for (const ParkedSync &sync : parked)
-      refuse(sync.Request, why);
+      Group.refuse(sync.Request, why);
   for (const auto &[id, parked] : std::exchange(Asks, {}))
-    refuse(parked.Request, why);
+    Group.refuse(parked.Request, why);
 }
 
 void ZoneTask::handle(const wire::Envelope &request,
@@ -353,7 +315,7 @@
                       const wire::JournalLive &live) {
   const auto event = Book.offerLive(live.Offer);
   if (!isOk(event)) {
-    refuse(request, errorOf(event));
+    Group.refuse(request, errorOf(event));
     return;
   }
   if (!valueOf(event)) {
@@ -364,7 +326,7 @@
     if (isOk(status))
       Messages.reply(request, wire::Done{});
     else
-      refuse(request, errorOf(status));
+      Group.refuse(request, errorOf(status));
   });
 }
 
@@ -374,7 +336,7 @@
     if (isOk(status))
       Messages.reply(request, wire::Done{});
     else
-      refuse(request, errorOf(status));
+      Group.refuse(request, errorOf(status));
   });
 }
 
@@ -389,7 +351,7 @@
   api::ZoneStatus status;
   status.Zone = Settings.Zone;
   status.Leader = Settings.Self;
-  status.Voters = static_cast<uint32_t>(Log->voters());
+  status.Voters = static_cast<uint32_t>(Group.log().voters());
   status.Workers = planner.Workers;
   status.QuarantinedWorkers = planner.QuarantinedWorkers;
   status.QueuedTasks = planner.QueuedTasks;
--- a/jujube/zone/zone_task.h
+++ b/jujube/zone/zone_task.h
@@ -12,7 +12,7 @@
 #include "jujube/base/result.h"
 #include "jujube/catalogue/follower.h"
 #include "jujube/fate/fate_book.h"
-#include "jujube/replica/replica.h"
+#include "jujube/replica/group_member.h"
 #include "jujube/routing/credit_ledger.h"
 #include "jujube/runtime/task.h"
 #include "jujube/wire/catalogue_poller.h"
@@ -33,11 +33,11 @@
   ~ZoneTask();
 
   // Handles what the transport tells.
-  void receive(const wire::TransportEvent &event);
+  void receive(const wire::TransportEvent &event) { Group.receive(event); }
   // Passes leadership on and ends the loop.
-  void stop();
+  void stop() { Group.stop(); }
   // Why the task has to end; Ok if it was asked to.
-  const Status &outcome() const { return Outcome; }
+  const Status &outcome() const { return Group.outcome(); }
 
 private:
   struct ParkedSync {
@@ -54,7 +54,7 @@
   ZoneTask(const ZoneOptions &options, runtime::TaskContext &context,
            wire::PacketMailbox outbox);
 
-  Status openReplica(runtime::TaskContext &context);
+  Status openReplica();
   replica::ReplicaHooks replicaHooks();
   void startTimers();
   void changeRole(const consensus::RoleChanged &change);
@@ -62,10 +62,11 @@
   // Tells the entry hosts, which may still wait for the predecessor.
   void announceLeadership(Term term);
   void apply(const std::string &payload);
-  bool isServing() const { return Leading != nullptr && Log->mayServe(); }
+  bool isServing() const {
+    return Leading != nullptr && Group.log().mayServe();
+  }
   Moment moment() const;
 
-  void dispatch(const wire::Envelope &request);
   void handle(const wire::Envelope &request, const wire::SubmitWork &submit);
   void handle(const wire::Envelope &request, const wire::CancelWork &cancel);
   void handle(const wire::Envelope &request, const wire::AskFate &ask);
@@ -77,9 +78,10 @@
   void handle(const wire::Envelope &request, const wire::JournalLiveEnd &live);
   void handle(const wire::Envelope &request, const wire::ReadZone &read);
   template <typename Other>
-  void handle(const wire::Envelope &request, const Other &other);
+  void handle(const wire::Envelope &request, const Other &) {
+    Group.refuseKind(request);
+  }
 
-  void refuse(const wire::Envelope &request, const Error &why);
   void answerFate(const wire::Envelope &request, const RequestId &id);
   // Proposes an event, if there is one, and answers with the request's fate.
   void proposeThenAnswer(const wire::Envelope &request, const RequestId &id,
@@ -103,7 +105,7 @@
   wire::LeaderClient Keepers;
   wire::CataloguePoller Catalogue;
   fate::FateBook Book;
-  std::unique_ptr<replica::Replica> Log;
+  replica::GroupMember Group;
   std::map<WorkerId, ParkedSyncs> Syncs;
   std::multimap<RequestId, ParkedAsk> Asks;
   // While this scheduler leads.
@@ -111,7 +113,6 @@
   std::unique_ptr<RunnerDesk> Runners;
   // Workers that have directives since the last turn.
   std::set<WorkerId> Woken;
-  Status Outcome = Ok{};
 };
 
 } // namespace jujube::zone
