Cells in tests take ports that no outgoing connection can take first

Cause: a port was drawn from the kernel's range for outgoing connections and closed again, so that a connection of another process could take it before the process of the cell listened. Seen: an entry host ended with "Address already in use" in 1 of 29 runs of KeeperWithATornJournalRestartsAndCatchesUp, and in another run no leader of the keepers was found for a minute, which a keeper without its port explains: they form only with all three.

Change: ports come in sequence from 10,000 to 20,999 and are tried first.

--- a/testing/cell.cc
+++ b/testing/cell.cc
@@ -7,14 +7,17 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "glog/logging.h"
 #include "jujube/base/digest.h"
 #include "jujube/http/bodies.h"
 #include "jujube/http/json.h"
@@ -29,9 +32,21 @@
 constexpr std::chrono::seconds Patience(60);
 constexpr int Keepers = 3;
 
-// A port that the kernel picked; it stays free after the socket is closed.
+// Ports below those that the kernel gives to outgoing connections, one of which
+// could take a port before the process that it was chosen for.
+constexpr int FirstPort = 10'000;
+constexpr int Ports = 11'000;
+
+// A port that nobody listens on; each call returns another one.
 Address freeAddress() {
-  return wire::localAddress(valueOf(wire::listenTcp({"127.0.0.1", 0})).get());
+  static std::atomic<unsigned> next = std::random_device()();
+  for (int tries = 0;; ++tries) {
+    CHECK(tries < Ports) << "no free port";
+    const Address address{"127.0.0.1",
+                          static_cast<uint16_t>(FirstPort + next++ % Ports)};
+    if (isOk(wire::listenTcp(address)))
+      return address;
+  }
 }
 
 std::string binary(const std::string &name) {
