The announcement of a zone's new leader names its address

Cause: since packed envelopes carry an address only with calls, the entry hosts read an empty one from the announcement and went on waiting for the leader that was lost. Change: AnnounceLeader carries the address.

--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -223,7 +223,7 @@
           wire::MetricsNews{snapshot()},
           wire::Done{},
           wire::Refusal{{ErrorKind::NotLeader, "message", "remedy"}, At},
-          wire::AnnounceLeader{Zone, Term{2}}};
+          wire::AnnounceLeader{Zone, Term{2}, At}};
 }
 
 std::vector<fate::Event> zoneEvents() {
--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -88,7 +88,7 @@
   if (const auto *pass = std::get_if<wire::PassLive>(&request->What))
     takePassedLive(*request, *pass);
   else if (const auto *news = std::get_if<wire::AnnounceLeader>(&request->What))
-    Zones.takeLeader(news->Zone, request->ReplyTo);
+    Zones.takeLeader(news->Zone, news->Leader);
   else
     Messages.reply(*request,
                    wire::Refusal{{ErrorKind::InvalidArgument,
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -95,7 +95,7 @@
   ar(v.Why, v.Leader);
 }
 template <typename Archive> void serialize(Archive &ar, AnnounceLeader &v) {
-  ar(v.Zone, v.At);
+  ar(v.Zone, v.At, v.Leader);
 }
 template <typename Archive> void serialize(Archive &ar, Envelope &v) {
   ar(v.Correlation, v.IsReply);
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -165,10 +165,11 @@
 };
 
 // A zone's new leader to the entry hosts, so that they need not wait for its
-// predecessor; not answered. The envelope tells where it is.
+// predecessor; not answered.
 struct AnnounceLeader {
   ZoneId Zone;
   Term At;
+  Address Leader;
 };
 
 // The request was carried out.
--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -153,7 +153,8 @@
 void ZoneTask::announceLeadership(Term term) {
   for (const wire::HostStatus &host : Catalogue.hosts())
     if (host.Host.Role == catalogue::HostRole::Entry)
-      Messages.send(host.Host.Peer, wire::AnnounceLeader{Settings.Zone, term});
+      Messages.send(host.Host.Peer,
+                    wire::AnnounceLeader{Settings.Zone, term, Settings.Listen});
 }
 
 void ZoneTask::apply(const std::string &payload) {
