A test's cell fails at once when one of its processes has ended; its plan has a file of its own

Cause: Cell::start asked on for a minute when a process could not bind its port, and a test of live calls failed later for another reason than it said (CellSuite/WithdrawnKeyIsRefusedOnceTheWithdrawalIsAnswered, 2 of 4 whole runs; the log that cells now print showed 'Address already in use').

--- a/testing/cell.cc
+++ b/testing/cell.cc
@@ -7,23 +7,17 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <random>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
-#include "glog/logging.h"
 #include "jujube/base/digest.h"
 #include "jujube/http/bodies.h"
 #include "jujube/http/json.h"
-#include "jujube/wire/sockets.h"
 
 extern char **environ;
 
@@ -32,34 +26,9 @@
 
 constexpr std::chrono::milliseconds PollPause(20);
 constexpr std::chrono::seconds Patience(60);
-constexpr int Keepers = 3;
 // Bytes of a log that are shown of a process that ended by itself.
 constexpr std::size_t LogTail = 4000;
 
-// Ports below those that the kernel gives to outgoing connections, one of which
-// could take a port before the process that it was chosen for.
-constexpr int FirstPort = 10'000;
-constexpr int Ports = 11'000;
-
-// A port that nobody listens on; each call returns another one.
-Address freeAddress() {
-  static std::atomic<unsigned> next = std::random_device()();
-  for (int tries = 0;; ++tries) {
-    CHECK(tries < Ports) << "no free port";
-    const Address address{"127.0.0.1",
-                          static_cast<uint16_t>(FirstPort + next++ % Ports)};
-    if (isOk(wire::listenTcp(address)))
-      return address;
-  }
-}
-
-std::string binary(const std::string &name) {
-  // Tests read the environment before they start a thread.
-  const char *folder =
-      std::getenv("JUJUBE_BIN"); // NOLINT(concurrency-mt-unsafe)
-  return absl::StrCat(folder ? folder : "build/bin", "/", name);
-}
-
 catalogue::Entry entryOf(const std::string &name,
                          catalogue::WorkClass workClass, bool isIdempotent) {
   catalogue::Entry entry;
@@ -116,129 +85,6 @@
   return secret;
 }
 
-void Cell::plan() {
-  std::vector<std::string> keepers;
-  std::vector<std::string> addresses;
-  for (int i = 1; i <= Keepers; ++i) {
-    const std::string name = absl::StrCat("keeper-", i);
-    Processes[name].Listen = freeAddress();
-    addresses.push_back(Processes[name].Listen.str());
-    keepers.push_back(absl::StrCat(name, "=", addresses.back()));
-  }
-  for (int i = 1; i <= Keepers; ++i) {
-    const std::string name = absl::StrCat("keeper-", i);
-    Processes[name].Args = {binary("jujube-keeper"),
-                            "--host",
-                            name,
-                            "--keepers",
-                            absl::StrJoin(keepers, ","),
-                            "--data",
-                            absl::StrCat(Folder, "/", name),
-                            "--fleet-token-file",
-                            Folder + "/fleet.token"};
-    StartOrder.push_back(name);
-  }
-  for (const std::string &zone : Options.Zones)
-    planZone(zone, absl::StrJoin(addresses, ","));
-}
-
-void Cell::planZone(const std::string &zone, const std::string &keepers) {
-  std::vector<std::string> peers;
-  std::vector<std::string> addresses;
-  std::vector<std::string> entries;
-  for (int i = 1; i <= Options.HostsPerZone; ++i) {
-    Process &process = Processes[absl::StrCat("zone-", zone, "-", i)];
-    process.Listen = freeAddress();
-    addresses.push_back(process.Listen.str());
-    peers.push_back(absl::StrCat(zone, "-", i, "=", addresses.back()));
-  }
-  for (int i = 1; i <= Options.HostsPerZone; ++i) {
-    const std::string host = absl::StrCat(zone, "-", i);
-    const std::string scheduler = "zone-" + host;
-    Processes[scheduler].Args = {binary("jujube-zone"),
-                                 "--host",
-                                 host,
-                                 "--zone",
-                                 zone,
-                                 "--peers",
-                                 absl::StrJoin(peers, ","),
-                                 "--keepers",
-                                 keepers,
-                                 "--fleet-token-file",
-                                 Folder + "/fleet.token",
-                                 "--worker-lease-ms",
-                                 "3000"};
-    const std::string name = "entry-" + host;
-    Process &entry = Processes[name];
-    entry.Listen = freeAddress();
-    entry.Http = freeAddress();
-    entries.push_back(entry.Http.str());
-    entry.Args = {binary("jujube-entry"),
-                  "--host",
-                  name,
-                  "--zone",
-                  zone,
-                  "--listen",
-                  entry.Listen.str(),
-                  "--http",
-                  entry.Http.str(),
-                  "--zone-peers",
-                  absl::StrJoin(addresses, ","),
-                  "--keepers",
-                  keepers,
-                  "--fleet-token-file",
-                  Folder + "/fleet.token",
-                  "--operator-token-file",
-                  Folder + "/operator.token",
-                  "--leave-ms",
-                  "500"};
-    StartOrder.push_back(scheduler);
-    StartOrder.push_back(name);
-  }
-  planStandIns(zone, absl::StrJoin(entries, ","));
-}
-
-void Cell::planStandIns(const std::string &zone, const std::string &entries) {
-  if (Options.WorkersPerZone > 0) {
-    Process &workers = Processes["workers-" + zone];
-    workers.Http = freeAddress();
-    workers.Args = {binary("standin-worker"),
-                    "--entries",
-                    entries,
-                    "--fleet-token-file",
-                    Folder + "/fleet.token",
-                    "--name",
-                    "w-" + zone,
-                    "--count",
-                    absl::StrCat(Options.WorkersPerZone),
-                    "--stats",
-                    workers.Http.str()};
-    StartOrder.push_back("workers-" + zone);
-  }
-  if (Options.RunnersPerZone > 0) {
-    Process &runners = Processes["runners-" + zone];
-    runners.Http = freeAddress();
-    runners.Args = {binary("standin-runner"),
-                    "--entries",
-                    entries,
-                    "--fleet-token-file",
-                    Folder + "/fleet.token",
-                    "--zone",
-                    zone,
-                    "--entry",
-                    "yard-desk",
-                    "--name",
-                    "r-" + zone,
-                    "--count",
-                    absl::StrCat(Options.RunnersPerZone),
-                    "--listen",
-                    runners.Http.str(),
-                    "--mean-ms",
-                    absl::StrCat(Options.RunnerMeanMs)};
-    StartOrder.push_back("runners-" + zone);
-  }
-}
-
 void Cell::restart(const std::string &name) {
   Process &process = Processes.at(name);
   std::vector<char *> argv;
@@ -440,6 +286,19 @@
   return Ok{};
 }
 
+bool Cell::eventuallyWhileComplete(const std::function<bool()> &isTrue) {
+  bool isComplete = true;
+  const bool isDone = eventually([&] {
+    for (auto &[name, process] : Processes)
+      if (process.Pid != 0 && hasEnded(process)) {
+        tellEnd(name);
+        isComplete = false;
+      }
+    return !isComplete || isTrue();
+  });
+  return isDone && isComplete;
+}
+
 Result<std::unique_ptr<Cell>> Cell::start(CellOptions options) {
   std::unique_ptr<Cell> cell(new Cell(std::move(options)));
   for (const std::string &name : cell->StartOrder)
@@ -450,11 +309,12 @@
                                  return !cell->leaderOf(zone).empty();
                                });
   };
-  if (!eventually(isLed))
+  if (!cell->eventuallyWhileComplete(isLed))
     return Error{ErrorKind::Unavailable, "the cell has no leaders",
                  "see its logs"};
   Status prepared = Error{};
-  if (!eventually([&] { return isOk(prepared = cell->prepare()); }))
+  if (!cell->eventuallyWhileComplete(
+          [&] { return isOk(prepared = cell->prepare()); }))
     return errorOf(prepared);
   const auto hasWorkers = [&cell] {
     const auto fleet = cell->status();
@@ -464,7 +324,7 @@
                     static_cast<uint32_t>(cell->Options.WorkersPerZone);
            });
   };
-  if (!eventually(hasWorkers))
+  if (!cell->eventuallyWhileComplete(hasWorkers))
     return Error{ErrorKind::Unavailable, "the workers are not known",
                  "see the logs"};
   return cell;
--- a/testing/cell.h
+++ b/testing/cell.h
@@ -92,6 +92,8 @@
   void planZone(const std::string &zone, const std::string &keepers);
   void planStandIns(const std::string &zone, const std::string &entries);
   Status prepare();
+  // As eventually(), but gives up at once when a process ends by itself.
+  bool eventuallyWhileComplete(const std::function<bool()> &isTrue);
   std::string writeSecret(const std::string &name);
   // True if the process has ended without being told to.
   static bool hasEnded(Process &process);
