--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -20,16 +20,10 @@
 constexpr Duration SyncTimeout = Duration::seconds(4);
 // Exceeds the span for which a zone's leader holds a sync.
 constexpr Duration SyncAttemptTimeout = Duration::millis(1900);
-constexpr Duration StatusTimeout = Duration::millis(800);
 constexpr Duration LongestLiveTimeout = Duration::seconds(10);
 // The balancer sends callers elsewhere once it knows that a host is leaving.
 constexpr Duration HandOverRetryAfter = Duration::seconds(1);
 
-void append(const metrics::Snapshot &from, metrics::Snapshot &to) {
-  std::ranges::copy(from.Counters, std::back_inserter(to.Counters));
-  std::ranges::copy(from.Histograms, std::back_inserter(to.Histograms));
-}
-
 Error unexpectedReply() {
   return {ErrorKind::Internal, "a control host sent an unexpected reply",
           "run the same version on all hosts"};
@@ -277,75 +271,6 @@
                }));
 }
 
-api::FleetStatus EntryTask::localStatus() const {
-  api::FleetStatus status;
-  status.Host = Settings.Self;
-  status.Zone = Settings.Zone;
-  status.Catalogue = Catalogue.follower().latest();
-  status.CatalogueAge = Catalogue.follower().age(Loop.now());
-  status.IsLeaving = IsLeaving;
-  status.Runners = Live->runners();
-  return status;
-}
-
-void EntryTask::run(const api::GetStatus &, const DoneHook &done) {
-  struct Gathering {
-    api::FleetStatus Status;
-    std::size_t Open = 0;
-  };
-  auto gathering = std::make_shared<Gathering>();
-  gathering->Status = localStatus();
-  const std::vector<ZoneId> zones = Zones.zones();
-  gathering->Open = zones.size();
-  for (const ZoneId &zone : zones) {
-    Zones.find(zone)->callOnce(
-        wire::ReadZone{}, StatusTimeout,
-        [gathering, zone, done](const Result<wire::Message> &reply) {
-          const auto *news = isOk(reply)
-                                 ? std::get_if<wire::ZoneNews>(&valueOf(reply))
-                                 : nullptr;
-          // A zone that can't be reached is listed without a leader.
-          api::ZoneStatus unknown;
-          unknown.Zone = zone;
-          gathering->Status.Zones.push_back(news ? news->Status : unknown);
-          if (--gathering->Open > 0)
-            return;
-          std::ranges::sort(gathering->Status.Zones, {},
-                            &api::ZoneStatus::Zone);
-          done(api::Reply(std::move(gathering->Status)));
-        });
-  }
-}
-
-void EntryTask::run(const api::GetMetrics &, const DoneHook &done) {
-  Zones.own().callOnce(wire::ReadZone{}, StatusTimeout,
-                       [this, done](const Result<wire::Message> &reply) {
-                         metrics::Snapshot all = Metrics.snapshot();
-                         Messages.addTraffic(catalogue::HostRole::Entry, all);
-                         const auto *news =
-                             isOk(reply)
-                                 ? std::get_if<wire::ZoneNews>(&valueOf(reply))
-                                 : nullptr;
-                         if (news)
-                           append(news->Metrics, all);
-                         addKeeperMetrics(std::move(all), done);
-                       });
-}
-
-void EntryTask::addKeeperMetrics(metrics::Snapshot own, const DoneHook &done) {
-  Keepers.callOnce(
-      wire::ReadMetrics{}, StatusTimeout,
-      [own = std::move(own), done](const Result<wire::Message> &reply) {
-        metrics::Snapshot all = own;
-        const auto *news = isOk(reply)
-                               ? std::get_if<wire::MetricsNews>(&valueOf(reply))
-                               : nullptr;
-        if (news)
-          append(news->Metrics, all);
-        done(api::Reply(std::move(all)));
-      });
-}
-
 void EntryTask::run(const api::SyncWorker &command, const DoneHook &done) {
   const Status allowed =
       checkToken("fleet", command.FleetToken, Settings.FleetToken);
--- a/jujube/entry/live_desk_test.cc
+++ b/jujube/entry/live_desk_test.cc
@@ -73,7 +73,7 @@
           HostId("zone-1"), Leader, request.Correlation, true,
           std::visit([this](const auto &what) { return replyTo(what); },
                      request.What)};
-      (void)Messages.receive(wire::encodeEnvelope(reply));
+      (void)Messages.receive(wire::Delivery{wire::encodeEnvelope(reply)});
     }
   }
 
--- a/testing/cell_plan.cc
+++ b/testing/cell_plan.cc
@@ -24,8 +24,8 @@
   static std::atomic<unsigned> next = std::random_device()();
   for (int tries = 0;; ++tries) {
     CHECK(tries < Ports) << "no free port";
-    const Address address{"127.0.0.1",
-                          static_cast<uint16_t>(FirstPort + next++ % Ports)};
+    Address address{"127.0.0.1",
+                    static_cast<uint16_t>(FirstPort + next++ % Ports)};
     if (isOk(wire::listenTcp(address)))
       return address;
   }
