--- a/jujube/wire/packed_archive.cc
+++ b/jujube/wire/packed_archive.cc
@@ -44,7 +44,9 @@
 
 void PackedReader::read(void *data, std::size_t n) {
   checkSize(n);
-  std::memcpy(data, Left.data(), n);
+  // An empty list has no memory to copy to.
+  if (n > 0)
+    std::memcpy(data, Left.data(), n);
   Left.remove_prefix(n);
 }
 
