--- a/jujube/base/clock.h
+++ b/jujube/base/clock.h
@@ -69,7 +69,8 @@
 public:
   explicit Clock(std::function<Instant()> source) : Source(std::move(source)) {}
 
-  // Monotonic time of this host; unaffected by changes of the wall time.
+  // Monotonic time of this host; unaffected by changes of the wall time, and
+  // counting the time for which the host is suspended.
   static Clock monotonic();
   // Milliseconds since 1970-01-01 UTC; only for records that people read.
   static Clock wall();
--- a/jujube/base/result.h
+++ b/jujube/base/result.h
@@ -40,9 +40,11 @@
   RunFailed,
   // A live request that left, and whose outcome is not known yet.
   OutcomeUnknown,
+  // What was asked for is not there any more, or never was.
+  Gone,
 };
 
-inline constexpr NameTable<ErrorKind, 23> ErrorKindNames = {{
+inline constexpr NameTable<ErrorKind, 24> ErrorKindNames = {{
     {ErrorKind::InvalidArgument, "invalid_argument"},
     {ErrorKind::MalformedBody, "malformed_body"},
     {ErrorKind::BodyTooLarge, "body_too_large"},
@@ -66,6 +68,7 @@
     {ErrorKind::NotRun, "not_run"},
     {ErrorKind::RunFailed, "run_failed"},
     {ErrorKind::OutcomeUnknown, "outcome_unknown"},
+    {ErrorKind::Gone, "gone"},
 }};
 static_assert(isComplete(ErrorKindNames));
 
--- a/jujube/consensus/node_membership.cc
+++ b/jujube/consensus/node_membership.cc
@@ -55,7 +55,9 @@
   const bool isConfigured = std::ranges::any_of(
       Settings.Configured, [&](const Peer &peer) { return peer.Host == host; });
   if (it == next.Members.end()) {
-    if (!isConfigured)
+    const bool isWanted = Settings.AdmitsUnknownHosts &&
+                          next.Members.size() < targetVoters(Settings);
+    if (!isConfigured && !isWanted)
       return;
     next.Members.push_back(Member{host, seen.Start, seen.At, false});
     return changeMembership(std::move(next));
@@ -101,7 +103,7 @@
 
 void Node::promoteLearners(Instant now) {
   if (!canChangeMembership() ||
-      voterCount(Entries.membership()) >= Settings.Configured.size())
+      voterCount(Entries.membership()) >= targetVoters(Settings))
     return;
   // While recovering, one promotion restores the quorum; the next has to wait
   // for its commit.
--- a/jujube/consensus/options.h
+++ b/jujube/consensus/options.h
@@ -42,6 +42,11 @@
   // quorum is never smaller than a majority of them.
   std::vector<Peer> Configured;
   Formation Rule = Formation::WhenAllBlank;
+  // How many voters the group is to have; 0 for the number of configured hosts.
+  std::size_t TargetVoters = 0;
+  // True if a host that is not configured may take the place of a missing
+  // voter, for groups whose hosts find each other from a few seeds.
+  bool AdmitsUnknownHosts = false;
   // True if Persist actions are wanted.
   bool IsDurable = true;
 
@@ -72,6 +77,12 @@
   PromotionHook CanPromote = isCaughtUp;
 };
 
+// TargetVoters, or what stands for it.
+inline std::size_t targetVoters(const Options &options) {
+  return options.TargetVoters == 0 ? options.Configured.size()
+                                   : options.TargetVoters;
+}
+
 // The span for which a member that heard from a leader refuses to vote: the
 // lease, stretched by what two clocks may differ.
 Duration voteRefusal(const Options &options);
--- /dev/null
+++ b/jujube/control/control_client.h
@@ -0,0 +1,73 @@
+// Commands to whichever member leads the control group, with the truth about
+// those that got no answer.
+#ifndef JUJUBE_CONTROL_CONTROL_CLIENT_H_
+#define JUJUBE_CONTROL_CONTROL_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "jujube/base/address.h"
+#include "jujube/base/clock.h"
+#include "jujube/base/result.h"
+#include "jujube/jobs/commands.h"
+#include "jujube/runtime/mailbox.h"
+#include "jujube/runtime/poll_loop.h"
+#include "jujube/runtime/reply_slot.h"
+#include "jujube/wire/messenger.h"
+
+namespace jujube::control {
+
+// A command from a thread of the HTTP server, answered through its slot.
+struct ClientRequest {
+  jobs::Command What;
+  // How long the caller waits.
+  Duration Timeout;
+  runtime::ReplySlotPtr<Result<jobs::Reply>> Answer;
+};
+using ClientMailbox = runtime::MailboxPtr<ClientRequest>;
+
+// Finds the leader by asking members in turn and follows their hints. Belongs
+// to the task that owns the messenger.
+class ControlClient {
+public:
+  using Done = std::function<void(Result<jobs::Reply>)>;
+
+  ControlClient(runtime::PollLoop &loop, wire::Messenger &messages,
+                std::vector<Address> members);
+
+  // Replaces the members that may lead; an empty list is ignored.
+  void setMembers(std::vector<Address> members);
+
+  // Sends an idempotent command and repeats it until it is answered or
+  // `timeout` has passed. Ends with the leader's error, with NotRun if no
+  // leader took it, or with OutcomeUnknown if one may have.
+  void call(jobs::Command what, Duration timeout, Done done);
+
+private:
+  struct Request {
+    jobs::Command What;
+    Instant Deadline;
+    // A command that no leader can have taken is given up then.
+    Instant RefuseAt;
+    bool MayHaveRun = false;
+    Done Finish;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void attempt(const RequestPtr &request);
+  void handle(const RequestPtr &request, const Address &from,
+              Result<wire::Message> result);
+  void retry(const RequestPtr &request);
+  void follow(const Address &hint, const Address &failed);
+
+  runtime::PollLoop &Loop;
+  wire::Messenger &Messages;
+  std::vector<Address> Members;
+  std::size_t Current = 0;
+};
+
+} // namespace jujube::control
+
+#endif // JUJUBE_CONTROL_CONTROL_CLIENT_H_
--- /dev/null
+++ b/jujube/control/control_commands.cc
@@ -0,0 +1,208 @@
+// The commands of front ends, on the leader.
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+#include "jujube/control/control_task.h"
+
+namespace jujube::control {
+namespace {
+
+// A worker that has said that it ends is gone this long after.
+constexpr Duration LeavingSpan = Duration::millis(400);
+
+// Retried at the leader by the client: the proposal may still take effect.
+Error unresolved() {
+  return Error{ErrorKind::Unavailable,
+               "the leader changed before the change was stored",
+               "resend it with the same id"};
+}
+
+} // namespace
+
+void ControlTask::execute(const jobs::Command &command, const Answer &done) {
+  std::visit([&](const auto &what) { run(what, done); }, command);
+}
+
+void ControlTask::storeAndReply(std::vector<jobs::Event> events,
+                                const Answer &done,
+                                std::function<jobs::Reply()> reply) {
+  store(std::move(events), [done, reply = std::move(reply)](bool isStored) {
+    if (isStored)
+      done(reply());
+    else
+      done(unresolved());
+  });
+}
+
+Result<ControlTask::Admitted>
+ControlTask::admit(const jobs::Caller &caller) const {
+  const jobs::Configuration &config = Book.configuration();
+  if (config.Version == 0)
+    return Error{ErrorKind::StaleData, "there is no configuration yet",
+                 "come back once the operator has put one"};
+  const jobs::Queue *queue =
+      jobs::findQueue(config, caller.HostName, caller.Path);
+  if (queue == nullptr)
+    return Error{ErrorKind::NotFound, "no such queue",
+                 "check the host name and the path"};
+  const jobs::Team *team = jobs::teamOfKey(config, caller.Key);
+  if (team == nullptr && !queue->IsOpen)
+    return Error{ErrorKind::Unauthenticated, "the key is not known",
+                 "send a key of the team as a bearer token"};
+  return Admitted{queue, team != nullptr ? team->Id : TeamId()};
+}
+
+Result<const jobs::Job *> ControlTask::findJob(const jobs::Caller &caller,
+                                               const jobs::JobId &id) const {
+  const Result<Admitted> admitted = admit(caller);
+  if (!isOk(admitted))
+    return errorOf(admitted);
+  const jobs::Job *job = Book.find(id);
+  if (job == nullptr || job->Spec.Queue != valueOf(admitted).Queue->Id ||
+      job->Spec.Team != valueOf(admitted).Team)
+    return Error{ErrorKind::Gone, "no such job", "check the id"};
+  return job;
+}
+
+void ControlTask::run(const jobs::SubmitJob &command, const Answer &done) {
+  const Result<Admitted> admitted = admit(command.By);
+  if (!isOk(admitted)) {
+    done(errorOf(admitted));
+    return;
+  }
+  if (Book.find(command.Job.Id) != nullptr) {
+    done(jobs::Reply(jobs::Stored{}));
+    return;
+  }
+  if (const Status status = dispatch::checkServable(command.Job);
+      !isOk(status)) {
+    done(errorOf(status));
+    return;
+  }
+  jobs::JobSpec spec = command.Job;
+  spec.Queue = valueOf(admitted).Queue->Id;
+  spec.Team = valueOf(admitted).Team;
+  storeAndReply({jobs::JobAccepted{std::move(spec), Wall.now()}}, done,
+                [] { return jobs::Stored{}; });
+}
+
+void ControlTask::run(const jobs::CancelJob &command, const Answer &done) {
+  const Result<const jobs::Job *> job = findJob(command.By, command.Job);
+  if (!isOk(job)) {
+    done(errorOf(job));
+    return;
+  }
+  if (isEnded(valueOf(job)->State)) {
+    done(jobs::Reply(jobs::Stored{}));
+    return;
+  }
+  storeAndReply({jobs::JobCancelled{command.Job}}, done,
+                [] { return jobs::Stored{}; });
+}
+
+void ControlTask::run(const jobs::ReadJob &command, const Answer &done) {
+  const Result<const jobs::Job *> job = findJob(command.By, command.Job);
+  if (isOk(job))
+    done(jobs::Reply(jobs::JobNews{valueOf(job)->State}));
+  else
+    done(errorOf(job));
+}
+
+void ControlTask::run(const jobs::CountPending &command, const Answer &done) {
+  const Result<Admitted> admitted = admit(command.By);
+  if (isOk(admitted))
+    done(jobs::Reply(
+        jobs::PendingCount{Book.pending(valueOf(admitted).Queue->Id)}));
+  else
+    done(errorOf(admitted));
+}
+
+void ControlTask::run(const jobs::PutConfiguration &command,
+                      const Answer &done) {
+  if (const Status status = jobs::validate(command.Value); !isOk(status)) {
+    done(errorOf(status));
+    return;
+  }
+  if (command.Value.Version <= Book.configuration().Version) {
+    done(jobs::Reply(jobs::Stored{}));
+    return;
+  }
+  LOG(INFO) << "event=configuration_put version=" << command.Value.Version;
+  storeAndReply({jobs::ConfigurationPut{command.Value}}, done,
+                [] { return jobs::Stored{}; });
+}
+
+void ControlTask::run(const jobs::ReadConfiguration &, const Answer &done) {
+  if (Book.configuration().Version == 0)
+    done(Error{ErrorKind::StaleData, "there is no configuration yet",
+               "put one first"});
+  else
+    done(jobs::Reply(jobs::ConfigurationNews{Book.configuration().Document}));
+}
+
+void ControlTask::run(const jobs::AnnounceWorker &command, const Answer &done) {
+  const jobs::Announcement &what = command.What;
+  const auto reply = [this]() -> jobs::Reply {
+    return jobs::WorkerNoted{Settings.Control};
+  };
+  const jobs::Worker *held = Book.findWorker(what.Who.Id);
+  const bool isOld = held != nullptr && what.Who.Life < held->Life;
+  // An address belongs to the worker that started last.
+  std::vector<jobs::Event> events;
+  bool isReplaced = false;
+  for (const auto &[id, other] : Book.workers()) {
+    if (id == what.Who.Id || other.At != what.Who.At)
+      continue;
+    if (other.Life < what.Who.Life)
+      events.emplace_back(jobs::WorkerGone{id, other.Life});
+    else
+      isReplaced = true;
+  }
+  if (isOld || isReplaced) {
+    done(reply());
+    return;
+  }
+  if (held != nullptr && *held == what.Who) {
+    Desk->noteAnnouncement(what);
+    done(reply());
+    return;
+  }
+  LOG(INFO) << "event=worker_changed worker=" << what.Who.Id.str()
+            << " life=" << what.Who.Life.Value
+            << " draining=" << what.Who.IsDraining;
+  events.emplace_back(jobs::WorkerChanged{what.Who});
+  storeAndReply(std::move(events), done, [this, what, reply] {
+    if (Desk != nullptr)
+      Desk->noteAnnouncement(what);
+    return reply();
+  });
+}
+
+void ControlTask::run(const jobs::WithdrawWorker &command, const Answer &done) {
+  const jobs::Worker *held = Book.findWorker(command.Worker);
+  if (held == nullptr) {
+    done(jobs::Reply(jobs::Stored{}));
+    return;
+  }
+  jobs::Worker leaving = *held;
+  leaving.IsDraining = true;
+  const Incarnation life = held->Life;
+  storeAndReply({jobs::WorkerChanged{std::move(leaving)}}, done,
+                [] { return jobs::Stored{}; });
+  Loop.callAt(Loop.now() + LeavingSpan, [this, id = command.Worker, life] {
+    if (Desk != nullptr)
+      store({jobs::WorkerGone{id, life}}, [](bool) {});
+  });
+}
+
+void ControlTask::run(const jobs::OfferHelp &command, const Answer &done) {
+  Helpers.note(command.Host, command.At, Loop.now());
+  jobs::Members members;
+  members.Addresses = Group.log().memberAddresses();
+  done(jobs::Reply(std::move(members)));
+}
+
+} // namespace jujube::control
--- /dev/null
+++ b/jujube/control/control_task.cc
@@ -0,0 +1,442 @@
+#include "jujube/control/control_task.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+
+namespace jujube::control {
+namespace {
+
+// Between looks at leases, stops and plans.
+constexpr Duration TickPeriod = Duration::millis(50);
+constexpr Duration SweepPeriod = Duration::seconds(2);
+// A worker that was silent this long and runs nothing is dropped.
+constexpr Duration DropSilentAfter = Duration::seconds(20);
+// A leader whose syncs take this long several times in a row passes leadership
+// on. Source: half of a caller's attempt; usual syncs take 6 to 9 ms.
+constexpr Duration SlowSync = Duration::millis(90);
+constexpr int MaxSlowSyncs = 3;
+// A voter that is silent this long is replaced if another host waits. Source:
+// the time after which a lost machine's successor has to have caught up.
+constexpr Duration ReplaceVoterAfter = Duration::millis(2500);
+// Leases of the group's leader.
+constexpr Duration GroupHeartbeat = Duration::millis(150);
+constexpr Duration GroupLease = Duration::millis(700);
+
+} // namespace
+
+ControlTask::ControlTask(const ControlOptions &options,
+                         const ControlMailboxes &mailboxes,
+                         runtime::TaskContext &context,
+                         wire::PacketMailbox outbox)
+    : Settings(options), Loop(context.loop()),
+      Messages(Loop, Settings.Self, Settings.Listen, std::move(outbox)),
+      Group(Loop, Messages,
+            {"control member",
+             [this] { return Desk != nullptr && Group.log().mayServe(); },
+             [this](const wire::Envelope &request) { handle(request); }}),
+      Forward(Loop, Messages, Settings.Seeds),
+      Calls(Loop, mailboxes.Calls, mailboxes.Results) {
+  Loop.watchMailbox<ClientRequest>(
+      mailboxes.Clients,
+      [this](ClientRequest request) { serve(std::move(request)); });
+}
+
+Result<std::unique_ptr<ControlTask>>
+ControlTask::create(const ControlOptions &options,
+                    const ControlMailboxes &mailboxes,
+                    runtime::TaskContext &context, wire::PacketMailbox outbox) {
+  std::unique_ptr<ControlTask> task(
+      new ControlTask(options, mailboxes, context, std::move(outbox)));
+  if (Status status = task->openReplica(); !isOk(status))
+    return errorOf(status);
+  task->Loop.callEvery(TickPeriod, [raw = task.get()] {
+    if (raw->Desk)
+      raw->Desk->tick();
+    raw->IsPlanDue = true;
+  });
+  task->Loop.callEvery(SweepPeriod, [raw = task.get()] { raw->sweep(); });
+  return task;
+}
+
+Status ControlTask::openReplica() {
+  auto disk = storage::Store::open({Settings.DataFolder}, Wall.now());
+  if (!isOk(disk))
+    return errorOf(disk);
+  Disk = std::make_unique<storage::Store>(valueOf(std::move(disk)));
+  LOG(INFO) << "event=journal_opened bytes=" << Disk->report().JournalBytes
+            << " torn_bytes=" << Disk->report().TornBytes
+            << " incarnation=" << Disk->start().Value;
+  consensus::Options options;
+  options.Self = {Settings.Self, Settings.Listen};
+  options.Start = Disk->start();
+  for (const Address &seed : Settings.Seeds)
+    options.Configured.push_back({hostAt(seed), seed});
+  const bool isSeed = std::ranges::find(Settings.Seeds, Settings.Listen) !=
+                      Settings.Seeds.end();
+  options.Rule = Settings.MayFound && isSeed
+                     ? consensus::Formation::WhenAllBlank
+                     : consensus::Formation::Never;
+  options.TargetVoters = Settings.Voters;
+  options.AdmitsUnknownHosts = true;
+  options.ReplaceAfter = ReplaceVoterAfter;
+  options.Heartbeat = GroupHeartbeat;
+  options.Lease = GroupLease;
+  const Status status =
+      Group.open(options, Disk->takeRecovered(), Settings.ElectionSeed,
+                 replicaHooks(), diskHooks());
+  if (isOk(status))
+    Group.log().onTurnEnd([this] { endTurn(); });
+  return status;
+}
+
+Status
+ControlTask::writeJournal(const std::vector<consensus::Persist> &changes) {
+  const Instant begin = Loop.now();
+  for (const consensus::Persist &change : changes)
+    if (Status status = Disk->write(change); !isOk(status))
+      return status;
+  Status status = Disk->sync();
+  SlowSyncs = Loop.now() - begin > SlowSync ? SlowSyncs + 1 : 0;
+  return status;
+}
+
+replica::DiskHooks ControlTask::diskHooks() {
+  replica::DiskHooks hooks;
+  hooks.Write = [this](const std::vector<consensus::Persist> &changes) {
+    return writeJournal(changes);
+  };
+  hooks.SaveSnapshot = [this](const consensus::Snapshot &snapshot) {
+    return Disk->saveSnapshot(snapshot);
+  };
+  hooks.InstallSnapshot = [this](const consensus::Snapshot &snapshot) {
+    return Disk->installSnapshot(snapshot);
+  };
+  return hooks;
+}
+
+replica::ReplicaHooks ControlTask::replicaHooks() {
+  replica::ReplicaHooks hooks;
+  hooks.Apply = [this](const std::string &payload) { applyRecord(payload); };
+  hooks.Restore = [this](const std::string &data) {
+    auto state = wire::decodeJobBook(data);
+    CHECK(isOk(state)) << errorOf(state).text();
+    Book = jobs::JobBook::restore(valueOf(std::move(state)));
+  };
+  hooks.Capture = [this] { return wire::encodeJobBook(Book.capture()); };
+  hooks.RoleChanged = [this](const consensus::RoleChanged &change) {
+    changeRole(change);
+  };
+  return hooks;
+}
+
+void ControlTask::changeRole(const consensus::RoleChanged &change) {
+  const bool isLeader =
+      change.Now == consensus::Role::Leader && change.Leader == Settings.Self;
+  if (isLeader) {
+    lead();
+    return;
+  }
+  Desk.reset();
+  Approved = dispatch::Approvals();
+  EndedAt.clear();
+  IsPlanStoring = false;
+  Batch.clear();
+  for (const auto &done : std::exchange(BatchHooks, {}))
+    done(false);
+}
+
+void ControlTask::lead() {
+  Desk = std::make_shared<WorkerDesk>(deskHooks(), Book, Settings.Leases,
+                                      Group.log().term().Value);
+  const Instant now = Loop.now();
+  for (const auto &[id, job] : Book.jobs())
+    if (isEnded(job.State))
+      EndedAt.emplace(id, now);
+  Desk->takeOver();
+  IsPlanDue = true;
+}
+
+WorkerDesk::Hooks ControlTask::deskHooks() {
+  WorkerDesk::Hooks hooks;
+  hooks.Send = [this](const dispatch::Order &order, Duration timeout,
+                      std::function<void(dispatch::OrderAnswer)> done) {
+    sendOrder(order, timeout, std::move(done));
+  };
+  hooks.Store = [this](std::vector<jobs::Event> events,
+                       std::function<void(bool)> done) {
+    store(std::move(events), std::move(done));
+  };
+  hooks.Now = [this] { return Loop.now(); };
+  hooks.ExpireTicket = [this](const jobs::StepKey &step,
+                              const WorkerId &worker) {
+    Approved.expire(step, worker);
+  };
+  return hooks;
+}
+
+void ControlTask::sendOrder(const dispatch::Order &order, Duration timeout,
+                            std::function<void(dispatch::OrderAnswer)> done) {
+  http::OutboundCall call = Settings.Workers.Encode(order);
+  call.Timeout = timeout;
+  // Answers to a leader that was deposed meanwhile are dropped.
+  Calls.call(std::move(call), [this, order, done = std::move(done),
+                               desk = std::weak_ptr<WorkerDesk>(Desk)](
+                                  const http::OutboundResult &result) {
+    if (desk.lock() == nullptr || desk.lock() != Desk)
+      return;
+    done(Settings.Workers.Decode(order, result));
+    IsPlanDue = true;
+  });
+}
+
+void ControlTask::serve(ClientRequest request) {
+  const auto slot = request.Answer;
+  const Answer done = [slot](Result<jobs::Reply> reply) {
+    slot->set(std::move(reply));
+  };
+  if (Desk != nullptr && Group.log().mayServe()) {
+    execute(request.What, done);
+    return;
+  }
+  const Address leader = Group.log().leaderAddress();
+  if (leader.Port != 0)
+    Forward.setMembers({leader});
+  Forward.call(std::move(request.What), request.Timeout, done);
+}
+
+void ControlTask::handle(const wire::Envelope &request) {
+  const auto *call = std::get_if<wire::ControlCall>(&request.What);
+  if (call == nullptr) {
+    Group.refuseKind(request);
+    return;
+  }
+  execute(call->What, [this, request](Result<jobs::Reply> reply) {
+    if (isOk(reply))
+      Messages.reply(request, wire::ControlNews{valueOf(std::move(reply))});
+    else
+      Group.refuse(request, errorOf(reply));
+  });
+}
+
+void ControlTask::store(std::vector<jobs::Event> events,
+                        std::function<void(bool)> done) {
+  // Stored at the end of a turn; this may be called after the end of the last.
+  if (Batch.empty())
+    Loop.callAt(Loop.now(), [] {});
+  std::ranges::move(events, std::back_inserter(Batch));
+  BatchHooks.push_back(std::move(done));
+}
+
+void ControlTask::flushBatch() {
+  if (Batch.empty())
+    return;
+  const std::string payload =
+      wire::encodeControlEvents(std::exchange(Batch, {}));
+  Group.log().propose(
+      payload, [hooks = std::exchange(BatchHooks, {})](const Status &status) {
+        for (const auto &done : hooks)
+          done(isOk(status));
+      });
+}
+
+void ControlTask::applyRecord(const std::string &payload) {
+  const auto events = wire::decodeControlEvents(payload);
+  CHECK(isOk(events)) << errorOf(events).text();
+  for (const jobs::Event &event : valueOf(events))
+    follow(event);
+}
+
+// Applies an event and, on the leader, acts on what it changed.
+void ControlTask::follow(const jobs::Event &event) {
+  if (Desk == nullptr) {
+    Book.apply(event);
+    return;
+  }
+  IsPlanDue = true;
+  std::map<jobs::TaskKey, WorkerId> freed;
+  if (const auto *end = std::get_if<jobs::AttemptEnded>(&event)) {
+    if (Book.isLive(end->Task, end->Attempt))
+      freed[end->Task] = Book.findTask(end->Task)->Live->Worker;
+  } else if (const auto *gone = std::get_if<jobs::WorkerGone>(&event)) {
+    for (const jobs::TaskKey &task : Book.loadOf(gone->Worker).Tasks)
+      freed[task] = gone->Worker;
+  }
+  Book.apply(event);
+  for (const auto &[task, worker] : freed)
+    Desk->noteEnded(task, worker);
+  if (const auto *end = std::get_if<jobs::AttemptEnded>(&event);
+      end != nullptr && !freed.empty()) {
+    followEnd(*end, freed.begin()->second);
+  } else if (const auto *cancel = std::get_if<jobs::JobCancelled>(&event)) {
+    stopLiveTasks(cancel->Job);
+    EndedAt.emplace(cancel->Job, Loop.now());
+  } else if (const auto *changed = std::get_if<jobs::WorkerChanged>(&event)) {
+    Desk->noteWorkerChanged(changed->Now.Id);
+  } else if (const auto *gone = std::get_if<jobs::WorkerGone>(&event)) {
+    Desk->noteWorkerChanged(gone->Worker);
+  }
+}
+
+void ControlTask::followEnd(const jobs::AttemptEnded &event,
+                            const WorkerId &worker) {
+  const jobs::Job *job = Book.find(event.Task.Job);
+  if (event.How != jobs::EndKind::Done)
+    LOG(INFO) << "event=attempt_ended job=" << event.Task.Job.str()
+              << " step=" << event.Task.Step << " index=" << event.Task.Index
+              << " attempt=" << event.Attempt << " worker=" << worker.str()
+              << " how=" << nameIn(jobs::EndKindNames, event.How);
+  if (job == nullptr)
+    return;
+  if (isEnded(job->State)) {
+    EndedAt.emplace(event.Task.Job, Loop.now());
+    stopLiveTasks(event.Task.Job);
+    return;
+  }
+  stopRestOfGang(jobs::stepOf(event.Task));
+}
+
+void ControlTask::stopLiveTasks(const jobs::JobId &id) {
+  const jobs::Job *job = Book.find(id);
+  if (job == nullptr || job->State == jobs::JobState::Completed)
+    return;
+  for (uint32_t k = 0; k < job->Rounds.size(); ++k)
+    for (uint32_t s = 0; s < job->Rounds[k].Steps.size(); ++s)
+      for (uint32_t i = 0; i < job->Rounds[k].Steps[s].Tasks.size(); ++i)
+        Desk->stop({id, k, s, i});
+}
+
+// The other members can't go on without the one that ended.
+void ControlTask::stopRestOfGang(const jobs::StepKey &key) {
+  const jobs::StepSpec *spec = Book.findStep(key);
+  const jobs::StepState *state = Book.findStepState(key);
+  if (spec == nullptr || state == nullptr || !spec->IsGang || state->isDone())
+    return;
+  for (uint32_t i = 0; i < state->Tasks.size(); ++i)
+    Desk->stop({key.Job, key.Occurrence, key.Step, i});
+}
+
+void ControlTask::endTurn() {
+  if (Desk != nullptr && Group.log().mayServe()) {
+    planIfDue();
+    if (SlowSyncs >= MaxSlowSyncs) {
+      LOG(WARNING) << "event=disk_slow syncs=" << SlowSyncs
+                   << " action=pass_leadership";
+      SlowSyncs = 0;
+      Group.log().transferLeadership();
+      return;
+    }
+  }
+  flushBatch();
+}
+
+void ControlTask::planIfDue() {
+  if (!IsPlanDue || IsPlanStoring || Book.openJobs().empty())
+    return;
+  IsPlanDue = false;
+  const Instant now = Loop.now();
+  const dispatch::DispatchInput input{
+      Book, Desk->usable(), Approved,
+      now,  Wall.now(),     Helpers.countFree(now, Duration::millis(300))};
+  const dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
+  startPlanned(plan.Starts);
+  for (const jobs::ApprovalQuery &query : plan.Queries)
+    ask(query);
+}
+
+void ControlTask::startPlanned(
+    const std::vector<dispatch::PlannedStart> &starts) {
+  if (starts.empty())
+    return;
+  IsPlanStoring = true;
+  std::vector<jobs::Event> events;
+  for (const dispatch::PlannedStart &planned : starts)
+    events.emplace_back(planned.Start);
+  store(std::move(events),
+        [this, starts, desk = std::weak_ptr<WorkerDesk>(Desk)](bool isStored) {
+          if (desk.lock() == nullptr || desk.lock() != Desk)
+            return;
+          IsPlanStoring = false;
+          IsPlanDue = true;
+          if (isStored)
+            for (const dispatch::PlannedStart &planned : starts)
+              Desk->start(planned);
+        });
+}
+
+void ControlTask::ask(const jobs::ApprovalQuery &query) {
+  const jobs::Job *job = Book.find(query.Step.Job);
+  const jobs::Queue *queue =
+      jobs::findQueue(Book.configuration(), job->Spec.Queue);
+  const Instant now = Loop.now();
+  const auto helper = Helpers.choose(now, Duration::millis(300));
+  if (!helper)
+    return;
+  const auto length = Duration::millis(
+      static_cast<int64_t>(static_cast<double>(queue->Approval->Base.millis()) +
+                           queue->Approval->PerWorkerMs *
+                               static_cast<double>(query.Workers.size())));
+  const Instant due = Helpers.assign(*helper, length, now);
+  const Duration timeout = due - now + Duration::millis(500);
+  Approved.begin(query, queue->Id);
+  Messages.call(
+      Helpers.addressOf(*helper), wire::AskApproval{query, timeout}, timeout,
+      [this, query, now, length, helper = *helper,
+       desk = std::weak_ptr<WorkerDesk>(Desk)](
+          const Result<wire::Message> &result) {
+        if (desk.lock() == nullptr || desk.lock() != Desk)
+          return;
+        IsPlanDue = true;
+        const auto *news =
+            isOk(result) ? std::get_if<wire::ApprovalNews>(&valueOf(result))
+                         : nullptr;
+        if (news != nullptr) {
+          // Tickets count at the earliest from the middle of the call.
+          Approved.finish(query, news->Answer, now + length);
+          return;
+        }
+        LOG(WARNING) << "event=approval_unanswered job=" << query.Step.Job.str()
+                     << " helper=" << helper.str();
+        Helpers.avoid(helper, Loop.now() + Duration::seconds(1));
+        Approved.abandon(query.Step);
+      });
+}
+
+void ControlTask::sweep() {
+  if (Desk == nullptr || !Group.log().mayServe())
+    return;
+  forgetEnded();
+  dropSilentWorkers();
+  Approved.retain([this](const jobs::StepKey &key) {
+    const jobs::Job *job = Book.find(key.Job);
+    const jobs::StepState *state = Book.findStepState(key);
+    return job != nullptr && !isEnded(job->State) && state != nullptr &&
+           !state->isDone();
+  });
+}
+
+void ControlTask::forgetEnded() {
+  jobs::JobsForgotten event;
+  std::erase_if(EndedAt, [&](const auto &it) {
+    const bool isDue = Loop.now() - it.second > Settings.KeepEnded;
+    if (isDue)
+      event.Jobs.push_back(it.first);
+    return isDue;
+  });
+  if (!event.Jobs.empty())
+    store({std::move(event)}, [](bool) {});
+}
+
+void ControlTask::dropSilentWorkers() {
+  for (const auto &[id, worker] : Book.workers()) {
+    const std::optional<Instant> heard = Desk->lastHeard(id);
+    if (Book.loadOf(id).Tasks.empty() && heard &&
+        Loop.now() - *heard > DropSilentAfter)
+      store({jobs::WorkerGone{id, worker.Life}}, [](bool) {});
+  }
+}
+
+} // namespace jujube::control
--- /dev/null
+++ b/jujube/control/control_task.h
@@ -0,0 +1,144 @@
+// The task of one member of the control group: its log, the book of jobs, and,
+// while it leads, the workers and the starts.
+#ifndef JUJUBE_CONTROL_CONTROL_TASK_H_
+#define JUJUBE_CONTROL_CONTROL_TASK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jujube/control/control_client.h"
+#include "jujube/control/control_options.h"
+#include "jujube/control/helper_roster.h"
+#include "jujube/control/worker_desk.h"
+#include "jujube/dispatch/approvals.h"
+#include "jujube/dispatch/dispatcher.h"
+#include "jujube/http/caller.h"
+#include "jujube/jobs/job_book.h"
+#include "jujube/replica/group_member.h"
+#include "jujube/runtime/task.h"
+#include "jujube/storage/store.h"
+#include "jujube/wire/messenger.h"
+
+namespace jujube::control {
+
+// The mailboxes between the tasks of a member.
+struct ControlMailboxes {
+  // From the threads of the HTTP server.
+  ClientMailbox Clients;
+  http::CallMailbox Calls;
+  http::CallResults Results;
+};
+
+// State of the control task; lives on its thread.
+class ControlTask {
+public:
+  using Answer = std::function<void(Result<jobs::Reply>)>;
+
+  // Recovers the log and joins the group.
+  static Result<std::unique_ptr<ControlTask>>
+  create(const ControlOptions &options, const ControlMailboxes &mailboxes,
+         runtime::TaskContext &context, wire::PacketMailbox outbox);
+
+  // Handles what the transport tells.
+  void receive(const wire::TransportEvent &event) { Group.receive(event); }
+  // Passes leadership on and ends the loop.
+  void stop() { Group.stop(); }
+  // Why the task has to end; Ok if it was asked to.
+  const Status &outcome() const { return Group.outcome(); }
+
+private:
+  ControlTask(const ControlOptions &options, const ControlMailboxes &mailboxes,
+              runtime::TaskContext &context, wire::PacketMailbox outbox);
+
+  Status openReplica();
+  replica::DiskHooks diskHooks();
+  replica::ReplicaHooks replicaHooks();
+  Status writeJournal(const std::vector<consensus::Persist> &changes);
+  void changeRole(const consensus::RoleChanged &change);
+  void lead();
+  WorkerDesk::Hooks deskHooks();
+  void sendOrder(const dispatch::Order &order, Duration timeout,
+                 std::function<void(dispatch::OrderAnswer)> done);
+
+  void serve(ClientRequest request);
+  void handle(const wire::Envelope &request);
+  void execute(const jobs::Command &command, const Answer &done);
+  void run(const jobs::SubmitJob &command, const Answer &done);
+  void run(const jobs::CancelJob &command, const Answer &done);
+  void run(const jobs::ReadJob &command, const Answer &done);
+  void run(const jobs::CountPending &command, const Answer &done);
+  void run(const jobs::PutConfiguration &command, const Answer &done);
+  void run(const jobs::ReadConfiguration &command, const Answer &done);
+  void run(const jobs::AnnounceWorker &command, const Answer &done);
+  void run(const jobs::WithdrawWorker &command, const Answer &done);
+  void run(const jobs::OfferHelp &command, const Answer &done);
+
+  // The queue and the team of a caller; an error if it may not use the queue.
+  struct Admitted {
+    const jobs::Queue *Queue = nullptr;
+    TeamId Team;
+  };
+  Result<Admitted> admit(const jobs::Caller &caller) const;
+  Result<const jobs::Job *> findJob(const jobs::Caller &caller,
+                                    const jobs::JobId &id) const;
+
+  // Appends events to the batch of this turn.
+  void store(std::vector<jobs::Event> events, std::function<void(bool)> done);
+  // Stores events and answers once they are applied.
+  void storeAndReply(std::vector<jobs::Event> events, const Answer &done,
+                     std::function<jobs::Reply()> reply);
+  void flushBatch();
+  void applyRecord(const std::string &payload);
+  void follow(const jobs::Event &event);
+  void followStart(const jobs::AttemptStarted &event);
+  void followEnd(const jobs::AttemptEnded &event, const WorkerId &worker);
+  void stopLiveTasks(const jobs::JobId &job);
+  void stopRestOfGang(const jobs::StepKey &step);
+
+  void endTurn();
+  void planIfDue();
+  void startPlanned(const std::vector<dispatch::PlannedStart> &starts);
+  void ask(const jobs::ApprovalQuery &query);
+  void sweep();
+  void forgetEnded();
+  void dropSilentWorkers();
+
+  ControlOptions Settings;
+  runtime::PollLoop &Loop;
+  wire::Messenger Messages;
+  replica::GroupMember Group;
+  ControlClient Forward;
+  http::CallDesk Calls;
+  Clock Wall = Clock::wall();
+  std::unique_ptr<storage::Store> Disk;
+  jobs::JobBook Book;
+
+  // The batch of this turn.
+  std::vector<jobs::Event> Batch;
+  std::vector<std::function<void(bool)>> BatchHooks;
+
+  // Leader only.
+  std::shared_ptr<WorkerDesk> Desk;
+  dispatch::Approvals Approved;
+  HelperRoster Helpers;
+  dispatch::DispatchHooks Policy = dispatch::defaultHooks();
+  std::map<jobs::JobId, Instant> EndedAt;
+  bool IsPlanDue = false;
+  bool IsPlanStoring = false;
+  // Consecutive slow syncs of this member's disk.
+  int SlowSyncs = 0;
+};
+
+// The supervisor tree of a member: the transport, the caller, the control task,
+// and `servers`, which post to `mailboxes.Clients`.
+Result<runtime::Supervisor>
+controlTree(const ControlOptions &options, const ControlMailboxes &mailboxes,
+            std::vector<runtime::ChildSpec> servers);
+
+} // namespace jujube::control
+
+#endif // JUJUBE_CONTROL_CONTROL_TASK_H_
--- /dev/null
+++ b/jujube/control/control_tree.cc
@@ -0,0 +1,48 @@
+#include "jujube/control/control_task.h"
+#include "jujube/wire/member_tree.h"
+
+namespace jujube::control {
+namespace {
+
+runtime::TaskBody memberBody(const ControlOptions &options,
+                             const ControlMailboxes &mailboxes,
+                             wire::TransportInbox inbox,
+                             wire::PacketMailbox outbox) {
+  return [options, mailboxes, inbox = std::move(inbox),
+          outbox = std::move(outbox)](runtime::TaskContext &context) -> Status {
+    auto created = ControlTask::create(options, mailboxes, context, outbox);
+    if (!isOk(created))
+      return errorOf(created);
+    ControlTask &member = *valueOf(created);
+    context.onStop([&member] { member.stop(); });
+    context.loop().watchMailbox<wire::TransportEvent>(
+        inbox, [&member](const wire::TransportEvent &event) {
+          member.receive(event);
+        });
+    const Status status = context.loop().run();
+    return isOk(member.outcome()) ? status : member.outcome();
+  };
+}
+
+} // namespace
+
+Result<runtime::Supervisor>
+controlTree(const ControlOptions &options, const ControlMailboxes &mailboxes,
+            std::vector<runtime::ChildSpec> servers) {
+  const auto inbox =
+      runtime::makeMailbox<wire::TransportEvent>(wire::MemberMailboxCapacity);
+  const auto outbox =
+      runtime::makeMailbox<wire::Packet>(wire::MemberMailboxCapacity);
+  std::vector<runtime::ChildSpec> children;
+  children.push_back(
+      {"control_member", memberBody(options, mailboxes, inbox, outbox)});
+  children.push_back(
+      wire::transportTask({options.Listen, options.FleetToken}, outbox, inbox));
+  children.push_back(http::callerTask({}, mailboxes.Calls, mailboxes.Results));
+  for (runtime::ChildSpec &server : servers)
+    children.push_back(std::move(server));
+  return runtime::Supervisor::create(
+      {"control", runtime::RestartPolicy::OneForOne, {}}, std::move(children));
+}
+
+} // namespace jujube::control
--- /dev/null
+++ b/jujube/control/worker_desk.cc
@@ -0,0 +1,460 @@
+#include "jujube/control/worker_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "glog/logging.h"
+
+namespace jujube::control {
+namespace {
+
+using dispatch::OrderVerdict;
+using jobs::EndKind;
+
+// How long a worker has to answer a start or a stop. Source: some twenty round
+// trips between zones.
+constexpr Duration OrderTimeout = Duration::millis(400);
+// How long a worker may hold back the answer to a lease order, waiting for an
+// end. Source: the worker protocol allows 2 s.
+constexpr Duration ListWait = Duration::millis(1500);
+constexpr Duration ListTimeout = Duration::millis(2100);
+// Pauses after orders without an answer.
+constexpr Duration AskPause = Duration::millis(250);
+constexpr Duration StopPause = Duration::millis(300);
+// Most times that a start is sent.
+constexpr int MaxStartSends = 3;
+// A worker that was not heard of for this span gets no tasks. Source: two and a
+// half announcement periods.
+constexpr Duration SilenceBound = Duration::millis(4000);
+// Pauses in the use of a worker after it refused a start.
+constexpr Duration NoRoomPause = Duration::millis(300);
+constexpr Duration UnhealthyPause = Duration::millis(1000);
+// After failures of this many different jobs in a row, a worker is used only if
+// no other one will do.
+constexpr std::size_t DoubtAfterJobs = 3;
+constexpr Duration DoubtSpan = Duration::seconds(5);
+
+} // namespace
+
+WorkerDesk::WorkerDesk(Hooks hooks, const jobs::JobBook &book,
+                       dispatch::LeasePolicy leases, uint64_t fence)
+    : Callbacks(std::move(hooks)), Book(book), Leases(leases), Fence(fence) {}
+
+WorkerDesk::Session &WorkerDesk::sessionOf(const WorkerId &worker) {
+  const auto it = Sessions.find(worker);
+  if (it != Sessions.end())
+    return it->second;
+  const jobs::Worker *held = Book.findWorker(worker);
+  const Instant now = Callbacks.Now();
+  Session session{dispatch::LeaseClock(Leases, now)};
+  session.Life = held != nullptr ? held->Life : Incarnation{};
+  session.LastHeard = now;
+  session.NextAsk = now;
+  return Sessions.emplace(worker, std::move(session)).first->second;
+}
+
+std::optional<Address> WorkerDesk::addressOf(const WorkerId &worker) const {
+  const jobs::Worker *held = Book.findWorker(worker);
+  return held != nullptr ? std::optional(held->At) : std::nullopt;
+}
+
+void WorkerDesk::takeOver() {
+  for (const auto &[id, worker] : Book.workers())
+    (void)sessionOf(id);
+  for (const auto &[id, load] : Book.loads()) {
+    Session &session = sessionOf(id);
+    for (const jobs::TaskKey &key : load.Tasks) {
+      RunState run;
+      run.Attempt = Book.findTask(key)->Live->Attempt;
+      run.Since = Callbacks.Now();
+      run.MayArrive = true;
+      session.Runs.emplace(key, std::move(run));
+      const jobs::Job *job = Book.find(key.Job);
+      if (isEnded(job->State) || Book.findTask(key)->IsDone)
+        stop(key);
+    }
+  }
+}
+
+void WorkerDesk::noteAnnouncement(const jobs::Announcement &announcement) {
+  Session &session = sessionOf(announcement.Who.Id);
+  if (announcement.Who.Life < session.Life)
+    return;
+  if (announcement.Who.Life > session.Life)
+    beginLife(announcement.Who.Id, session, announcement.Who.Life);
+  if (announcement.Sequence < session.Sequence)
+    return;
+  session.Sequence = announcement.Sequence;
+  session.LastHeard = Callbacks.Now();
+  session.Clock.note(announcement.WorkerClock, Callbacks.Now());
+}
+
+void WorkerDesk::noteWorkerChanged(const WorkerId &worker) {
+  const jobs::Worker *held = Book.findWorker(worker);
+  const auto it = Sessions.find(worker);
+  if (held == nullptr && it != Sessions.end() && it->second.Runs.empty())
+    Sessions.erase(it);
+  else if (held != nullptr)
+    (void)sessionOf(worker);
+}
+
+void WorkerDesk::beginLife(const WorkerId &worker, Session &session,
+                           Incarnation life) {
+  LOG(INFO) << "event=worker_restarted worker=" << worker.str()
+            << " life=" << life.Value;
+  session.Life = life;
+  session.Sequence = 0;
+  session.AckedEnds = 0;
+  session.ToldEnds = 0;
+  session.FailedJobs.clear();
+  session.Clock = dispatch::LeaseClock(Leases, Callbacks.Now());
+}
+
+WorkerDesk::RunState *WorkerDesk::findRun(const WorkerId &worker,
+                                          const jobs::TaskKey &task,
+                                          uint32_t attempt) {
+  const auto session = Sessions.find(worker);
+  if (session == Sessions.end())
+    return nullptr;
+  const auto run = session->second.Runs.find(task);
+  return run != session->second.Runs.end() && run->second.Attempt == attempt
+             ? &run->second
+             : nullptr;
+}
+
+void WorkerDesk::start(const dispatch::PlannedStart &planned) {
+  const jobs::AttemptStarted &what = planned.Start;
+  if (!Book.isLive(what.Task, what.Attempt))
+    return;
+  RunState run;
+  run.Attempt = what.Attempt;
+  run.Now = Phase::Starting;
+  dispatch::StartOrder order;
+  order.Task = what.Task;
+  order.Attempt = what.Attempt;
+  order.Payload = Book.find(what.Task.Job)->Spec.Payload;
+  order.Fence = Fence;
+  order.Checkpoint = Book.findTask(what.Task)->Checkpoint;
+  order.Ticket = planned.Ticket;
+  run.Order = std::move(order);
+  run.Checkpoint = Book.findTask(what.Task)->Checkpoint;
+  sessionOf(what.Worker).Runs[what.Task] = std::move(run);
+  sendStart(what.Worker, what.Task);
+}
+
+void WorkerDesk::sendStart(const WorkerId &worker, const jobs::TaskKey &task) {
+  Session &session = sessionOf(worker);
+  RunState &run = session.Runs.at(task);
+  const std::optional<Address> at = addressOf(worker);
+  const std::optional<Instant> expires = session.Clock.grant(Callbacks.Now());
+  if (!at || !expires) {
+    if (run.MayArrive)
+      stop(task);
+    else
+      lose(task, run);
+    return;
+  }
+  run.Order->Expires = *expires;
+  ++run.Sends;
+  const uint32_t attempt = run.Attempt;
+  Callbacks.Send(
+      {worker, *at, *run.Order}, OrderTimeout,
+      [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
+        onStartAnswer(worker, task, attempt, answer);
+      });
+}
+
+void WorkerDesk::onStartAnswer(const WorkerId &worker,
+                               const jobs::TaskKey &task, uint32_t attempt,
+                               const dispatch::OrderAnswer &answer) {
+  Session &session = sessionOf(worker);
+  const bool isSameLife = noteAnswer(worker, session, answer);
+  RunState *run = findRun(worker, task, attempt);
+  if (run == nullptr || run->Now != Phase::Starting)
+    return;
+  const Instant now = Callbacks.Now();
+  switch (answer.Verdict) {
+  case OrderVerdict::Accepted:
+  case OrderVerdict::Superseded:
+    // What became of a superseded attempt is in the lists.
+    run->Now = Phase::Running;
+    run->Since = now;
+    run->Order.reset();
+    session.NextAsk = std::min(session.NextAsk, now);
+    return;
+  case OrderVerdict::NoAnswer:
+  case OrderVerdict::StaleFence:
+    run->MayArrive = true;
+    if (run->Sends >= MaxStartSends)
+      stop(task);
+    else
+      sendStart(worker, task);
+    return;
+  case OrderVerdict::BadTicket:
+    Callbacks.ExpireTicket(jobs::stepOf(task), worker);
+    break;
+  case OrderVerdict::NoRoom:
+    session.AvoidUntil = now + NoRoomPause;
+    break;
+  case OrderVerdict::Unhealthy:
+    session.AvoidUntil = now + UnhealthyPause;
+    break;
+  case OrderVerdict::TooLate:
+  case OrderVerdict::OtherLife:
+  case OrderVerdict::Invalid:
+    break;
+  }
+  LOG(INFO) << "event=start_refused task=" << task.Job.str() << "."
+            << task.Occurrence << "." << task.Step << "." << task.Index
+            << " attempt=" << attempt << " worker=" << worker.str()
+            << " verdict="
+            << nameIn(dispatch::OrderVerdictNames, answer.Verdict);
+  if (run->MayArrive && isSameLife)
+    stop(task);
+  else
+    lose(task, *run);
+}
+
+void WorkerDesk::stop(const jobs::TaskKey &task) {
+  const jobs::Task *held = Book.findTask(task);
+  if (held == nullptr || !held->Live)
+    return;
+  RunState *run = findRun(held->Live->Worker, task, held->Live->Attempt);
+  if (run == nullptr || run->Now == Phase::Stopping ||
+      run->Now == Phase::Stopped)
+    return;
+  run->Now = Phase::Stopping;
+  sendStop(held->Live->Worker, task);
+}
+
+void WorkerDesk::sendStop(const WorkerId &worker, const jobs::TaskKey &task) {
+  RunState &run = sessionOf(worker).Runs.at(task);
+  const std::optional<Address> at = addressOf(worker);
+  if (!at)
+    return;
+  run.IsStopSent = true;
+  const uint32_t attempt = run.Attempt;
+  Callbacks.Send(
+      {worker, *at, dispatch::StopOrder{task, attempt, Fence}}, OrderTimeout,
+      [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
+        onStopAnswer(worker, task, attempt, answer);
+      });
+}
+
+void WorkerDesk::onStopAnswer(const WorkerId &worker, const jobs::TaskKey &task,
+                              uint32_t attempt,
+                              const dispatch::OrderAnswer &answer) {
+  Session &session = sessionOf(worker);
+  const bool isSameLife = noteAnswer(worker, session, answer);
+  RunState *run = findRun(worker, task, attempt);
+  if (run == nullptr || run->Now != Phase::Stopping)
+    return;
+  run->IsStopSent = false;
+  const Instant now = Callbacks.Now();
+  if (!isSameLife) {
+    lose(task, *run);
+    return;
+  }
+  if (answer.Verdict != OrderVerdict::Accepted) {
+    run->NextSend = now + StopPause;
+    return;
+  }
+  run->Now = Phase::Stopped;
+  run->Since = now;
+  session.NextAsk = now;
+}
+
+bool WorkerDesk::noteAnswer(const WorkerId &worker, Session &session,
+                            const dispatch::OrderAnswer &answer) {
+  if (answer.Verdict == OrderVerdict::OtherLife)
+    return false;
+  if (answer.Verdict == OrderVerdict::NoAnswer)
+    return true;
+  if (answer.Life && *answer.Life > session.Life)
+    beginLife(worker, session, *answer.Life);
+  session.LastHeard = Callbacks.Now();
+  if (answer.WorkerClock)
+    session.Clock.note(*answer.WorkerClock, Callbacks.Now());
+  return true;
+}
+
+void WorkerDesk::askWorker(const WorkerId &worker, Session &session) {
+  const std::optional<Address> at = addressOf(worker);
+  if (!at)
+    return;
+  const Instant now = Callbacks.Now();
+  dispatch::LeaseOrder order;
+  order.Expires = session.Clock.grant(now);
+  order.Fence = Fence;
+  order.AckedEnds = session.AckedEnds;
+  const bool isCalm = session.Misses == 0 && order.Expires &&
+                      std::ranges::all_of(session.Runs, [](const auto &it) {
+                        return it.second.Now != Phase::Stopped;
+                      });
+  order.Wait = isCalm && !session.Runs.empty() ? ListWait : Duration();
+  session.IsAsking = true;
+  const uint64_t told = session.AckedEnds;
+  Callbacks.Send(
+      {worker, *at, order}, ListTimeout,
+      [this, worker, now, told](const dispatch::OrderAnswer &answer) {
+        onLists(worker, now, told, answer);
+      });
+}
+
+void WorkerDesk::onLists(const WorkerId &worker, Instant askedAt, uint64_t told,
+                         const dispatch::OrderAnswer &answer) {
+  Session &session = sessionOf(worker);
+  session.IsAsking = false;
+  const Instant now = Callbacks.Now();
+  if (answer.Verdict == OrderVerdict::OtherLife) {
+    const std::map<jobs::TaskKey, RunState> runs = session.Runs;
+    for (const auto &[task, run] : runs)
+      lose(task, run);
+    session.NextAsk = now + AskPause;
+    return;
+  }
+  const Incarnation before = session.Life;
+  (void)noteAnswer(worker, session, answer);
+  if (answer.Verdict != OrderVerdict::Accepted) {
+    ++session.Misses;
+    session.NextAsk = now + AskPause;
+    return;
+  }
+  session.Misses = 0;
+  session.NextAsk = now;
+  if (session.Life == before)
+    session.ToldEnds = std::max(session.ToldEnds, told);
+  compareLists(worker, session, askedAt, answer);
+}
+
+void WorkerDesk::compareLists(const WorkerId &worker, Session &session,
+                              Instant askedAt,
+                              const dispatch::OrderAnswer &answer) {
+  std::vector<jobs::Event> events;
+  uint64_t last = session.AckedEnds;
+  std::set<jobs::TaskKey> listed;
+  for (const dispatch::EndedRow &row : answer.Ended) {
+    last = std::max(last, row.Number);
+    RunState *run = findRun(worker, row.Task, row.Attempt);
+    if (run == nullptr)
+      continue;
+    listed.insert(row.Task);
+    noteOutcome(session, row.Task, row.How);
+    events.emplace_back(
+        jobs::AttemptEnded{row.Task, row.Attempt, row.How, row.Checkpoint});
+  }
+  for (const dispatch::RunningRow &row : answer.Running) {
+    RunState *run = findRun(worker, row.Task, row.Attempt);
+    if (run == nullptr) {
+      stopStray(worker, row);
+      continue;
+    }
+    listed.insert(row.Task);
+    run->Checkpoint = row.Checkpoint.empty() ? run->Checkpoint : row.Checkpoint;
+  }
+  for (auto &[task, run] : session.Runs) {
+    const bool isDue = run.Since < askedAt && !listed.contains(task);
+    if (isDue && run.Now == Phase::Stopped)
+      events.emplace_back(
+          jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint});
+    else if (isDue && run.Now == Phase::Running)
+      stop(task);
+  }
+  if (events.empty()) {
+    session.AckedEnds = last;
+    return;
+  }
+  session.IsStoring = true;
+  const Incarnation life = session.Life;
+  Callbacks.Store(std::move(events), [this, worker, last, life](bool isStored) {
+    const auto it = Sessions.find(worker);
+    if (it == Sessions.end())
+      return;
+    it->second.IsStoring = false;
+    if (isStored && it->second.Life == life)
+      it->second.AckedEnds = std::max(it->second.AckedEnds, last);
+  });
+}
+
+void WorkerDesk::stopStray(const WorkerId &worker,
+                           const dispatch::RunningRow &row) {
+  if (Book.isLive(row.Task, row.Attempt))
+    return;
+  const std::optional<Address> at = addressOf(worker);
+  LOG(INFO) << "event=stray_attempt job=" << row.Task.Job.str()
+            << " attempt=" << row.Attempt << " worker=" << worker.str();
+  if (at)
+    Callbacks.Send(
+        {worker, *at, dispatch::StopOrder{row.Task, row.Attempt, Fence}},
+        OrderTimeout, [](const dispatch::OrderAnswer &) {});
+}
+
+void WorkerDesk::noteOutcome(Session &session, const jobs::TaskKey &task,
+                             EndKind how) {
+  if (how == EndKind::Done) {
+    session.FailedJobs.clear();
+    session.DoubtUntil = Instant();
+  } else if (how == EndKind::Failed) {
+    session.FailedJobs.insert(task.Job);
+    if (session.FailedJobs.size() >= DoubtAfterJobs)
+      session.DoubtUntil = Callbacks.Now() + DoubtSpan;
+  }
+}
+
+void WorkerDesk::lose(const jobs::TaskKey &task, const RunState &run) {
+  Callbacks.Store(
+      {jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint}},
+      [](bool) {});
+}
+
+void WorkerDesk::noteEnded(const jobs::TaskKey &task, const WorkerId &worker) {
+  const auto it = Sessions.find(worker);
+  if (it != Sessions.end())
+    it->second.Runs.erase(task);
+}
+
+void WorkerDesk::tick() {
+  for (auto &[worker, session] : Sessions)
+    tickSession(worker, session);
+}
+
+void WorkerDesk::tickSession(const WorkerId &worker, Session &session) {
+  const Instant now = Callbacks.Now();
+  if (!session.Runs.empty() && session.Clock.isOver(now)) {
+    LOG(INFO) << "event=leases_over worker=" << worker.str()
+              << " attempts=" << session.Runs.size();
+    for (auto &[task, run] : session.Runs)
+      lose(task, run);
+    return;
+  }
+  for (auto &[task, run] : session.Runs)
+    if (run.Now == Phase::Stopping && !run.IsStopSent && now >= run.NextSend)
+      sendStop(worker, task);
+  const bool hasNews = session.AckedEnds > session.ToldEnds;
+  const bool isWanted = !session.Runs.empty() || hasNews;
+  if (isWanted && !session.IsAsking && !session.IsStoring &&
+      now >= session.NextAsk)
+    askWorker(worker, session);
+}
+
+std::vector<dispatch::WorkerView> WorkerDesk::usable() const {
+  const Instant now = Callbacks.Now();
+  std::vector<dispatch::WorkerView> views;
+  for (const auto &[id, session] : Sessions) {
+    const jobs::Worker *held = Book.findWorker(id);
+    if (held == nullptr || held->IsDraining || held->Life != session.Life ||
+        session.Misses > 0 || !session.Clock.isKnown() ||
+        now < session.AvoidUntil || now - session.LastHeard > SilenceBound)
+      continue;
+    views.push_back({held, now < session.DoubtUntil});
+  }
+  return views;
+}
+
+std::optional<Instant> WorkerDesk::lastHeard(const WorkerId &worker) const {
+  const auto it = Sessions.find(worker);
+  return it == Sessions.end() ? std::nullopt
+                              : std::optional(it->second.LastHeard);
+}
+
+} // namespace jujube::control
--- /dev/null
+++ b/jujube/control/worker_desk.h
@@ -0,0 +1,152 @@
+// The leader's conversation with the workers: leases, starts, stops, ends, and
+// what becomes of orders without an answer. A new leader builds one from the
+// book alone.
+//
+// An attempt holds its place until its end is listed, its worker has confirmed
+// a stop and does not list it, the worker's life is over, or every lease that
+// may have reached the worker has ended on the worker's clock.
+#ifndef JUJUBE_CONTROL_WORKER_DESK_H_
+#define JUJUBE_CONTROL_WORKER_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jujube/base/clock.h"
+#include "jujube/dispatch/dispatcher.h"
+#include "jujube/dispatch/lease_clock.h"
+#include "jujube/dispatch/orders.h"
+#include "jujube/jobs/job_book.h"
+
+namespace jujube::control {
+
+class WorkerDesk {
+public:
+  struct Hooks {
+    // Sends an order; calls back once, never within the call.
+    std::function<void(dispatch::Order order, Duration timeout,
+                       std::function<void(dispatch::OrderAnswer)>)>
+        Send;
+    // Stores events; `done` is told whether they are stored.
+    std::function<void(std::vector<jobs::Event>,
+                       std::function<void(bool)> done)>
+        Store;
+    std::function<Instant()> Now;
+    // A worker refused the ticket of a step.
+    std::function<void(const jobs::StepKey &, const WorkerId &)> ExpireTicket;
+  };
+
+  // `fence` rises with each leader.
+  WorkerDesk(Hooks hooks, const jobs::JobBook &book,
+             dispatch::LeasePolicy leases, uint64_t fence);
+
+  // Takes over the attempts that the book says may be running.
+  void takeOver();
+
+  // A worker announced itself; its state is in the book already.
+  void noteAnnouncement(const jobs::Announcement &announcement);
+  // The book's entry of a worker changed or vanished.
+  void noteWorkerChanged(const WorkerId &worker);
+
+  // Sends a start that is stored.
+  void start(const dispatch::PlannedStart &planned);
+  // Ends an attempt that may be running.
+  void stop(const jobs::TaskKey &task);
+  // The book has dropped an attempt.
+  void noteEnded(const jobs::TaskKey &task, const WorkerId &worker);
+
+  // Does what is due; called often.
+  void tick();
+
+  // The workers that may be given tasks now.
+  std::vector<dispatch::WorkerView> usable() const;
+  // When the worker was last heard of; nothing if it is not known.
+  std::optional<Instant> lastHeard(const WorkerId &worker) const;
+
+private:
+  enum class Phase {
+    // The start was sent and is not answered.
+    Starting,
+    // The start was answered.
+    Running,
+    // A stop is to be sent, or was sent and is not answered.
+    Stopping,
+    // The worker has confirmed the stop.
+    Stopped,
+  };
+
+  struct RunState {
+    uint32_t Attempt = 0;
+    Phase Now = Phase::Running;
+    // A list that was asked for after this instant has to show the attempt.
+    Instant Since;
+    // Kept while the start may have to be sent again.
+    std::optional<dispatch::StartOrder> Order;
+    int Sends = 0;
+    // A start had no answer: it may be carried out later.
+    bool MayArrive = false;
+    bool IsStopSent = false;
+    Instant NextSend;
+    std::string Checkpoint;
+  };
+
+  struct Session {
+    dispatch::LeaseClock Clock;
+    Incarnation Life;
+    uint64_t Sequence = 0;
+    Instant LastHeard;
+    std::map<jobs::TaskKey, RunState> Runs;
+    bool IsAsking = false;
+    Instant NextAsk;
+    // Consecutive lease orders without an answer.
+    int Misses = 0;
+    uint64_t AckedEnds = 0;
+    // The number that the worker was last told.
+    uint64_t ToldEnds = 0;
+    // Ends that are being stored.
+    bool IsStoring = false;
+    Instant AvoidUntil;
+    // Different jobs that failed since one ended well.
+    std::set<jobs::JobId> FailedJobs;
+    Instant DoubtUntil;
+  };
+
+  Session &sessionOf(const WorkerId &worker);
+  std::optional<Address> addressOf(const WorkerId &worker) const;
+  void sendStart(const WorkerId &worker, const jobs::TaskKey &task);
+  void onStartAnswer(const WorkerId &worker, const jobs::TaskKey &task,
+                     uint32_t attempt, const dispatch::OrderAnswer &answer);
+  void sendStop(const WorkerId &worker, const jobs::TaskKey &task);
+  void onStopAnswer(const WorkerId &worker, const jobs::TaskKey &task,
+                    uint32_t attempt, const dispatch::OrderAnswer &answer);
+  void askWorker(const WorkerId &worker, Session &session);
+  void onLists(const WorkerId &worker, Instant askedAt, uint64_t told,
+               const dispatch::OrderAnswer &answer);
+  void compareLists(const WorkerId &worker, Session &session, Instant askedAt,
+                    const dispatch::OrderAnswer &answer);
+  void stopStray(const WorkerId &worker, const dispatch::RunningRow &row);
+  void noteOutcome(Session &session, const jobs::TaskKey &task,
+                   jobs::EndKind how);
+  // Takes what every answer tells; false if another life answered.
+  bool noteAnswer(const WorkerId &worker, Session &session,
+                  const dispatch::OrderAnswer &answer);
+  void beginLife(const WorkerId &worker, Session &session, Incarnation life);
+  void lose(const jobs::TaskKey &task, const RunState &run);
+  void tickSession(const WorkerId &worker, Session &session);
+  RunState *findRun(const WorkerId &worker, const jobs::TaskKey &task,
+                    uint32_t attempt);
+
+  Hooks Callbacks;
+  const jobs::JobBook &Book;
+  dispatch::LeasePolicy Leases;
+  uint64_t Fence;
+  std::map<WorkerId, Session> Sessions;
+};
+
+} // namespace jujube::control
+
+#endif // JUJUBE_CONTROL_WORKER_DESK_H_
--- /dev/null
+++ b/jujube/dispatch/dispatcher.cc
@@ -0,0 +1,401 @@
+#include "jujube/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::dispatch {
+namespace {
+
+// Most workers that one approval query names. Source: the objective allows for
+// a call on 30 workers a step.
+constexpr std::size_t MaxAskedWorkers = 30;
+// Fewest, so that one refusal does not cost another call.
+constexpr std::size_t MinAskedWorkers = 4;
+// Bounds of a job. Source: a snapshot has to hold thousands of jobs.
+constexpr std::size_t MaxSteps = 64;
+constexpr uint32_t MaxTasks = 4096;
+
+Resources demandOf(const jobs::StepSpec &step) {
+  return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
+                       : step.Ask;
+}
+
+bool hasLabel(const jobs::Worker &worker, const std::string &label) {
+  return label.empty() ||
+         std::ranges::find(worker.Labels, label) != worker.Labels.end();
+}
+
+Instant dueAt(const jobs::Job &job, uint32_t occurrence) {
+  return job.Spec.FirstDue ? *job.Spec.FirstDue + job.Spec.Period * occurrence
+                           : job.AcceptedAt;
+}
+
+// The longest chain of estimates over the job's steps.
+Duration longestChain(const jobs::JobSpec &spec) {
+  std::vector<Duration> ends;
+  for (const jobs::StepSpec &step : spec.Steps) {
+    Duration begin;
+    for (const uint32_t before : step.After)
+      begin = std::max(begin, ends[before]);
+    ends.push_back(begin + step.Estimate);
+  }
+  return ends.empty() ? Duration() : *std::ranges::max_element(ends);
+}
+
+Instant objectiveOf(const jobs::Job &job, const jobs::Queue &queue,
+                    uint32_t occurrence) {
+  const auto chain = static_cast<double>(longestChain(job.Spec).millis());
+  return dueAt(job, occurrence) +
+         Duration::millis(static_cast<int64_t>(chain * queue.SlackFactor)) +
+         queue.LatencyTarget;
+}
+
+// One pass over the ready steps.
+class Pass {
+public:
+  Pass(const DispatchInput &input, const DispatchHooks &hooks)
+      : In(input), Hooks(hooks) {
+    for (const WorkerView &view : In.Workers)
+      Free[view.Who->Id] =
+          view.Who->Capacity - In.Book.loadOf(view.Who->Id).Used;
+  }
+
+  DispatchPlan run() {
+    std::vector<ReadyStep> steps = readySteps();
+    std::ranges::sort(steps, [&](const ReadyStep &a, const ReadyStep &b) {
+      return Hooks.GoesFirst(a, b, In.WallNow);
+    });
+    for (const ReadyStep &step : steps)
+      place(step);
+    return std::move(Plan);
+  }
+
+private:
+  struct Choice {
+    const jobs::Worker *Who = nullptr;
+    std::string Ticket;
+  };
+
+  std::vector<ReadyStep> readySteps() const {
+    std::vector<ReadyStep> steps;
+    for (const jobs::JobId &id : In.Book.openJobs()) {
+      const jobs::Job &job = *In.Book.find(id);
+      const jobs::Queue *queue =
+          jobs::findQueue(In.Book.configuration(), job.Spec.Queue);
+      if (queue == nullptr)
+        continue;
+      for (uint32_t k = 0; k < job.Rounds.size(); ++k)
+        if (dueAt(job, k) <= In.WallNow || !job.Spec.FirstDue)
+          addReadySteps(job, *queue, k, steps);
+    }
+    return steps;
+  }
+
+  void addReadySteps(const jobs::Job &job, const jobs::Queue &queue,
+                     uint32_t occurrence, std::vector<ReadyStep> &out) const {
+    for (uint32_t s = 0; s < job.Spec.Steps.size(); ++s) {
+      const jobs::StepState &state = job.Rounds[occurrence].Steps[s];
+      const bool isGang = job.Spec.Steps[s].IsGang;
+      const bool isWaiting =
+          isGang ? state.LiveTasks == 0 && !state.isDone()
+                 : std::ranges::any_of(state.Tasks, [](const jobs::Task &it) {
+                     return !it.IsDone && !it.Live;
+                   });
+      if (isWaiting && jobs::JobBook::isReady(job, occurrence, s))
+        out.push_back({{job.Spec.Id, occurrence, s},
+                       &job,
+                       &job.Spec.Steps[s],
+                       &state,
+                       &queue,
+                       objectiveOf(job, queue, occurrence)});
+    }
+  }
+
+  // Most further tasks that the team may have running.
+  int64_t teamRoom(const ReadyStep &step) {
+    const jobs::Team *team =
+        jobs::findTeam(In.Book.configuration(), step.Job->Spec.Team);
+    if (team == nullptr)
+      return INT64_MAX;
+    const Resources used = In.Book.usedBy(team->Id) + Added[team->Id];
+    int64_t room = INT64_MAX;
+    const auto bound = [&room](int64_t most, int64_t have, int64_t each) {
+      if (most > 0 && each > 0)
+        room = std::min(room, std::max<int64_t>(most - have, 0) / each);
+    };
+    const Resources &ask = step.Spec->Ask;
+    bound(team->Maximum.MilliCpu, used.MilliCpu, ask.MilliCpu);
+    bound(team->Maximum.MemoryMb, used.MemoryMb, ask.MemoryMb);
+    bound(team->Maximum.Accelerators, used.Accelerators, ask.Accelerators);
+    return room;
+  }
+
+  void place(const ReadyStep &step) {
+    if (step.Spec->IsGang)
+      placeGang(step);
+    else
+      placeTasks(step);
+  }
+
+  static std::vector<uint32_t> waitingTasks(const ReadyStep &step) {
+    std::vector<uint32_t> waiting;
+    for (uint32_t i = 0; i < step.State->Tasks.size(); ++i)
+      if (!step.State->Tasks[i].IsDone && !step.State->Tasks[i].Live)
+        waiting.push_back(i);
+    return waiting;
+  }
+
+  void placeTasks(const ReadyStep &step) {
+    const std::vector<uint32_t> waiting = waitingTasks(step);
+    const int64_t most = teamRoom(step);
+    std::size_t placed = 0;
+    while (placed < waiting.size() && static_cast<int64_t>(placed) < most) {
+      const Choice choice = choose(step, nullptr);
+      if (choice.Who == nullptr)
+        break;
+      const jobs::Task &task = step.State->Tasks[waiting[placed]];
+      commit(step, waiting[placed], task.LastAttempt + 1, choice);
+      ++placed;
+    }
+    if (placed < waiting.size() && static_cast<int64_t>(placed) < most)
+      askFor(step, waiting.size() - placed);
+  }
+
+  void placeGang(const ReadyStep &step) {
+    const auto n = static_cast<int64_t>(step.State->Tasks.size());
+    if (teamRoom(step) < n)
+      return;
+    uint32_t attempt = 0;
+    for (const jobs::Task &task : step.State->Tasks)
+      attempt = std::max(attempt, task.LastAttempt + 1);
+    if (step.Spec->IsTightlyCoupled && placeOnOneRack(step, attempt))
+      return;
+    if (!placeAll(step, attempt, nullptr))
+      askFor(step, step.State->Tasks.size());
+  }
+
+  bool placeOnOneRack(const ReadyStep &step, uint32_t attempt) {
+    std::set<std::string> racks;
+    for (const WorkerView &view : In.Workers)
+      racks.insert(view.Who->Labels.begin(), view.Who->Labels.end());
+    return std::ranges::any_of(racks, [&](const std::string &rack) {
+      return placeAll(step, attempt, &rack);
+    });
+  }
+
+  // Places all tasks or none.
+  bool placeAll(const ReadyStep &step, uint32_t attempt,
+                const std::string *rack) {
+    const auto freeBefore = Free;
+    const auto addedBefore = Added;
+    const std::size_t startsBefore = Plan.Starts.size();
+    for (uint32_t i = 0; i < step.State->Tasks.size(); ++i) {
+      const Choice choice = choose(step, rack);
+      if (choice.Who == nullptr) {
+        Free = freeBefore;
+        Added = addedBefore;
+        Plan.Starts.resize(startsBefore);
+        return false;
+      }
+      commit(step, i, attempt, choice);
+    }
+    return true;
+  }
+
+  uint32_t tasksOn(const ReadyStep &step, const WorkerId &worker) const {
+    const auto isHere = [&](const jobs::Task &task) {
+      return task.Live && task.Live->Worker == worker;
+    };
+    const auto planned =
+        std::ranges::count_if(Plan.Starts, [&](const PlannedStart &it) {
+          return it.Start.Worker == worker &&
+                 jobs::stepOf(it.Start.Task) == step.Key;
+        });
+    return static_cast<uint32_t>(
+        std::ranges::count_if(step.State->Tasks, isHere) + planned);
+  }
+
+  // True if one more task of the step fits there, approval aside.
+  bool hasRoom(const ReadyStep &step, const WorkerView &view) const {
+    const jobs::Worker &worker = *view.Who;
+    return worker.Pool == step.Queue->Pool &&
+           demandOf(*step.Spec).fitsIn(Free.at(worker.Id)) &&
+           hasLabel(worker, step.Spec->RequiredLabel) &&
+           (step.Spec->MaxPerWorker == 0 ||
+            tasksOn(step, worker.Id) < step.Spec->MaxPerWorker);
+  }
+
+  // Lower goes first: sound workers, those near the data, the tightest fit.
+  std::tuple<bool, bool, int64_t> rankOf(const ReadyStep &step,
+                                         const WorkerView &view) const {
+    const bool isFar = !step.Spec->DataRack.empty() &&
+                       !hasLabel(*view.Who, step.Spec->DataRack);
+    return {view.IsDoubtful, isFar, Free.at(view.Who->Id).MilliCpu};
+  }
+
+  Choice choose(const ReadyStep &step, const std::string *rack) const {
+    const WorkerView *best = nullptr;
+    for (const WorkerView &view : In.Workers) {
+      if (rack != nullptr && !hasLabel(*view.Who, *rack))
+        continue;
+      if (!hasRoom(step, view) || !isApproved(step, view.Who->Id))
+        continue;
+      if (best == nullptr || rankOf(step, view) < rankOf(step, *best))
+        best = &view;
+    }
+    if (best == nullptr)
+      return {};
+    return {best->Who, In.Approved.ticket(step.Key, best->Who->Id, In.Now)
+                           .value_or(std::string())};
+  }
+
+  bool isApproved(const ReadyStep &step, const WorkerId &worker) const {
+    return !step.Queue->Approval ||
+           In.Approved.stateOf(step.Key, worker, In.Now) ==
+               ApprovalState::Valid;
+  }
+
+  void commit(const ReadyStep &step, uint32_t index, uint32_t attempt,
+              const Choice &choice) {
+    Free[choice.Who->Id] -= demandOf(*step.Spec);
+    Added[step.Job->Spec.Team] += step.Spec->Ask;
+    const jobs::TaskKey task{step.Key.Job, step.Key.Occurrence, step.Key.Step,
+                             index};
+    Plan.Starts.push_back({{task, attempt, choice.Who->Id}, choice.Ticket});
+  }
+
+  // How many tasks of the step fit on the worker at once.
+  int64_t fitCount(const ReadyStep &step, const WorkerView &view) const {
+    Resources free = Free.at(view.Who->Id);
+    const Resources demand = demandOf(*step.Spec);
+    int64_t n = 0;
+    const int64_t most = step.Spec->MaxPerWorker == 0
+                             ? static_cast<int64_t>(step.State->Tasks.size())
+                             : step.Spec->MaxPerWorker;
+    while (n < most && demand.fitsIn(free)) {
+      free -= demand;
+      ++n;
+    }
+    return n;
+  }
+
+  // Asks for approval of workers that have room for `tasks` more tasks.
+  void askFor(const ReadyStep &step, std::size_t tasks) {
+    if (!step.Queue->Approval || In.Approved.isAsking(step.Key) ||
+        Plan.Queries.size() >= In.MaxQueries)
+      return;
+    auto needed = static_cast<double>(tasks);
+    jobs::ApprovalQuery query{step.Key};
+    // Renewed tickets are sure; unknown workers may be denied.
+    addAsked(step, ApprovalState::Expired, 1.0, needed, query);
+    addAsked(step, ApprovalState::Unknown,
+             In.Approved.approvalRate(step.Queue->Id), needed, query);
+    const bool isGang = step.Spec->IsGang;
+    if (query.Workers.empty() || (isGang && needed > 0.5 * tasks))
+      return;
+    Plan.Queries.push_back(std::move(query));
+  }
+
+  void addAsked(const ReadyStep &step, ApprovalState state, double rate,
+                double &needed, jobs::ApprovalQuery &query) const {
+    std::vector<const WorkerView *> candidates;
+    for (const WorkerView &view : In.Workers)
+      if (hasRoom(step, view) && !view.IsDoubtful &&
+          In.Approved.stateOf(step.Key, view.Who->Id, In.Now) == state)
+        candidates.push_back(&view);
+    std::ranges::sort(candidates, std::greater<>(),
+                      [&](const WorkerView *view) {
+                        return std::pair(fitCount(step, *view),
+                                         spread(step.Key, view->Who->Id));
+                      });
+    for (const WorkerView *view : candidates) {
+      const bool isEnough =
+          needed <= 0 && (state == ApprovalState::Expired ||
+                          query.Workers.size() >= MinAskedWorkers);
+      if (isEnough || query.Workers.size() >= MaxAskedWorkers)
+        return;
+      query.Workers.push_back(view->Who->Id);
+      needed -= rate * static_cast<double>(fitCount(step, *view));
+    }
+  }
+
+  // Lets different steps ask for different workers among equal ones.
+  static std::size_t spread(const jobs::StepKey &step, const WorkerId &worker) {
+    return std::hash<std::string>()(
+        absl::StrCat(step.Job.str(), step.Step, worker.str()));
+  }
+
+  const DispatchInput &In;
+  const DispatchHooks &Hooks;
+  std::map<WorkerId, Resources> Free;
+  std::map<TeamId, Resources> Added;
+  DispatchPlan Plan;
+};
+
+} // namespace
+
+DispatchHooks defaultHooks() {
+  DispatchHooks hooks;
+  hooks.GoesFirst = [](const ReadyStep &a, const ReadyStep &b,
+                       Instant wallNow) {
+    const auto rank = [wallNow](const ReadyStep &step) {
+      const bool isLate = step.DueBy < wallNow + step.Spec->Estimate;
+      return std::tuple(step.Queue->Priority, isLate, step.DueBy, step.Key);
+    };
+    return rank(a) < rank(b);
+  };
+  return hooks;
+}
+
+DispatchPlan planStarts(const DispatchInput &input,
+                        const DispatchHooks &hooks) {
+  return Pass(input, hooks).run();
+}
+
+Instant nextDue(const jobs::JobBook &book, Instant wallNow) {
+  Instant next = Instant::never();
+  for (const jobs::JobId &id : book.openJobs()) {
+    const jobs::Job &job = *book.find(id);
+    if (!job.Spec.FirstDue)
+      continue;
+    for (uint32_t k = 0; k < job.Rounds.size(); ++k)
+      if (dueAt(job, k) > wallNow)
+        next = std::min(next, dueAt(job, k));
+  }
+  return next;
+}
+
+Status checkServable(const jobs::JobSpec &spec) {
+  const auto impossible = [](const std::string &message,
+                             const std::string &remedy) {
+    return Error{ErrorKind::ImpossibleRequest, message, remedy};
+  };
+  if (spec.Steps.empty() || spec.Steps.size() > MaxSteps)
+    return impossible("a job needs 1 to 64 steps", "split the job");
+  uint64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.Steps.size(); ++i) {
+    const jobs::StepSpec &step = spec.Steps[i];
+    tasks += step.Tasks;
+    if (step.Tasks == 0 || step.Ask.isNegative())
+      return impossible(absl::StrCat("step ", i, " asks for nothing"),
+                        "give it at least one task");
+    if (std::ranges::any_of(step.After,
+                            [i](uint32_t before) { return before >= i; }))
+      return impossible(absl::StrCat("step ", i, " waits for a later step"),
+                        "name earlier steps only");
+    if (step.IsFiller || step.MaxUnavailable)
+      return impossible(
+          absl::StrCat("step ", i, " fills or bounds its unavailability"),
+          "this version does not serve such steps");
+  }
+  if (tasks * std::max<uint32_t>(spec.Occurrences, 1) > MaxTasks)
+    return impossible("the job has more than 4096 tasks", "split the job");
+  return Ok{};
+}
+
+} // namespace jujube::dispatch
--- /dev/null
+++ b/jujube/dispatch/dispatcher.h
@@ -0,0 +1,80 @@
+// Decides which tasks of stepped jobs start where, and which approvals are
+// asked for. Pure: it reads the book and what is known of the workers and
+// returns orders; the owner stores them before they leave.
+#ifndef JUJUBE_DISPATCH_DISPATCHER_H_
+#define JUJUBE_DISPATCH_DISPATCHER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jujube/base/clock.h"
+#include "jujube/dispatch/approvals.h"
+#include "jujube/jobs/job_book.h"
+
+namespace jujube::dispatch {
+
+// What is known of one worker beside the book. Only workers that may be given
+// tasks now are listed.
+struct WorkerView {
+  const jobs::Worker *Who = nullptr;
+  // Not used unless no other worker will do, for example after failures.
+  bool IsDoubtful = false;
+};
+
+// A step with tasks to start.
+struct ReadyStep {
+  jobs::StepKey Key;
+  const jobs::Job *Job = nullptr;
+  const jobs::StepSpec *Spec = nullptr;
+  const jobs::StepState *State = nullptr;
+  const jobs::Queue *Queue = nullptr;
+  // Latest wall time at which it should be done to meet its job's objective.
+  Instant DueBy;
+};
+
+// Behaviour that varies; each has a default.
+struct DispatchHooks {
+  // True if `a` goes before `b`. Default: priority, then steps that can still
+  // be in time, then the earlier objective.
+  std::function<bool(const ReadyStep &a, const ReadyStep &b, Instant wallNow)>
+      GoesFirst;
+};
+DispatchHooks defaultHooks();
+
+// A start to be stored and sent.
+struct PlannedStart {
+  jobs::AttemptStarted Start;
+  std::string Ticket;
+};
+
+struct DispatchPlan {
+  std::vector<PlannedStart> Starts;
+  std::vector<jobs::ApprovalQuery> Queries;
+};
+
+struct DispatchInput {
+  const jobs::JobBook &Book;
+  std::vector<WorkerView> Workers;
+  const Approvals &Approved;
+  // For tickets.
+  Instant Now;
+  // For due times.
+  Instant WallNow;
+  // Most approval queries that may be added.
+  std::size_t MaxQueries = 0;
+};
+
+DispatchPlan planStarts(const DispatchInput &input, const DispatchHooks &hooks);
+
+// Occurrences that are due begin to count as ready; exposed for the owner's
+// timer: the next wall time at which one will be.
+Instant nextDue(const jobs::JobBook &book, Instant wallNow);
+
+// Why a job can't be served; Ok if it can.
+Status checkServable(const jobs::JobSpec &spec);
+
+} // namespace jujube::dispatch
+
+#endif // JUJUBE_DISPATCH_DISPATCHER_H_
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -12,6 +12,8 @@
 #include "glog/logging.h"
 #include "jujube/http/connection.h"
 #include "jujube/http/connection_threads.h"
+#include "jujube/http/exchange_processor.h"
+#include "jujube/http/exchange_server.h"
 #include "jujube/http/listener.h"
 #include "jujube/http/processor.h"
 #include "jujube/http/stream.h"
@@ -30,11 +32,13 @@
 // Between looks for connections that were idle too long.
 constexpr Duration SweepPeriod = Duration::seconds(1);
 
+// Serves one request of a stream; called on many threads at once.
+using ProcessHook = std::function<Disposition(SocketStream &)>;
+
 // Everything that serving needs, checked; copied into each start of the task.
 struct ServerPlan {
   ServerOptions Options;
-  api::ExecuteHook Execute;
-  std::function<bool()> IsHealthy;
+  ProcessHook Process;
   std::shared_ptr<SSL_CTX> Tls;
 };
 
@@ -49,12 +53,7 @@
 class RequestServer {
 public:
   RequestServer(const ServerPlan &plan, ReturnMailbox returns)
-      : Requests({{plan.Options.MaxPayload},
-                  plan.Options.MaxBody,
-                  plan.Options.KeepAlive,
-                  plan.Execute,
-                  plan.IsHealthy}),
-        Returns(std::move(returns)) {}
+      : Process(plan.Process), Returns(std::move(returns)) {}
 
   void serve(ConnectionPtr connection) {
     SocketStream *stream = connection->stream();
@@ -68,7 +67,7 @@
   bool serveStream(SocketStream &stream) {
     auto next = Disposition::Reuse;
     do {
-      next = Requests.process(stream);
+      next = Process(stream);
       if (!stream.flush())
         return false;
     } while (next == Disposition::Reuse &&
@@ -78,7 +77,7 @@
     return next == Disposition::Reuse;
   }
 
-  Processor Requests;
+  ProcessHook Process;
   ReturnMailbox Returns;
 };
 
@@ -268,12 +267,10 @@
   ConnectionThreads Threads;
 };
 
-} // namespace
-
-Result<runtime::ChildSpec> serverTask(ServerOptions options,
-                                      api::ExecuteHook execute,
-                                      std::function<bool()> isHealthy) {
-  ServerPlan plan{std::move(options), std::move(execute), std::move(isHealthy)};
+Result<runtime::ChildSpec> makeServer(const std::string &name,
+                                      ServerOptions options,
+                                      ProcessHook process) {
+  ServerPlan plan{std::move(options), std::move(process)};
   if (plan.Options.Listen.Ip.empty())
     return Error{ErrorKind::InvalidArgument, "no address to listen on",
                  "give IP:PORT"};
@@ -284,9 +281,36 @@
     plan.Tls = valueOf(std::move(context));
   }
   return runtime::ChildSpec{
-      "http", [plan = std::move(plan)](runtime::TaskContext &context) {
+      name, [plan = std::move(plan)](runtime::TaskContext &context) {
         return ServerTask(plan, context).run();
       }};
 }
 
+} // namespace
+
+Result<runtime::ChildSpec> serverTask(ServerOptions options,
+                                      api::ExecuteHook execute,
+                                      std::function<bool()> isHealthy) {
+  const auto requests =
+      std::make_shared<Processor>(Processor::Options{{options.MaxPayload},
+                                                     options.MaxBody,
+                                                     options.KeepAlive,
+                                                     std::move(execute),
+                                                     std::move(isHealthy)});
+  return makeServer(
+      "http", std::move(options),
+      [requests](SocketStream &stream) { return requests->process(stream); });
+}
+
+Result<runtime::ChildSpec> exchangeServerTask(const std::string &name,
+                                              ServerOptions options,
+                                              ExchangeHook answer,
+                                              std::function<bool()> isHealthy) {
+  const auto requests = std::make_shared<ExchangeProcessor>(
+      options, std::move(answer), std::move(isHealthy));
+  return makeServer(name, std::move(options), [requests](SocketStream &stream) {
+    return requests->process(stream);
+  });
+}
+
 } // namespace jujube::http
--- a/jujube/http/translate.cc
+++ b/jujube/http/translate.cc
@@ -50,6 +50,7 @@
     {ErrorKind::NotRun, 503, true},
     {ErrorKind::RunFailed, 502, false},
     {ErrorKind::OutcomeUnknown, 504, false},
+    {ErrorKind::Gone, 410, false},
 }};
 
 constexpr bool isOrdered() {
--- /dev/null
+++ b/jujube/jobs/job_book.cc
@@ -0,0 +1,298 @@
+#include "jujube/jobs/job_book.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace jujube::jobs {
+namespace {
+
+const StepSpec &specOf(const Job &job, const TaskKey &key) {
+  return job.Spec.Steps[key.Step];
+}
+
+bool holds(const Job &job, const TaskKey &key) {
+  return key.Occurrence < job.Rounds.size() &&
+         key.Step < job.Rounds[key.Occurrence].Steps.size() &&
+         key.Index < job.Rounds[key.Occurrence].Steps[key.Step].Tasks.size();
+}
+
+StepState &stepStateOf(Job &job, const TaskKey &key) {
+  return job.Rounds[key.Occurrence].Steps[key.Step];
+}
+
+// What a run takes from its worker's capacity.
+Resources demandOf(const StepSpec &step) {
+  return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
+                       : step.Ask;
+}
+
+} // namespace
+
+void JobBook::apply(const Event &event) {
+  std::visit([this](const auto &what) { handle(what); }, event);
+}
+
+const Job *JobBook::find(const JobId &id) const {
+  const auto it = Jobs.find(id);
+  return it == Jobs.end() ? nullptr : &it->second;
+}
+
+Job *JobBook::findMutable(const JobId &id) {
+  const auto it = Jobs.find(id);
+  return it == Jobs.end() ? nullptr : &it->second;
+}
+
+const Worker *JobBook::findWorker(const WorkerId &id) const {
+  const auto it = Workers.find(id);
+  return it == Workers.end() ? nullptr : &it->second;
+}
+
+const Load &JobBook::loadOf(const WorkerId &id) const {
+  static const Load None;
+  const auto it = Loads.find(id);
+  return it == Loads.end() ? None : it->second;
+}
+
+Resources JobBook::usedBy(const TeamId &team) const {
+  const auto it = Used.find(team);
+  return it == Used.end() ? Resources{} : it->second;
+}
+
+const Task *JobBook::findTask(const TaskKey &key) const {
+  const Job *job = find(key.Job);
+  return job != nullptr && holds(*job, key)
+             ? &job->Rounds[key.Occurrence].Steps[key.Step].Tasks[key.Index]
+             : nullptr;
+}
+
+const StepSpec *JobBook::findStep(const StepKey &key) const {
+  const Job *job = find(key.Job);
+  return job != nullptr && key.Step < job->Spec.Steps.size()
+             ? &job->Spec.Steps[key.Step]
+             : nullptr;
+}
+
+const StepState *JobBook::findStepState(const StepKey &key) const {
+  const Job *job = find(key.Job);
+  return job != nullptr && key.Occurrence < job->Rounds.size() &&
+                 key.Step < job->Rounds[key.Occurrence].Steps.size()
+             ? &job->Rounds[key.Occurrence].Steps[key.Step]
+             : nullptr;
+}
+
+bool JobBook::isLive(const TaskKey &key, uint32_t attempt) const {
+  const Task *task = findTask(key);
+  return task != nullptr && task->Live && task->Live->Attempt == attempt;
+}
+
+uint64_t JobBook::pending(const QueueId &queue) const {
+  return static_cast<uint64_t>(
+      std::ranges::count_if(Open, [&](const JobId &id) {
+        const Job *job = find(id);
+        return job->Spec.Queue == queue && job->State == JobState::Queued;
+      }));
+}
+
+bool JobBook::isReady(const Job &job, uint32_t occurrence, uint32_t step) {
+  const Occurrence &round = job.Rounds[occurrence];
+  return std::ranges::all_of(job.Spec.Steps[step].After, [&](uint32_t before) {
+    return round.Steps[before].isDone();
+  });
+}
+
+void JobBook::handle(const ConfigurationPut &event) {
+  if (event.Value.Version > Config.Version)
+    Config = event.Value;
+}
+
+void JobBook::handle(const JobAccepted &event) {
+  if (Jobs.contains(event.Spec.Id))
+    return;
+  Job job{event.Spec, event.AcceptedAt};
+  Occurrence round;
+  for (const StepSpec &step : event.Spec.Steps)
+    round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
+  job.Rounds.assign(std::max<uint32_t>(event.Spec.Occurrences, 1), round);
+  Open.insert(event.Spec.Id);
+  Jobs.emplace(event.Spec.Id, std::move(job));
+}
+
+void JobBook::handle(const JobCancelled &event) {
+  Job *job = findMutable(event.Job);
+  if (job != nullptr && !isEnded(job->State))
+    end(*job, JobState::Cancelled);
+}
+
+void JobBook::handle(const AttemptStarted &event) {
+  Job *job = findMutable(event.Task.Job);
+  if (job == nullptr || isEnded(job->State) || !holds(*job, event.Task) ||
+      !Workers.contains(event.Worker))
+    return;
+  StepState &step = stepStateOf(*job, event.Task);
+  Task &task = step.Tasks[event.Task.Index];
+  if (task.IsDone || task.Live || event.Attempt <= task.LastAttempt)
+    return;
+  task.LastAttempt = event.Attempt;
+  task.Live = Run{event.Worker, event.Attempt};
+  ++step.LiveTasks;
+  ++job->LiveTasks;
+  job->State = JobState::Running;
+  addLoad(*job, event.Task, event.Worker);
+}
+
+void JobBook::handle(const AttemptEnded &event) {
+  Job *job = findMutable(event.Task.Job);
+  if (job == nullptr || !isLive(event.Task, event.Attempt))
+    return;
+  const StepSpec &spec = specOf(*job, event.Task);
+  StepState &step = stepStateOf(*job, event.Task);
+  Task &task = step.Tasks[event.Task.Index];
+  if (!event.Checkpoint.empty())
+    task.Checkpoint = event.Checkpoint;
+  endRun(*job, event.Task);
+  if (isEnded(job->State)) {
+    shrink(*job);
+    return;
+  }
+  if (event.How == EndKind::Done && !spec.IsLongRunning)
+    countDone(*job, step, event.Task);
+  else if (event.How == EndKind::Failed && !spec.IsLongRunning && !task.IsDone)
+    countFailure(*job, step, event.Task, event.Attempt);
+  if (!isEnded(job->State) && isAllDone(*job))
+    end(*job, JobState::Completed);
+}
+
+void JobBook::countDone(const Job &job, StepState &step, const TaskKey &key) {
+  if (!specOf(job, key).IsGang) {
+    step.Tasks[key.Index].IsDone = true;
+    ++step.DoneTasks;
+    return;
+  }
+  // One member's end stands for the whole gang.
+  for (Task &task : step.Tasks)
+    task.IsDone = true;
+  step.DoneTasks = static_cast<uint32_t>(step.Tasks.size());
+}
+
+void JobBook::countFailure(Job &job, StepState &step, const TaskKey &key,
+                           uint32_t attempt) {
+  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  const uint32_t most = queue != nullptr ? queue->MaxAttempts : 1;
+  uint32_t failures = ++step.Tasks[key.Index].Failures;
+  if (specOf(job, key).IsGang) {
+    if (step.LastFailedAttempt < attempt) {
+      step.LastFailedAttempt = attempt;
+      ++step.GangFailures;
+    }
+    failures = step.GangFailures;
+  }
+  if (failures >= most)
+    end(job, JobState::Failed);
+}
+
+void JobBook::handle(const WorkerChanged &event) {
+  Worker &held = Workers[event.Now.Id];
+  if (event.Now.Life >= held.Life)
+    held = event.Now;
+}
+
+void JobBook::handle(const WorkerGone &event) {
+  const auto it = Workers.find(event.Worker);
+  if (it == Workers.end() || it->second.Life > event.Life)
+    return;
+  const std::set<TaskKey> tasks = loadOf(event.Worker).Tasks;
+  for (const TaskKey &key : tasks) {
+    const Task *task = findTask(key);
+    handle(AttemptEnded{key, task->Live->Attempt, EndKind::Lost, {}});
+  }
+  Workers.erase(event.Worker);
+}
+
+void JobBook::handle(const JobsForgotten &event) {
+  for (const JobId &id : event.Jobs) {
+    const Job *job = find(id);
+    if (job != nullptr && isEnded(job->State) && job->LiveTasks == 0)
+      Jobs.erase(id);
+  }
+}
+
+void JobBook::end(Job &job, JobState state) {
+  job.State = state;
+  Open.erase(job.Spec.Id);
+  shrink(job);
+}
+
+void JobBook::shrink(Job &job) {
+  if (job.LiveTasks != 0)
+    return;
+  job.Spec.Payload.clear();
+  job.Spec.Payload.shrink_to_fit();
+  job.Spec.Steps = {};
+  job.Rounds = {};
+}
+
+bool JobBook::isAllDone(const Job &job) {
+  return std::ranges::all_of(job.Rounds, [](const Occurrence &round) {
+    return std::ranges::all_of(round.Steps, &StepState::isDone);
+  });
+}
+
+void JobBook::endRun(Job &job, const TaskKey &key) {
+  StepState &step = stepStateOf(job, key);
+  Task &task = step.Tasks[key.Index];
+  removeLoad(job, key, task.Live->Worker);
+  task.Live.reset();
+  --step.LiveTasks;
+  --job.LiveTasks;
+}
+
+void JobBook::addLoad(const Job &job, const TaskKey &key,
+                      const WorkerId &worker) {
+  const StepSpec &spec = specOf(job, key);
+  Load &load = Loads[worker];
+  load.Used += demandOf(spec);
+  load.Tasks.insert(key);
+  Used[job.Spec.Team] += spec.Ask;
+}
+
+void JobBook::removeLoad(const Job &job, const TaskKey &key,
+                         const WorkerId &worker) {
+  const StepSpec &spec = specOf(job, key);
+  Load &load = Loads[worker];
+  load.Used -= demandOf(spec);
+  load.Tasks.erase(key);
+  if (load.Tasks.empty())
+    Loads.erase(worker);
+  Used[job.Spec.Team] -= spec.Ask;
+}
+
+BookState JobBook::capture() const {
+  BookState state{Config};
+  for (const auto &[id, job] : Jobs)
+    state.Jobs.push_back(job);
+  for (const auto &[id, worker] : Workers)
+    state.Workers.push_back(worker);
+  return state;
+}
+
+JobBook JobBook::restore(BookState state) {
+  JobBook book;
+  book.Config = std::move(state.Config);
+  for (Worker &worker : state.Workers)
+    book.Workers.emplace(worker.Id, std::move(worker));
+  for (Job &job : state.Jobs) {
+    if (!isEnded(job.State))
+      book.Open.insert(job.Spec.Id);
+    const JobId id = job.Spec.Id;
+    const Job &held = book.Jobs.emplace(id, std::move(job)).first->second;
+    for (uint32_t k = 0; k < held.Rounds.size(); ++k)
+      for (uint32_t s = 0; s < held.Rounds[k].Steps.size(); ++s)
+        for (uint32_t i = 0; i < held.Rounds[k].Steps[s].Tasks.size(); ++i)
+          if (const auto &live = held.Rounds[k].Steps[s].Tasks[i].Live)
+            book.addLoad(held, TaskKey{id, k, s, i}, live->Worker);
+  }
+  return book;
+}
+
+} // namespace jujube::jobs
--- a/jujube/replica/replica.cc
+++ b/jujube/replica/replica.cc
@@ -55,6 +55,13 @@
 
 void Replica::transferLeadership() { run(Node.transferLeadership(Loop.now())); }
 
+std::vector<Address> Replica::memberAddresses() const {
+  std::vector<Address> addresses;
+  for (const consensus::Member &member : Node.membership().Members)
+    addresses.push_back(member.At);
+  return addresses;
+}
+
 void Replica::endTurn() {
   if (HasFailed)
     return;
--- a/jujube/replica/replica.h
+++ b/jujube/replica/replica.h
@@ -72,6 +72,8 @@
   Address leaderAddress() const {
     return Node.leaderAddress().value_or(Address{});
   }
+  // Where the members of the group take messages.
+  std::vector<Address> memberAddresses() const;
   // Called at the end of each turn of the loop, before the replica writes.
   void onTurnEnd(std::function<void()> handler) {
     BeforeFlush = std::move(handler);
--- a/jujube/wire/sockets.cc
+++ b/jujube/runtime/sockets.cc
@@ -1,4 +1,4 @@
-#include "jujube/wire/sockets.h"
+#include "jujube/runtime/sockets.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -10,7 +10,7 @@
 
 #include "absl/strings/str_cat.h"
 
-namespace jujube::wire {
+namespace jujube::runtime {
 namespace {
 
 constexpr int Backlog = 128;
@@ -31,9 +31,8 @@
                "check the address and that no other process uses the port"};
 }
 
-Result<runtime::FileDescriptor> bound(int type, const Address &address) {
-  runtime::FileDescriptor fd(
-      socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+Result<FileDescriptor> bound(int type, const Address &address) {
+  FileDescriptor fd(socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
   const sockaddr_in target = toSocketAddress(address);
   if (!fd.isOpen() ||
@@ -66,19 +65,19 @@
 
 } // namespace
 
-Result<runtime::FileDescriptor> listenTcp(const Address &address) {
+Result<FileDescriptor> listenTcp(const Address &address) {
   auto fd = bound(SOCK_STREAM, address);
   if (isOk(fd) && listen(valueOf(fd).get(), Backlog) != 0)
     return socketError("listen on", address);
   return fd;
 }
 
-Result<runtime::FileDescriptor> bindUdp(const Address &address) {
+Result<FileDescriptor> bindUdp(const Address &address) {
   return bound(SOCK_DGRAM, address);
 }
 
-Result<runtime::FileDescriptor> connectTcp(const Address &address) {
-  runtime::FileDescriptor fd(
+Result<FileDescriptor> connectTcp(const Address &address) {
+  FileDescriptor fd(
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd.isOpen())
     return socketError("open a socket to", address);
@@ -91,8 +90,8 @@
   return fd;
 }
 
-runtime::FileDescriptor acceptTcp(int listener) {
-  runtime::FileDescriptor fd(
+FileDescriptor acceptTcp(int listener) {
+  FileDescriptor fd(
       accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (fd.isOpen())
     prepareStream(fd.get());
@@ -121,4 +120,4 @@
                reinterpret_cast<const sockaddr *>(&target), sizeof target);
 }
 
-} // namespace jujube::wire
+} // namespace jujube::runtime
--- a/jujube/wire/sockets.h
+++ b/jujube/runtime/sockets.h
@@ -1,6 +1,6 @@
 // Sockets as results.
-#ifndef JUJUBE_WIRE_SOCKETS_H_
-#define JUJUBE_WIRE_SOCKETS_H_
+#ifndef JUJUBE_RUNTIME_SOCKETS_H_
+#define JUJUBE_RUNTIME_SOCKETS_H_
 
 #include <sys/socket.h>
 
@@ -9,7 +9,7 @@
 #include "jujube/base/result.h"
 #include "jujube/runtime/file_descriptor.h"
 
-namespace jujube::wire {
+namespace jujube::runtime {
 
 // A connection fails once the peer has acknowledged nothing of what was sent
 // for this span. It bounds how long the kernel's retransmission back-off delays
@@ -22,15 +22,15 @@
 inline constexpr int KeepAliveProbes = 3;
 
 // A non-blocking TCP socket that listens, or a UDP socket that is bound.
-Result<runtime::FileDescriptor> listenTcp(const Address &address);
-Result<runtime::FileDescriptor> bindUdp(const Address &address);
+Result<FileDescriptor> listenTcp(const Address &address);
+Result<FileDescriptor> bindUdp(const Address &address);
 
 // A non-blocking TCP socket that is connecting, with the bounds above.
-Result<runtime::FileDescriptor> connectTcp(const Address &address);
+Result<FileDescriptor> connectTcp(const Address &address);
 
 // Accepts a connection as a non-blocking socket with the bounds above; not open
 // if there is none.
-runtime::FileDescriptor acceptTcp(int listener);
+FileDescriptor acceptTcp(int listener);
 
 // Where a bound socket listens.
 Address localAddress(int fd);
@@ -41,6 +41,6 @@
 // Sends one datagram; lost ones are not reported.
 void sendDatagram(int fd, const Address &to, absl::string_view bytes);
 
-} // namespace jujube::wire
+} // namespace jujube::runtime
 
-#endif // JUJUBE_WIRE_SOCKETS_H_
+#endif // JUJUBE_RUNTIME_SOCKETS_H_
--- a/jujube/wire/connection.cc
+++ b/jujube/wire/connection.cc
@@ -5,7 +5,7 @@
 #include <array>
 #include <cerrno>
 
-#include "jujube/wire/sockets.h"
+#include "jujube/runtime/sockets.h"
 
 namespace jujube::wire {
 namespace {
@@ -49,7 +49,8 @@
 
 void Connection::handleEvents(short events) {
   if (!IsOpen) {
-    if (pendingError(Fd.get()) != 0 || (events & (POLLERR | POLLNVAL)) != 0) {
+    if (runtime::pendingError(Fd.get()) != 0 ||
+        (events & (POLLERR | POLLNVAL)) != 0) {
       close();
       return;
     }
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -1,6 +1,7 @@
 #include "jujube/wire/messages.h"
 
 #include "jujube/wire/consensus_encoding.h"
+#include "jujube/wire/jobs_encoding.h"
 #include "jujube/wire/packed_archive.h"
 #include "jujube/wire/routing_encoding.h"
 #include "jujube/wire/state_encoding.h"
@@ -97,6 +98,18 @@
 template <typename Archive> void serialize(Archive &ar, AnnounceLeader &v) {
   ar(v.Zone, v.At, v.Leader);
 }
+template <typename Archive> void serialize(Archive &ar, ControlCall &v) {
+  ar(v.What);
+}
+template <typename Archive> void serialize(Archive &ar, ControlNews &v) {
+  ar(v.What);
+}
+template <typename Archive> void serialize(Archive &ar, AskApproval &v) {
+  ar(v.Query, v.Timeout);
+}
+template <typename Archive> void serialize(Archive &ar, ApprovalNews &v) {
+  ar(v.Answer);
+}
 template <typename Archive> void serialize(Archive &ar, Envelope &v) {
   ar(v.Correlation, v.IsReply);
   if (!v.IsReply && v.Correlation == 0)
@@ -143,4 +156,19 @@
   return decodePacked<fate::BookState>(bytes);
 }
 
+// The control group's log lasts on disks, so its format stays.
+std::string encodeControlEvents(const std::vector<jobs::Event> &events) {
+  return encode(events);
+}
+Result<std::vector<jobs::Event>> decodeControlEvents(absl::string_view bytes) {
+  return decode<std::vector<jobs::Event>>(bytes);
+}
+
+std::string encodeJobBook(const jobs::BookState &state) {
+  return encode(state);
+}
+Result<jobs::BookState> decodeJobBook(absl::string_view bytes) {
+  return decode<jobs::BookState>(bytes);
+}
+
 } // namespace jujube::wire
--- a/jujube/wire/messages.h
+++ b/jujube/wire/messages.h
@@ -15,6 +15,8 @@
 #include "jujube/consensus/types.h"
 #include "jujube/fate/event.h"
 #include "jujube/fate/fate_book.h"
+#include "jujube/jobs/commands.h"
+#include "jujube/jobs/job_book.h"
 #include "jujube/limits/slice_ledger.h"
 #include "jujube/limits/types.h"
 #include "jujube/routing/messages.h"
@@ -172,6 +174,26 @@
   Address Leader;
 };
 
+// A front end or member of the control group to its leader, answered by
+// ControlNews.
+struct ControlCall {
+  jobs::Command What;
+};
+struct ControlNews {
+  jobs::Reply What;
+};
+
+// The control group's leader to a host that offered its help, answered by
+// ApprovalNews.
+struct AskApproval {
+  jobs::ApprovalQuery Query;
+  // When the answer is of no use any more.
+  Duration Timeout;
+};
+struct ApprovalNews {
+  jobs::ApprovalAnswer Answer;
+};
+
 // The request was carried out.
 struct Done {};
 
@@ -188,7 +210,8 @@
                  SubmitWork, CancelWork, AskFate, FateNews, SyncTasks, SyncDone,
                  PassAnnouncement, ReportCredits, CreditNews, JournalLive,
                  JournalLiveEnd, PassLive, LiveDone, ReadZone, ZoneNews,
-                 ReadMetrics, MetricsNews, Done, Refusal, AnnounceLeader>;
+                 ReadMetrics, MetricsNews, Done, Refusal, AnnounceLeader,
+                 ControlCall, ControlNews, AskApproval, ApprovalNews>;
 
 // The alternatives of Message, in order; for counters.
 enum class MessageKind {
@@ -220,10 +243,14 @@
   MetricsNews,
   Done,
   Refusal,
-  AnnounceLeader
+  AnnounceLeader,
+  ControlCall,
+  ControlNews,
+  AskApproval,
+  ApprovalNews
 };
 
-inline constexpr NameTable<MessageKind, 29> MessageKindNames = {{
+inline constexpr NameTable<MessageKind, 33> MessageKindNames = {{
     {MessageKind::GroupMessage, "group_message"},
     {MessageKind::PollCatalogue, "poll_catalogue"},
     {MessageKind::CatalogueNews, "catalogue_news"},
@@ -253,6 +280,10 @@
     {MessageKind::Done, "done"},
     {MessageKind::Refusal, "refusal"},
     {MessageKind::AnnounceLeader, "announce_leader"},
+    {MessageKind::ControlCall, "control_call"},
+    {MessageKind::ControlNews, "control_news"},
+    {MessageKind::AskApproval, "ask_approval"},
+    {MessageKind::ApprovalNews, "approval_news"},
 }};
 static_assert(isComplete(MessageKindNames));
 static_assert(std::variant_size_v<Message> == MessageKindNames.size());
@@ -296,6 +327,13 @@
 std::string encodeBookState(const fate::BookState &state);
 Result<fate::BookState> decodeBookState(absl::string_view bytes);
 
+// Records of the control group's log.
+std::string encodeControlEvents(const std::vector<jobs::Event> &events);
+Result<std::vector<jobs::Event>> decodeControlEvents(absl::string_view bytes);
+
+std::string encodeJobBook(const jobs::BookState &state);
+Result<jobs::BookState> decodeJobBook(absl::string_view bytes);
+
 } // namespace jujube::wire
 
 #endif // JUJUBE_WIRE_MESSAGES_H_
--- a/jujube/wire/transport.cc
+++ b/jujube/wire/transport.cc
@@ -11,8 +11,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "jujube/base/digest.h"
+#include "jujube/runtime/sockets.h"
 #include "jujube/wire/connection.h"
-#include "jujube/wire/sockets.h"
 
 namespace jujube::wire {
 namespace {
@@ -54,8 +54,8 @@
       : Settings(options), Inbox(std::move(inbox)), Loop(context.loop()) {}
 
   Status open() {
-    auto listener = listenTcp(Settings.Listen);
-    auto datagrams = bindUdp(Settings.Listen);
+    auto listener = runtime::listenTcp(Settings.Listen);
+    auto datagrams = runtime::bindUdp(Settings.Listen);
     if (!isOk(listener))
       return errorOf(listener);
     if (!isOk(datagrams))
@@ -70,7 +70,7 @@
   void send(Packet packet) {
     if (packet.Via == Channel::Datagram &&
         packet.Payload.size() <= MaxDatagramBytes) {
-      sendDatagram(
+      runtime::sendDatagram(
           Datagrams.get(), packet.To,
           absl::StrCat(keyedDigest(Settings.FleetToken, packet.Payload),
                        packet.Payload));
@@ -100,7 +100,7 @@
   }
 
   void connect(const Address &to, Outbound &peer) {
-    auto fd = connectTcp(to);
+    auto fd = runtime::connectTcp(to);
     if (!isOk(fd)) {
       dropPeer(to);
       return;
@@ -151,7 +151,7 @@
   }
 
   void acceptPeer() {
-    runtime::FileDescriptor fd = acceptTcp(Listener.get());
+    runtime::FileDescriptor fd = runtime::acceptTcp(Listener.get());
     if (!fd.isOpen())
       return;
     Clients.emplace_back();
--- a/jujube/wire/transport_test.cc
+++ b/jujube/wire/transport_test.cc
@@ -3,10 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "jujube/runtime/sockets.h"
 #include "jujube/runtime/supervisor.h"
 #include "jujube/wire/domain_encoding.h"
 #include "jujube/wire/framing.h"
-#include "jujube/wire/sockets.h"
 #include "jujube/wire/transport.h"
 
 namespace jujube::wire {
@@ -51,7 +51,8 @@
 
 // A port that the kernel picked; it stays free after the socket is closed.
 Address freeAddress() {
-  return localAddress(valueOf(listenTcp({"127.0.0.1", 0})).get());
+  return runtime::localAddress(
+      valueOf(runtime::listenTcp({"127.0.0.1", 0})).get());
 }
 
 BOOST_AUTO_TEST_SUITE(TransportSuite)
@@ -123,17 +124,18 @@
 BOOST_AUTO_TEST_CASE(PeerThatSendsNoChallengeIsGivenUp) {
   Host a(freeAddress(), "token");
   // The kernel accepts for a process that is paused.
-  const auto listener = listenTcp({"127.0.0.1", 0});
-  const Address silent = localAddress(valueOf(listener).get());
+  const auto listener = runtime::listenTcp({"127.0.0.1", 0});
+  const Address silent = runtime::localAddress(valueOf(listener).get());
   BOOST_TEST((firstLost(a, silent) == silent));
 }
 
 BOOST_AUTO_TEST_CASE(ConnectionsAreGivenUpSoonAfterAPathIsCut) {
-  const auto listener = valueOf(listenTcp({"127.0.0.1", 0}));
-  const auto client = valueOf(connectTcp(localAddress(listener.get())));
+  const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
+  const auto client =
+      valueOf(runtime::connectTcp(runtime::localAddress(listener.get())));
   pollfd ready{listener.get(), POLLIN, 0};
   BOOST_REQUIRE(poll(&ready, 1, static_cast<int>(Patience.millis())) == 1);
-  const runtime::FileDescriptor served = acceptTcp(listener.get());
+  const runtime::FileDescriptor served = runtime::acceptTcp(listener.get());
   BOOST_REQUIRE(served.isOpen());
   for (const int fd : {client.get(), served.get()}) {
     int timeout = 0;
@@ -141,7 +143,7 @@
     socklen_t n = sizeof timeout;
     getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &n);
     getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &isProbed, &n);
-    BOOST_TEST(timeout == UnacknowledgedTimeout.millis());
+    BOOST_TEST(timeout == runtime::UnacknowledgedTimeout.millis());
     BOOST_TEST(isProbed != 0);
   }
 }
--- a/testing/cell_plan.cc
+++ b/testing/cell_plan.cc
@@ -6,7 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "glog/logging.h"
-#include "jujube/wire/sockets.h"
+#include "jujube/runtime/sockets.h"
 #include "testing/cell.h"
 
 namespace jujube::testing {
@@ -26,7 +26,7 @@
     CHECK(tries < Ports) << "no free port";
     Address address{"127.0.0.1",
                     static_cast<uint16_t>(FirstPort + next++ % Ports)};
-    if (isOk(wire::listenTcp(address)))
+    if (isOk(runtime::listenTcp(address)))
       return address;
   }
 }
