--- a/jujube/control/control_options.h
+++ b/jujube/control/control_options.h
@@ -48,6 +48,8 @@
   // Voters that the group is to have.
   std::size_t Voters = 3;
   std::string DataFolder;
+  // False for disks that keep no owners and modes of files.
+  bool ChecksDataAccess = true;
   std::string FleetToken;
   // Seed of the random delays of elections; drawn from the system if not set.
   std::optional<uint64_t> ElectionSeed;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -63,7 +63,10 @@
 }
 
 Status ControlTask::openReplica() {
-  auto disk = storage::Store::open({Settings.DataFolder}, Wall.now());
+  storage::StoreOptions folder;
+  folder.Folder = Settings.DataFolder;
+  folder.ChecksAccess = Settings.ChecksDataAccess;
+  auto disk = storage::Store::open(std::move(folder), Wall.now());
   if (!isOk(disk))
     return errorOf(disk);
   Disk = std::make_unique<storage::Store>(valueOf(std::move(disk)));
--- a/jujube/storage/data_folder.cc
+++ b/jujube/storage/data_folder.cc
@@ -21,7 +21,7 @@
 constexpr char LockName[] = "LOCK";
 constexpr char IdentityName[] = "identity";
 
-Status checkFolder(const std::string &path) {
+Status checkFolder(const std::string &path, bool checksAccess) {
   struct stat info {};
   if (::mkdir(path.c_str(), FolderMode) != 0 && errno != EEXIST)
     return fileError("create", path, errno);
@@ -30,6 +30,8 @@
   if (!S_ISDIR(info.st_mode))
     return Error{ErrorKind::InvalidArgument, path + " is not a folder",
                  "name a folder for the data"};
+  if (!checksAccess)
+    return Ok{};
   if (info.st_uid != ::geteuid())
     return Error{ErrorKind::PermissionDenied, path + " belongs to another user",
                  "run as its owner, or change the owner"};
@@ -74,8 +76,9 @@
 } // namespace
 
 Result<DataFolder> DataFolder::open(const std::string &path,
-                                    const FileHooks &hooks, Instant wallNow) {
-  if (Status status = checkFolder(path); !isOk(status))
+                                    const FileHooks &hooks, Instant wallNow,
+                                    bool checksAccess) {
+  if (Status status = checkFolder(path, checksAccess); !isOk(status))
     return errorOf(status);
   Result<OwnedFd> lock = takeLock(path);
   if (!isOk(lock))
--- a/jujube/storage/data_folder.h
+++ b/jujube/storage/data_folder.h
@@ -16,11 +16,12 @@
 // second process uses the folder.
 class DataFolder {
 public:
-  // Creates the folder with mode 0700 if it does not exist. Refuses one that
-  // another user owns, that others may enter, or that is in use. `wallNow`
-  // numbers the incarnation of a new folder.
+  // Creates the folder with mode 0700 if it does not exist. Refuses one that is
+  // in use and, if `checksAccess`, one that another user owns or that others
+  // may enter. `wallNow` numbers the incarnation of a new folder.
   static Result<DataFolder> open(const std::string &path,
-                                 const FileHooks &hooks, Instant wallNow);
+                                 const FileHooks &hooks, Instant wallNow,
+                                 bool checksAccess = true);
 
   const std::string &path() const { return Path; }
   // Kept over restarts; a folder that was cleared gets a higher one.
--- a/jujube/storage/store.h
+++ b/jujube/storage/store.h
@@ -27,6 +27,8 @@
   // A segment that has grown past this is closed and a new one is begun.
   std::size_t SegmentBytes = std::size_t{4} * 1024 * 1024;
   FileHooks Hooks;
+  // False for disks that keep no owners and modes of files.
+  bool ChecksAccess = true;
 };
 
 // What opening a store found and repaired.
