--- a/fuzz/replay_test.cc
+++ b/fuzz/replay_test.cc
@@ -22,6 +22,7 @@
 extern "C" {
 int httpFuzz(const uint8_t *data, size_t size);
 int jsonFuzz(const uint8_t *data, size_t size);
+int platformFuzz(const uint8_t *data, size_t size);
 int traceFuzz(const uint8_t *data, size_t size);
 int wireFuzz(const uint8_t *data, size_t size);
 }
@@ -41,6 +42,7 @@
 
 const std::vector<Target> Targets = {{"http", httpFuzz},
                                      {"json", jsonFuzz},
+                                     {"platform", platformFuzz},
                                      {"trace", traceFuzz},
                                      {"wire", wireFuzz}};
 
--- a/fuzz/wire_fuzz.cc
+++ b/fuzz/wire_fuzz.cc
@@ -11,6 +11,8 @@
   (void)jujube::wire::decodeFleetCommand(bytes);
   (void)jujube::wire::decodeFleetState(bytes);
   (void)jujube::wire::decodeZoneEvents(bytes);
+  (void)jujube::wire::decodeControlEvents(bytes);
+  (void)jujube::wire::decodeJobBook(bytes);
   (void)jujube::wire::decodeBookState(bytes);
   return 0;
 }
--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -191,39 +191,119 @@
   return sample;
 }
 
+jobs::JobSpec job() {
+  jobs::StepSpec step;
+  step.Tasks = 2;
+  step.Ask = Amounts;
+  step.After = {0};
+  step.RequiredLabel = "a";
+  step.MaxUnavailable = 1;
+  jobs::JobSpec sample;
+  sample.Id = jobs::JobId("j");
+  sample.Queue = jobs::QueueId("q");
+  sample.Team = Team;
+  sample.Payload = "payload";
+  sample.Steps = {step};
+  sample.FirstDue = Now;
+  return sample;
+}
+
+jobs::Worker jobWorker() {
+  jobs::Worker sample;
+  sample.Id = Worker;
+  sample.Life = Incarnation{4};
+  sample.Pool = jobs::PoolId("s");
+  sample.At = At;
+  sample.Labels = {"a", "r1"};
+  return sample;
+}
+
+jobs::Configuration configuration() {
+  jobs::Queue queue;
+  queue.Id = jobs::QueueId("q");
+  queue.Pool = jobs::PoolId("s");
+  queue.Approval = {Duration::millis(5), 0.5, Duration::seconds(2)};
+  jobs::Configuration sample;
+  sample.Version = 3;
+  sample.Queues = {queue};
+  sample.Pools = {{jobs::PoolId("s")}};
+  sample.Teams = {{Team, {"key"}, 5, Amounts}};
+  sample.Document = "document";
+  return sample;
+}
+
 std::vector<wire::Message> sampleMessages() {
   catalogue::Update update;
   update.Edits = {edit()};
   update.Snapshot = contents();
-  return {groupMessage(groupBodies().front()),
-          wire::PollCatalogue{hostStatus(), Revision{2}},
-          wire::CatalogueNews{update, {hostStatus()}},
-          wire::ProposeEdit{edit(), true},
-          wire::EditDone{{Revision{3}, true}},
-          wire::ReadHistory{10},
-          wire::HistoryPage{{{Revision{1}, EditId("e1"), "ada", "put"}}},
-          wire::ReportSlices{sliceReport()},
-          wire::SliceNews{sliceReply()},
-          wire::SubmitWork{submission()},
-          wire::CancelWork{Request, Team},
-          wire::AskFate{Request, Team, Duration::seconds(1)},
-          wire::FateNews{fateView()},
-          wire::SyncTasks{workerSync()},
-          wire::SyncDone{syncReply()},
-          wire::PassAnnouncement{announcement()},
-          wire::ReportCredits{entryReport()},
-          wire::CreditNews{creditGrant(), {{announcement(), Duration()}}},
-          wire::JournalLive{liveOffered()},
-          wire::JournalLiveEnd{liveEnded()},
-          wire::PassLive{callLive()},
-          wire::LiveDone{{Request, Runner, "answer"}},
-          wire::ReadZone{},
-          wire::ZoneNews{zoneStatus(), snapshot()},
-          wire::ReadMetrics{},
-          wire::MetricsNews{snapshot()},
-          wire::Done{},
-          wire::Refusal{{ErrorKind::NotLeader, "message", "remedy"}, At},
-          wire::AnnounceLeader{Zone, Term{2}, At}};
+  return {
+      groupMessage(groupBodies().front()),
+      wire::PollCatalogue{hostStatus(), Revision{2}},
+      wire::CatalogueNews{update, {hostStatus()}},
+      wire::ProposeEdit{edit(), true},
+      wire::EditDone{{Revision{3}, true}},
+      wire::ReadHistory{10},
+      wire::HistoryPage{{{Revision{1}, EditId("e1"), "ada", "put"}}},
+      wire::ReportSlices{sliceReport()},
+      wire::SliceNews{sliceReply()},
+      wire::SubmitWork{submission()},
+      wire::CancelWork{Request, Team},
+      wire::AskFate{Request, Team, Duration::seconds(1)},
+      wire::FateNews{fateView()},
+      wire::SyncTasks{workerSync()},
+      wire::SyncDone{syncReply()},
+      wire::PassAnnouncement{announcement()},
+      wire::ReportCredits{entryReport()},
+      wire::CreditNews{creditGrant(), {{announcement(), Duration()}}},
+      wire::JournalLive{liveOffered()},
+      wire::JournalLiveEnd{liveEnded()},
+      wire::PassLive{callLive()},
+      wire::LiveDone{{Request, Runner, "answer"}},
+      wire::ReadZone{},
+      wire::ZoneNews{zoneStatus(), snapshot()},
+      wire::ReadMetrics{},
+      wire::MetricsNews{snapshot()},
+      wire::Done{},
+      wire::Refusal{{ErrorKind::NotLeader, "message", "remedy"}, At},
+      wire::AnnounceLeader{Zone, Term{2}, At},
+      wire::ControlCall{jobs::SubmitJob{{"a.example", "/p/", "key"}, job()}},
+      wire::ControlNews{jobs::Members{{At}}},
+      wire::AskApproval{{{jobs::JobId("j"), 0, 1}, {Worker}},
+                        Duration::millis(900)},
+      wire::ApprovalNews{{{{Worker, "ticket"}}, Duration::seconds(2)}}};
+}
+
+std::vector<jobs::Command> controlCommands() {
+  const jobs::Caller caller{"a.example", "/p/", "key"};
+  jobs::Announcement announcement;
+  announcement.Who = jobWorker();
+  announcement.Remaining = Duration::millis(100);
+  return {jobs::CancelJob{caller, jobs::JobId("j")},
+          jobs::ReadJob{caller, jobs::JobId("j")},
+          jobs::CountPending{caller},
+          jobs::PutConfiguration{configuration()},
+          jobs::ReadConfiguration{},
+          jobs::AnnounceWorker{announcement},
+          jobs::WithdrawWorker{Worker},
+          jobs::OfferHelp{Host, At}};
+}
+
+std::vector<jobs::Reply> controlReplies() {
+  return {jobs::Stored{}, jobs::JobNews{jobs::JobState::Failed},
+          jobs::PendingCount{3}, jobs::ConfigurationNews{"document"},
+          jobs::WorkerNoted{At}};
+}
+
+std::vector<jobs::Event> controlEvents() {
+  const jobs::TaskKey task{jobs::JobId("j"), 0, 0, 1};
+  return {jobs::ConfigurationPut{configuration()},
+          jobs::JobAccepted{job(), Now},
+          jobs::WorkerChanged{jobWorker()},
+          jobs::AttemptStarted{task, 1, Worker},
+          jobs::AttemptEnded{task, 1, jobs::EndKind::Failed, "saved"},
+          jobs::JobCancelled{jobs::JobId("j")},
+          jobs::WorkerGone{Worker, Incarnation{4}},
+          jobs::JobsForgotten{{jobs::JobId("j")}}};
 }
 
 std::vector<fate::Event> zoneEvents() {
@@ -296,6 +376,19 @@
   for (const wire::FleetCommand &command : fleetCommands())
     seeds.push_back({absl::StrCat("fleet_command_", seeds.size()),
                      wire::encodeFleetCommand(command)});
+  for (const jobs::Command &command : controlCommands())
+    seeds.push_back(
+        {absl::StrCat("control_call_", command.index()),
+         wire::encodeEnvelope(envelope(wire::ControlCall{command}))});
+  for (const jobs::Reply &reply : controlReplies())
+    seeds.push_back({absl::StrCat("control_news_", reply.index()),
+                     wire::encodeEnvelope(envelope(wire::ControlNews{reply}))});
+  jobs::JobBook book;
+  for (const jobs::Event &event : controlEvents())
+    book.apply(event);
+  seeds.push_back(
+      {"control_events", wire::encodeControlEvents(controlEvents())});
+  seeds.push_back({"job_book", wire::encodeJobBook(book.capture())});
   seeds.push_back({"zone_events", wire::encodeZoneEvents(zoneEvents())});
   seeds.push_back({"fleet_state", wire::encodeFleetState(fleetState())});
   seeds.push_back({"book_state", wire::encodeBookState(bookState())});
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -149,7 +149,8 @@
     return jobs::WorkerNoted{Settings.Control};
   };
   const jobs::Worker *held = Book.findWorker(what.Who.Id);
-  const bool isOld = held != nullptr && what.Who.Life < held->Life;
+  const bool isOld = held != nullptr &&
+                     (what.Who.Life < held->Life || Desk->isOvertaken(what));
   // An address belongs to the worker that started last.
   std::vector<jobs::Event> events;
   bool isReplaced = false;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -88,12 +88,13 @@
   options.ReplaceAfter = ReplaceVoterAfter;
   options.Heartbeat = GroupHeartbeat;
   options.Lease = GroupLease;
-  const Status status =
-      Group.open(options, Disk->takeRecovered(), Settings.ElectionSeed,
-                 replicaHooks(), diskHooks());
-  if (isOk(status))
-    Group.log().onTurnEnd([this] { endTurn(); });
-  return status;
+  if (Status status =
+          Group.open(options, Disk->takeRecovered(), Settings.ElectionSeed,
+                     replicaHooks(), diskHooks());
+      !isOk(status))
+    return status;
+  Group.log().onTurnEnd([this] { endTurn(); });
+  return Ok{};
 }
 
 Status
@@ -102,9 +103,9 @@
   for (const consensus::Persist &change : changes)
     if (Status status = Disk->write(change); !isOk(status))
       return status;
-  Status status = Disk->sync();
+  Status synced = Disk->sync();
   SlowSyncs = Loop.now() - begin > SlowSync ? SlowSyncs + 1 : 0;
-  return status;
+  return synced;
 }
 
 replica::DiskHooks ControlTask::diskHooks() {
@@ -356,8 +357,9 @@
     return;
   IsPlanStoring = true;
   std::vector<jobs::Event> events;
-  for (const dispatch::PlannedStart &planned : starts)
-    events.emplace_back(planned.Start);
+  std::ranges::transform(
+      starts, std::back_inserter(events),
+      [](const dispatch::PlannedStart &planned) { return planned.Start; });
   store(std::move(events),
         [this, starts, desk = std::weak_ptr<WorkerDesk>(Desk)](bool isStored) {
           if (desk.lock() == nullptr || desk.lock() != Desk)
--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -76,6 +76,12 @@
   }
 }
 
+bool WorkerDesk::isOvertaken(const jobs::Announcement &announcement) const {
+  const auto it = Sessions.find(announcement.Who.Id);
+  return it != Sessions.end() && it->second.Life == announcement.Who.Life &&
+         announcement.Sequence < it->second.Sequence;
+}
+
 void WorkerDesk::noteAnnouncement(const jobs::Announcement &announcement) {
   Session &session = sessionOf(announcement.Who.Id);
   if (announcement.Who.Life < session.Life)
--- a/jujube/control/worker_desk.h
+++ b/jujube/control/worker_desk.h
@@ -47,6 +47,8 @@
   // Takes over the attempts that the book says may be running.
   void takeOver();
 
+  // True if a later announcement of the same life has arrived.
+  bool isOvertaken(const jobs::Announcement &announcement) const;
   // A worker announced itself; its state is in the book already.
   void noteAnnouncement(const jobs::Announcement &announcement);
   // The book's entry of a worker changed or vanished.
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -182,7 +182,7 @@
   bool placeOnOneRack(const ReadyStep &step, uint32_t attempt) {
     std::set<std::string> racks;
     for (const WorkerView &view : In.Workers)
-      racks.insert(view.Who->Labels.begin(), view.Who->Labels.end());
+      racks.insert(view.Who->Rack);
     return std::ranges::any_of(racks, [&](const std::string &rack) {
       return placeAll(step, attempt, &rack);
     });
@@ -241,7 +241,7 @@
   Choice choose(const ReadyStep &step, const std::string *rack) const {
     const WorkerView *best = nullptr;
     for (const WorkerView &view : In.Workers) {
-      if (rack != nullptr && !hasLabel(*view.Who, *rack))
+      if (rack != nullptr && view.Who->Rack != *rack)
         continue;
       if (!hasRoom(step, view) || !isApproved(step, view.Who->Id))
         continue;
--- /dev/null
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -0,0 +1,279 @@
+#include "jujube/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+#include <set>
+
+#include "testing/job_samples.h"
+
+namespace jujube::dispatch {
+namespace {
+
+using testing::sampleBook;
+using testing::sampleJob;
+using testing::sampleStep;
+using testing::sampleWorker;
+using testing::taskOf;
+
+const Instant Now = Instant::atMillis(10'000);
+
+std::vector<WorkerView> viewsOf(const jobs::JobBook &book) {
+  std::vector<WorkerView> views;
+  for (const auto &[id, worker] : book.workers())
+    views.push_back({&worker});
+  return views;
+}
+
+DispatchPlan planOf(const jobs::JobBook &book,
+                    const Approvals &approved = Approvals()) {
+  return planStarts({book, viewsOf(book), approved, Now, Now, 100},
+                    defaultHooks());
+}
+
+void applyStarts(jobs::JobBook &book, const DispatchPlan &plan) {
+  for (const PlannedStart &planned : plan.Starts)
+    book.apply(planned.Start);
+}
+
+std::set<std::string> workersOf(const DispatchPlan &plan) {
+  std::set<std::string> workers;
+  for (const PlannedStart &planned : plan.Starts)
+    workers.insert(planned.Start.Worker.str());
+  return workers;
+}
+
+// A book whose queue needs approval.
+jobs::JobBook approvedBook(const std::vector<jobs::Worker> &workers,
+                           const std::vector<jobs::JobSpec> &specs) {
+  jobs::JobBook book = sampleBook(workers, specs);
+  jobs::Configuration config = testing::sampleConfiguration(2);
+  config.Queues[0].Approval = {Duration::millis(50), 1, Duration::millis(1500)};
+  book.apply(jobs::ConfigurationPut{config});
+  return book;
+}
+
+BOOST_AUTO_TEST_SUITE(DispatcherTest)
+
+BOOST_AUTO_TEST_CASE(NoWorkerGetsMoreThanItHolds) {
+  jobs::JobBook book = sampleBook({sampleWorker("w1"), sampleWorker("w2")},
+                                  {sampleJob("a", {sampleStep(20, 1500)})});
+  applyStarts(book, planOf(book));
+  BOOST_TEST(book.loadOf(WorkerId("w1")).Used.MilliCpu == 3000);
+  BOOST_TEST(book.loadOf(WorkerId("w2")).Used.MilliCpu == 3000);
+  BOOST_TEST(planOf(book).Starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TeamStaysWithinItsMaximum) {
+  jobs::JobBook book = sampleBook(
+      {sampleWorker("w1", 50'000)},
+      {sampleJob("a", {sampleStep(10)}), sampleJob("b", {sampleStep(10)})});
+  jobs::Configuration config = testing::sampleConfiguration(2);
+  config.Teams[0].Maximum = {7500, 0, 0};
+  book.apply(jobs::ConfigurationPut{config});
+  applyStarts(book, planOf(book));
+  BOOST_TEST(book.usedBy(testing::SampleTeam).MilliCpu == 7000);
+  BOOST_TEST(planOf(book).Starts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(StepStartsOnlyAfterThoseThatItWaitsFor) {
+  jobs::StepSpec second = sampleStep(1);
+  second.After = {0};
+  jobs::JobBook book = sampleBook({sampleWorker("w1")},
+                                  {sampleJob("a", {sampleStep(1), second})});
+  const DispatchPlan plan = planOf(book);
+  BOOST_REQUIRE(plan.Starts.size() == 1U);
+  BOOST_TEST(plan.Starts[0].Start.Task.Step == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(LabelsPoolsAndBoundsPerWorkerAreKept) {
+  jobs::StepSpec step = sampleStep(6, 100);
+  step.RequiredLabel = "b";
+  step.MaxPerWorker = 2;
+  jobs::Worker other = sampleWorker("w3");
+  other.Labels = {"b"};
+  other.Pool = jobs::PoolId("other");
+  jobs::Worker fitting = sampleWorker("w2");
+  fitting.Labels = {"b", "r2"};
+  const jobs::JobBook book = sampleBook({sampleWorker("w1"), fitting, other},
+                                        {sampleJob("a", {step})});
+  const DispatchPlan plan = planOf(book);
+  BOOST_TEST(plan.Starts.size() == 2U);
+  BOOST_TEST((workersOf(plan) == std::set<std::string>{"w2"}));
+}
+
+BOOST_AUTO_TEST_CASE(GangStartsWholeOrNotAtAll) {
+  jobs::StepSpec gang = sampleStep(5);
+  gang.IsGang = true;
+  jobs::JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {gang})});
+  BOOST_TEST(planOf(book).Starts.empty());
+  book.apply(jobs::WorkerChanged{sampleWorker("w2")});
+  const DispatchPlan plan = planOf(book);
+  BOOST_TEST(plan.Starts.size() == 5U);
+  BOOST_TEST(std::ranges::all_of(plan.Starts, [](const PlannedStart &it) {
+    return it.Start.Attempt == 1;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(MembersOfAGangGetTheSameAttempt) {
+  jobs::StepSpec gang = sampleStep(2);
+  gang.IsGang = true;
+  jobs::JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {gang})});
+  book.apply(jobs::AttemptStarted{taskOf("a", 0), 4, WorkerId("w1")});
+  BOOST_TEST(planOf(book).Starts.empty());
+  book.apply(jobs::AttemptEnded{taskOf("a", 0), 4, jobs::EndKind::Lost, {}});
+  const DispatchPlan plan = planOf(book);
+  BOOST_REQUIRE(plan.Starts.size() == 2U);
+  BOOST_TEST(plan.Starts[0].Start.Attempt == 5U);
+  BOOST_TEST(plan.Starts[1].Start.Attempt == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(TightlyCoupledGangGoesToOneRackIfItFits) {
+  jobs::StepSpec gang = sampleStep(4);
+  gang.IsGang = true;
+  gang.IsTightlyCoupled = true;
+  jobs::Worker fuller = sampleWorker("w1", 2000);
+  jobs::Worker roomy = sampleWorker("w2");
+  roomy.Rack = "r2";
+  const jobs::JobBook book =
+      sampleBook({fuller, roomy}, {sampleJob("a", {gang})});
+  BOOST_TEST((workersOf(planOf(book)) == std::set<std::string>{"w2"}));
+}
+
+BOOST_AUTO_TEST_CASE(DataRackAndSoundWorkersGoFirst) {
+  jobs::StepSpec step = sampleStep(1);
+  step.DataRack = "r2";
+  jobs::Worker near = sampleWorker("w2", 8000);
+  near.Labels = {"a", "r2"};
+  const jobs::JobBook book =
+      sampleBook({sampleWorker("w1"), near}, {sampleJob("a", {step})});
+  BOOST_TEST((workersOf(planOf(book)) == std::set<std::string>{"w2"}));
+  std::vector<WorkerView> views = viewsOf(book);
+  views[1].IsDoubtful = true;
+  const DispatchPlan plan =
+      planStarts({book, views, Approvals(), Now, Now, 100}, defaultHooks());
+  BOOST_TEST((workersOf(plan) == std::set<std::string>{"w1"}));
+}
+
+BOOST_AUTO_TEST_CASE(StepWithoutApprovalAsksAndStartsOnceItIsApproved) {
+  jobs::JobBook book = approvedBook({sampleWorker("w1"), sampleWorker("w2")},
+                                    {sampleJob("a", {sampleStep(2)})});
+  Approvals approved;
+  DispatchPlan plan = planOf(book, approved);
+  BOOST_TEST(plan.Starts.empty());
+  BOOST_REQUIRE(plan.Queries.size() == 1U);
+  const jobs::ApprovalQuery query = plan.Queries[0];
+  approved.begin(query, testing::SampleQueue);
+  BOOST_TEST(planOf(book, approved).Queries.empty());
+  approved.finish(query, {{{WorkerId("w2"), "ticket"}}, Duration::seconds(1)},
+                  Now);
+  plan = planOf(book, approved);
+  BOOST_TEST(plan.Starts.size() == 2U);
+  BOOST_TEST((workersOf(plan) == std::set<std::string>{"w2"}));
+  BOOST_TEST(plan.Starts[0].Ticket == "ticket");
+}
+
+BOOST_AUTO_TEST_CASE(OnlyExpiredTicketsAreAskedForAgainIfTheyAreEnough) {
+  const jobs::JobBook book =
+      approvedBook({sampleWorker("w1"), sampleWorker("w2")},
+                   {sampleJob("a", {sampleStep(2)})});
+  Approvals approved;
+  const jobs::ApprovalQuery query = planOf(book, approved).Queries.at(0);
+  approved.begin(query, testing::SampleQueue);
+  approved.finish(query, {{{WorkerId("w2"), "ticket"}}, Duration::seconds(1)},
+                  Now - Duration::seconds(5));
+  const DispatchPlan plan = planOf(book, approved);
+  BOOST_TEST(plan.Starts.empty());
+  BOOST_REQUIRE(plan.Queries.size() == 1U);
+  BOOST_TEST((plan.Queries[0].Workers == std::vector{WorkerId("w2")}));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsAskedWhereThereIsNoRoom) {
+  const jobs::JobBook book = approvedBook({sampleWorker("w1", 500)},
+                                          {sampleJob("a", {sampleStep(2)})});
+  BOOST_TEST(planOf(book).Queries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(UrgentQueuesAndJobsThatCanStillBeInTimeGoFirst) {
+  jobs::JobBook book = sampleBook({sampleWorker("w1", 1000)}, {});
+  // Its objective, 1000 + 2 * 1000 + 1000, has passed at 10,000.
+  book.apply(jobs::JobAccepted{sampleJob("late", {sampleStep(1)}),
+                               Instant::atMillis(1000)});
+  book.apply(jobs::JobAccepted{sampleJob("timely", {sampleStep(1)}),
+                               Instant::atMillis(9500)});
+  DispatchPlan plan = planOf(book);
+  BOOST_REQUIRE(plan.Starts.size() == 1U);
+  BOOST_TEST(plan.Starts[0].Start.Task.Job.str() == "timely");
+  jobs::Configuration config = testing::sampleConfiguration(2);
+  config.Queues.push_back(config.Queues[0]);
+  config.Queues[0].Priority = 1;
+  config.Queues[1].Id = jobs::QueueId("urgent");
+  config.Queues[1].PathPrefix = "/urgent/";
+  book.apply(jobs::ConfigurationPut{config});
+  jobs::JobSpec urgent = sampleJob("urgent", {sampleStep(1)});
+  urgent.Queue = jobs::QueueId("urgent");
+  book.apply(jobs::JobAccepted{urgent, Instant::atMillis(1000)});
+  plan = planOf(book);
+  BOOST_REQUIRE(plan.Starts.size() == 1U);
+  BOOST_TEST(plan.Starts[0].Start.Task.Job.str() == "urgent");
+}
+
+BOOST_AUTO_TEST_CASE(OccurrencesStartWhenTheyAreDue) {
+  jobs::JobSpec spec = sampleJob("a", {sampleStep(1)});
+  spec.Occurrences = 3;
+  spec.FirstDue = Now - Duration::millis(500);
+  spec.Period = Duration::millis(400);
+  const jobs::JobBook book = sampleBook({sampleWorker("w1")}, {spec});
+  BOOST_TEST(planOf(book).Starts.size() == 2U);
+  BOOST_TEST((nextDue(book, Now) == Now + Duration::millis(300)));
+}
+
+BOOST_AUTO_TEST_CASE(JobsThatCantBeServedAreNamed) {
+  BOOST_TEST(isOk(checkServable(sampleJob("a", {sampleStep(1)}))));
+  BOOST_TEST(!isOk(checkServable(sampleJob("a", {}))));
+  BOOST_TEST(!isOk(checkServable(sampleJob("a", {sampleStep(0)}))));
+  jobs::StepSpec forward = sampleStep(1);
+  forward.After = {0};
+  BOOST_TEST(!isOk(checkServable(sampleJob("a", {forward}))));
+  jobs::StepSpec filler = sampleStep(1);
+  filler.IsFiller = true;
+  const Status status = checkServable(sampleJob("a", {filler}));
+  BOOST_REQUIRE(!isOk(status));
+  BOOST_TEST((errorOf(status).Kind == ErrorKind::ImpossibleRequest));
+}
+
+// Whatever jobs come, plans keep capacities, gangs whole and one attempt a
+// task.
+RC_BOOST_PROP(PlansKeepTheirPromises, ()) {
+  std::vector<jobs::Worker> workers;
+  const int n = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < n; ++i)
+    workers.push_back(
+        sampleWorker("w" + std::to_string(i), *rc::gen::inRange(500, 8000)));
+  std::vector<jobs::JobSpec> specs;
+  const int m = *rc::gen::inRange(1, 8);
+  for (int i = 0; i < m; ++i) {
+    jobs::StepSpec step = sampleStep(*rc::gen::inRange<uint32_t>(1, 6),
+                                     *rc::gen::inRange(100, 3000));
+    step.IsGang = *rc::gen::arbitrary<bool>();
+    step.IsTightlyCoupled = *rc::gen::arbitrary<bool>();
+    step.MaxPerWorker = *rc::gen::inRange<uint32_t>(0, 3);
+    specs.push_back(sampleJob("j" + std::to_string(i), {step}));
+  }
+  jobs::JobBook book = sampleBook(workers, specs);
+  applyStarts(book, planOf(book));
+  for (const jobs::Worker &worker : workers)
+    RC_ASSERT(book.loadOf(worker.Id).Used.fitsIn(worker.Capacity));
+  for (const auto &[id, job] : book.jobs()) {
+    const jobs::StepState &step = job.Rounds[0].Steps[0];
+    if (job.Spec.Steps[0].IsGang)
+      RC_ASSERT(step.LiveTasks == 0 || step.LiveTasks == step.Tasks.size());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::dispatch
--- /dev/null
+++ b/jujube/dispatch/lease_clock_test.cc
@@ -0,0 +1,59 @@
+#include "jujube/dispatch/lease_clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujube::dispatch {
+namespace {
+
+Instant at(int64_t ms) { return Instant::atMillis(ms); }
+
+LeasePolicy policy() {
+  LeasePolicy policy;
+  policy.Lease = Duration::seconds(5);
+  return policy;
+}
+
+BOOST_AUTO_TEST_SUITE(LeaseClockTest)
+
+BOOST_AUTO_TEST_CASE(NothingIsGrantedWhileTheClockIsNotKnown) {
+  LeaseClock clock(policy(), at(0));
+  BOOST_TEST(!clock.grant(at(100)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(LeasesOfAPredecessorAreWaitedFor) {
+  const LeaseClock clock(policy(), at(1000));
+  BOOST_TEST(!clock.isOver(at(1000 + 5000)));
+  // 5 s on a clock that is 2 % slow, and the margin.
+  BOOST_TEST(clock.isOver(at(1000 + 5000 * 1000 / 980 + 250)));
+}
+
+BOOST_AUTO_TEST_CASE(LeaseIsOverOnceASlowClockShowsItsEnd) {
+  LeaseClock clock(policy(), at(0));
+  clock.note(at(500'000), at(10'000));
+  BOOST_TEST((clock.grant(at(10'000)) == at(505'000)));
+  BOOST_TEST(!clock.isOver(at(15'000)));
+  // A clock that is 2 % slow shows 504,998 now.
+  BOOST_TEST(!clock.isOver(at(15'100)));
+  BOOST_TEST(clock.isOver(at(15'360)));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerThatWasOvertakenDoesNotSetTheClockBack) {
+  LeaseClock clock(policy(), at(0));
+  clock.note(at(500'000), at(10'000));
+  clock.note(at(499'000), at(10'050));
+  BOOST_TEST((clock.grant(at(10'050)) == at(505'050)));
+}
+
+BOOST_AUTO_TEST_CASE(LaterGrantsAreWaitedFor) {
+  LeaseClock clock(policy(), at(0));
+  clock.note(at(500'000), at(10'000));
+  (void)clock.grant(at(10'000));
+  (void)clock.grant(at(14'000));
+  BOOST_TEST(!clock.isOver(at(16'000)));
+  BOOST_TEST(clock.isOver(at(20'000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::dispatch
--- /dev/null
+++ b/jujube/http/caller_test.cc
@@ -0,0 +1,142 @@
+// The caller against a server of this library, over loopback.
+#include "jujube/http/caller.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+#include "jujube/http/exchange_server.h"
+#include "jujube/runtime/sockets.h"
+
+namespace jujube::http {
+namespace {
+
+constexpr Duration Patience = Duration::seconds(10);
+
+// A task that runs until the test ends.
+class Running {
+public:
+  explicit Running(runtime::ChildSpec child)
+      : Thread(valueOf(runtime::Task::start(
+            child.Name, Clock::monotonic(), std::move(child.Body),
+            [](const runtime::TaskExit &) {}))) {}
+  ~Running() {
+    Thread->requestStop();
+    Thread->join();
+  }
+  Running(const Running &) = delete;
+  Running &operator=(const Running &) = delete;
+
+private:
+  std::unique_ptr<runtime::Task> Thread;
+};
+
+struct Server {
+  std::promise<uint16_t> Port;
+  Address At{"127.0.0.1", 0};
+  std::unique_ptr<Running> Task;
+
+  explicit Server(ExchangeHook answer) {
+    ServerOptions options;
+    options.Listen = At;
+    options.OnListening = [this](uint16_t port) { Port.set_value(port); };
+    Task = std::make_unique<Running>(valueOf(exchangeServerTask(
+        "server", options, std::move(answer), [] { return true; })));
+    At.Port = Port.get_future().get();
+  }
+};
+
+// A caller with the owner's side of it on the test's thread.
+struct Owner {
+  CallMailbox Calls = runtime::makeMailbox<CallRequest>(64);
+  CallResults Results = runtime::makeMailbox<CallResult>(64);
+  runtime::PollLoop Loop{Clock::monotonic()};
+  CallDesk Desk{Loop, Calls, Results};
+  Running Task{callerTask({}, Calls, Results)};
+
+  OutboundResult call(OutboundCall what) {
+    std::optional<OutboundResult> outcome;
+    Desk.call(std::move(what),
+              [&](OutboundResult result) { outcome = std::move(result); });
+    const Instant end = Loop.now() + Patience;
+    Loop.callAt(end, [] {});
+    while (!outcome && Loop.now() < end)
+      BOOST_REQUIRE(isOk(Loop.runOnce()));
+    BOOST_REQUIRE(outcome.has_value());
+    return *outcome;
+  }
+};
+
+OutboundCall post(const Address &to, const std::string &body,
+                  Duration timeout = Duration::seconds(5)) {
+  return {to, "POST", "/echo", {{"X-Name", "value"}}, body, timeout};
+}
+
+BOOST_AUTO_TEST_SUITE(CallerTest)
+
+BOOST_AUTO_TEST_CASE(AnswersComeBackOverKeptConnections) {
+  Server server([](const Exchange &exchange) {
+    return ExchangeAnswer{exchange.Header("X-Name") == "value" ? 200 : 400,
+                          exchange.Method + exchange.Path + exchange.Body};
+  });
+  Owner owner;
+  for (const std::string &body :
+       {std::string("a"), std::string(100'000, 'b'), std::string("c")}) {
+    const OutboundResult result = owner.call(post(server.At, body));
+    BOOST_REQUIRE(isOk(result));
+    BOOST_TEST(valueOf(result).Status == 200);
+    BOOST_TEST((valueOf(result).Body == "POST/echo" + body));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ManyCallsToOneAddressAreAllAnswered) {
+  Server server([](const Exchange &exchange) {
+    return ExchangeAnswer{200, exchange.Body};
+  });
+  Owner owner;
+  std::size_t answered = 0;
+  for (int i = 0; i < 50; ++i)
+    owner.Desk.call(post(server.At, std::to_string(i)),
+                    [&answered, i](const OutboundResult &result) {
+                      BOOST_TEST(isOk(result));
+                      BOOST_TEST(valueOf(result).Body == std::to_string(i));
+                      ++answered;
+                    });
+  const Instant end = owner.Loop.now() + Patience;
+  owner.Loop.callAt(end, [] {});
+  while (answered < 50 && owner.Loop.now() < end)
+    BOOST_REQUIRE(isOk(owner.Loop.runOnce()));
+  BOOST_TEST(answered == 50U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionMeansThatNothingWasSent) {
+  const Address closed = [] {
+    const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
+    return runtime::localAddress(listener.get());
+  }();
+  Owner owner;
+  const OutboundResult result = owner.call(post(closed, "a"));
+  BOOST_REQUIRE(!isOk(result));
+  BOOST_TEST((errorOf(result).Kind == ErrorKind::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(SilentPeerLeavesTheOutcomeUnknown) {
+  const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
+  Owner owner;
+  const OutboundResult result = owner.call(
+      post(runtime::localAddress(listener.get()), "a", Duration::millis(100)));
+  BOOST_REQUIRE(!isOk(result));
+  BOOST_TEST((errorOf(result).Kind == ErrorKind::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(BodyOverTheLimitIsRefused) {
+  Server server([](const Exchange &) { return ExchangeAnswer{}; });
+  Owner owner;
+  const OutboundResult result =
+      owner.call(post(server.At, std::string(2 << 20, 'a')));
+  BOOST_TEST((!isOk(result) || valueOf(result).Status == 413));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::http
--- a/jujube/jobs/job_book.cc
+++ b/jujube/jobs/job_book.cc
@@ -193,8 +193,12 @@
 
 void JobBook::handle(const WorkerChanged &event) {
   Worker &held = Workers[event.Now.Id];
-  if (event.Now.Life >= held.Life)
-    held = event.Now;
+  if (event.Now.Life < held.Life)
+    return;
+  // A life that drains ends; an announcement from before may still arrive.
+  const bool isDraining = event.Now.Life == held.Life && held.IsDraining;
+  held = event.Now;
+  held.IsDraining |= isDraining;
 }
 
 void JobBook::handle(const WorkerGone &event) {
--- /dev/null
+++ b/jujube/jobs/job_book_test.cc
@@ -0,0 +1,237 @@
+#include "jujube/jobs/job_book.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "testing/job_samples.h"
+
+namespace jujube::jobs {
+namespace {
+
+using testing::sampleBook;
+using testing::sampleJob;
+using testing::sampleStep;
+using testing::sampleWorker;
+using testing::taskOf;
+
+void start(JobBook &book, const TaskKey &task, uint32_t attempt,
+           const std::string &worker = "w1") {
+  book.apply(AttemptStarted{task, attempt, WorkerId(worker)});
+}
+void end(JobBook &book, const TaskKey &task, uint32_t attempt, EndKind how,
+         const std::string &checkpoint = {}) {
+  book.apply(AttemptEnded{task, attempt, how, checkpoint});
+}
+JobState stateOf(const JobBook &book, const std::string &job) {
+  return book.find(JobId(job))->State;
+}
+
+BOOST_AUTO_TEST_SUITE(JobBookTest)
+
+BOOST_AUTO_TEST_CASE(ResentJobIsTheSameJob) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 1);
+  book.apply(JobAccepted{sampleJob("a", {sampleStep(5)}), Instant()});
+  BOOST_TEST(book.jobs().size() == 1U);
+  BOOST_TEST((stateOf(book, "a") == JobState::Running));
+  BOOST_TEST(book.find(JobId("a"))->Spec.Steps.front().Tasks == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StepsWaitForEarlierSteps) {
+  StepSpec second = sampleStep(1);
+  second.After = {0};
+  JobBook book = sampleBook({sampleWorker("w1")},
+                            {sampleJob("a", {sampleStep(2), second})});
+  const auto isReady = [&] {
+    return JobBook::isReady(*book.find(JobId("a")), 0, 1);
+  };
+  start(book, taskOf("a", 0), 1);
+  end(book, taskOf("a", 0), 1, EndKind::Done);
+  BOOST_TEST(!isReady());
+  start(book, taskOf("a", 1), 1);
+  end(book, taskOf("a", 1), 1, EndKind::Done);
+  BOOST_TEST(isReady());
+  BOOST_TEST((stateOf(book, "a") == JobState::Running));
+  start(book, taskOf("a", 0, 1), 1);
+  end(book, taskOf("a", 0, 1), 1, EndKind::Done);
+  BOOST_TEST((stateOf(book, "a") == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(TaskThatIsDoneOrRunningDoesNotStartAgain) {
+  JobBook book = sampleBook({sampleWorker("w1"), sampleWorker("w2")},
+                            {sampleJob("a", {sampleStep(2)})});
+  start(book, taskOf("a", 0), 1);
+  start(book, taskOf("a", 0), 2, "w2");
+  BOOST_TEST(book.isLive(taskOf("a", 0), 1));
+  end(book, taskOf("a", 0), 1, EndKind::Done);
+  start(book, taskOf("a", 0), 2, "w2");
+  BOOST_TEST(!book.isLive(taskOf("a", 0), 2));
+  BOOST_TEST(book.loads().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AttemptNumbersRise) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 3);
+  end(book, taskOf("a", 0), 3, EndKind::Lost);
+  start(book, taskOf("a", 0), 3);
+  BOOST_TEST(!book.isLive(taskOf("a", 0), 3));
+  start(book, taskOf("a", 0), 4);
+  BOOST_TEST(book.isLive(taskOf("a", 0), 4));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyFailedEndsCountAsAttempts) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  uint32_t attempt = 0;
+  for (const EndKind how : {EndKind::Lost, EndKind::Stopped, EndKind::Lapsed,
+                            EndKind::Failed, EndKind::Lost}) {
+    start(book, taskOf("a", 0), ++attempt);
+    end(book, taskOf("a", 0), attempt, how);
+    BOOST_TEST((stateOf(book, "a") == JobState::Running));
+  }
+  start(book, taskOf("a", 0), ++attempt);
+  end(book, taskOf("a", 0), attempt, EndKind::Failed);
+  BOOST_TEST((stateOf(book, "a") == JobState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedEndCountsOnce) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 1);
+  end(book, taskOf("a", 0), 1, EndKind::Failed);
+  end(book, taskOf("a", 0), 1, EndKind::Failed);
+  BOOST_TEST((stateOf(book, "a") == JobState::Running));
+  BOOST_TEST(book.findTask(taskOf("a", 0))->Failures == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OneEndStandsForTheGangAndAllMembersKeepTheirRoom) {
+  StepSpec gang = sampleStep(2);
+  gang.IsGang = true;
+  JobBook book = sampleBook({sampleWorker("w1")}, {sampleJob("a", {gang})});
+  start(book, taskOf("a", 0), 1);
+  start(book, taskOf("a", 1), 1);
+  end(book, taskOf("a", 0), 1, EndKind::Done);
+  BOOST_TEST((stateOf(book, "a") == JobState::Completed));
+  BOOST_TEST(book.loadOf(WorkerId("w1")).Used.MilliCpu == 1000);
+  end(book, taskOf("a", 1), 1, EndKind::Done);
+  BOOST_TEST(book.loads().empty());
+}
+
+BOOST_AUTO_TEST_CASE(GangFailsOnceForEachAttempt) {
+  StepSpec gang = sampleStep(2);
+  gang.IsGang = true;
+  JobBook book = sampleBook({sampleWorker("w1")}, {sampleJob("a", {gang})});
+  for (const uint32_t attempt : {1U, 2U}) {
+    BOOST_TEST((stateOf(book, "a") != JobState::Failed));
+    start(book, taskOf("a", 0), attempt);
+    start(book, taskOf("a", 1), attempt);
+    end(book, taskOf("a", 0), attempt, EndKind::Failed);
+    end(book, taskOf("a", 1), attempt, EndKind::Failed);
+  }
+  BOOST_TEST((stateOf(book, "a") == JobState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobHoldsItsRoomUntilItsAttemptsHaveEnded) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(2)})});
+  start(book, taskOf("a", 0), 1);
+  book.apply(JobCancelled{JobId("a")});
+  start(book, taskOf("a", 1), 1);
+  BOOST_TEST(book.usedBy(testing::SampleTeam).MilliCpu == 1000);
+  book.apply(JobsForgotten{{JobId("a")}});
+  BOOST_TEST(book.find(JobId("a")) != nullptr);
+  end(book, taskOf("a", 0), 1, EndKind::Stopped);
+  BOOST_TEST(book.usedBy(testing::SampleTeam).MilliCpu == 0);
+  BOOST_TEST((stateOf(book, "a") == JobState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(EndedJobStaysAsItEnded) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 1);
+  end(book, taskOf("a", 0), 1, EndKind::Done);
+  book.apply(JobCancelled{JobId("a")});
+  BOOST_TEST((stateOf(book, "a") == JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(LostWorkerGivesItsAttemptsBackWithTheirCheckpoints) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 1);
+  end(book, taskOf("a", 0), 1, EndKind::Stopped, "saved");
+  start(book, taskOf("a", 0), 2);
+  book.apply(WorkerGone{WorkerId("w1"), Incarnation{1}});
+  BOOST_TEST(!book.isLive(taskOf("a", 0), 2));
+  BOOST_TEST(book.findTask(taskOf("a", 0))->Checkpoint == "saved");
+  BOOST_TEST(book.findWorker(WorkerId("w1")) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(EarlierLifeOfAWorkerIsIgnored) {
+  Worker late = sampleWorker("w1");
+  late.Life = Incarnation{5};
+  JobBook book = sampleBook({late}, {});
+  book.apply(WorkerChanged{sampleWorker("w1")});
+  BOOST_TEST(book.findWorker(WorkerId("w1"))->Life.Value == 5U);
+  book.apply(WorkerGone{WorkerId("w1"), Incarnation{1}});
+  BOOST_TEST(book.findWorker(WorkerId("w1")) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(LateAnnouncementDoesNotEndADrain) {
+  Worker draining = sampleWorker("w1");
+  draining.IsDraining = true;
+  JobBook book = sampleBook({draining}, {});
+  book.apply(WorkerChanged{sampleWorker("w1")});
+  BOOST_TEST(book.findWorker(WorkerId("w1"))->IsDraining);
+  Worker reborn = sampleWorker("w1");
+  reborn.Life = Incarnation{2};
+  book.apply(WorkerChanged{reborn});
+  BOOST_TEST(!book.findWorker(WorkerId("w1"))->IsDraining);
+}
+
+BOOST_AUTO_TEST_CASE(HighestConfigurationIsInForce) {
+  JobBook book = sampleBook({}, {});
+  book.apply(ConfigurationPut{testing::sampleConfiguration(9)});
+  Configuration older = testing::sampleConfiguration(8);
+  older.Queues.clear();
+  book.apply(ConfigurationPut{older});
+  Configuration same = testing::sampleConfiguration(9);
+  same.Document = "other content";
+  book.apply(ConfigurationPut{same});
+  BOOST_TEST(book.configuration().Version == 9U);
+  BOOST_TEST(book.configuration().Queues.size() == 1U);
+  BOOST_TEST(book.configuration().Document.empty());
+}
+
+BOOST_AUTO_TEST_CASE(PendingCountsJobsOfWhichNoTaskHasStarted) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)}),
+                                        sampleJob("b", {sampleStep(1)})});
+  BOOST_TEST(book.pending(testing::SampleQueue) == 2U);
+  start(book, taskOf("a", 0), 1);
+  BOOST_TEST(book.pending(testing::SampleQueue) == 1U);
+  book.apply(JobCancelled{JobId("b")});
+  BOOST_TEST(book.pending(testing::SampleQueue) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RestoredBookIsTheSame) {
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(3)}),
+                                        sampleJob("b", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 1);
+  start(book, taskOf("b", 0), 1);
+  end(book, taskOf("b", 0), 1, EndKind::Done);
+  const JobBook copy = JobBook::restore(book.capture());
+  BOOST_TEST((copy.jobs() == book.jobs()));
+  BOOST_TEST((copy.openJobs() == book.openJobs()));
+  BOOST_TEST((copy.workers() == book.workers()));
+  BOOST_TEST(
+      (copy.loadOf(WorkerId("w1")).Used == book.loadOf(WorkerId("w1")).Used));
+  BOOST_TEST(
+      (copy.usedBy(testing::SampleTeam) == book.usedBy(testing::SampleTeam)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::jobs
--- a/jujube/jobs/types.h
+++ b/jujube/jobs/types.h
@@ -169,7 +169,10 @@
   Address At;
   ZoneId Zone;
   Resources Capacity;
+  // Its kind and its rack among them.
   std::vector<std::string> Labels;
+  // Empty if it is not known.
+  std::string Rack;
   // It takes no new tasks and ends soon.
   bool IsDraining = false;
 
--- a/jujube/runtime/supervisor.cc
+++ b/jujube/runtime/supervisor.cc
@@ -3,6 +3,7 @@
 #include <pthread.h>
 #include <signal.h>
 #include <sys/signalfd.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <ranges>
@@ -145,6 +146,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   const FileDescriptor signalled(
@@ -155,6 +157,13 @@
   auto stopRequest = std::make_shared<SignalEvent>();
   TaskContext context("root", clock, stopRequest);
   context.loop().watch(signalled.get(), POLLIN, [&](short) {
+    signalfd_siginfo info{};
+    if (read(signalled.get(), &info, sizeof info) != sizeof info)
+      return;
+    if (info.ssi_signo == SIGHUP) {
+      LOG(INFO) << "event=reload_requested";
+      return;
+    }
     context.loop().unwatch(signalled.get());
     LOG(INFO) << "event=stop_requested";
     stopRequest->raise();
--- a/jujube/runtime/supervisor.h
+++ b/jujube/runtime/supervisor.h
@@ -73,6 +73,7 @@
 };
 
 // Runs a tree on the calling thread until SIGTERM or SIGINT asks it to stop.
+// SIGHUP ends nothing: tasks read settings that may change when they need them.
 // Call it before any other thread is started, so that all block these signals.
 Status runUntilSignalled(const Supervisor &root, const Clock &clock);
 
--- a/jujube/storage/recovery.cc
+++ b/jujube/storage/recovery.cc
@@ -44,9 +44,11 @@
   return numbers;
 }
 
-// Shortens a file for good: a later crash must not bring the cut part back.
-Status cutFile(const FileHooks &hooks, const std::string &path,
-               std::size_t bytes) {
+// Cuts a file to the bytes that were read from it and syncs it. A process that
+// ended before its last sync leaves bytes that can be read and that a loss of
+// power may still take; and one must not bring the cut part back.
+Status settleFile(const FileHooks &hooks, const std::string &path,
+                  std::size_t bytes) {
   const OwnedFd fd(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
   if (fd.get() < 0 || ::ftruncate(fd.get(), static_cast<off_t>(bytes)) != 0)
     return fileError("truncate", path, errno);
@@ -64,7 +66,8 @@
   const std::vector<uint64_t> &numbers = valueOf(listed);
   for (const uint64_t number : numbers) {
     if (!Segments.empty() && number != Segments.back().Number + 1)
-      return corrupt(segmentPath(Segments.back().Number + 1), "it is missing");
+      if (Status status = dropReturned(); !isOk(status))
+        return status;
     if (Status status = recoverSegment(number, number == numbers.back());
         !isOk(status))
       return status;
@@ -77,6 +80,22 @@
   return beginSegment();
 }
 
+// Segments that a snapshot covers were removed one after the other, and a loss
+// of power may bring some of the names back.
+Status Store::dropReturned() {
+  const LogIndex base = Recovered.Base ? Recovered.Base->Last : LogIndex{};
+  const bool isCovered = std::ranges::all_of(
+      Segments, [base](const Segment &it) { return it.Highest <= base; });
+  if (!isCovered)
+    return corrupt(segmentPath(Segments.back().Number + 1), "it is missing");
+  for (const Segment &segment : Segments)
+    if (Status status = Settings.Hooks.Remove(segmentPath(segment.Number));
+        !isOk(status))
+      return status;
+  Segments.clear();
+  return Ok{};
+}
+
 Status Store::recoverSnapshot() {
   const std::string path = absl::StrCat(Folder.path(), "/snapshot");
   if (::access(path.c_str(), F_OK) != 0)
@@ -117,8 +136,8 @@
   const uint64_t torn = valueOf(file).size() - scan.IntactBytes;
   if (scan.IsDamagedInside || (torn > 0 && !isLast))
     return corrupt(path, absl::StrCat("damaged at byte ", scan.IntactBytes));
-  if (torn > 0)
-    if (Status status = cutFile(Settings.Hooks, path, scan.IntactBytes);
+  if (isLast)
+    if (Status status = settleFile(Settings.Hooks, path, scan.IntactBytes);
         !isOk(status))
       return status;
   segment.Bytes = scan.IntactBytes;
--- a/jujube/storage/store.h
+++ b/jujube/storage/store.h
@@ -82,6 +82,7 @@
   Store(StoreOptions options, DataFolder folder);
 
   Status recover();
+  Status dropReturned();
   Status recoverSnapshot();
   Status recoverSegment(uint64_t number, bool isLast);
   Status replay(const Change &change, Segment &segment);
--- a/jujube/storage/store_test.cc
+++ b/jujube/storage/store_test.cc
@@ -337,6 +337,51 @@
   }));
 }
 
+// A process that ended between its last write and the sync leaves bytes that
+// the next one reads. A later loss of power must not take them.
+BOOST_AUTO_TEST_CASE(RecoverySyncsWhatItReliesOn) {
+  const TemporaryFolder folder;
+  {
+    Store store = openOrFail(optionsFor(folder));
+    requireOk(store.write(append(1, 3)));
+    requireOk(store.sync());
+  }
+  std::vector<std::string> synced;
+  StoreOptions options = optionsFor(folder);
+  options.Hooks.Sync = [&synced](int fd) {
+    synced.push_back(
+        std::filesystem::read_symlink(absl::StrCat("/proc/self/fd/", fd)));
+    return Ok{};
+  };
+  (void)openOrFail(options);
+  BOOST_TEST(std::ranges::count(synced, folder.segment(1)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedSegmentsThatComeBackDoNoHarm) {
+  const TemporaryFolder folder;
+  const std::string kept = folder.segment(1) + ".kept";
+  {
+    Store store = openOrFail(optionsFor(folder, 64));
+    for (uint64_t i = 1; i <= 6; ++i) {
+      requireOk(store.write(append(i, 1)));
+      requireOk(store.sync());
+    }
+    std::filesystem::copy_file(folder.segment(1), kept);
+    Snapshot snapshot{LogIndex{5}, Term{1}, {}, "state"};
+    requireOk(store.saveSnapshot(snapshot));
+    BOOST_REQUIRE(!std::filesystem::exists(folder.segment(1)));
+    BOOST_REQUIRE(!std::filesystem::exists(folder.segment(2)));
+  }
+  std::filesystem::rename(kept, folder.segment(1));
+  Store store = openOrFail(optionsFor(folder));
+  const DurableState state = store.takeRecovered();
+  BOOST_REQUIRE(state.Base.has_value());
+  BOOST_TEST(state.Base->Last.Value == 5U);
+  BOOST_REQUIRE(state.Entries.size() == 1U);
+  BOOST_TEST(state.Entries[0].Index.Value == 6U);
+  BOOST_TEST(!std::filesystem::exists(folder.segment(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -26,7 +26,8 @@
      v.Period);
 }
 template <typename Archive> void serialize(Archive &ar, Worker &v) {
-  ar(v.Id, v.Life, v.Pool, v.At, v.Zone, v.Capacity, v.Labels, v.IsDraining);
+  ar(v.Id, v.Life, v.Pool, v.At, v.Zone, v.Capacity, v.Labels, v.Rack,
+     v.IsDraining);
 }
 template <typename Archive> void serialize(Archive &ar, Announcement &v) {
   ar(v.Who, v.Sequence, v.WorkerClock, v.Remaining);
