Approvals ahead of room; nothing is sent to a silent leader

Requests to a leader out of reach waited for their deadline and were answered 504, although no leader had taken them. Test: DispatcherTest/LongQueriesAreMadeAheadOfRoom.

--- a/jujube/control/control_client.cc
+++ b/jujube/control/control_client.cc
@@ -9,6 +9,12 @@
 // How long one member has to answer. Source: twice the longest usual sync of a
 // slow disk, and less than a third of the callers' deadlines.
 constexpr Duration AttemptTimeout = Duration::millis(800);
+// The same when a leader is looked for. Source: some forty round trips between
+// zones, and a group commit on a slow disk.
+constexpr Duration SeekTimeout = Duration::millis(300);
+// A leader that has not answered for this span gets no commands. Source: two
+// reports of an entry host, and their answers.
+constexpr Duration LeaderSilence = Duration::millis(600);
 // Wait between attempts while no member leads.
 constexpr Duration RetryPause = Duration::millis(60);
 // A command that no leader has taken is refused after this span, so that the
@@ -34,9 +40,20 @@
 
 void ControlClient::call(jobs::Command what, Duration timeout, Done done) {
   const Instant now = Loop.now();
-  attempt(std::make_shared<Request>(
-      Request{std::move(what), now + timeout,
-              now + std::min(timeout, RefuseAfter), false, std::move(done)}));
+  attempt(std::make_shared<Request>(Request{
+      std::move(what), now + timeout, now + std::min(timeout, RefuseAfter),
+      false, false, std::move(done)}));
+}
+
+void ControlClient::seek(jobs::Command what, Duration timeout, Done done) {
+  const Instant now = Loop.now();
+  attempt(std::make_shared<Request>(Request{std::move(what), now + timeout,
+                                            now + timeout, false, true,
+                                            std::move(done)}));
+}
+
+bool ControlClient::isLeaderSilent() const {
+  return LastAnswer == Instant() || Loop.now() - LastAnswer > LeaderSilence;
 }
 
 void ControlClient::attempt(const RequestPtr &request) {
@@ -54,9 +71,13 @@
                           "resend it later, or at another host"});
     return;
   }
+  if (isLeaderSilent() && !request->IsSeeking) {
+    retry(request);
+    return;
+  }
   const Address to = Members[Current];
-  Messages.call(to, wire::ControlCall{request->What},
-                std::min(left, AttemptTimeout),
+  const Duration patience = request->IsSeeking ? SeekTimeout : AttemptTimeout;
+  Messages.call(to, wire::ControlCall{request->What}, std::min(left, patience),
                 [this, request, to](Result<wire::Message> result) {
                   handle(request, to, std::move(result));
                 });
@@ -71,6 +92,7 @@
     return;
   }
   if (const auto *news = std::get_if<wire::ControlNews>(&valueOf(result))) {
+    LastAnswer = Loop.now();
     request->Finish(news->What);
     return;
   }
--- a/jujube/control/control_client.h
+++ b/jujube/control/control_client.h
@@ -40,9 +40,17 @@
   // Replaces the members that may lead; an empty list is ignored.
   void setMembers(std::vector<Address> members);
 
+  // When the leader last answered; the default Instant if it never has.
+  Instant lastAnswer() const { return LastAnswer; }
+
+  // Sends a command that also finds the leader; see call().
+  void seek(jobs::Command what, Duration timeout, Done done);
+
   // Sends an idempotent command and repeats it until it is answered or
-  // `timeout` has passed. Ends with the leader's error, with NotRun if no
-  // leader took it, or with OutcomeUnknown if one may have.
+  // `timeout` has passed. Nothing is sent to a leader that has been silent, so
+  // that what can't be served is surely not taken. Ends with the leader's
+  // error, with NotRun if no leader took it, or with OutcomeUnknown if one may
+  // have.
   void call(jobs::Command what, Duration timeout, Done done);
 
 private:
@@ -52,10 +60,13 @@
     // A command that no leader can have taken is given up then.
     Instant RefuseAt;
     bool MayHaveRun = false;
+    // Sent also to members that have been silent.
+    bool IsSeeking = false;
     Done Finish;
   };
   using RequestPtr = std::shared_ptr<Request>;
 
+  bool isLeaderSilent() const;
   void attempt(const RequestPtr &request);
   void handle(const RequestPtr &request, const Address &from,
               Result<wire::Message> result);
@@ -66,6 +77,7 @@
   wire::Messenger &Messages;
   std::vector<Address> Members;
   std::size_t Current = 0;
+  Instant LastAnswer;
 };
 
 } // namespace jujube::control
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -22,6 +22,10 @@
 // A voter that is silent this long is replaced if another host waits. Source:
 // the time after which a lost machine's successor has to have caught up.
 constexpr Duration ReplaceVoterAfter = Duration::millis(2500);
+// Longest queue at a helper that a query joins. Source: a tenth of the
+// objective of the queues with such queries.
+constexpr Duration ShortQueryPatience = Duration::millis(100);
+constexpr Duration LongQueryPatience = Duration::millis(150);
 // Leases of the group's leader.
 constexpr Duration GroupHeartbeat = Duration::millis(150);
 constexpr Duration GroupLease = Duration::millis(700);
@@ -172,7 +176,13 @@
   };
   hooks.Store = [this](std::vector<jobs::Event> events,
                        std::function<void(bool)> done) {
-    store(std::move(events), std::move(done));
+    // A deposed leader's desk is gone when its events are given up.
+    store(std::move(events),
+          [done = std::move(done),
+           desk = std::weak_ptr<WorkerDesk>(Desk)](bool isStored) {
+            if (desk.lock() != nullptr)
+              done(isStored);
+          });
   };
   hooks.Now = [this] { return Loop.now(); };
   hooks.ExpireTicket = [this](const jobs::StepKey &step,
@@ -209,7 +219,7 @@
   const Address leader = Group.log().leaderAddress();
   if (leader.Port != 0)
     Forward.setMembers({leader});
-  Forward.call(std::move(request.What), request.Timeout, done);
+  Forward.seek(std::move(request.What), request.Timeout, done);
 }
 
 void ControlTask::handle(const wire::Envelope &request) {
@@ -343,8 +353,13 @@
   IsPlanDue = false;
   const Instant now = Loop.now();
   const dispatch::DispatchInput input{
-      Book, Desk->usable(), Approved,
-      now,  Wall.now(),     Helpers.countFree(now, Duration::millis(300))};
+      Book,
+      Desk->usable(),
+      Approved,
+      now,
+      Wall.now(),
+      Helpers.countFree(now, ShortQueryPatience, false),
+      Helpers.countFree(now, LongQueryPatience, true)};
   const dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
   startPlanned(plan.Starts);
   for (const jobs::ApprovalQuery &query : plan.Queries)
@@ -377,7 +392,9 @@
   const jobs::Queue *queue =
       jobs::findQueue(Book.configuration(), job->Spec.Queue);
   const Instant now = Loop.now();
-  const auto helper = Helpers.choose(now, Duration::millis(300));
+  const bool isLong = dispatch::hasLongQueries(*queue->Approval);
+  const auto helper = Helpers.choose(
+      now, isLong ? LongQueryPatience : ShortQueryPatience, isLong);
   if (!helper)
     return;
   const auto length = Duration::millis(
--- a/jujube/control/helper_roster.h
+++ b/jujube/control/helper_roster.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "jujube/base/address.h"
 #include "jujube/base/clock.h"
@@ -28,18 +29,14 @@
     helper.LastSeen = now;
   }
 
-  // The helper that is free first, if one is within `patience`.
-  std::optional<HostId> choose(Instant now, Duration patience) const {
-    const auto isBefore = [](const auto &a, const auto &b) {
-      return a.second.BusyUntil < b.second.BusyUntil;
-    };
-    std::map<HostId, Helper> usable;
-    for (const auto &[host, helper] : Helpers)
-      if (now - helper.LastSeen <= SilenceBound &&
-          helper.BusyUntil <= now + patience)
-        usable.emplace(host, helper);
-    const auto it = std::ranges::min_element(usable, isBefore);
-    return it == usable.end() ? std::nullopt : std::optional(it->first);
+  // The helper that is free first, if one is within `patience`. A third of the
+  // helpers is kept for short calls.
+  std::optional<HostId> choose(Instant now, Duration patience,
+                               bool isLong) const {
+    const std::vector<const Entry *> usable = usableFor(now, patience, isLong);
+    const auto it = std::ranges::min_element(
+        usable, {}, [](const Entry *entry) { return entry->second.BusyUntil; });
+    return it == usable.end() ? std::nullopt : std::optional((*it)->first);
   }
 
   // Gives the helper a call of this length; returns when it should be answered.
@@ -56,12 +53,8 @@
     return Helpers.at(host).At;
   }
   // Helpers that are free within `patience`.
-  std::size_t countFree(Instant now, Duration patience) const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(Helpers, [&](const auto &it) {
-          return now - it.second.LastSeen <= SilenceBound &&
-                 it.second.BusyUntil <= now + patience;
-        }));
+  std::size_t countFree(Instant now, Duration patience, bool isLong) const {
+    return usableFor(now, patience, isLong).size();
   }
 
 private:
@@ -69,6 +62,25 @@
   // its reports.
   static constexpr Duration SilenceBound = Duration::millis(1600);
 
+  // Of the helpers, those for long calls are one in this many less.
+  static constexpr std::size_t ShortShare = 3;
+
+  using Entry = std::map<HostId, Helper>::value_type;
+
+  std::vector<const Entry *> usableFor(Instant now, Duration patience,
+                                       bool isLong) const {
+    std::vector<const Entry *> usable;
+    for (const Entry &entry : Helpers)
+      if (now - entry.second.LastSeen <= SilenceBound)
+        usable.push_back(&entry);
+    const std::size_t kept = isLong ? usable.size() / ShortShare : 0;
+    usable.erase(usable.begin(), usable.begin() + static_cast<int64_t>(kept));
+    std::erase_if(usable, [&](const Entry *entry) {
+      return entry->second.BusyUntil > now + patience;
+    });
+    return usable;
+  }
+
   std::map<HostId, Helper> Helpers;
 };
 
--- a/jujube/control/worker_desk_test.cc
+++ b/jujube/control/worker_desk_test.cc
@@ -310,14 +310,14 @@
 BOOST_AUTO_TEST_CASE(WorkersThatDrainOrWereNotHeardOfGetNothing) {
   RunningBed bed;
   BOOST_TEST(bed.Desk->usable().size() == 1U);
+  bed.Time.advance(Duration::seconds(5));
+  BOOST_TEST(bed.Desk->usable().empty());
+  bed.announce();
+  BOOST_TEST(bed.Desk->usable().size() == 1U);
   jobs::Worker draining = sampleWorker("w1");
   draining.IsDraining = true;
   bed.Book.apply(jobs::WorkerChanged{draining});
   BOOST_TEST(bed.Desk->usable().empty());
-  bed.Book.apply(jobs::WorkerChanged{sampleWorker("w1")});
-  BOOST_TEST(bed.Desk->usable().size() == 1U);
-  bed.Time.advance(Duration::seconds(5));
-  BOOST_TEST(bed.Desk->usable().empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -16,6 +16,12 @@
 constexpr std::size_t MaxAskedWorkers = 30;
 // Fewest, so that one refusal does not cost another call.
 constexpr std::size_t MinAskedWorkers = 4;
+// Queries whose fixed part takes this long are long. Source: a tenth of the
+// shortest objective of the queues.
+constexpr Duration LongQuery = Duration::millis(40);
+// What a worker without room for a task counts in a long query, in tasks: room
+// comes up while the query is under way.
+constexpr double TasksOnFullWorker = 0.5;
 // Bounds of a job. Source: a snapshot has to hold thousands of jobs.
 constexpr std::size_t MaxSteps = 64;
 constexpr uint32_t MaxTasks = 4096;
@@ -223,13 +229,19 @@
   // True if one more task of the step fits there, approval aside.
   bool hasRoom(const ReadyStep &step, const WorkerView &view) const {
     const jobs::Worker &worker = *view.Who;
-    return worker.Pool == step.Queue->Pool &&
+    return isEligible(step, worker) &&
            demandOf(*step.Spec).fitsIn(Free.at(worker.Id)) &&
-           hasLabel(worker, step.Spec->RequiredLabel) &&
            (step.Spec->MaxPerWorker == 0 ||
             tasksOn(step, worker.Id) < step.Spec->MaxPerWorker);
   }
 
+  // True if the worker could run a task of the step if it were empty.
+  static bool isEligible(const ReadyStep &step, const jobs::Worker &worker) {
+    return worker.Pool == step.Queue->Pool &&
+           demandOf(*step.Spec).fitsIn(worker.Capacity) &&
+           hasLabel(worker, step.Spec->RequiredLabel);
+  }
+
   // Lower goes first: sound workers, those near the data, the tightest fit.
   std::tuple<bool, bool, int64_t> rankOf(const ReadyStep &step,
                                          const WorkerView &view) const {
@@ -284,43 +296,62 @@
     return n;
   }
 
-  // Asks for approval of workers that have room for `tasks` more tasks.
+  // Asks for approval of workers for `tasks` more tasks. Short queries name
+  // workers that have room; they are answered before it is gone. Long ones are
+  // made ahead, so that room that comes up later finds a valid ticket.
   void askFor(const ReadyStep &step, std::size_t tasks) {
-    if (!step.Queue->Approval || In.Approved.isAsking(step.Key) ||
-        Plan.Queries.size() >= In.MaxQueries)
+    if (!step.Queue->Approval || In.Approved.isAsking(step.Key))
+      return;
+    const bool isLong = hasLongQueries(*step.Queue->Approval);
+    std::size_t &used = isLong ? LongQueries : ShortQueries;
+    if (used >= (isLong ? In.MaxLongQueries : In.MaxShortQueries))
       return;
     auto needed = static_cast<double>(tasks);
     jobs::ApprovalQuery query{step.Key};
     // Renewed tickets are sure; unknown workers may be denied.
     addAsked(step, ApprovalState::Expired, 1.0, needed, query);
-    addAsked(step, ApprovalState::Unknown,
-             In.Approved.approvalRate(step.Queue->Id), needed, query);
-    const bool isGang = step.Spec->IsGang;
-    if (query.Workers.empty() || (isGang && needed > 0.5 * tasks))
+    const double rate = In.Approved.approvalRate(step.Queue->Id);
+    addAsked(step, ApprovalState::Unknown, rate, needed, query);
+    const bool isHopelessGang = step.Spec->IsGang && !isLong &&
+                                needed > 0.5 * static_cast<double>(tasks);
+    if (query.Workers.empty() || isHopelessGang)
       return;
+    ++used;
     Plan.Queries.push_back(std::move(query));
   }
 
+  // True if the worker may be named in a query of the step.
+  bool isAskable(const ReadyStep &step, const WorkerView &view) const {
+    if (view.IsDoubtful)
+      return false;
+    return hasLongQueries(*step.Queue->Approval) ? isEligible(step, *view.Who)
+                                                 : hasRoom(step, view);
+  }
+
   void addAsked(const ReadyStep &step, ApprovalState state, double rate,
                 double &needed, jobs::ApprovalQuery &query) const {
-    std::vector<const WorkerView *> candidates;
+    struct Candidate {
+      int64_t Fit;
+      std::size_t Spread;
+      const WorkerView *View;
+    };
+    std::vector<Candidate> candidates;
     for (const WorkerView &view : In.Workers)
-      if (hasRoom(step, view) && !view.IsDoubtful &&
+      if (isAskable(step, view) &&
           In.Approved.stateOf(step.Key, view.Who->Id, In.Now) == state)
-        candidates.push_back(&view);
-    std::ranges::sort(candidates, std::greater<>(),
-                      [&](const WorkerView *view) {
-                        return std::pair(fitCount(step, *view),
-                                         spread(step.Key, view->Who->Id));
-                      });
-    for (const WorkerView *view : candidates) {
+        candidates.push_back(
+            {fitCount(step, view), spread(step.Key, view.Who->Id), &view});
+    std::ranges::sort(candidates, std::greater<>(), [](const Candidate &it) {
+      return std::pair(it.Fit, it.Spread);
+    });
+    for (const Candidate &it : candidates) {
       const bool isEnough =
           needed <= 0 && (state == ApprovalState::Expired ||
                           query.Workers.size() >= MinAskedWorkers);
       if (isEnough || query.Workers.size() >= MaxAskedWorkers)
         return;
-      query.Workers.push_back(view->Who->Id);
-      needed -= rate * static_cast<double>(fitCount(step, *view));
+      query.Workers.push_back(it.View->Who->Id);
+      needed -= rate * std::max(static_cast<double>(it.Fit), TasksOnFullWorker);
     }
   }
 
@@ -334,11 +365,17 @@
   const DispatchHooks &Hooks;
   std::map<WorkerId, Resources> Free;
   std::map<TeamId, Resources> Added;
+  std::size_t ShortQueries = 0;
+  std::size_t LongQueries = 0;
   DispatchPlan Plan;
 };
 
 } // namespace
 
+bool hasLongQueries(const jobs::ApprovalTerms &terms) {
+  return terms.Base >= LongQuery;
+}
+
 DispatchHooks defaultHooks() {
   DispatchHooks hooks;
   hooks.GoesFirst = [](const ReadyStep &a, const ReadyStep &b,
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -62,10 +62,16 @@
   Instant Now;
   // For due times.
   Instant WallNow;
-  // Most approval queries that may be added.
-  std::size_t MaxQueries = 0;
+  // Most approval queries that may be added: of queues whose queries are short,
+  // and of those whose queries are long.
+  std::size_t MaxShortQueries = 0;
+  std::size_t MaxLongQueries = 0;
 };
 
+// True if a query of the queue keeps the host that makes it busy for so long
+// that short ones should not wait behind it.
+bool hasLongQueries(const jobs::ApprovalTerms &terms);
+
 DispatchPlan planStarts(const DispatchInput &input, const DispatchHooks &hooks);
 
 // Occurrences that are due begin to count as ready; exposed for the owner's
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -27,7 +27,7 @@
 
 DispatchPlan planOf(const jobs::JobBook &book,
                     const Approvals &approved = Approvals()) {
-  return planStarts({book, viewsOf(book), approved, Now, Now, 100},
+  return planStarts({book, viewsOf(book), approved, Now, Now, 100, 100},
                     defaultHooks());
 }
 
@@ -48,7 +48,7 @@
                            const std::vector<jobs::JobSpec> &specs) {
   jobs::JobBook book = sampleBook(workers, specs);
   jobs::Configuration config = testing::sampleConfiguration(2);
-  config.Queues[0].Approval = {Duration::millis(50), 1, Duration::millis(1500)};
+  config.Queues[0].Approval = {Duration::millis(10), 1, Duration::millis(1500)};
   book.apply(jobs::ConfigurationPut{config});
   return book;
 }
@@ -152,8 +152,8 @@
   BOOST_TEST((workersOf(planOf(book)) == std::set<std::string>{"w2"}));
   std::vector<WorkerView> views = viewsOf(book);
   views[1].IsDoubtful = true;
-  const DispatchPlan plan =
-      planStarts({book, views, Approvals(), Now, Now, 100}, defaultHooks());
+  const DispatchPlan plan = planStarts(
+      {book, views, Approvals(), Now, Now, 100, 100}, defaultHooks());
   BOOST_TEST((workersOf(plan) == std::set<std::string>{"w1"}));
 }
 
@@ -196,6 +196,26 @@
   BOOST_TEST(planOf(book).Queries.empty());
 }
 
+// The load: a full fleet, and queues whose queries take half a second while
+// tickets last a second and a half.
+BOOST_AUTO_TEST_CASE(LongQueriesAreMadeAheadOfRoom) {
+  jobs::JobBook book =
+      approvedBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(4)}),
+                                          sampleJob("b", {sampleStep(1)})});
+  jobs::Configuration config = book.configuration();
+  config.Version = 3;
+  config.Queues[0].Approval->Base = Duration::millis(500);
+  book.apply(jobs::ConfigurationPut{config});
+  for (uint32_t i = 0; i < 4; ++i)
+    book.apply(jobs::AttemptStarted{taskOf("a", i), 1, WorkerId("w1")});
+  const DispatchPlan plan = planOf(book);
+  BOOST_REQUIRE(plan.Queries.size() == 1U);
+  BOOST_TEST(plan.Queries[0].Step.Job.str() == "b");
+  const DispatchPlan bounded = planStarts(
+      {book, viewsOf(book), Approvals(), Now, Now, 100, 0}, defaultHooks());
+  BOOST_TEST(bounded.Queries.empty());
+}
+
 BOOST_AUTO_TEST_CASE(UrgentQueuesAndJobsThatCanStillBeInTimeGoFirst) {
   jobs::JobBook book = sampleBook({sampleWorker("w1", 1000)}, {});
   // Its objective, 1000 + 2 * 1000 + 1000, has passed at 10,000.
--- a/jujube/front/front_task.cc
+++ b/jujube/front/front_task.cc
@@ -8,9 +8,10 @@
 namespace jujube::front {
 namespace {
 
-// Between reports to the leader. Source: a third of the leader's patience.
-constexpr Duration ReportPeriod = Duration::millis(500);
-constexpr Duration ReportTimeout = Duration::millis(1500);
+// Between reports to the leader. Source: a host notices within three of them
+// that the leader is out of reach.
+constexpr Duration ReportPeriod = Duration::millis(200);
+constexpr Duration ReportTimeout = Duration::millis(1000);
 // The host reports itself unready when no leader has answered for this span.
 // Source: longer than a change of leader.
 constexpr Duration SilenceBound = Duration::millis(2500);
@@ -37,23 +38,26 @@
 }
 
 void FrontTask::offerHelp() {
+  const Instant last = Leader.lastAnswer();
   const bool isConnected =
-      LastAnswer != Instant() && Loop.now() - LastAnswer <= SilenceBound;
-  if (IsConnected->exchange(isConnected) != isConnected)
-    LOG(INFO) << "event=" << (isConnected ? "leader_found" : "leader_lost");
-  if (!isConnected)
+      last != Instant() && Loop.now() - last <= SilenceBound;
+  if (!isConnected) {
+    if (IsConnected->exchange(false))
+      LOG(INFO) << "event=leader_lost";
     Leader.setMembers(Settings.Seeds());
-  Leader.call(jobs::OfferHelp{Settings.Self, Settings.Listen}, ReportTimeout,
+  }
+  if (std::exchange(IsReporting, true))
+    return;
+  Leader.seek(jobs::OfferHelp{Settings.Self, Settings.Listen}, ReportTimeout,
               [this](const Result<jobs::Reply> &reply) { noteMembers(reply); });
 }
 
 void FrontTask::noteMembers(const Result<jobs::Reply> &reply) {
+  IsReporting = false;
   if (!isOk(reply))
     return;
-  const bool isFirst = LastAnswer == Instant();
-  LastAnswer = Loop.now();
-  if (isFirst)
-    IsConnected->store(true);
+  if (!IsConnected->exchange(true))
+    LOG(INFO) << "event=leader_found";
   if (const auto *members = std::get_if<jobs::Members>(&valueOf(reply)))
     Leader.setMembers(members->Addresses);
 }
--- a/jujube/front/front_task.h
+++ b/jujube/front/front_task.h
@@ -61,7 +61,8 @@
   wire::Messenger Messages;
   control::ControlClient Leader;
   http::CallDesk Calls;
-  Instant LastAnswer;
+  // A report waits for its answer.
+  bool IsReporting = false;
 };
 
 // The supervisor tree: the front task, the transport, the caller, `servers`,
