--- a/jujube/control/control_client.cc
+++ b/jujube/control/control_client.cc
@@ -14,7 +14,7 @@
 constexpr Duration SeekTimeout = Duration::millis(300);
 // A leader that has not answered for this span gets no commands. Source: two
 // reports of an entry host, and their answers.
-constexpr Duration LeaderSilence = Duration::millis(600);
+constexpr Duration LeaderSilence = Duration::millis(450);
 // Wait between attempts while no member leads.
 constexpr Duration RetryPause = Duration::millis(60);
 // A command that no leader has taken is refused after this span, so that the
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -26,9 +26,10 @@
 // objective of the queues with such queries.
 constexpr Duration ShortQueryPatience = Duration::millis(100);
 constexpr Duration LongQueryPatience = Duration::millis(150);
-// Leases of the group's leader.
-constexpr Duration GroupHeartbeat = Duration::millis(150);
-constexpr Duration GroupLease = Duration::millis(700);
+// Leases of the group's leader. Source: callers' shortest objective leaves about
+// half a second for a change of leader; a sync on a slow disk takes 0.3 s.
+constexpr Duration GroupHeartbeat = Duration::millis(100);
+constexpr Duration GroupLease = Duration::millis(400);
 
 } // namespace
 
--- a/jujube/front/front_task.cc
+++ b/jujube/front/front_task.cc
@@ -10,7 +10,7 @@
 
 // Between reports to the leader. Source: a host notices within three of them
 // that the leader is out of reach.
-constexpr Duration ReportPeriod = Duration::millis(200);
+constexpr Duration ReportPeriod = Duration::millis(150);
 constexpr Duration ReportTimeout = Duration::millis(1000);
 // The host reports itself unready when no leader has answered for this span.
 // Source: longer than a change of leader.
