--- a/jujube/control/control_options.h
+++ b/jujube/control/control_options.h
@@ -53,6 +53,8 @@
   std::string FleetToken;
   // Seed of the random delays of elections; drawn from the system if not set.
   std::optional<uint64_t> ElectionSeed;
+  // Time of day, for due times and the order of waiting jobs.
+  Clock WallClock = Clock::wall();
   dispatch::LeasePolicy Leases;
   // How long the state of ended jobs is kept.
   Duration KeepEnded = Duration::seconds(150);
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -26,8 +26,9 @@
 // objective of the queues with such queries.
 constexpr Duration ShortQueryPatience = Duration::millis(100);
 constexpr Duration LongQueryPatience = Duration::millis(150);
-// Leases of the group's leader. Source: callers' shortest objective leaves about
-// half a second for a change of leader; a sync on a slow disk takes 0.3 s.
+// Leases of the group's leader. Source: callers' shortest objective leaves
+// about half a second for a change of leader; a sync on a slow disk takes 0.3
+// s.
 constexpr Duration GroupHeartbeat = Duration::millis(100);
 constexpr Duration GroupLease = Duration::millis(400);
 
@@ -44,7 +45,8 @@
              [this] { return Desk != nullptr && Group.log().mayServe(); },
              [this](const wire::Envelope &request) { handle(request); }}),
       Forward(Loop, Messages, Settings.Seeds),
-      Calls(Loop, mailboxes.Calls, mailboxes.Results) {
+      Calls(Loop, mailboxes.Calls, mailboxes.Results),
+      Wall(Settings.WallClock) {
   Loop.watchMailbox<ClientRequest>(
       mailboxes.Clients,
       [this](ClientRequest request) { serve(std::move(request)); });
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -49,6 +49,8 @@
   void stop() { Group.stop(); }
   // Why the task has to end; Ok if it was asked to.
   const Status &outcome() const { return Group.outcome(); }
+  // True while it leads and answers commands.
+  bool isServing() const { return Desk != nullptr && Group.log().mayServe(); }
 
 private:
   ControlTask(const ControlOptions &options, const ControlMailboxes &mailboxes,
@@ -113,7 +115,7 @@
   replica::GroupMember Group;
   ControlClient Forward;
   http::CallDesk Calls;
-  Clock Wall = Clock::wall();
+  Clock Wall;
   std::unique_ptr<storage::Store> Disk;
   jobs::JobBook Book;
 
--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -440,7 +440,10 @@
     if (run.Now == Phase::Stopping && !run.IsStopSent && now >= run.NextSend)
       sendStop(worker, task);
   const bool hasNews = session.AckedEnds > session.ToldEnds;
-  const bool isWanted = !session.Runs.empty() || hasNews;
+  // A worker that did not answer is not used before it has.
+  const bool isDoubted =
+      session.Misses > 0 && now - session.LastHeard <= SilenceBound;
+  const bool isWanted = !session.Runs.empty() || hasNews || isDoubted;
   if (isWanted && !session.IsAsking && !session.IsStoring &&
       now >= session.NextAsk)
     askWorker(worker, session);
--- /dev/null
+++ b/testing/control_cell.cc
@@ -0,0 +1,201 @@
+#include "testing/control_cell.h"
+
+#include <filesystem>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/base/digest.h"
+#include "platform/worker_calls.h"
+#include "testing/job_samples.h"
+
+namespace jujube::testing {
+namespace {
+
+constexpr uint16_t Port = 7420;
+constexpr std::size_t MailboxCapacity = 4096;
+const Address WorkersAt{"10.9.0.0", 1};
+// Between looks of the workers at what has arrived.
+constexpr Duration CallDelay = Duration::millis(2);
+constexpr Duration AnnouncePeriod = Duration::millis(1500);
+constexpr Duration Patience = Duration::seconds(20);
+
+} // namespace
+
+ControlCell::ControlCell(ControlCellOptions options)
+    : Options(options),
+      Folder(absl::StrCat(std::filesystem::temp_directory_path().string(),
+                          "/jujube-control-", randomHex(6))),
+      Workers(Wire.clock()) {
+  std::filesystem::create_directories(Folder);
+  for (int i = 1; i <= Options.Members; ++i)
+    start(i, true);
+  for (int i = 1; i <= Options.Workers; ++i)
+    Workers.add(absl::StrCat("w", i),
+                {1000 * Options.TasksPerWorker, 1 << 20, 0});
+  runtime::PollLoop &loop = Wire.add(WorkersAt).Context.loop();
+  loop.callEvery(CallDelay, [this] { serveCalls(); });
+  loop.callEvery(AnnouncePeriod, [this] { announceAll(); });
+  (void)Wire.run(Patience, [this] { return leader() != 0; });
+  (void)execute(jobs::PutConfiguration{sampleConfiguration()});
+  Wire.run(AnnouncePeriod * 2);
+}
+
+ControlCell::~ControlCell() {
+  Members.clear();
+  std::error_code ec;
+  std::filesystem::remove_all(Folder, ec);
+}
+
+Address ControlCell::addressOf(int member) const {
+  return {absl::StrCat("10.0.0.", member), Port};
+}
+
+std::string ControlCell::folderOf(int member) const {
+  return absl::StrCat(Folder, "/", member);
+}
+
+void ControlCell::start(int member, bool mayFound) {
+  control::ControlOptions options;
+  options.Listen = addressOf(member);
+  options.Self = control::hostAt(options.Listen);
+  options.Control = options.Listen;
+  for (int i = 1; i <= std::min(Options.Members, 3); ++i)
+    options.Seeds.push_back(addressOf(i));
+  options.MayFound = mayFound;
+  options.DataFolder = folderOf(member);
+  options.FleetToken = "fleet-token";
+  options.ElectionSeed = Options.Seed * 10 + static_cast<uint64_t>(member);
+  options.WallClock = Wire.clock();
+  options.Leases.Lease = Duration::seconds(5);
+  options.Workers = platform::workerProtocol();
+  Member &held = Members[member];
+  held.Boxes = {runtime::makeMailbox<control::ClientRequest>(MailboxCapacity),
+                runtime::makeMailbox<http::CallRequest>(MailboxCapacity),
+                runtime::makeMailbox<http::CallResult>(MailboxCapacity)};
+  FakeWire::Host &host = Wire.add(options.Listen);
+  auto task = control::ControlTask::create(options, held.Boxes, host.Context,
+                                           host.Outbox);
+  if (!isOk(task))
+    std::abort();
+  held.Task = valueOf(std::move(task));
+  host.Receive = [raw = held.Task.get()](const auto &event) {
+    raw->receive(event);
+  };
+}
+
+// Calls of members that were killed meanwhile are answered to nobody.
+void ControlCell::serveCalls() {
+  for (auto &[number, member] : Members) {
+    const http::CallResults results = member.Boxes.Results;
+    for (const http::CallRequest &request : member.Boxes.Calls->drain())
+      Workers.handle(request.What,
+                     [results, id = request.Id](http::OutboundResult outcome) {
+                       (void)results->post({id, std::move(outcome)});
+                     });
+  }
+  Workers.tick();
+}
+
+void ControlCell::announceAll() {
+  for (int i = 1; i <= Options.Workers; ++i) {
+    const jobs::AnnounceWorker command{
+        Workers.announcement(absl::StrCat("w", i))};
+    for (auto &[number, member] : Members)
+      if (member.Task)
+        (void)member.Boxes.Clients->post(
+            {command, Duration::seconds(1),
+             runtime::makeReplySlot<Result<jobs::Reply>>()});
+  }
+}
+
+Result<jobs::Reply> ControlCell::execute(int member,
+                                         const jobs::Command &command,
+                                         Duration timeout) {
+  const auto slot = runtime::makeReplySlot<Result<jobs::Reply>>();
+  (void)Members.at(member).Boxes.Clients->post({command, timeout, slot});
+  std::optional<Result<jobs::Reply>> answer;
+  Wire.run(timeout + Duration::millis(100), [&] {
+    auto got = slot->wait(Duration());
+    if (isOk(got))
+      answer = valueOf(std::move(got));
+    return answer.has_value();
+  });
+  return answer.value_or(
+      Error{ErrorKind::DeadlineExceeded, "no answer", "none"});
+}
+
+Result<jobs::Reply> ControlCell::execute(const jobs::Command &command) {
+  Result<jobs::Reply> last =
+      Error{ErrorKind::Unavailable, "no member runs", "none"};
+  for (int round = 0; round < 5; ++round)
+    for (const auto &[number, member] : Members)
+      if (member.Task) {
+        last = execute(number, command);
+        const bool isFinal =
+            isOk(last) || (errorOf(last).Kind != ErrorKind::NotRun &&
+                           errorOf(last).Kind != ErrorKind::OutcomeUnknown &&
+                           errorOf(last).Kind != ErrorKind::DeadlineExceeded);
+        if (isFinal)
+          return last;
+      }
+  return last;
+}
+
+Status ControlCell::submit(const jobs::JobSpec &job) {
+  const auto reply =
+      execute(jobs::SubmitJob{{"a.example", "/plans/", "key-a"}, job});
+  return isOk(reply) ? Status(Ok{}) : Status(errorOf(reply));
+}
+
+Status ControlCell::submit(const std::string &id, uint32_t tasks, int ms) {
+  jobs::JobSpec job = sampleJob(id, {sampleStep(tasks)});
+  job.Payload = std::to_string(ms);
+  return submit(job);
+}
+
+std::string ControlCell::stateOf(const std::string &id) {
+  const auto reply = execute(
+      jobs::ReadJob{{"a.example", "/plans/", "key-a"}, jobs::JobId(id)});
+  if (!isOk(reply))
+    return std::string(nameIn(ErrorKindNames, errorOf(reply).Kind));
+  const auto *news = std::get_if<jobs::JobNews>(&valueOf(reply));
+  return news == nullptr
+             ? "unexpected reply"
+             : std::string(nameIn(jobs::JobStateNames, news->State));
+}
+
+bool ControlCell::awaitState(const std::string &id, const std::string &state,
+                             Duration patience) {
+  const Instant end = Wire.now() + patience;
+  while (Wire.now() < end) {
+    if (stateOf(id) == state)
+      return true;
+    Wire.run(Duration::millis(100));
+  }
+  return false;
+}
+
+int ControlCell::leader() {
+  for (const auto &[number, member] : Members)
+    if (member.Task && member.Task->isServing())
+      return number;
+  return 0;
+}
+
+void ControlCell::kill(int member) {
+  Members.at(member).Task.reset();
+  Wire.remove(addressOf(member));
+}
+
+void ControlCell::restart(int member, bool isWiped) {
+  if (Members.at(member).Task)
+    kill(member);
+  if (isWiped)
+    std::filesystem::remove_all(folderOf(member));
+  Wire.run(Duration::millis(50));
+  start(member, false);
+}
+
+void ControlCell::cutOff(int member) { Wire.cut({addressOf(member)}); }
+
+} // namespace jujube::testing
--- /dev/null
+++ b/testing/control_path_test.cc
@@ -0,0 +1,257 @@
+// The whole path from a submission to its end over the real tasks on a manual
+// clock, and its failures.
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "testing/control_cell.h"
+#include "testing/job_samples.h"
+
+namespace jujube::testing {
+namespace {
+
+constexpr uint64_t Seeds = 4;
+
+void requireOk(const Status &status) {
+  BOOST_REQUIRE_MESSAGE(isOk(status),
+                        (isOk(status) ? "" : errorOf(status).text()));
+}
+
+void checkPromises(const ControlCell &, const PlatformWorkers &workers) {
+  for (const std::string &violation : workers.violations())
+    BOOST_TEST(false, violation);
+}
+
+int startsOf(const ControlCell &, PlatformWorkers &workers) {
+  int n = 0;
+  for (const auto &[task, starts] : workers.starts())
+    n += starts;
+  return n;
+}
+
+BOOST_AUTO_TEST_SUITE(ControlPathTest)
+
+BOOST_AUTO_TEST_CASE(JobRunsStepByStepAndIsShownCompleted) {
+  ControlCell cell({});
+  jobs::StepSpec second = sampleStep(2);
+  second.After = {0};
+  jobs::JobSpec job = sampleJob("a", {sampleStep(3), second});
+  job.Payload = "200";
+  requireOk(cell.submit(job));
+  BOOST_TEST(cell.awaitState("a", "completed"));
+  BOOST_TEST(startsOf(cell, cell.workers()) == 5);
+  checkPromises(cell, cell.workers());
+}
+
+BOOST_AUTO_TEST_CASE(JobThatAlwaysFailsIsFailedAfterItsAttempts) {
+  ControlCell cell({});
+  jobs::JobSpec job = sampleJob("a", {sampleStep(1)});
+  job.Payload = "fail";
+  requireOk(cell.submit(job));
+  BOOST_TEST(cell.awaitState("a", "failed"));
+  BOOST_TEST(startsOf(cell, cell.workers()) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(WorkGoesOnWhenTheLeaderIsLost) {
+  for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    ControlCellOptions options;
+    options.Seed = seed;
+    ControlCell cell(options);
+    requireOk(cell.submit("a", 6, 1500));
+    cell.wire().run(Duration::millis(500));
+    cell.kill(cell.leader());
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    BOOST_TEST(startsOf(cell, cell.workers()) == 6);
+    checkPromises(cell, cell.workers());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AcceptedJobOutlivesTheLossOfPowerOfAllMembers) {
+  for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    ControlCellOptions options;
+    options.Seed = seed;
+    ControlCell cell(options);
+    requireOk(cell.submit("a", 2, 500));
+    for (int i = 1; i <= 3; ++i)
+      cell.kill(i);
+    cell.wire().run(Duration::seconds(1));
+    for (int i = 1; i <= 3; ++i)
+      cell.restart(i);
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    checkPromises(cell, cell.workers());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LostDiskAndThenAnotherLoseNothing) {
+  for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    ControlCellOptions options;
+    options.Seed = seed;
+    ControlCell cell(options);
+    requireOk(cell.submit("a", 1, 100));
+    cell.restart(cell.leader(), true);
+    cell.wire().run(Duration::seconds(4));
+    const int other = cell.leader();
+    BOOST_REQUIRE(other != 0);
+    cell.restart(other, true);
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    const auto config = cell.execute(jobs::ReadConfiguration{});
+    BOOST_TEST(isOk(config));
+    checkPromises(cell, cell.workers());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReplacedMemberAtAnotherAddressTakesItsPlace) {
+  ControlCellOptions options;
+  options.Members = 4; // The fourth is no seed and stands by.
+  ControlCell cell(options);
+  requireOk(cell.submit("a", 1, 100));
+  const int gone = cell.leader();
+  cell.kill(gone);
+  cell.wire().run(Duration::seconds(6));
+  // Another one may be lost now.
+  const int second = cell.leader();
+  BOOST_REQUIRE(second != 0);
+  cell.kill(second);
+  BOOST_TEST(cell.awaitState("a", "completed"));
+}
+
+BOOST_AUTO_TEST_CASE(PausedLeaderThatWakesDoesNoHarm) {
+  for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    ControlCellOptions options;
+    options.Seed = seed;
+    ControlCell cell(options);
+    requireOk(cell.submit("a", 12, 700));
+    cell.wire().run(Duration::millis(300));
+    const int old = cell.leader();
+    const Address at{absl::StrCat("10.0.0.", old), 7420};
+    cell.wire().pause(at);
+    cell.wire().run(Duration::seconds(3));
+    cell.wire().resume(at);
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    BOOST_TEST(startsOf(cell, cell.workers()) == 12);
+    checkPromises(cell, cell.workers());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MemberThatIsCutOffAcknowledgesAndShowsNothing) {
+  ControlCell cell({});
+  requireOk(cell.submit("a", 1, 100));
+  const int old = cell.leader();
+  cell.cutOff(old);
+  cell.wire().run(Duration::seconds(2));
+  const auto read =
+      cell.execute(old, jobs::ReadConfiguration{}, Duration::millis(900));
+  BOOST_TEST(!isOk(read));
+  const auto put =
+      cell.execute(old, jobs::PutConfiguration{sampleConfiguration(2)},
+                   Duration::millis(900));
+  BOOST_TEST(!isOk(put));
+  cell.wire().heal();
+  BOOST_TEST(cell.awaitState("a", "completed"));
+}
+
+BOOST_AUTO_TEST_CASE(SilentWorkersTasksStartElsewhereOnceItsLeasesAreOver) {
+  ControlCell cell({});
+  requireOk(cell.submit("a", 6, 60'000));
+  cell.wire().run(Duration::millis(500));
+  BOOST_REQUIRE(cell.workers().running() == 6U);
+  cell.workers().setSilent("w1", true);
+  cell.wire().run(Duration::seconds(4));
+  BOOST_TEST(startsOf(cell, cell.workers()) == 6);
+  cell.wire().run(Duration::seconds(10));
+  cell.workers().setSilent("w1", false);
+  cell.wire().run(Duration::seconds(5));
+  BOOST_TEST(cell.workers().running() == 6U);
+  checkPromises(cell, cell.workers());
+}
+
+BOOST_AUTO_TEST_CASE(OrdersThatAreCarriedOutLateRunNothingTwice) {
+  for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+    ControlCellOptions options;
+    options.Seed = seed;
+    ControlCell cell(options);
+    cell.workers().delayOrders("w1", Duration::seconds(3));
+    requireOk(cell.submit("a", 6, 300));
+    cell.wire().run(Duration::seconds(5));
+    cell.workers().delayOrders("w1", Duration());
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    checkPromises(cell, cell.workers());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RebornWorkerIsGivenItsTasksAgain) {
+  ControlCell cell({});
+  requireOk(cell.submit("a", 6, 2000));
+  cell.wire().run(Duration::millis(500));
+  cell.workers().restart("w1");
+  BOOST_TEST(cell.awaitState("a", "completed", Duration::seconds(12)));
+  checkPromises(cell, cell.workers());
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobIsStoppedAndStaysCancelled) {
+  ControlCell cell({});
+  requireOk(cell.submit("a", 10, 60'000));
+  cell.wire().run(Duration::millis(500));
+  const auto reply = cell.execute(
+      jobs::CancelJob{{"a.example", "/plans/", "key-a"}, jobs::JobId("a")});
+  BOOST_TEST(isOk(reply));
+  cell.wire().run(Duration::seconds(3));
+  BOOST_TEST(cell.workers().running() == 0U);
+  BOOST_TEST(cell.stateOf("a") == "cancelled");
+  requireOk(cell.submit("a", 10, 60'000));
+  cell.wire().run(Duration::seconds(1));
+  BOOST_TEST(cell.workers().running() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(DrainingWorkerGetsNothingNew) {
+  ControlCell cell({});
+  cell.workers().setDraining("w1");
+  cell.workers().setDraining("w2");
+  cell.wire().run(Duration::seconds(2));
+  requireOk(cell.submit("a", 6, 60'000));
+  cell.wire().run(Duration::seconds(1));
+  BOOST_TEST(cell.workers().running() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(KeysQueuesAndJobsAreCheckedByTheLeader) {
+  ControlCell cell({});
+  const auto kindOf = [&cell](const jobs::Command &command) {
+    const auto reply = cell.execute(command);
+    return isOk(reply)
+               ? std::string("ok")
+               : std::string(nameIn(ErrorKindNames, errorOf(reply).Kind));
+  };
+  const jobs::JobSpec job = sampleJob("a", {sampleStep(1)});
+  BOOST_TEST(kindOf(jobs::SubmitJob{{"a.example", "/plans/", "other"}, job}) ==
+             "unauthenticated");
+  BOOST_TEST(kindOf(jobs::SubmitJob{{"b.example", "/plans/", "key-a"}, job}) ==
+             "not_found");
+  BOOST_TEST(cell.stateOf("a") == "gone");
+  jobs::Configuration next = sampleConfiguration(2);
+  next.Teams[0].Keys = {"key-b"};
+  BOOST_TEST(kindOf(jobs::PutConfiguration{next}) == "ok");
+  BOOST_TEST(kindOf(jobs::SubmitJob{{"a.example", "/plans/", "key-a"}, job}) ==
+             "unauthenticated");
+}
+
+BOOST_AUTO_TEST_CASE(OlderAndInvalidConfigurationsChangeNothing) {
+  ControlCell cell({});
+  jobs::Configuration newer = sampleConfiguration(5);
+  newer.Document = "newer";
+  BOOST_TEST(isOk(cell.execute(jobs::PutConfiguration{newer})));
+  BOOST_TEST(
+      isOk(cell.execute(jobs::PutConfiguration{sampleConfiguration(4)})));
+  jobs::Configuration invalid = sampleConfiguration(6);
+  invalid.Queues[0].Timeout = Duration();
+  const auto refused = cell.execute(jobs::PutConfiguration{invalid});
+  BOOST_REQUIRE(!isOk(refused));
+  BOOST_TEST((errorOf(refused).Kind == ErrorKind::InvalidArgument));
+  const auto read = cell.execute(jobs::ReadConfiguration{});
+  BOOST_REQUIRE(isOk(read));
+  BOOST_TEST(std::get<jobs::ConfigurationNews>(valueOf(read)).Document ==
+             "newer");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::testing
--- /dev/null
+++ b/testing/platform_workers.cc
@@ -0,0 +1,214 @@
+#include "testing/platform_workers.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "nlohmann/json.hpp"
+
+namespace jujube::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+// Clocks of workers have an origin of their own.
+constexpr int64_t ClockOffset = 400'000;
+constexpr int64_t LongestLease = 10'000;
+// What one task of the tests' jobs needs.
+constexpr Resources TaskAsk{1000, 100, 0};
+
+http::OutboundAnswer refused(const std::string &reason) {
+  return {409, Json{{"reason", reason}}.dump()};
+}
+
+} // namespace
+
+void PlatformWorkers::add(const std::string &id, Resources capacity) {
+  Workers[id].Capacity = capacity;
+}
+
+int64_t PlatformWorkers::clockOf(const Worker &) const {
+  return Time.now().millis() + ClockOffset;
+}
+
+jobs::Announcement PlatformWorkers::announcement(const std::string &id) {
+  Worker &worker = Workers.at(id);
+  jobs::Announcement what;
+  what.Who.Id = WorkerId(id);
+  what.Who.Life = Incarnation{worker.Born};
+  what.Who.Pool = jobs::PoolId("desk");
+  what.Who.At = {absl::StrCat("10.9.0.", id.substr(1)), 9000};
+  what.Who.Capacity = worker.Capacity;
+  what.Who.IsDraining = worker.IsDraining;
+  what.Sequence = ++worker.Sequence;
+  what.WorkerClock = Instant::atMillis(clockOf(worker));
+  return what;
+}
+
+void PlatformWorkers::handle(const http::OutboundCall &call,
+                             const Reply &reply) {
+  const std::string id =
+      absl::StrCat("w", call.To.Ip.substr(call.To.Ip.rfind('.') + 1));
+  Worker &worker = Workers.at(id);
+  const bool isOrder = call.Target != "/hold";
+  if (worker.IsSilent || (isOrder && worker.Delay > Duration())) {
+    if (!worker.IsSilent)
+      worker.Orders.push_back({Time.now() + worker.Delay, call});
+    worker.Holds.push_back(
+        {Time.now() + call.Timeout, [reply](auto) {
+           reply(Error{ErrorKind::OutcomeUnknown, "no answer", "none"});
+         }});
+    return;
+  }
+  const http::OutboundAnswer answer = execute(worker, call);
+  const int64_t wait = isOrder ? 0 : Json::parse(call.Body).value("waitMs", 0);
+  if (answer.Status == 200 && wait > 0 && worker.Ends.empty())
+    worker.Holds.push_back({Time.now() + Duration::millis(wait), reply});
+  else
+    reply(answer);
+}
+
+http::OutboundAnswer PlatformWorkers::execute(Worker &worker,
+                                              const http::OutboundCall &call) {
+  const Json body = Json::parse(call.Body);
+  const uint64_t fence = body.value("fencingToken", uint64_t{0});
+  if (fence < worker.Fence)
+    return refused("fence");
+  worker.Fence = fence;
+  if (body.contains("expiresMs"))
+    worker.Expires =
+        std::max(worker.Expires,
+                 Instant::atMillis(std::min(body["expiresMs"].get<int64_t>(),
+                                            clockOf(worker) + LongestLease)));
+  if (call.Target == "/run-start")
+    return start(worker, call.Body);
+  if (call.Target == "/run-stop")
+    return stop(worker, call.Body);
+  acknowledge(worker, body.value("ackCursor", uint64_t{0}));
+  return {200, lists(worker)};
+}
+
+http::OutboundAnswer PlatformWorkers::start(Worker &worker,
+                                            const std::string &text) {
+  const Json body = Json::parse(text);
+  const std::string task = body["task"];
+  const uint32_t attempt = body["attempt"];
+  const std::string spec = body["spec"];
+  const http::OutboundAnswer done{200,
+                                  Json{{"clockMs", clockOf(worker)}}.dump()};
+  if (body["expiresMs"].get<int64_t>() <= clockOf(worker))
+    return refused("late");
+  const auto running = worker.Tasks.find(task);
+  if (running != worker.Tasks.end() && running->second.Attempt == attempt)
+    return done;
+  if (attempt <= worker.LastAttempts[task])
+    return refused("old");
+  worker.LastAttempts[task] = attempt;
+  for (const auto &[id, other] : Workers)
+    if (other.Tasks.contains(task))
+      Violations.push_back(absl::StrCat("two runs of ", task));
+  if (Done.contains(task))
+    Violations.push_back(absl::StrCat("start after the end of ", task));
+  ++Starts[task];
+  const Instant now = Time.now();
+  worker.Tasks[task] = {attempt, now,
+                        now + Duration::millis(std::atoi(spec.c_str())),
+                        spec == "fail", TaskAsk};
+  const Resources used = TaskAsk * static_cast<int64_t>(worker.Tasks.size());
+  if (!used.fitsIn(worker.Capacity))
+    Violations.push_back("a worker is over its capacity");
+  return done;
+}
+
+http::OutboundAnswer PlatformWorkers::stop(Worker &worker,
+                                           const std::string &text) {
+  const Json body = Json::parse(text);
+  const std::string task = body["task"];
+  const uint32_t attempt = body["attempt"];
+  worker.LastAttempts[task] = std::max(worker.LastAttempts[task], attempt);
+  const auto it = worker.Tasks.find(task);
+  if (it != worker.Tasks.end() && it->second.Attempt == attempt)
+    end(worker, task, "stopped");
+  return {200, Json{{"clockMs", clockOf(worker)}}.dump()};
+}
+
+std::string PlatformWorkers::lists(const Worker &worker) const {
+  Json running = Json::array();
+  for (const auto &[task, run] : worker.Tasks)
+    running.push_back({task, run.Attempt, "", 50});
+  Json finished = Json::array();
+  for (const Ended &it : worker.Ends)
+    finished.push_back({it.Number, it.Task, it.Attempt, it.How, ""});
+  return Json{{"clockMs", clockOf(worker)},
+              {"born", worker.Born},
+              {"running", running},
+              {"finished", finished}}
+      .dump();
+}
+
+void PlatformWorkers::end(Worker &worker, const std::string &task,
+                          const std::string &how) {
+  const auto it = worker.Tasks.find(task);
+  worker.Ends.push_back({++worker.LastEnd, task, it->second.Attempt, how});
+  worker.Tasks.erase(it);
+}
+
+void PlatformWorkers::acknowledge(Worker &worker, uint64_t upTo) {
+  for (const Ended &it : worker.Ends)
+    if (it.Number <= upTo && it.How == "done")
+      Done.insert(it.Task);
+  std::erase_if(worker.Ends,
+                [upTo](const Ended &it) { return it.Number <= upTo; });
+}
+
+void PlatformWorkers::tick() {
+  for (auto &[id, worker] : Workers) {
+    const Instant now = Time.now();
+    for (Late &late : std::exchange(worker.Orders, {}))
+      if (late.At <= now)
+        (void)execute(worker, late.Call);
+      else
+        worker.Orders.push_back(std::move(late));
+    std::map<std::string, RunningTask> tasks = worker.Tasks;
+    for (const auto &[task, run] : tasks)
+      if (worker.Expires.millis() <= clockOf(worker))
+        end(worker, task, "lapsed");
+      else if (run.Ends <= now)
+        end(worker, task, run.Fails ? "failed" : "done");
+    for (Waiting &hold : std::exchange(worker.Holds, {}))
+      if (hold.Until <= now || (!worker.IsSilent && !worker.Ends.empty()))
+        hold.Answer(http::OutboundAnswer{200, lists(worker)});
+      else
+        worker.Holds.push_back(std::move(hold));
+  }
+}
+
+void PlatformWorkers::setSilent(const std::string &id, bool isSilent) {
+  Workers.at(id).IsSilent = isSilent;
+}
+
+void PlatformWorkers::delayOrders(const std::string &id, Duration span) {
+  Workers.at(id).Delay = span;
+}
+
+void PlatformWorkers::restart(const std::string &id) {
+  Worker &worker = Workers.at(id);
+  worker.Tasks.clear();
+  worker.Ends.clear();
+  worker.LastAttempts.clear();
+  worker.LastEnd = 0;
+  worker.Fence = 0;
+  worker.Sequence = 0;
+  worker.Expires = Instant();
+  ++worker.Born;
+}
+
+std::size_t PlatformWorkers::running() const {
+  std::size_t n = 0;
+  for (const auto &[id, worker] : Workers)
+    n += worker.Tasks.size();
+  return n;
+}
+
+} // namespace jujube::testing
--- /dev/null
+++ b/testing/platform_workers.h
@@ -0,0 +1,108 @@
+// Stand-ins of the platform's workers: they take the calls of the platform's
+// protocol on a manual clock, can be silenced, restarted and made to carry
+// orders out late, and note what must never happen.
+#ifndef TESTING_PLATFORM_WORKERS_H_
+#define TESTING_PLATFORM_WORKERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jujube/base/clock.h"
+#include "jujube/http/caller.h"
+#include "jujube/jobs/commands.h"
+
+namespace jujube::testing {
+
+class PlatformWorkers {
+public:
+  using Reply = std::function<void(http::OutboundResult)>;
+
+  // Tasks run for the milliseconds that their payload gives; "fail" fails.
+  explicit PlatformWorkers(Clock clock) : Time(std::move(clock)) {}
+
+  void add(const std::string &id, Resources capacity);
+  // What a worker says of itself now.
+  jobs::Announcement announcement(const std::string &id);
+
+  // Takes a call; `reply` is called at once or from a later tick().
+  void handle(const http::OutboundCall &call, const Reply &reply);
+  // Lets tasks end, leases run out, and waiting calls be answered.
+  void tick();
+
+  // Calls reach the worker and back only while it is not silent; what runs
+  // there goes on.
+  void setSilent(const std::string &id, bool isSilent);
+  // Orders get no answer and are carried out after this span.
+  void delayOrders(const std::string &id, Duration span);
+  // Ends what runs; the worker starts again under its id.
+  void restart(const std::string &id);
+  void setDraining(const std::string &id) { Workers.at(id).IsDraining = true; }
+
+  // Starts that were carried out, by task.
+  const std::map<std::string, int> &starts() const { return Starts; }
+  std::size_t running() const;
+  // Two runs of one task, a start after an end that was acknowledged, or a
+  // worker over its capacity.
+  const std::vector<std::string> &violations() const { return Violations; }
+
+private:
+  struct RunningTask {
+    uint32_t Attempt = 0;
+    Instant Began;
+    Instant Ends;
+    bool Fails = false;
+    Resources Ask;
+  };
+  struct Ended {
+    uint64_t Number = 0;
+    std::string Task;
+    uint32_t Attempt = 0;
+    std::string How;
+  };
+  struct Waiting {
+    Instant Until;
+    Reply Answer;
+  };
+  struct Late {
+    Instant At;
+    http::OutboundCall Call;
+  };
+  struct Worker {
+    Resources Capacity;
+    uint64_t Born = 1;
+    uint64_t Sequence = 0;
+    uint64_t Fence = 0;
+    Instant Expires;
+    uint64_t LastEnd = 0;
+    bool IsSilent = false;
+    bool IsDraining = false;
+    Duration Delay;
+    std::map<std::string, RunningTask> Tasks;
+    std::map<std::string, uint32_t> LastAttempts;
+    std::vector<Ended> Ends;
+    std::vector<Waiting> Holds;
+    std::vector<Late> Orders;
+  };
+
+  http::OutboundAnswer execute(Worker &worker, const http::OutboundCall &call);
+  http::OutboundAnswer start(Worker &worker, const std::string &body);
+  http::OutboundAnswer stop(Worker &worker, const std::string &body);
+  std::string lists(const Worker &worker) const;
+  void end(Worker &worker, const std::string &task, const std::string &how);
+  void acknowledge(Worker &worker, uint64_t upTo);
+  int64_t clockOf(const Worker &worker) const;
+
+  Clock Time;
+  std::map<std::string, Worker> Workers;
+  std::map<std::string, int> Starts;
+  std::set<std::string> Done;
+  std::vector<std::string> Violations;
+};
+
+} // namespace jujube::testing
+
+#endif // TESTING_PLATFORM_WORKERS_H_
