--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -13,13 +13,14 @@
 
 // How long a worker has to answer a start or a stop. Source: some twenty round
 // trips between zones.
-constexpr Duration OrderTimeout = Duration::millis(400);
+constexpr Duration OrderTimeout = Duration::millis(250);
 // How long a worker may hold back the answer to a lease order, waiting for an
-// end. Source: the worker protocol allows 2 s.
-constexpr Duration ListWait = Duration::millis(1500);
-constexpr Duration ListTimeout = Duration::millis(2100);
+// end. Source: the worker protocol allows 2 s; an answer that is lost delays an
+// end by the timeout, which the shortest objectives have to bear.
+constexpr Duration ListWait = Duration::millis(700);
+constexpr Duration ListTimeout = Duration::millis(1000);
 // Pauses after orders without an answer.
-constexpr Duration AskPause = Duration::millis(250);
+constexpr Duration AskPause = Duration::millis(150);
 constexpr Duration StopPause = Duration::millis(300);
 // Most times that a start is sent.
 constexpr int MaxStartSends = 3;
