--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -12,7 +12,7 @@
 
 using namespace jujube; // NOLINT(google-build-using-namespace)
 
-void decodeOrder(const std::string &body, dispatch::Order order) {
+void decodeOrder(const std::string &body, const dispatch::Order &order) {
   const control::WorkerProtocol protocol = platform::workerProtocol();
   for (const int status : {200, 409, 421})
     (void)protocol.Decode(order, http::OutboundAnswer{status, body});
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 #include "jujube/control/control_task.h"
+#include "jujube/dispatch/servable.h"
 
 namespace jujube::control {
 namespace {
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -15,19 +15,12 @@
 // Between looks at leases, stops and plans.
 constexpr Duration TickPeriod = Duration::millis(50);
 constexpr Duration SweepPeriod = Duration::seconds(2);
-// A worker that was silent this long and runs nothing is dropped.
-constexpr Duration DropSilentAfter = Duration::seconds(20);
 // A leader whose syncs take this long several times in a row passes leadership
 // on. Source: half of a caller's attempt; usual syncs take 6 to 9 ms.
 constexpr Duration SlowSync = Duration::millis(90);
-constexpr int MaxSlowSyncs = 3;
 // A voter that is silent this long is replaced if another host waits. Source:
 // the time after which a lost machine's successor has to have caught up.
 constexpr Duration ReplaceVoterAfter = Duration::millis(2500);
-// Longest queue at a helper that a query joins. Source: a tenth of the
-// objective of the queues with such queries.
-constexpr Duration ShortQueryPatience = Duration::millis(100);
-constexpr Duration LongQueryPatience = Duration::millis(150);
 // Leases of the group's leader. Source: callers' shortest objective leaves
 // about half a second for a change of leader; a sync on a slow disk takes 0.3
 // s.
@@ -344,132 +337,4 @@
     Desk->stop({key.Job, key.Occurrence, key.Step, i});
 }
 
-void ControlTask::endTurn() {
-  if (Desk != nullptr && Group.log().mayServe()) {
-    planIfDue();
-    if (SlowSyncs >= MaxSlowSyncs) {
-      LOG(WARNING) << "event=disk_slow syncs=" << SlowSyncs
-                   << " action=pass_leadership";
-      SlowSyncs = 0;
-      Group.log().transferLeadership();
-      return;
-    }
-  }
-  flushBatch();
-}
-
-void ControlTask::planIfDue() {
-  if (!IsPlanDue || IsPlanStoring || Book.openJobs().empty())
-    return;
-  IsPlanDue = false;
-  const Instant now = Loop.now();
-  const dispatch::DispatchInput input{
-      Book,
-      Desk->usable(),
-      Approved,
-      now,
-      Wall.now(),
-      Helpers.countFree(now, ShortQueryPatience, false),
-      Helpers.countFree(now, LongQueryPatience, true)};
-  const dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
-  startPlanned(plan.Starts);
-  for (const jobs::ApprovalQuery &query : plan.Queries)
-    ask(query);
-}
-
-void ControlTask::startPlanned(
-    const std::vector<dispatch::PlannedStart> &starts) {
-  if (starts.empty())
-    return;
-  IsPlanStoring = true;
-  std::vector<jobs::Event> events;
-  std::ranges::transform(
-      starts, std::back_inserter(events),
-      [](const dispatch::PlannedStart &planned) { return planned.Start; });
-  store(std::move(events),
-        [this, starts, desk = std::weak_ptr<WorkerDesk>(Desk)](bool isStored) {
-          if (desk.lock() == nullptr || desk.lock() != Desk)
-            return;
-          IsPlanStoring = false;
-          IsPlanDue = true;
-          if (isStored)
-            for (const dispatch::PlannedStart &planned : starts)
-              Desk->start(planned);
-        });
-}
-
-void ControlTask::ask(const jobs::ApprovalQuery &query) {
-  const jobs::Job *job = Book.find(query.Step.Job);
-  const jobs::Queue *queue =
-      jobs::findQueue(Book.configuration(), job->Spec.Queue);
-  const Instant now = Loop.now();
-  const bool isLong = dispatch::hasLongQueries(*queue->Approval);
-  const auto helper = Helpers.choose(
-      now, isLong ? LongQueryPatience : ShortQueryPatience, isLong);
-  if (!helper)
-    return;
-  const auto length = Duration::millis(
-      static_cast<int64_t>(static_cast<double>(queue->Approval->Base.millis()) +
-                           queue->Approval->PerWorkerMs *
-                               static_cast<double>(query.Workers.size())));
-  const Instant due = Helpers.assign(*helper, length, now);
-  const Duration timeout = due - now + Duration::millis(500);
-  Approved.begin(query, queue->Id);
-  Messages.call(
-      Helpers.addressOf(*helper), wire::AskApproval{query, timeout}, timeout,
-      [this, query, now, length, helper = *helper,
-       desk = std::weak_ptr<WorkerDesk>(Desk)](
-          const Result<wire::Message> &result) {
-        if (desk.lock() == nullptr || desk.lock() != Desk)
-          return;
-        IsPlanDue = true;
-        const auto *news =
-            isOk(result) ? std::get_if<wire::ApprovalNews>(&valueOf(result))
-                         : nullptr;
-        if (news != nullptr) {
-          // Tickets count at the earliest from the middle of the call.
-          Approved.finish(query, news->Answer, now + length);
-          return;
-        }
-        LOG(WARNING) << "event=approval_unanswered job=" << query.Step.Job.str()
-                     << " helper=" << helper.str();
-        Helpers.avoid(helper, Loop.now() + Duration::seconds(1));
-        Approved.abandon(query.Step);
-      });
-}
-
-void ControlTask::sweep() {
-  if (Desk == nullptr || !Group.log().mayServe())
-    return;
-  forgetEnded();
-  dropSilentWorkers();
-  Approved.retain([this](const jobs::StepKey &key) {
-    const jobs::Job *job = Book.find(key.Job);
-    const jobs::StepState *state = Book.findStepState(key);
-    return job != nullptr && !isEnded(job->State) && state != nullptr &&
-           !state->isDone();
-  });
-}
-
-void ControlTask::forgetEnded() {
-  jobs::JobsForgotten event;
-  std::erase_if(EndedAt, [&](const auto &it) {
-    const bool isDue = Loop.now() - it.second > Settings.KeepEnded;
-    if (isDue)
-      event.Jobs.push_back(it.first);
-    return isDue;
-  });
-  if (!event.Jobs.empty())
-    store({std::move(event)}, [](bool) {});
-}
-
-void ControlTask::dropSilentWorkers() {
-  for (const auto &[id, worker] : Book.workers()) {
-    const std::optional<Instant> heard = Desk->lastHeard(id);
-    if (Book.loadOf(id).Tasks.empty() && heard &&
-        Loop.now() - *heard > DropSilentAfter)
-      store({jobs::WorkerGone{id, worker.Life}}, [](bool) {});
-  }
-}
-
 } // namespace jujube::control
--- a/jujube/control/worker_desk.h
+++ b/jujube/control/worker_desk.h
@@ -70,6 +70,10 @@
   std::optional<Instant> lastHeard(const WorkerId &worker) const;
 
 private:
+  // How long a worker has to answer a start or a stop. Source: some twenty
+  // round trips between zones.
+  static constexpr Duration OrderTimeout = Duration::millis(250);
+
   enum class Phase {
     // The start was sent and is not answered.
     Starting,
--- /dev/null
+++ b/jujube/control/worker_desk_lists.cc
@@ -0,0 +1,154 @@
+// What workers list: leases, ends, and attempts that are missing or astray.
+#include <algorithm>
+#include <utility>
+
+#include "glog/logging.h"
+#include "jujube/control/worker_desk.h"
+
+namespace jujube::control {
+namespace {
+
+using dispatch::OrderVerdict;
+using jobs::EndKind;
+
+// How long a worker may hold back the answer to a lease order, waiting for an
+// end. Source: the worker protocol allows 2 s; an answer that is lost delays an
+// end by the timeout, which the shortest objectives have to bear.
+constexpr Duration ListWait = Duration::millis(700);
+constexpr Duration ListTimeout = Duration::millis(1000);
+// Pauses after orders without an answer.
+constexpr Duration AskPause = Duration::millis(150);
+// After failures of this many different jobs in a row, a worker is used only if
+// no other one will do.
+constexpr std::size_t DoubtAfterJobs = 3;
+constexpr Duration DoubtSpan = Duration::seconds(5);
+
+} // namespace
+
+void WorkerDesk::askWorker(const WorkerId &worker, Session &session) {
+  const std::optional<Address> at = addressOf(worker);
+  if (!at)
+    return;
+  const Instant now = Callbacks.Now();
+  dispatch::LeaseOrder order;
+  // A worker that did not answer is only asked: renewing its leases would keep
+  // what may be lost from being started elsewhere.
+  if (session.Misses == 0)
+    order.Expires = session.Clock.grant(now);
+  order.Fence = Fence;
+  order.AckedEnds = session.AckedEnds;
+  const bool isCalm = session.Misses == 0 && order.Expires &&
+                      std::ranges::all_of(session.Runs, [](const auto &it) {
+                        return it.second.Now != Phase::Stopped;
+                      });
+  order.Wait = isCalm && !session.Runs.empty() ? ListWait : Duration();
+  session.IsAsking = true;
+  const uint64_t told = session.AckedEnds;
+  Callbacks.Send(
+      {worker, *at, order}, ListTimeout,
+      [this, worker, now, told](const dispatch::OrderAnswer &answer) {
+        onLists(worker, now, told, answer);
+      });
+}
+
+void WorkerDesk::onLists(const WorkerId &worker, Instant askedAt, uint64_t told,
+                         const dispatch::OrderAnswer &answer) {
+  Session &session = sessionOf(worker);
+  session.IsAsking = false;
+  const Instant now = Callbacks.Now();
+  if (answer.Verdict == OrderVerdict::OtherLife) {
+    const std::map<jobs::TaskKey, RunState> runs = session.Runs;
+    for (const auto &[task, run] : runs)
+      lose(task, run);
+    session.NextAsk = now + AskPause;
+    return;
+  }
+  const Incarnation before = session.Life;
+  (void)noteAnswer(worker, session, answer);
+  if (answer.Verdict != OrderVerdict::Accepted) {
+    ++session.Misses;
+    session.NextAsk = now + AskPause;
+    return;
+  }
+  session.Misses = 0;
+  session.NextAsk = now;
+  if (session.Life == before)
+    session.ToldEnds = std::max(session.ToldEnds, told);
+  compareLists(worker, session, askedAt, answer);
+}
+
+void WorkerDesk::compareLists(const WorkerId &worker, Session &session,
+                              Instant askedAt,
+                              const dispatch::OrderAnswer &answer) {
+  std::vector<jobs::Event> events;
+  uint64_t last = session.AckedEnds;
+  std::set<jobs::TaskKey> listed;
+  for (const dispatch::EndedRow &row : answer.Ended) {
+    last = std::max(last, row.Number);
+    RunState *run = findRun(worker, row.Task, row.Attempt);
+    if (run == nullptr)
+      continue;
+    listed.insert(row.Task);
+    noteOutcome(session, row.Task, row.How);
+    events.emplace_back(
+        jobs::AttemptEnded{row.Task, row.Attempt, row.How, row.Checkpoint});
+  }
+  for (const dispatch::RunningRow &row : answer.Running) {
+    RunState *run = findRun(worker, row.Task, row.Attempt);
+    if (run == nullptr) {
+      stopStray(worker, row);
+      continue;
+    }
+    listed.insert(row.Task);
+    run->Checkpoint = row.Checkpoint.empty() ? run->Checkpoint : row.Checkpoint;
+  }
+  for (auto &[task, run] : session.Runs) {
+    const bool isDue = run.Since < askedAt && !listed.contains(task);
+    if (isDue && run.Now == Phase::Stopped)
+      events.emplace_back(
+          jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint});
+    else if (isDue && run.Now == Phase::Running)
+      stop(task);
+  }
+  if (events.empty()) {
+    session.AckedEnds = last;
+    return;
+  }
+  session.IsStoring = true;
+  const Incarnation life = session.Life;
+  Callbacks.Store(std::move(events), [this, worker, last, life](bool isStored) {
+    const auto it = Sessions.find(worker);
+    if (it == Sessions.end())
+      return;
+    it->second.IsStoring = false;
+    if (isStored && it->second.Life == life)
+      it->second.AckedEnds = std::max(it->second.AckedEnds, last);
+  });
+}
+
+void WorkerDesk::stopStray(const WorkerId &worker,
+                           const dispatch::RunningRow &row) {
+  if (Book.isLive(row.Task, row.Attempt))
+    return;
+  const std::optional<Address> at = addressOf(worker);
+  LOG(INFO) << "event=stray_attempt job=" << row.Task.Job.str()
+            << " attempt=" << row.Attempt << " worker=" << worker.str();
+  if (at)
+    Callbacks.Send(
+        {worker, *at, dispatch::StopOrder{row.Task, row.Attempt, Fence}},
+        OrderTimeout, [](const dispatch::OrderAnswer &) {});
+}
+
+void WorkerDesk::noteOutcome(Session &session, const jobs::TaskKey &task,
+                             EndKind how) {
+  if (how == EndKind::Done) {
+    session.FailedJobs.clear();
+    session.DoubtUntil = Instant();
+  } else if (how == EndKind::Failed) {
+    session.FailedJobs.insert(task.Job);
+    if (session.FailedJobs.size() >= DoubtAfterJobs)
+      session.DoubtUntil = Callbacks.Now() + DoubtSpan;
+  }
+}
+
+} // namespace jujube::control
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -74,13 +74,6 @@
 
 DispatchPlan planStarts(const DispatchInput &input, const DispatchHooks &hooks);
 
-// Occurrences that are due begin to count as ready; exposed for the owner's
-// timer: the next wall time at which one will be.
-Instant nextDue(const jobs::JobBook &book, Instant wallNow);
-
-// Why a job can't be served; Ok if it can.
-Status checkServable(const jobs::JobSpec &spec);
-
 } // namespace jujube::dispatch
 
 #endif // JUJUBE_DISPATCH_DISPATCHER_H_
--- /dev/null
+++ b/jujube/dispatch/servable.cc
@@ -0,0 +1,45 @@
+#include "jujube/dispatch/servable.h"
+
+#include <algorithm>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+
+namespace jujube::dispatch {
+namespace {
+
+// Bounds of a job. Source: a snapshot has to hold thousands of jobs.
+constexpr std::size_t MaxSteps = 64;
+constexpr uint32_t MaxTasks = 4096;
+
+} // namespace
+
+Status checkServable(const jobs::JobSpec &spec) {
+  const auto impossible = [](const std::string &message,
+                             const std::string &remedy) {
+    return Error{ErrorKind::ImpossibleRequest, message, remedy};
+  };
+  if (spec.Steps.empty() || spec.Steps.size() > MaxSteps)
+    return impossible("a job needs 1 to 64 steps", "split the job");
+  uint64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.Steps.size(); ++i) {
+    const jobs::StepSpec &step = spec.Steps[i];
+    tasks += step.Tasks;
+    if (step.Tasks == 0 || step.Ask.isNegative())
+      return impossible(absl::StrCat("step ", i, " asks for nothing"),
+                        "give it at least one task");
+    if (std::ranges::any_of(step.After,
+                            [i](uint32_t before) { return before >= i; }))
+      return impossible(absl::StrCat("step ", i, " waits for a later step"),
+                        "name earlier steps only");
+    if (step.IsFiller || step.MaxUnavailable)
+      return impossible(
+          absl::StrCat("step ", i, " fills or bounds its unavailability"),
+          "this version does not serve such steps");
+  }
+  if (tasks * std::max<uint32_t>(spec.Occurrences, 1) > MaxTasks)
+    return impossible("the job has more than 4096 tasks", "split the job");
+  return Ok{};
+}
+
+} // namespace jujube::dispatch
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -95,8 +95,7 @@
   const std::string task = body["task"];
   const uint32_t attempt = body["attempt"];
   const std::string spec = body["spec"];
-  const http::OutboundAnswer done{200,
-                                  Json{{"clockMs", clockOf(worker)}}.dump()};
+  http::OutboundAnswer done{200, Json{{"clockMs", clockOf(worker)}}.dump()};
   if (body["expiresMs"].get<int64_t>() <= clockOf(worker))
     return refused("late");
   const auto running = worker.Tasks.find(task);
@@ -107,7 +106,7 @@
   worker.LastAttempts[task] = attempt;
   for (const auto &[id, other] : Workers)
     if (other.Tasks.contains(task))
-      Violations.push_back(absl::StrCat("two runs of ", task));
+      Violations.emplace_back(absl::StrCat("two runs of ", task));
   if (Done.contains(task))
     Violations.push_back(absl::StrCat("start after the end of ", task));
   ++Starts[task];
