Lines for what becomes of a job; a worker that still answers is not gone

Cause (review): a withdrawal that arrives late could end attempts of a worker that goes on; it counts only if the worker has not answered since. Test: ControlPathTest/WorkerThatStillAnswersIsNotGone.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -83,6 +83,11 @@
     done(errorOf(status));
     return;
   }
+  LOG(INFO) << "event=job_accepted job=" << command.Job.Id.str()
+            << " queue=" << valueOf(admitted).Queue->Id.str()
+            << " team=" << valueOf(admitted).Team.str()
+            << " steps=" << command.Job.Steps.size()
+            << " config=" << Book.configuration().Version;
   jobs::JobSpec spec = command.Job;
   spec.Queue = valueOf(admitted).Queue->Id;
   spec.Team = valueOf(admitted).Team;
@@ -100,6 +105,7 @@
     done(jobs::Reply(jobs::Stored{}));
     return;
   }
+  LOG(INFO) << "event=job_cancelled job=" << command.Job.str();
   storeAndReply({jobs::JobCancelled{command.Job}}, done,
                 [] { return jobs::Stored{}; });
 }
@@ -194,8 +200,10 @@
   const Incarnation life = held->Life;
   storeAndReply({jobs::WorkerChanged{std::move(leaving)}}, done,
                 [] { return jobs::Stored{}; });
-  Loop.callAt(Loop.now() + LeavingSpan, [this, id = command.Worker, life] {
-    if (Desk != nullptr)
+  // One that still answers is not gone: its leases tell when it is.
+  const Instant saidAt = Loop.now();
+  Loop.callAt(saidAt + LeavingSpan, [this, id = command.Worker, life, saidAt] {
+    if (Desk != nullptr && Desk->lastHeard(id) <= saidAt)
       store({jobs::WorkerGone{id, life}}, [](bool) {});
   });
 }
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -310,7 +310,10 @@
   if (job == nullptr)
     return;
   if (isEnded(job->State)) {
-    EndedAt.emplace(event.Task.Job, Loop.now());
+    if (EndedAt.emplace(event.Task.Job, Loop.now()).second)
+      LOG(INFO) << "event=job_ended job=" << event.Task.Job.str()
+                << " state=" << nameIn(jobs::JobStateNames, job->State)
+                << " after_ms=" << (Wall.now() - job->AcceptedAt).millis();
     stopLiveTasks(event.Task.Job);
     return;
   }
--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -150,6 +150,11 @@
   }
   run.Order->Expires = *expires;
   ++run.Sends;
+  LOG(INFO) << "event=start_sent job=" << task.Job.str()
+            << " occurrence=" << task.Occurrence << " step=" << task.Step
+            << " index=" << task.Index << " attempt=" << run.Attempt
+            << " worker=" << worker.str() << " send=" << run.Sends
+            << " fence=" << Fence;
   const uint32_t attempt = run.Attempt;
   Callbacks.Send(
       {worker, *at, *run.Order}, OrderTimeout,
@@ -198,10 +203,10 @@
   case OrderVerdict::Invalid:
     break;
   }
-  LOG(INFO) << "event=start_refused task=" << task.Job.str() << "."
-            << task.Occurrence << "." << task.Step << "." << task.Index
-            << " attempt=" << attempt << " worker=" << worker.str()
-            << " verdict="
+  LOG(INFO) << "event=start_refused job=" << task.Job.str()
+            << " occurrence=" << task.Occurrence << " step=" << task.Step
+            << " index=" << task.Index << " attempt=" << attempt
+            << " worker=" << worker.str() << " verdict="
             << nameIn(dispatch::OrderVerdictNames, answer.Verdict);
   if (run->MayArrive && isSameLife)
     stop(task);
--- a/testing/control_path_test.cc
+++ b/testing/control_path_test.cc
@@ -222,6 +222,16 @@
   BOOST_TEST(cell.workers().running() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(WorkerThatStillAnswersIsNotGone) {
+  ControlCell cell({});
+  requireOk(cell.submit("a", 6, 3000));
+  cell.wire().run(Duration::millis(500));
+  BOOST_TEST(isOk(cell.execute(jobs::WithdrawWorker{WorkerId("w1")})));
+  BOOST_TEST(cell.awaitState("a", "completed"));
+  BOOST_TEST(startsOf(cell, cell.workers()) == 6);
+  checkPromises(cell, cell.workers());
+}
+
 BOOST_AUTO_TEST_CASE(KeysQueuesAndJobsAreCheckedByTheLeader) {
   ControlCell cell({});
   const auto kindOf = [&cell](const jobs::Command &command) {
