--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -49,6 +49,7 @@
   std::signal(SIGXFSZ, SIG_IGN);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
+  google::InstallFailureSignalHandler();
   auto tree = makeTree(std::get<Settings>(parsed));
   if (!isOk(tree)) {
     std::cerr << errorOf(tree).text() << "\n";
--- a/jujube/wire/connection.cc
+++ b/jujube/wire/connection.cc
@@ -39,6 +39,11 @@
   return Ok{};
 }
 
+void Connection::abandon() {
+  IsClosed = true;
+  Loop.unwatch(Fd.get());
+}
+
 void Connection::updateWatch() {
   if (IsClosed)
     return;
@@ -83,6 +88,8 @@
     if (!valueOf(payload))
       return true;
     Callbacks.OnFrame(std::move(*valueOf(payload)));
+    if (IsClosed)
+      return true;
   }
 }
 
--- a/jujube/wire/connection.h
+++ b/jujube/wire/connection.h
@@ -37,6 +37,8 @@
 
   // Queues a payload; refuses it with Overloaded over MaxBufferedBytes.
   Status send(absl::string_view payload);
+  // Calls no hook any more, whatever arrives until it is destroyed.
+  void abandon();
 
 private:
   void handleEvents(short events);
--- a/jujube/wire/transport.cc
+++ b/jujube/wire/transport.cc
@@ -196,6 +196,7 @@
   void retire(std::unique_ptr<Connection> connection) {
     if (!connection)
       return;
+    connection->abandon();
     if (Retired.empty())
       Loop.callAt(Loop.now(), [this] { Retired.clear(); });
     Retired.push_back(std::move(connection));
--- a/jujube/wire/transport_test.cc
+++ b/jujube/wire/transport_test.cc
@@ -5,6 +5,7 @@
 
 #include "jujube/runtime/sockets.h"
 #include "jujube/runtime/supervisor.h"
+#include "jujube/wire/connection.h"
 #include "jujube/wire/domain_encoding.h"
 #include "jujube/wire/framing.h"
 #include "jujube/wire/transport.h"
@@ -121,6 +122,38 @@
   BOOST_TEST((firstLost(a, listen) == listen));
 }
 
+// A connection that was given up is destroyed a turn later; what arrives until
+// then has no owner any more.
+BOOST_AUTO_TEST_CASE(AbandonedConnectionCallsNoHook) {
+  runtime::PollLoop loop(Clock::monotonic());
+  const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
+  bool isOpen = false;
+  int frames = 0;
+  int closes = 0;
+  Connection given(
+      loop, valueOf(runtime::connectTcp(runtime::localAddress(listener.get()))),
+      {[&] { isOpen = true; }, [&](const std::string &) { ++frames; },
+       [&] { ++closes; }});
+  loop.callEvery(Duration::millis(5), [] {});
+  const Instant end = loop.now() + Patience;
+  while (!isOpen && loop.now() < end)
+    BOOST_REQUIRE(isOk(loop.runOnce()));
+  {
+    Connection peer(loop, runtime::acceptTcp(listener.get()),
+                    {[] {}, [](const std::string &) {}, [] {}});
+    (void)peer.send("late challenge");
+    BOOST_REQUIRE(isOk(loop.runOnce()));
+    given.abandon();
+    (void)peer.send("later");
+    BOOST_REQUIRE(isOk(loop.runOnce()));
+  }
+  const int before = frames;
+  for (int i = 0; i < 5; ++i)
+    BOOST_REQUIRE(isOk(loop.runOnce()));
+  BOOST_TEST(frames == before);
+  BOOST_TEST(closes == 0);
+}
+
 BOOST_AUTO_TEST_CASE(PeerThatSendsNoChallengeIsGivenUp) {
   Host a(freeAddress(), "token");
   // The kernel accepts for a process that is paused.
