--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -116,7 +116,7 @@
                         spec == "fail", TaskAsk};
   const Resources used = TaskAsk * static_cast<int64_t>(worker.Tasks.size());
   if (!used.fitsIn(worker.Capacity))
-    Violations.push_back("a worker is over its capacity");
+    Violations.emplace_back("a worker is over its capacity");
   return done;
 }
 
