--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -104,7 +104,7 @@
             isOk(result) ? std::get_if<wire::ApprovalNews>(&valueOf(result))
                          : nullptr;
         if (news != nullptr) {
-          // Tickets count at the earliest from the middle of the call.
+          // An idle service would have answered then; it was not earlier.
           Approved.finish(query, news->Answer, now + length);
           return;
         }
