--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -4,13 +4,16 @@
 #include <variant>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
 #include "jujube/control/control_task.h"
 #include "jujube/dispatch/servable.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::control {
 namespace {
 
+using logging::Event;
+using logging::Line;
+
 // A worker that has said that it ends is gone this long after.
 constexpr Duration LeavingSpan = Duration::millis(400);
 
@@ -24,7 +27,13 @@
 } // namespace
 
 void ControlTask::execute(const jobs::Command &command, const Answer &done) {
-  std::visit([&](const auto &what) { run(what, done); }, command);
+  const CommandBrief brief{jobs::kindOf(command), jobs::jobOf(command)};
+  const Answer note = [this, brief, done](Result<jobs::Reply> reply) {
+    if (!isOk(reply))
+      noteRefusal(brief, errorOf(reply));
+    done(std::move(reply));
+  };
+  std::visit([&](const auto &what) { run(what, note); }, command);
 }
 
 void ControlTask::storeAndReply(std::vector<jobs::Event> events,
@@ -83,11 +92,6 @@
     done(errorOf(status));
     return;
   }
-  LOG(INFO) << "event=job_accepted job=" << command.Job.Id.str()
-            << " queue=" << valueOf(admitted).Queue->Id.str()
-            << " team=" << valueOf(admitted).Team.str()
-            << " steps=" << command.Job.Steps.size()
-            << " config=" << Book.configuration().Version;
   jobs::JobSpec spec = command.Job;
   spec.Queue = valueOf(admitted).Queue->Id;
   spec.Team = valueOf(admitted).Team;
@@ -105,7 +109,11 @@
     done(jobs::Reply(jobs::Stored{}));
     return;
   }
-  LOG(INFO) << "event=job_cancelled job=" << command.Job.str();
+  Line(Event::JobCancelled)
+      .with("job", command.Job)
+      .with("state", nameIn(jobs::JobStateNames, valueOf(job)->State))
+      .with("running", valueOf(job)->LiveTasks)
+      .with("term", Group.log().term());
   storeAndReply({jobs::JobCancelled{command.Job}}, done,
                 [] { return jobs::Stored{}; });
 }
@@ -137,7 +145,12 @@
     done(jobs::Reply(jobs::Stored{}));
     return;
   }
-  LOG(INFO) << "event=configuration_put version=" << command.Value.Version;
+  Line(Event::ConfigurationStored)
+      .with("version", command.Value.Version)
+      .with("held", Book.configuration().Version)
+      .with("queues", command.Value.Queues.size())
+      .with("teams", command.Value.Teams.size())
+      .with("term", Group.log().term());
   storeAndReply({jobs::ConfigurationPut{command.Value}}, done,
                 [] { return jobs::Stored{}; });
 }
@@ -178,9 +191,12 @@
     done(reply());
     return;
   }
-  LOG(INFO) << "event=worker_changed worker=" << what.Who.Id.str()
-            << " life=" << what.Who.Life.Value
-            << " draining=" << what.Who.IsDraining;
+  Line(Event::WorkerChanged)
+      .with("worker", what.Who.Id)
+      .with("life", what.Who.Life)
+      .with("pool", what.Who.Pool)
+      .with("draining", what.Who.IsDraining)
+      .with("known", held != nullptr);
   events.emplace_back(jobs::WorkerChanged{what.Who});
   storeAndReply(std::move(events), done, [this, what, reply] {
     if (Desk != nullptr)
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -4,12 +4,16 @@
 #include <iterator>
 #include <utility>
 
-#include "glog/logging.h"
 #include "jujube/control/control_task.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::control {
 namespace {
 
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
 // After this many slow syncs in a row a leader passes leadership on.
 constexpr int MaxSlowSyncs = 3;
 // A worker that was silent this long and runs nothing is dropped.
@@ -25,8 +29,10 @@
   if (Desk != nullptr && Group.log().mayServe()) {
     planIfDue();
     if (SlowSyncs >= MaxSlowSyncs) {
-      LOG(WARNING) << "event=disk_slow syncs=" << SlowSyncs
-                   << " action=pass_leadership";
+      Line(Event::DiskSlow, Level::Warning)
+          .with("slow_syncs", SlowSyncs)
+          .with("action", "pass_leadership")
+          .with("term", Group.log().term());
       SlowSyncs = 0;
       Group.log().transferLeadership();
       return;
@@ -50,6 +56,7 @@
       Helpers.countFree(now, LongQueryPatience, true)};
   const dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
   startPlanned(plan.Starts);
+  noteWaits(plan.Waits);
   for (const jobs::ApprovalQuery &query : plan.Queries)
     ask(query);
 }
@@ -92,27 +99,41 @@
   const Instant due = Helpers.assign(*helper, length, now);
   const Duration timeout = due - now + Duration::millis(500);
   Approved.begin(query, queue->Id);
-  Messages.call(
-      Helpers.addressOf(*helper), wire::AskApproval{query, timeout}, timeout,
-      [this, query, now, length, helper = *helper,
-       desk = std::weak_ptr<WorkerDesk>(Desk)](
-          const Result<wire::Message> &result) {
-        if (desk.lock() == nullptr || desk.lock() != Desk)
-          return;
-        IsPlanDue = true;
-        const auto *news =
-            isOk(result) ? std::get_if<wire::ApprovalNews>(&valueOf(result))
-                         : nullptr;
-        if (news != nullptr) {
-          // An idle service would have answered then; it was not earlier.
-          Approved.finish(query, news->Answer, now + length);
-          return;
-        }
-        LOG(WARNING) << "event=approval_unanswered job=" << query.Step.Job.str()
-                     << " helper=" << helper.str();
-        Helpers.avoid(helper, Loop.now() + Duration::seconds(1));
-        Approved.abandon(query.Step);
-      });
+  Line(Event::ApprovalAsked)
+      .with("job", query.Step.Job)
+      .with("step", query.Step.Step)
+      .with("workers", query.Workers.size())
+      .with("helper", *helper)
+      .with("due_in_ms", due - now);
+  Messages.call(Helpers.addressOf(*helper), wire::AskApproval{query, timeout},
+                timeout,
+                [this, query, now, length, helper = *helper,
+                 desk = std::weak_ptr<WorkerDesk>(Desk)](
+                    const Result<wire::Message> &result) {
+                  if (desk.lock() == nullptr || desk.lock() != Desk)
+                    return;
+                  IsPlanDue = true;
+                  const auto *news =
+                      isOk(result)
+                          ? std::get_if<wire::ApprovalNews>(&valueOf(result))
+                          : nullptr;
+                  if (news != nullptr) {
+                    // An idle service would have answered then; it was not
+                    // earlier.
+                    Approved.finish(query, news->Answer, now + length);
+                    noteApproval(query, news->Answer, Loop.now() - now);
+                    return;
+                  }
+                  Line(Event::ApprovalUnanswered, Level::Warning)
+                      .with("job", query.Step.Job)
+                      .with("step", query.Step.Step)
+                      .with("workers", query.Workers.size())
+                      .with("helper", helper)
+                      .with("after_ms", Loop.now() - now);
+                  Numbers.add("approvals_unanswered", {});
+                  Helpers.avoid(helper, Loop.now() + Duration::seconds(1));
+                  Approved.abandon(query.Step);
+                });
 }
 
 void ControlTask::sweep() {
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -8,10 +8,14 @@
 
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::control {
 namespace {
 
+using logging::Event;
+using logging::Line;
+
 // Between looks at leases, stops and plans.
 constexpr Duration TickPeriod = Duration::millis(50);
 constexpr Duration SweepPeriod = Duration::seconds(2);
@@ -45,10 +49,14 @@
   Loop.watchMailbox<ClientRequest>(
       mailboxes.Clients,
       [this](ClientRequest request) { serve(std::move(request)); });
+  Loop.watchMailbox<http::MetricsQuestion>(
+      mailboxes.Questions, [this](const http::MetricsQuestion &question) {
+        question.Answer->set(snapshot());
+      });
   Loop.watch(mailboxes.Leaving->fd(), POLLIN,
              [this, leaving = mailboxes.Leaving](short) {
                leaving->clear();
-               LOG(INFO) << "event=leaving";
+               Line(Event::Leaving).with("term", Group.log().term());
                Group.log().transferLeadership();
              });
 }
@@ -78,9 +86,10 @@
   if (!isOk(disk))
     return errorOf(disk);
   Disk = std::make_unique<storage::Store>(valueOf(std::move(disk)));
-  LOG(INFO) << "event=journal_opened bytes=" << Disk->report().JournalBytes
-            << " torn_bytes=" << Disk->report().TornBytes
-            << " incarnation=" << Disk->start().Value;
+  Line(Event::JournalOpened)
+      .with("bytes", Disk->report().JournalBytes)
+      .with("torn_bytes", Disk->report().TornBytes)
+      .with("incarnation", Disk->start());
   consensus::Options options;
   options.Self = {Settings.Self, Settings.Listen};
   options.Start = Disk->start();
@@ -112,7 +121,9 @@
     if (Status status = Disk->write(change); !isOk(status))
       return status;
   Status synced = Disk->sync();
-  SlowSyncs = Loop.now() - begin > SlowSync ? SlowSyncs + 1 : 0;
+  const Duration span = Loop.now() - begin;
+  Numbers.observe("sync_ms", {}, static_cast<double>(span.millis()));
+  SlowSyncs = span > SlowSync ? SlowSyncs + 1 : 0;
   return synced;
 }
 
@@ -155,6 +166,7 @@
   Desk.reset();
   Approved = dispatch::Approvals();
   EndedAt.clear();
+  Waits = WaitLedger();
   IsPlanStoring = false;
   Batch.clear();
   for (const auto &done : std::exchange(BatchHooks, {}))
@@ -168,6 +180,8 @@
   for (const auto &[id, job] : Book.jobs())
     if (isEnded(job.State))
       EndedAt.emplace(id, now);
+    else
+      Waits.begin(id, now);
   Desk->takeOver();
   IsPlanDue = true;
 }
@@ -270,54 +284,75 @@
 
 // Applies an event and, on the leader, acts on what it changed.
 void ControlTask::follow(const jobs::Event &event) {
+  if (std::holds_alternative<jobs::ConfigurationPut>(event))
+    ConfiguredAt = Loop.now();
   if (Desk == nullptr) {
     Book.apply(event);
     return;
   }
   IsPlanDue = true;
-  std::map<jobs::TaskKey, WorkerId> freed;
   if (const auto *end = std::get_if<jobs::AttemptEnded>(&event)) {
-    if (Book.isLive(end->Task, end->Attempt))
-      freed[end->Task] = Book.findTask(end->Task)->Live->Worker;
+    followEnd(*end);
   } else if (const auto *gone = std::get_if<jobs::WorkerGone>(&event)) {
-    for (const jobs::TaskKey &task : Book.loadOf(gone->Worker).Tasks)
-      freed[task] = gone->Worker;
-  }
-  Book.apply(event);
-  for (const auto &[task, worker] : freed)
-    Desk->noteEnded(task, worker);
-  if (const auto *end = std::get_if<jobs::AttemptEnded>(&event);
-      end != nullptr && !freed.empty()) {
-    followEnd(*end, freed.begin()->second);
+    followGone(*gone);
   } else if (const auto *cancel = std::get_if<jobs::JobCancelled>(&event)) {
-    stopLiveTasks(cancel->Job);
-    EndedAt.emplace(cancel->Job, Loop.now());
-  } else if (const auto *changed = std::get_if<jobs::WorkerChanged>(&event)) {
-    Desk->noteWorkerChanged(changed->Now.Id);
-  } else if (const auto *gone = std::get_if<jobs::WorkerGone>(&event)) {
-    Desk->noteWorkerChanged(gone->Worker);
+    followCancel(*cancel);
+  } else {
+    Book.apply(event);
+    if (const auto *accepted = std::get_if<jobs::JobAccepted>(&event))
+      noteAccepted(accepted->Spec);
+    else if (const auto *changed = std::get_if<jobs::WorkerChanged>(&event))
+      Desk->noteWorkerChanged(changed->Now.Id);
   }
 }
 
-void ControlTask::followEnd(const jobs::AttemptEnded &event,
-                            const WorkerId &worker) {
-  const jobs::Job *job = Book.find(event.Task.Job);
-  if (event.How != jobs::EndKind::Done)
-    LOG(INFO) << "event=attempt_ended job=" << event.Task.Job.str()
-              << " step=" << event.Task.Step << " index=" << event.Task.Index
-              << " attempt=" << event.Attempt << " worker=" << worker.str()
-              << " how=" << nameIn(jobs::EndKindNames, event.How);
-  if (job == nullptr)
+void ControlTask::followEnd(const jobs::AttemptEnded &event) {
+  if (!Book.isLive(event.Task, event.Attempt)) {
+    Book.apply(event);
+    return;
+  }
+  const WorkerId worker = Book.findTask(event.Task)->Live->Worker;
+  const jobs::Job &job = *Book.find(event.Task.Job);
+  const bool wasOpen = !isEnded(job.State);
+  const std::optional<Duration> aim = wasOpen ? aimOf(job) : std::nullopt;
+  Book.apply(event);
+  Desk->noteEnded(event.Task, worker);
+  noteEnd(event, job, worker);
+  if (!isEnded(job.State)) {
+    stopRestOfGang(jobs::stepOf(event.Task));
     return;
-  if (isEnded(job->State)) {
-    if (EndedAt.emplace(event.Task.Job, Loop.now()).second)
-      LOG(INFO) << "event=job_ended job=" << event.Task.Job.str()
-                << " state=" << nameIn(jobs::JobStateNames, job->State)
-                << " after_ms=" << (Wall.now() - job->AcceptedAt).millis();
-    stopLiveTasks(event.Task.Job);
+  }
+  EndedAt.emplace(event.Task.Job, Loop.now());
+  if (wasOpen)
+    noteJobEnded(job, aim);
+  stopLiveTasks(event.Task.Job);
+}
+
+void ControlTask::followGone(const jobs::WorkerGone &event) {
+  const std::set<jobs::TaskKey> lost = Book.loadOf(event.Worker).Tasks;
+  Book.apply(event);
+  if (Book.findWorker(event.Worker) != nullptr)
     return;
+  for (const jobs::TaskKey &task : lost) {
+    Desk->noteEnded(task, event.Worker);
+    stopRestOfGang(jobs::stepOf(task));
   }
-  stopRestOfGang(jobs::stepOf(event.Task));
+  Line(Event::WorkerLost)
+      .with("worker", event.Worker)
+      .with("life", event.Life)
+      .with("attempts", lost.size());
+  Desk->noteWorkerChanged(event.Worker);
+}
+
+void ControlTask::followCancel(const jobs::JobCancelled &event) {
+  const jobs::Job *job = Book.find(event.Job);
+  const bool wasOpen = job != nullptr && !isEnded(job->State);
+  const std::optional<Duration> aim = wasOpen ? aimOf(*job) : std::nullopt;
+  Book.apply(event);
+  stopLiveTasks(event.Job);
+  EndedAt.emplace(event.Job, Loop.now());
+  if (wasOpen)
+    noteJobEnded(*job, aim);
 }
 
 void ControlTask::stopLiveTasks(const jobs::JobId &id) {
@@ -327,7 +362,7 @@
   for (uint32_t k = 0; k < job->Rounds.size(); ++k)
     for (uint32_t s = 0; s < job->Rounds[k].Steps.size(); ++s)
       for (uint32_t i = 0; i < job->Rounds[k].Steps[s].Tasks.size(); ++i)
-        Desk->stop({id, k, s, i});
+        Desk->stop({id, k, s, i}, StopReason::JobEnded);
 }
 
 // The other members can't go on without the one that ended.
@@ -337,7 +372,7 @@
   if (spec == nullptr || state == nullptr || !spec->IsGang || state->isDone())
     return;
   for (uint32_t i = 0; i < state->Tasks.size(); ++i)
-    Desk->stop({key.Job, key.Occurrence, key.Step, i});
+    Desk->stop({key.Job, key.Occurrence, key.Step, i}, StopReason::GangBroken);
 }
 
 } // namespace jujube::control
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -13,11 +13,14 @@
 #include "jujube/control/control_client.h"
 #include "jujube/control/control_options.h"
 #include "jujube/control/helper_roster.h"
+#include "jujube/control/wait_ledger.h"
 #include "jujube/control/worker_desk.h"
 #include "jujube/dispatch/approvals.h"
 #include "jujube/dispatch/dispatcher.h"
 #include "jujube/http/caller.h"
+#include "jujube/http/metrics_server.h"
 #include "jujube/jobs/job_book.h"
+#include "jujube/metrics/metrics.h"
 #include "jujube/replica/group_member.h"
 #include "jujube/runtime/task.h"
 #include "jujube/storage/store.h"
@@ -31,6 +34,8 @@
   ClientMailbox Clients;
   http::CallMailbox Calls;
   http::CallResults Results;
+  // Questions for the values of the metrics.
+  http::MetricsMailbox Questions = http::makeMetricsMailbox();
   // Raised when the process is about to stop: leadership is passed on first.
   std::shared_ptr<runtime::SignalEvent> Leaving =
       std::make_shared<runtime::SignalEvent>();
@@ -100,10 +105,31 @@
   void applyRecord(const std::string &payload);
   void follow(const jobs::Event &event);
   void followStart(const jobs::AttemptStarted &event);
-  void followEnd(const jobs::AttemptEnded &event, const WorkerId &worker);
+  void followEnd(const jobs::AttemptEnded &event);
+  void followGone(const jobs::WorkerGone &event);
+  void followCancel(const jobs::JobCancelled &event);
   void stopLiveTasks(const jobs::JobId &job);
   void stopRestOfGang(const jobs::StepKey &step);
 
+  // Metrics and lines about what happens to jobs.
+  struct CommandBrief {
+    jobs::CommandKind Kind = jobs::CommandKind::SubmitJob;
+    jobs::JobId Job;
+  };
+  void noteRefusal(const CommandBrief &command, const Error &error);
+  void noteAccepted(const jobs::JobSpec &spec);
+  void noteApproval(const jobs::ApprovalQuery &query,
+                    const jobs::ApprovalAnswer &answer, Duration after);
+  void noteWaits(const std::vector<dispatch::StepWait> &waits);
+  void noteEnd(const jobs::AttemptEnded &event, const jobs::Job &job,
+               const WorkerId &worker);
+  // What the job had until its objective when it was accepted; nothing if that
+  // is not one span. Precondition: the job has not ended.
+  std::optional<Duration> aimOf(const jobs::Job &job) const;
+  // `aim` is that of the job before it ended.
+  void noteJobEnded(const jobs::Job &job, std::optional<Duration> aim);
+  metrics::Snapshot snapshot() const;
+
   void endTurn();
   void planIfDue();
   void startPlanned(const std::vector<dispatch::PlannedStart> &starts);
@@ -132,8 +158,12 @@
   HelperRoster Helpers;
   dispatch::DispatchHooks Policy = dispatch::defaultHooks();
   std::map<jobs::JobId, Instant> EndedAt;
+  WaitLedger Waits;
   bool IsPlanDue = false;
   bool IsPlanStoring = false;
+  metrics::Metrics Numbers;
+  // When this member applied the configuration that it holds.
+  Instant ConfiguredAt;
   // Consecutive slow syncs of this member's disk.
   int SlowSyncs = 0;
 };
--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <utility>
 
-#include "glog/logging.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::control {
 namespace {
 
 using dispatch::OrderVerdict;
 using jobs::EndKind;
+using logging::Event;
+using logging::Level;
+using logging::Line;
 
 // Pause after a stop without an answer.
 constexpr Duration StopPause = Duration::millis(300);
@@ -59,7 +62,7 @@
       session.Runs.emplace(key, std::move(run));
       const jobs::Job *job = Book.find(key.Job);
       if (isEnded(job->State) || Book.findTask(key)->IsDone)
-        stop(key);
+        stop(key, StopReason::JobEnded);
     }
   }
 }
@@ -94,8 +97,11 @@
 
 void WorkerDesk::beginLife(const WorkerId &worker, Session &session,
                            Incarnation life) {
-  LOG(INFO) << "event=worker_restarted worker=" << worker.str()
-            << " life=" << life.Value;
+  Line(Event::WorkerRestarted)
+      .with("worker", worker)
+      .with("life", life)
+      .with("life_before", session.Life)
+      .with("attempts", session.Runs.size());
   session.Life = life;
   session.Sequence = 0;
   session.AckedEnds = 0;
@@ -131,6 +137,9 @@
   order.Checkpoint = Book.findTask(what.Task)->Checkpoint;
   order.Ticket = planned.Ticket;
   run.Order = std::move(order);
+  run.FreeMilliCpu = planned.FreeMilliCpu;
+  run.IsFar = planned.IsFar;
+  run.Slack = planned.Slack;
   run.Checkpoint = Book.findTask(what.Task)->Checkpoint;
   sessionOf(what.Worker).Runs[what.Task] = std::move(run);
   sendStart(what.Worker, what.Task);
@@ -143,18 +152,27 @@
   const std::optional<Instant> expires = session.Clock.grant(Callbacks.Now());
   if (!at || !expires) {
     if (run.MayArrive)
-      stop(task);
+      stop(task, StopReason::StartUnanswered);
     else
       lose(task, run);
     return;
   }
   run.Order->Expires = *expires;
   ++run.Sends;
-  LOG(INFO) << "event=start_sent job=" << task.Job.str()
-            << " occurrence=" << task.Occurrence << " step=" << task.Step
-            << " index=" << task.Index << " attempt=" << run.Attempt
-            << " worker=" << worker.str() << " send=" << run.Sends
-            << " fence=" << Fence;
+  Line line(Event::StartSent);
+  line.with("job", task.Job)
+      .with("occurrence", task.Occurrence)
+      .with("step", task.Step)
+      .with("index", task.Index)
+      .with("attempt", run.Attempt)
+      .with("worker", worker)
+      .with("send", run.Sends)
+      .with("free_milli_cpu", run.FreeMilliCpu)
+      .with("far", run.IsFar)
+      .with("slack_ms", run.Slack)
+      .with("saved", !run.Checkpoint.empty())
+      .with("heard_ms", Callbacks.Now() - session.LastHeard)
+      .with("term", Fence);
   const uint32_t attempt = run.Attempt;
   Callbacks.Send(
       {worker, *at, *run.Order}, OrderTimeout,
@@ -185,7 +203,7 @@
   case OrderVerdict::StaleFence:
     run->MayArrive = true;
     if (run->Sends >= MaxStartSends)
-      stop(task);
+      stop(task, StopReason::StartUnanswered);
     else
       sendStart(worker, task);
     return;
@@ -203,18 +221,23 @@
   case OrderVerdict::Invalid:
     break;
   }
-  LOG(INFO) << "event=start_refused job=" << task.Job.str()
-            << " occurrence=" << task.Occurrence << " step=" << task.Step
-            << " index=" << task.Index << " attempt=" << attempt
-            << " worker=" << worker.str() << " verdict="
-            << nameIn(dispatch::OrderVerdictNames, answer.Verdict);
+  Line(Event::StartRefused)
+      .with("job", task.Job)
+      .with("occurrence", task.Occurrence)
+      .with("step", task.Step)
+      .with("index", task.Index)
+      .with("attempt", attempt)
+      .with("worker", worker)
+      .with("verdict", nameIn(dispatch::OrderVerdictNames, answer.Verdict))
+      .with("unanswered_before", run->MayArrive)
+      .with("term", Fence);
   if (run->MayArrive && isSameLife)
-    stop(task);
+    stop(task, StopReason::StartUnanswered);
   else
     lose(task, *run);
 }
 
-void WorkerDesk::stop(const jobs::TaskKey &task) {
+void WorkerDesk::stop(const jobs::TaskKey &task, StopReason why) {
   const jobs::Task *held = Book.findTask(task);
   if (held == nullptr || !held->Live)
     return;
@@ -223,6 +246,15 @@
       run->Now == Phase::Stopped)
     return;
   run->Now = Phase::Stopping;
+  Line(Event::StopSent)
+      .with("job", task.Job)
+      .with("occurrence", task.Occurrence)
+      .with("step", task.Step)
+      .with("index", task.Index)
+      .with("attempt", run->Attempt)
+      .with("worker", held->Live->Worker)
+      .with("cause", nameIn(StopReasonNames, why))
+      .with("term", Fence);
   sendStop(held->Live->Worker, task);
 }
 
@@ -297,8 +329,10 @@
 void WorkerDesk::tickSession(const WorkerId &worker, Session &session) {
   const Instant now = Callbacks.Now();
   if (!session.Runs.empty() && session.Clock.isOver(now)) {
-    LOG(INFO) << "event=leases_over worker=" << worker.str()
-              << " attempts=" << session.Runs.size();
+    Line(Event::LeasesOver, Level::Warning)
+        .with("worker", worker)
+        .with("attempts", session.Runs.size())
+        .with("silent_ms", now - session.LastHeard);
     for (auto &[task, run] : session.Runs)
       lose(task, run);
     return;
@@ -330,6 +364,32 @@
   return views;
 }
 
+void WorkerDesk::noteSilent(const WorkerId &worker, Session &session) {
+  if (session.Misses++ > 0)
+    return;
+  session.SilentSince = Callbacks.Now();
+  Line(Event::WorkerSilent, Level::Warning)
+      .with("worker", worker)
+      .with("attempts", session.Runs.size())
+      .with("heard_ms", session.SilentSince - session.LastHeard);
+}
+
+void WorkerDesk::noteHeard(const WorkerId &worker, Session &session) {
+  if (std::exchange(session.Misses, 0) > 0)
+    Line(Event::WorkerHeard)
+        .with("worker", worker)
+        .with("silent_ms", Callbacks.Now() - session.SilentSince);
+}
+
+WorkerDesk::LinkCounts WorkerDesk::countLinks() const {
+  LinkCounts counts;
+  for (const auto &[id, session] : Sessions) {
+    ++(session.Misses > 0 ? counts.Silent : counts.Sound);
+    counts.Leased += session.Runs.empty() ? 0 : 1;
+  }
+  return counts;
+}
+
 std::optional<Instant> WorkerDesk::lastHeard(const WorkerId &worker) const {
   const auto it = Sessions.find(worker);
   return it == Sessions.end() ? std::nullopt
--- a/jujube/control/worker_desk.h
+++ b/jujube/control/worker_desk.h
@@ -24,6 +24,26 @@
 
 namespace jujube::control {
 
+// Why an attempt is stopped.
+enum class StopReason {
+  // Its job was cancelled, has failed, or its task is done elsewhere.
+  JobEnded,
+  // Another member of its gang has ended.
+  GangBroken,
+  // Its starts had no answer that tells whether it runs.
+  StartUnanswered,
+  // Its worker does not list it.
+  NotListed,
+};
+
+inline constexpr NameTable<StopReason, 4> StopReasonNames = {{
+    {StopReason::JobEnded, "job_ended"},
+    {StopReason::GangBroken, "gang_broken"},
+    {StopReason::StartUnanswered, "start_unanswered"},
+    {StopReason::NotListed, "not_listed"},
+}};
+static_assert(isComplete(StopReasonNames));
+
 class WorkerDesk {
 public:
   struct Hooks {
@@ -57,7 +77,7 @@
   // Sends a start that is stored.
   void start(const dispatch::PlannedStart &planned);
   // Ends an attempt that may be running.
-  void stop(const jobs::TaskKey &task);
+  void stop(const jobs::TaskKey &task, StopReason why);
   // The book has dropped an attempt.
   void noteEnded(const jobs::TaskKey &task, const WorkerId &worker);
 
@@ -66,6 +86,13 @@
 
   // The workers that may be given tasks now.
   std::vector<dispatch::WorkerView> usable() const;
+  // Workers that answer, that do not, and that hold leases.
+  struct LinkCounts {
+    std::size_t Sound = 0;
+    std::size_t Silent = 0;
+    std::size_t Leased = 0;
+  };
+  LinkCounts countLinks() const;
   // When the worker was last heard of; nothing if it is not known.
   std::optional<Instant> lastHeard(const WorkerId &worker) const;
 
@@ -97,6 +124,10 @@
     bool MayArrive = false;
     bool IsStopSent = false;
     Instant NextSend;
+    // What decided the start, for the log.
+    int64_t FreeMilliCpu = 0;
+    bool IsFar = false;
+    Duration Slack;
     std::string Checkpoint;
   };
 
@@ -108,8 +139,9 @@
     std::map<jobs::TaskKey, RunState> Runs;
     bool IsAsking = false;
     Instant NextAsk;
-    // Consecutive lease orders without an answer.
+    // Consecutive lease orders without an answer, and when the first was noted.
     int Misses = 0;
+    Instant SilentSince;
     uint64_t AckedEnds = 0;
     // The number that the worker was last told.
     uint64_t ToldEnds = 0;
@@ -142,6 +174,8 @@
                   const dispatch::OrderAnswer &answer);
   void beginLife(const WorkerId &worker, Session &session, Incarnation life);
   void lose(const jobs::TaskKey &task, const RunState &run);
+  void noteSilent(const WorkerId &worker, Session &session);
+  void noteHeard(const WorkerId &worker, Session &session);
   void tickSession(const WorkerId &worker, Session &session);
   RunState *findRun(const WorkerId &worker, const jobs::TaskKey &task,
                     uint32_t attempt);
--- a/jujube/control/worker_desk_lists.cc
+++ b/jujube/control/worker_desk_lists.cc
@@ -2,8 +2,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "glog/logging.h"
 #include "jujube/control/worker_desk.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::control {
 namespace {
@@ -66,11 +66,11 @@
   const Incarnation before = session.Life;
   (void)noteAnswer(worker, session, answer);
   if (answer.Verdict != OrderVerdict::Accepted) {
-    ++session.Misses;
+    noteSilent(worker, session);
     session.NextAsk = now + AskPause;
     return;
   }
-  session.Misses = 0;
+  noteHeard(worker, session);
   session.NextAsk = now;
   if (session.Life == before)
     session.ToldEnds = std::max(session.ToldEnds, told);
@@ -108,7 +108,7 @@
       events.emplace_back(
           jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint});
     else if (isDue && run.Now == Phase::Running)
-      stop(task);
+      stop(task, StopReason::NotListed);
   }
   if (events.empty()) {
     session.AckedEnds = last;
@@ -131,8 +131,14 @@
   if (Book.isLive(row.Task, row.Attempt))
     return;
   const std::optional<Address> at = addressOf(worker);
-  LOG(INFO) << "event=stray_attempt job=" << row.Task.Job.str()
-            << " attempt=" << row.Attempt << " worker=" << worker.str();
+  logging::Line(logging::Event::StrayAttempt)
+      .with("job", row.Task.Job)
+      .with("occurrence", row.Task.Occurrence)
+      .with("step", row.Task.Step)
+      .with("index", row.Task.Index)
+      .with("attempt", row.Attempt)
+      .with("worker", worker)
+      .with("term", Fence);
   if (at)
     Callbacks.Send(
         {worker, *at, dispatch::StopOrder{row.Task, row.Attempt, Fence}},
--- a/jujube/ctl/app.cc
+++ b/jujube/ctl/app.cc
@@ -67,6 +67,10 @@
       {Action::Status, "", 0, 0, showStatus, "shows zones and runners"},
       {Action::Histogram, "[NAME]", 0, 1, showHistograms,
        "draws the histograms per team and class"},
+      {Action::Explain, "REQUEST LOG...", 2, AnyNumber, explain,
+       "tells from logs what became of a request, and why"},
+      {Action::Lateness, "LOG...", 1, AnyNumber, showLateness,
+       "splits the time of late jobs by what they waited for"},
   };
   return *rows;
 }
--- a/jujube/ctl/app.h
+++ b/jujube/ctl/app.h
@@ -32,9 +32,11 @@
   Fate,
   Status,
   Histogram,
+  Explain,
+  Lateness,
 };
 
-inline constexpr NameTable<Action, 17> ActionNames = {{
+inline constexpr NameTable<Action, 19> ActionNames = {{
     {Action::CatalogueApply, "catalogue apply"},
     {Action::CatalogueGet, "catalogue get"},
     {Action::CatalogueList, "catalogue list"},
@@ -52,6 +54,8 @@
     {Action::Fate, "fate"},
     {Action::Status, "status"},
     {Action::Histogram, "histogram"},
+    {Action::Explain, "explain"},
+    {Action::Lateness, "lateness"},
 }};
 static_assert(isComplete(ActionNames));
 
--- a/jujube/ctl/commands.h
+++ b/jujube/ctl/commands.h
@@ -32,6 +32,10 @@
 Result<Verdict> showStatus(Session &session, const Arguments &args);
 Result<Verdict> showHistograms(Session &session, const Arguments &args);
 
+// ---- Logs ----
+Result<Verdict> explain(Session &session, const Arguments &args);
+Result<Verdict> showLateness(Session &session, const Arguments &args);
+
 } // namespace jujube::ctl
 
 #endif // JUJUBE_CTL_COMMANDS_H_
--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -1,5 +1,7 @@
 #include "jujube/daemon/daemon.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <iostream>
@@ -8,9 +10,15 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "glog/logging.h"
+#include "jujube/daemon/log_pipe.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::daemon {
 
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
 Result<std::vector<consensus::Peer>> parsePeers(absl::string_view text) {
   std::vector<consensus::Peer> peers;
   for (absl::string_view item :
@@ -39,30 +47,132 @@
       "add HOST=IP:PORT of this host to the list"};
 }
 
+namespace {
+
+// A process that fails ends within this span, even if its error output is full
+// and nobody reads it.
+constexpr unsigned FatalSeconds = 2;
+
+// Takes the lines that libraries and assertions write through glog.
+class GlogForwarder : public google::LogSink {
+public:
+  explicit GlogForwarder(LogPipe &pipe) : Pipe(pipe) {
+    google::AddLogSink(this);
+  }
+  ~GlogForwarder() override { google::RemoveLogSink(this); }
+  GlogForwarder(const GlogForwarder &) = delete;
+  GlogForwarder &operator=(const GlogForwarder &) = delete;
+
+  void send(google::LogSeverity severity, const char * /*path*/,
+            const char *file, int line, const google::LogMessageTime &,
+            const char *message, std::size_t n) override {
+    if (severity == google::GLOG_FATAL)
+      alarm(FatalSeconds);
+    const auto level = severity == google::GLOG_INFO ? logging::Level::Info
+                       : severity == google::GLOG_WARNING
+                           ? logging::Level::Warning
+                           : logging::Level::Error;
+    const std::string text = logging::quoted(absl::string_view(message, n));
+    Pipe.push({logging::Event::Message, level,
+               absl::StrCat(" source=", file, ":", line, " text=", text)});
+  }
+
+private:
+  LogPipe &Pipe;
+};
+
+// Only what ends the process goes to glog's own output.
+void startGlog(const char *program) {
+  for (const google::LogSeverity severity :
+       {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR,
+        google::GLOG_FATAL})
+    google::SetLogDestination(severity, "");
+  FLAGS_stderrthreshold = google::GLOG_FATAL;
+  google::InitGoogleLogging(program);
+  google::InstallFailureSignalHandler();
+}
+
+std::vector<SettingSpec> withLogSettings(std::vector<SettingSpec> specs) {
+  specs.push_back(
+      {"log", SettingKind::Text, "all",
+       absl::StrCat("which lines are written: ", namesIn(LogDetailNames))});
+  return specs;
+}
+
+Result<LogOptions> logOptions(const Settings &settings,
+                              const std::vector<SettingSpec> &specs,
+                              absl::string_view program) {
+  LogOptions options;
+  const auto detail = valueIn(LogDetailNames, settings.text("log"));
+  if (!detail)
+    return Error{ErrorKind::InvalidArgument,
+                 absl::StrCat("--log: no level '", settings.text("log"), "'"),
+                 absl::StrCat("give one of ", namesIn(LogDetailNames))};
+  options.Detail = *detail;
+  options.Host = std::string(program);
+  for (const absl::string_view name : {"host", "self"})
+    if (const auto it = std::ranges::find(specs, name, &SettingSpec::Name);
+        it != specs.end())
+      options.Host = settings.text(it->Name);
+  return options;
+}
+
+// Runs the tree beside the log, which ends last. What restarts the tree's tasks
+// is the tree itself.
+Status runBesideLog(const runtime::Supervisor &tree, LogPipe &log) {
+  auto root = runtime::Supervisor::create(
+      {"root", runtime::RestartPolicy::OneForOne, {0, Duration::seconds(1)}},
+      {log.task(), tree.asChild()});
+  if (!isOk(root))
+    return errorOf(root);
+  return runtime::runUntilSignalled(valueOf(root), Clock::monotonic());
+}
+
+// Runs the tree to its end; returns the exit code.
+int runToEnd(const Result<runtime::Supervisor> &tree, LogPipe &log) {
+  const Status status =
+      isOk(tree) ? runBesideLog(valueOf(tree), log) : Status(errorOf(tree));
+  if (isOk(status)) {
+    Line(Event::Stopped).with("pid", getpid());
+    return 0;
+  }
+  const std::string text = errorOf(status).text();
+  Line(Event::GaveUp, Level::Error).with("error", text);
+  std::cerr << text << "\n";
+  return isOk(tree) ? 1 : UsageExitCode;
+}
+
+} // namespace
+
 int runDaemon(absl::string_view usage, const std::vector<SettingSpec> &specs,
               const TreeHook &makeTree, int argc, char **argv) {
-  auto parsed = parseOrExplain(usage, specs, argc, argv);
+  const std::vector<SettingSpec> all = withLogSettings(specs);
+  auto parsed = parseOrExplain(usage, all, argc, argv);
   if (const int *code = std::get_if<int>(&parsed))
     return *code;
+  const auto &settings = std::get<Settings>(parsed);
+  const absl::string_view program = usage.substr(0, usage.find(' '));
+  auto options = logOptions(settings, all, program);
+  if (!isOk(options)) {
+    std::cerr << errorOf(options).text() << "\n";
+    return UsageExitCode;
+  }
   // A file that may not grow any more is an error of its write, not the end of
   // the process.
   std::signal(SIGXFSZ, SIG_IGN);
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  google::InstallFailureSignalHandler();
-  auto tree = makeTree(std::get<Settings>(parsed));
-  if (!isOk(tree)) {
-    std::cerr << errorOf(tree).text() << "\n";
-    return UsageExitCode;
-  }
-  const Status status =
-      runtime::runUntilSignalled(valueOf(tree), Clock::monotonic());
-  if (isOk(status)) {
-    LOG(INFO) << "event=stopped";
-    return 0;
-  }
-  LOG(ERROR) << "event=gave_up error=\"" << errorOf(status).text() << "\"";
-  return 1;
+  std::signal(SIGPIPE, SIG_IGN);
+  LogPipe log(valueOf(std::move(options)));
+  logging::setSink([&log](const logging::Record &record) { log.push(record); });
+  startGlog(argv[0]);
+  const GlogForwarder forwarder(log);
+  Line(Event::Started)
+      .with("program", program)
+      .with("pid", getpid())
+      .with("log", settings.text("log"));
+  const int code = runToEnd(makeTree(settings), log);
+  log.flush();
+  logging::setSink({});
+  return code;
 }
 
 } // namespace jujube::daemon
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -22,6 +22,7 @@
 // What a worker without room for a task counts in a long query, in tasks: room
 // comes up while the query is under way.
 constexpr double TasksOnFullWorker = 0.5;
+
 Resources demandOf(const jobs::StepSpec &step) {
   return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
                        : step.Ask;
@@ -32,11 +33,6 @@
          std::ranges::find(worker.Labels, label) != worker.Labels.end();
 }
 
-Instant dueAt(const jobs::Job &job, uint32_t occurrence) {
-  return job.Spec.FirstDue ? *job.Spec.FirstDue + job.Spec.Period * occurrence
-                           : job.AcceptedAt;
-}
-
 // The longest chain of estimates over the job's steps.
 Duration longestChain(const jobs::JobSpec &spec) {
   std::vector<Duration> ends;
@@ -49,14 +45,6 @@
   return ends.empty() ? Duration() : *std::ranges::max_element(ends);
 }
 
-Instant objectiveOf(const jobs::Job &job, const jobs::Queue &queue,
-                    uint32_t occurrence) {
-  const auto chain = static_cast<double>(longestChain(job.Spec).millis());
-  return dueAt(job, occurrence) +
-         Duration::millis(static_cast<int64_t>(chain * queue.SlackFactor)) +
-         queue.LatencyTarget;
-}
-
 // One pass over the ready steps.
 class Pass {
 public:
@@ -164,21 +152,29 @@
       commit(step, waiting[placed], task.LastAttempt + 1, choice);
       ++placed;
     }
-    if (placed < waiting.size() && static_cast<int64_t>(placed) < most)
-      askFor(step, waiting.size() - placed);
+    const std::size_t left = waiting.size() - placed;
+    if (left == 0)
+      return;
+    noteWait(step, left, static_cast<int64_t>(placed) >= most);
+    if (static_cast<int64_t>(placed) < most)
+      askFor(step, left);
   }
 
   void placeGang(const ReadyStep &step) {
     const auto n = static_cast<int64_t>(step.State->Tasks.size());
-    if (teamRoom(step) < n)
+    if (teamRoom(step) < n) {
+      noteWait(step, step.State->Tasks.size(), true);
       return;
+    }
     uint32_t attempt = 0;
     for (const jobs::Task &task : step.State->Tasks)
       attempt = std::max(attempt, task.LastAttempt + 1);
     if (step.Spec->IsTightlyCoupled && placeOnOneRack(step, attempt))
       return;
-    if (!placeAll(step, attempt, nullptr))
-      askFor(step, step.State->Tasks.size());
+    if (placeAll(step, attempt, nullptr))
+      return;
+    noteWait(step, step.State->Tasks.size(), false);
+    askFor(step, step.State->Tasks.size());
   }
 
   bool placeOnOneRack(const ReadyStep &step, uint32_t attempt) {
@@ -222,6 +218,29 @@
         std::ranges::count_if(step.State->Tasks, isHere) + planned);
   }
 
+  void noteWait(const ReadyStep &step, std::size_t tasks,
+                bool isAtTeamMaximum) {
+    Plan.Waits.push_back(
+        {step.Key,
+         isAtTeamMaximum ? WaitCause::TeamMaximum : placeCause(step, tasks),
+         tasks});
+  }
+
+  // Why `tasks` more tasks of the step find no place; a gang needs all at once.
+  WaitCause placeCause(const ReadyStep &step, std::size_t tasks) const {
+    const auto needed = step.Spec->IsGang ? static_cast<int64_t>(tasks) : 1;
+    int64_t room = 0;
+    bool isAnyEligible = false;
+    for (const WorkerView &view : In.Workers) {
+      isAnyEligible |= isEligible(step, *view.Who);
+      if (room < needed && hasRoom(step, view))
+        room += fitCount(step, view);
+    }
+    if (!isAnyEligible)
+      return WaitCause::NoWorker;
+    return room >= needed ? WaitCause::Approval : WaitCause::Room;
+  }
+
   // True if one more task of the step fits there, approval aside.
   bool hasRoom(const ReadyStep &step, const WorkerView &view) const {
     const jobs::Worker &worker = *view.Who;
@@ -241,9 +260,13 @@
   // Lower goes first: sound workers, those near the data, the tightest fit.
   std::tuple<bool, bool, int64_t> rankOf(const ReadyStep &step,
                                          const WorkerView &view) const {
-    const bool isFar = !step.Spec->DataRack.empty() &&
-                       !hasLabel(*view.Who, step.Spec->DataRack);
-    return {view.IsDoubtful, isFar, Free.at(view.Who->Id).MilliCpu};
+    return {view.IsDoubtful, isFar(step, *view.Who),
+            Free.at(view.Who->Id).MilliCpu};
+  }
+
+  static bool isFar(const ReadyStep &step, const jobs::Worker &worker) {
+    return !step.Spec->DataRack.empty() &&
+           !hasLabel(worker, step.Spec->DataRack);
   }
 
   Choice choose(const ReadyStep &step, const std::string *rack) const {
@@ -270,11 +293,16 @@
 
   void commit(const ReadyStep &step, uint32_t index, uint32_t attempt,
               const Choice &choice) {
-    Free[choice.Who->Id] -= demandOf(*step.Spec);
-    Added[step.Job->Spec.Team] += step.Spec->Ask;
+    Resources &free = Free[choice.Who->Id];
     const jobs::TaskKey task{step.Key.Job, step.Key.Occurrence, step.Key.Step,
                              index};
-    Plan.Starts.push_back({{task, attempt, choice.Who->Id}, choice.Ticket});
+    Plan.Starts.push_back({{task, attempt, choice.Who->Id},
+                           choice.Ticket,
+                           free.MilliCpu,
+                           isFar(step, *choice.Who),
+                           step.DueBy - In.WallNow});
+    free -= demandOf(*step.Spec);
+    Added[step.Job->Spec.Team] += step.Spec->Ask;
   }
 
   // How many tasks of the step fit on the worker at once.
@@ -368,6 +396,19 @@
 
 } // namespace
 
+Instant dueAt(const jobs::Job &job, uint32_t occurrence) {
+  return job.Spec.FirstDue ? *job.Spec.FirstDue + job.Spec.Period * occurrence
+                           : job.AcceptedAt;
+}
+
+Instant objectiveOf(const jobs::Job &job, const jobs::Queue &queue,
+                    uint32_t occurrence) {
+  const auto chain = static_cast<double>(longestChain(job.Spec).millis());
+  return dueAt(job, occurrence) +
+         Duration::millis(static_cast<int64_t>(chain * queue.SlackFactor)) +
+         queue.LatencyTarget;
+}
+
 bool hasLongQueries(const jobs::ApprovalTerms &terms) {
   return terms.Base >= LongQuery;
 }
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -47,11 +47,45 @@
 struct PlannedStart {
   jobs::AttemptStarted Start;
   std::string Ticket;
+  // What decided it, for the log: processors that the worker had free, and
+  // whether the task's data is elsewhere.
+  int64_t FreeMilliCpu = 0;
+  bool IsFar = false;
+  // What is left until the job's objective.
+  Duration Slack;
+};
+
+// Why a step that is ready has tasks that do not start.
+enum class WaitCause {
+  // No worker that may run it has room.
+  Room,
+  // Its team has what it may have running.
+  TeamMaximum,
+  // Workers with room are not approved, or not yet.
+  Approval,
+  // No worker that can be used now could run it, even if it were empty.
+  NoWorker,
+};
+
+inline constexpr NameTable<WaitCause, 4> WaitCauseNames = {{
+    {WaitCause::Room, "room"},
+    {WaitCause::TeamMaximum, "team_maximum"},
+    {WaitCause::Approval, "approval"},
+    {WaitCause::NoWorker, "no_worker"},
+}};
+static_assert(isComplete(WaitCauseNames));
+
+struct StepWait {
+  jobs::StepKey Step;
+  WaitCause Why = WaitCause::Room;
+  // Tasks that wait.
+  std::size_t Tasks = 0;
 };
 
 struct DispatchPlan {
   std::vector<PlannedStart> Starts;
   std::vector<jobs::ApprovalQuery> Queries;
+  std::vector<StepWait> Waits;
 };
 
 struct DispatchInput {
@@ -72,6 +106,13 @@
 // that short ones should not wait behind it.
 bool hasLongQueries(const jobs::ApprovalTerms &terms);
 
+// Wall time at which an occurrence of a job is due.
+Instant dueAt(const jobs::Job &job, uint32_t occurrence);
+// Wall time by which an occurrence should be done. Precondition: the job has
+// not ended.
+Instant objectiveOf(const jobs::Job &job, const jobs::Queue &queue,
+                    uint32_t occurrence);
+
 DispatchPlan planStarts(const DispatchInput &input, const DispatchHooks &hooks);
 
 } // namespace jujube::dispatch
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -103,6 +103,35 @@
   BOOST_TEST((workersOf(plan) == std::set<std::string>{"w2"}));
 }
 
+WaitCause causeOf(const DispatchPlan &plan) {
+  BOOST_REQUIRE(plan.Waits.size() == 1U);
+  return plan.Waits[0].Why;
+}
+
+BOOST_AUTO_TEST_CASE(PlansSayWhyTasksWait) {
+  jobs::StepSpec step = sampleStep(3);
+  step.Ask = {1000, 10, 0};
+  jobs::Worker worker = sampleWorker("w1");
+  worker.Capacity = {2000, 1000, 0};
+  const DispatchPlan full =
+      planOf(sampleBook({worker}, {sampleJob("a", {step})}));
+  BOOST_TEST((causeOf(full) == WaitCause::Room));
+  BOOST_TEST(full.Waits[0].Tasks == 1U);
+  step.Ask = {4000, 10, 0};
+  BOOST_TEST((causeOf(planOf(sampleBook({worker}, {sampleJob("a", {step})}))) ==
+              WaitCause::NoWorker));
+  step.Ask = {100, 10, 0};
+  BOOST_TEST(
+      (causeOf(planOf(approvedBook({worker}, {sampleJob("a", {step})}))) ==
+       WaitCause::Approval));
+  jobs::JobBook book = sampleBook({worker}, {sampleJob("a", {step})});
+  jobs::Configuration config = testing::sampleConfiguration(2);
+  for (jobs::Team &team : config.Teams)
+    team.Maximum = {200, 0, 0};
+  book.apply(jobs::ConfigurationPut{config});
+  BOOST_TEST((causeOf(planOf(book)) == WaitCause::TeamMaximum));
+}
+
 BOOST_AUTO_TEST_CASE(GangStartsWholeOrNotAtAll) {
   jobs::StepSpec gang = sampleStep(5);
   gang.IsGang = true;
--- a/jujube/entry/entry_task.cc
+++ b/jujube/entry/entry_task.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
 #include "jujube/entry/access.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::entry {
 namespace {
@@ -108,7 +108,7 @@
 
 void EntryTask::beginDrain() {
   IsLeaving = true;
-  LOG(INFO) << "event=drain_started host=" << Settings.Self.str();
+  logging::Line(logging::Event::DrainStarted).with("zone", Settings.Zone);
   Live->beginDrain();
 }
 
--- a/jujube/front/front_task.cc
+++ b/jujube/front/front_task.cc
@@ -1,13 +1,17 @@
 #include "jujube/front/front_task.h"
+#include "jujube/logging/line.h"
 
 #include <utility>
 
-#include "glog/logging.h"
 #include "jujube/wire/member_tree.h"
 
 namespace jujube::front {
 namespace {
 
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
 // Between reports to the leader. Source: a host notices within three of them
 // that the leader is out of reach.
 constexpr Duration ReportPeriod = Duration::millis(150);
@@ -23,28 +27,90 @@
                      const FrontMailboxes &mailboxes,
                      runtime::TaskContext &context, wire::PacketMailbox outbox)
     : Settings(options), IsConnected(mailboxes.IsConnected),
-      Loop(context.loop()),
+      Unreadable(mailboxes.Unreadable), Loop(context.loop()),
       Messages(Loop, Settings.Self, Settings.Listen, std::move(outbox)),
       Leader(Loop, Messages, Settings.Seeds()),
       Calls(Loop, mailboxes.Calls, mailboxes.Results) {
   Loop.watchMailbox<control::ClientRequest>(
-      mailboxes.Clients, [this](control::ClientRequest request) {
-        const auto slot = request.Answer;
-        Leader.call(
-            std::move(request.What), request.Timeout,
-            [slot](Result<jobs::Reply> reply) { slot->set(std::move(reply)); });
+      mailboxes.Clients,
+      [this](control::ClientRequest request) { pass(std::move(request)); });
+  Loop.watchMailbox<http::MetricsQuestion>(
+      mailboxes.Questions, [this](const http::MetricsQuestion &question) {
+        question.Answer->set(snapshot());
       });
   Loop.callEvery(ReportPeriod, [this] { offerHelp(); });
   Loop.callAt(Loop.now(), [this] { offerHelp(); });
 }
 
+void FrontTask::pass(control::ClientRequest request) {
+  const jobs::CommandKind kind = jobs::kindOf(request.What);
+  const jobs::JobId job = jobs::jobOf(request.What);
+  noteForwarded(request.What, request.Timeout);
+  Leader.call(std::move(request.What), request.Timeout,
+              [this, kind, job, began = Loop.now(),
+               slot = request.Answer](Result<jobs::Reply> reply) {
+                noteAnswered(kind, job, reply, Loop.now() - began);
+                slot->set(std::move(reply));
+              });
+}
+
+void FrontTask::noteForwarded(const jobs::Command &what,
+                              Duration timeout) const {
+  const jobs::CommandKind kind = jobs::kindOf(what);
+  if (kind != jobs::CommandKind::SubmitJob &&
+      kind != jobs::CommandKind::CancelJob)
+    return;
+  Line(Event::CallForwarded)
+      .with("job", jobs::jobOf(what))
+      .with("command", nameIn(jobs::CommandKindNames, kind))
+      .with("timeout_ms", timeout)
+      .with("leader_heard_ms", Loop.now() - Leader.lastAnswer());
+}
+
+void FrontTask::noteAnswered(jobs::CommandKind kind, const jobs::JobId &job,
+                             const Result<jobs::Reply> &reply, Duration after) {
+  const std::string name(nameIn(jobs::CommandKindNames, kind));
+  const absl::string_view outcome =
+      isOk(reply) ? "ok" : nameIn(ErrorKindNames, errorOf(reply).Kind);
+  Numbers.add("calls", {"", name, std::string(outcome)});
+  Numbers.observe("call_ms", {"", name}, static_cast<double>(after.millis()));
+  const bool isChange = kind == jobs::CommandKind::SubmitJob ||
+                        kind == jobs::CommandKind::CancelJob;
+  // Reads that are answered, also with "not there", decide nothing.
+  const bool isRoutine =
+      !isChange && (isOk(reply) || errorOf(reply).Kind == ErrorKind::Gone ||
+                    errorOf(reply).Kind == ErrorKind::NotFound);
+  if (isRoutine)
+    return;
+  Line line(isOk(reply) ? Event::CallAnswered : Event::CallRefused);
+  line.with("job", job)
+      .with("command", name)
+      .with("outcome", outcome)
+      .with("after_ms", after);
+  if (!isOk(reply))
+    line.with("error", errorOf(reply).text())
+        .with("leader_heard_ms", Loop.now() - Leader.lastAnswer());
+}
+
+metrics::Snapshot FrontTask::snapshot() const {
+  metrics::Snapshot all = Numbers.snapshot();
+  all.Gauges.push_back({"is_connected", {}, IsConnected->load() ? 1.0 : 0.0});
+  all.Gauges.push_back(
+      {"leader_heard_ms",
+       {},
+       static_cast<double>((Loop.now() - Leader.lastAnswer()).millis())});
+  all.Counters.push_back({"calls_unreadable", {}, Unreadable->load()});
+  return all;
+}
+
 void FrontTask::offerHelp() {
   const Instant last = Leader.lastAnswer();
   const bool isConnected =
       last != Instant() && Loop.now() - last <= SilenceBound;
   if (!isConnected) {
     if (IsConnected->exchange(false))
-      LOG(INFO) << "event=leader_lost";
+      Line(Event::LeaderLost, Level::Warning)
+          .with("silent_ms", Loop.now() - last);
     Leader.setMembers(Settings.Seeds());
   }
   if (std::exchange(IsReporting, true))
@@ -57,10 +123,12 @@
   IsReporting = false;
   if (!isOk(reply))
     return;
+  const auto *members = std::get_if<jobs::Members>(&valueOf(reply));
+  if (members == nullptr)
+    return;
   if (!IsConnected->exchange(true))
-    LOG(INFO) << "event=leader_found";
-  if (const auto *members = std::get_if<jobs::Members>(&valueOf(reply)))
-    Leader.setMembers(members->Addresses);
+    Line(Event::LeaderFound).with("members", members->Addresses.size());
+  Leader.setMembers(members->Addresses);
 }
 
 void FrontTask::receive(const wire::TransportEvent &event) {
@@ -81,9 +149,11 @@
                             const wire::AskApproval &ask) {
   http::OutboundCall call = Settings.Approvals.Encode(ask.Query);
   call.Timeout = ask.Timeout;
-  Calls.call(std::move(call), [this,
-                               request](const http::OutboundResult &result) {
+  Calls.call(std::move(call), [this, request, began = Loop.now()](
+                                  const http::OutboundResult &result) {
     auto answer = Settings.Approvals.Decode(result);
+    Numbers.observe("approval_ms", {"", isOk(answer) ? "answered" : "refused"},
+                    static_cast<double>((Loop.now() - began).millis()));
     if (isOk(answer))
       Messages.reply(request, wire::ApprovalNews{valueOf(std::move(answer))});
     else
--- a/jujube/front/front_task.h
+++ b/jujube/front/front_task.h
@@ -13,6 +13,8 @@
 #include "jujube/control/control_client.h"
 #include "jujube/control/control_options.h"
 #include "jujube/http/caller.h"
+#include "jujube/http/metrics_server.h"
+#include "jujube/metrics/metrics.h"
 #include "jujube/runtime/supervisor.h"
 #include "jujube/runtime/task.h"
 #include "jujube/wire/messenger.h"
@@ -40,6 +42,10 @@
   std::shared_ptr<std::atomic<bool>> IsConnected;
   // True once the process is asked to stop.
   std::shared_ptr<std::atomic<bool>> IsLeaving;
+  // Calls that could not be read, counted by the HTTP server's threads.
+  std::shared_ptr<std::atomic<uint64_t>> Unreadable =
+      std::make_shared<std::atomic<uint64_t>>(0);
+  http::MetricsMailbox Questions = http::makeMetricsMailbox();
 };
 
 // State of the front task; lives on its thread.
@@ -51,16 +57,23 @@
   void receive(const wire::TransportEvent &event);
 
 private:
+  void pass(control::ClientRequest request);
+  void noteForwarded(const jobs::Command &what, Duration timeout) const;
+  void noteAnswered(jobs::CommandKind kind, const jobs::JobId &job,
+                    const Result<jobs::Reply> &reply, Duration after);
+  metrics::Snapshot snapshot() const;
   void offerHelp();
   void noteMembers(const Result<jobs::Reply> &reply);
   void askApproval(const wire::Envelope &request, const wire::AskApproval &ask);
 
   FrontOptions Settings;
   std::shared_ptr<std::atomic<bool>> IsConnected;
+  std::shared_ptr<std::atomic<uint64_t>> Unreadable;
   runtime::PollLoop &Loop;
   wire::Messenger Messages;
   control::ControlClient Leader;
   http::CallDesk Calls;
+  metrics::Metrics Numbers;
   // A report waits for its answer.
   bool IsReporting = false;
 };
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
 #include "jujube/http/connection.h"
 #include "jujube/http/connection_threads.h"
 #include "jujube/http/exchange_processor.h"
@@ -18,12 +17,16 @@
 #include "jujube/http/processor.h"
 #include "jujube/http/stream.h"
 #include "jujube/http/tls.h"
+#include "jujube/logging/line.h"
 #include "jujube/runtime/mailbox.h"
 #include "jujube/runtime/signal_event.h"
 
 namespace jujube::http {
 namespace {
 
+using logging::Event;
+using logging::Line;
+
 // Pause of accepting while the process has no descriptors left.
 constexpr Duration AcceptPause = Duration::millis(100);
 // How long a thread waits for the next request before it gives the connection
@@ -94,7 +97,7 @@
     if (!isOk(opened))
       return errorOf(opened);
     Listening = valueOf(std::move(opened));
-    LOG(INFO) << "event=http_listening port=" << Listening.Port;
+    Line(Event::Listening).with("port", Listening.Port);
     Context.onStop([this] { beginStop(); });
     Context.loop().watch(AllEnded.fd(), POLLIN,
                          [this](short) { Context.loop().stop(); });
--- a/jujube/jobs/commands.h
+++ b/jujube/jobs/commands.h
@@ -67,6 +67,48 @@
     std::variant<SubmitJob, CancelJob, ReadJob, CountPending, PutConfiguration,
                  ReadConfiguration, AnnounceWorker, WithdrawWorker, OfferHelp>;
 
+// The kinds of commands, in the order of Command.
+enum class CommandKind {
+  SubmitJob,
+  CancelJob,
+  ReadJob,
+  CountPending,
+  PutConfiguration,
+  ReadConfiguration,
+  AnnounceWorker,
+  WithdrawWorker,
+  OfferHelp,
+};
+
+inline constexpr NameTable<CommandKind, std::variant_size_v<Command>>
+    CommandKindNames = {{
+        {CommandKind::SubmitJob, "submit_job"},
+        {CommandKind::CancelJob, "cancel_job"},
+        {CommandKind::ReadJob, "read_job"},
+        {CommandKind::CountPending, "count_pending"},
+        {CommandKind::PutConfiguration, "put_configuration"},
+        {CommandKind::ReadConfiguration, "read_configuration"},
+        {CommandKind::AnnounceWorker, "announce_worker"},
+        {CommandKind::WithdrawWorker, "withdraw_worker"},
+        {CommandKind::OfferHelp, "offer_help"},
+    }};
+static_assert(isComplete(CommandKindNames));
+
+inline CommandKind kindOf(const Command &command) {
+  return static_cast<CommandKind>(command.index());
+}
+
+// The job that a command is about; empty for those that are about none.
+inline JobId jobOf(const Command &command) {
+  if (const auto *submit = std::get_if<SubmitJob>(&command))
+    return submit->Job.Id;
+  if (const auto *cancel = std::get_if<CancelJob>(&command))
+    return cancel->Job;
+  if (const auto *read = std::get_if<ReadJob>(&command))
+    return read->Job;
+  return JobId();
+}
+
 // The command was carried out and its effect is stored.
 struct Stored {};
 struct JobNews {
--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -4,13 +4,17 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
 #include "jujube/base/digest.h"
 #include "jujube/catalogue/follower.h"
+#include "glog/logging.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::keeper {
 namespace {
 
+using logging::Event;
+using logging::Line;
+
 // A poll without news is answered after this span.
 constexpr Duration PollHold = Duration::millis(500);
 // An edit that is not in force everywhere is answered as such after this span.
@@ -61,8 +65,9 @@
   if (!isOk(disk))
     return errorOf(disk);
   Disk = valueOf(std::move(disk));
-  LOG(INFO) << "event=journal_opened bytes=" << Disk->report().JournalBytes
-            << " torn_bytes=" << Disk->report().TornBytes;
+  Line(Event::JournalOpened)
+      .with("bytes", Disk->report().JournalBytes)
+      .with("torn_bytes", Disk->report().TornBytes);
   consensus::Options options;
   options.Self = {Settings.Self, Settings.Listen};
   options.Start = Disk->start();
@@ -135,9 +140,10 @@
 
 void FleetTask::noteHost(const wire::HostStatus &status) {
   if (Hosts.note(status, Loop.now()))
-    LOG(INFO) << "event=host_joined host=" << status.Host.Id.str()
-              << " role=" << nameIn(catalogue::HostRoleNames, status.Host.Role)
-              << " zone=" << status.Host.Zone.str();
+    Line(Event::HostJoined)
+        .with("joined", status.Host.Id)
+        .with("role", nameIn(catalogue::HostRoleNames, status.Host.Role))
+        .with("zone", status.Host.Zone);
   if (status.IsLeader && !State.slices().hasZone(status.Host.Zone))
     propose(limits::SliceCommand(limits::AddZone{status.Host.Zone}),
             [](const Status &) {});
@@ -266,7 +272,7 @@
     then();
     return;
   }
-  LOG(INFO) << "event=slices_reclaimed zone=" << zone.str();
+  Line(Event::SlicesReclaimed).with("zone", zone);
   propose(limits::SliceCommand(
               limits::ReclaimBorrowed{zone, State.slices().latest()}),
           [this, zone, then](const Status &status) {
--- a/jujube/load/driver.cc
+++ b/jujube/load/driver.cc
@@ -4,13 +4,16 @@
 #include <numeric>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
 #include "jujube/http/bodies.h"
 #include "jujube/http/json.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::load {
 namespace {
 
+using logging::Event;
+using logging::Line;
+
 // What an answer may take beyond the deadline of a live request.
 constexpr Duration AnswerSlack = Duration::seconds(5);
 constexpr Duration AdvancePeriod = Duration::millis(200);
@@ -174,8 +177,10 @@
 
 void Driver::applyFault(const Fault &fault) {
   const Status status = apply(fault);
-  LOG(INFO) << "event=fault kind=" << nameIn(FaultKindNames, fault.Kind)
-            << " pid=" << fault.Pid << " ok=" << isOk(status);
+  Line(Event::FaultApplied)
+      .with("kind", nameIn(FaultKindNames, fault.Kind))
+      .with("pid", fault.Pid)
+      .with("ok", isOk(status));
   Outcome.Faults.push_back(fault);
 }
 
--- /dev/null
+++ b/jujube/logging/event.h
@@ -0,0 +1,156 @@
+// What log lines tell of, and how much each matters when not all can be kept.
+#ifndef JUJUBE_LOGGING_EVENT_H_
+#define JUJUBE_LOGGING_EVENT_H_
+
+#include "jujube/base/name_table.h"
+
+namespace jujube::logging {
+
+enum class Event {
+  // ---- Processes ----
+  Started,
+  Stopped,
+  GaveUp,
+  Listening,
+  JournalOpened,
+  LinesDropped,
+  // A line of a library or an assertion, as text.
+  Message,
+  ReloadRequested,
+  StopRequested,
+  Leaving,
+  TaskFailed,
+  // ---- Groups and hosts ----
+  RoleChanged,
+  ReplicaFailed,
+  DiskSlow,
+  LeaderFound,
+  LeaderLost,
+  HostJoined,
+  SlicesReclaimed,
+  DrainStarted,
+  // ---- Configuration ----
+  ConfigurationStored,
+  ConfigurationRefused,
+  // ---- Workers ----
+  WorkerChanged,
+  WorkerRestarted,
+  WorkerSilent,
+  WorkerHeard,
+  WorkerLost,
+  LeasesOver,
+  RowUnreadable,
+  // ---- Single requests ----
+  CallForwarded,
+  CallAnswered,
+  CallRefused,
+  JobAccepted,
+  JobRefused,
+  JobCancelled,
+  JobEnded,
+  StepWaits,
+  ApprovalAsked,
+  ApprovalAnswered,
+  ApprovalUnanswered,
+  StartSent,
+  StartRefused,
+  StopSent,
+  AttemptEnded,
+  StrayAttempt,
+  TaskPaced,
+  // ---- Load tool ----
+  FaultApplied,
+};
+
+inline constexpr NameTable<Event, 46> EventNames = {{
+    {Event::Started, "started"},
+    {Event::Stopped, "stopped"},
+    {Event::GaveUp, "gave_up"},
+    {Event::Listening, "listening"},
+    {Event::JournalOpened, "journal_opened"},
+    {Event::LinesDropped, "lines_dropped"},
+    {Event::Message, "message"},
+    {Event::ReloadRequested, "reload_requested"},
+    {Event::StopRequested, "stop_requested"},
+    {Event::Leaving, "leaving"},
+    {Event::TaskFailed, "task_failed"},
+    {Event::RoleChanged, "role_changed"},
+    {Event::ReplicaFailed, "replica_failed"},
+    {Event::DiskSlow, "disk_slow"},
+    {Event::LeaderFound, "leader_found"},
+    {Event::LeaderLost, "leader_lost"},
+    {Event::HostJoined, "host_joined"},
+    {Event::SlicesReclaimed, "slices_reclaimed"},
+    {Event::DrainStarted, "drain_started"},
+    {Event::ConfigurationStored, "configuration_stored"},
+    {Event::ConfigurationRefused, "configuration_refused"},
+    {Event::WorkerChanged, "worker_changed"},
+    {Event::WorkerRestarted, "worker_restarted"},
+    {Event::WorkerSilent, "worker_silent"},
+    {Event::WorkerHeard, "worker_heard"},
+    {Event::WorkerLost, "worker_lost"},
+    {Event::LeasesOver, "leases_over"},
+    {Event::RowUnreadable, "row_unreadable"},
+    {Event::CallForwarded, "call_forwarded"},
+    {Event::CallAnswered, "call_answered"},
+    {Event::CallRefused, "call_refused"},
+    {Event::JobAccepted, "job_accepted"},
+    {Event::JobRefused, "job_refused"},
+    {Event::JobCancelled, "job_cancelled"},
+    {Event::JobEnded, "job_ended"},
+    {Event::StepWaits, "step_waits"},
+    {Event::ApprovalAsked, "approval_asked"},
+    {Event::ApprovalAnswered, "approval_answered"},
+    {Event::ApprovalUnanswered, "approval_unanswered"},
+    {Event::StartSent, "start_sent"},
+    {Event::StartRefused, "start_refused"},
+    {Event::StopSent, "stop_sent"},
+    {Event::AttemptEnded, "attempt_ended"},
+    {Event::StrayAttempt, "stray_attempt"},
+    {Event::TaskPaced, "task_paced"},
+    {Event::FaultApplied, "fault_applied"},
+}};
+static_assert(isComplete(EventNames));
+
+// What is kept first when a reader is too slow: higher goes before lower.
+enum class Weight {
+  // Happens often and can be told from other lines.
+  Routine,
+  // Changes what the process believes.
+  State,
+  // Decides about a single request.
+  Decision,
+};
+
+inline constexpr NameTable<Weight, 3> WeightNames = {{
+    {Weight::Routine, "routine"},
+    {Weight::State, "state"},
+    {Weight::Decision, "decision"},
+}};
+static_assert(isComplete(WeightNames));
+
+constexpr Weight weightOf(Event event) {
+  switch (event) {
+  case Event::WorkerChanged:
+  case Event::RowUnreadable:
+  case Event::ApprovalAsked:
+  case Event::ApprovalAnswered:
+  case Event::TaskPaced:
+    return Weight::Routine;
+  default:
+    return event >= Event::CallForwarded ? Weight::Decision : Weight::State;
+  }
+}
+
+enum class Level { Info, Warning, Error };
+
+inline constexpr NameTable<Level, 3> LevelNames = {{
+    {Level::Info, "info"},
+    {Level::Warning, "warning"},
+    {Level::Error, "error"},
+}};
+static_assert(isComplete(LevelNames));
+
+} // namespace jujube::logging
+
+#endif // JUJUBE_LOGGING_EVENT_H_
--- a/jujube/metrics/metrics.cc
+++ b/jujube/metrics/metrics.cc
@@ -10,6 +10,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <cmath>
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
@@ -31,11 +32,66 @@
                                static_cast<std::size_t>(std::ilogb(value)) + 1);
 }
 
-std::string labelText(const Labels &labels) {
-  return absl::StrCat("{team=\"", labels.Team, "\",class=\"", labels.Class,
-                      "\"}");
+// `bound` is the upper bound of a bucket; empty for other lines.
+std::string labelText(const Labels &labels, const std::string &bound = {}) {
+  std::string text =
+      absl::StrCat("{team=\"", absl::CEscape(labels.Team), "\",class=\"",
+                   absl::CEscape(labels.Class), "\"");
+  if (!labels.Cause.empty())
+    absl::StrAppend(&text, ",cause=\"", absl::CEscape(labels.Cause), "\"");
+  if (!bound.empty())
+    absl::StrAppend(&text, ",le=\"", bound, "\"");
+  return text + "}";
 }
 
+// Lines by the name of the metric that they belong to, which collectors want
+// together under one line with its type.
+class Exposition {
+public:
+  void add(const std::string &name, absl::string_view type,
+           const std::string &line) {
+    std::string &text = Metrics[name];
+    if (text.empty())
+      text = absl::StrCat("# TYPE ", name, " ", type, "\n");
+    absl::StrAppend(&text, line, "\n");
+  }
+  void addGauge(const std::string &name, const Labels &labels, double value) {
+    add(name, "gauge",
+        absl::StrFormat("%s%s %.3f", name, labelText(labels), value));
+  }
+  void add(const HistogramValue &h) {
+    uint64_t below = 0;
+    for (std::size_t i = 0; i < h.Buckets.size(); ++i) {
+      below += h.Buckets[i];
+      const std::string bound =
+          absl::StrFormat("%.0f", std::ldexp(1.0, static_cast<int>(i)));
+      add(h.Name, "histogram",
+          absl::StrCat(h.Name, "_bucket", labelText(h.For, bound), " ", below));
+    }
+    add(h.Name, "histogram",
+        absl::StrCat(h.Name, "_bucket", labelText(h.For, "+Inf"), " ",
+                     h.Count));
+    add(h.Name, "histogram",
+        absl::StrFormat("%s_sum%s %.3f", h.Name, labelText(h.For),
+                        h.Mean * static_cast<double>(h.Count)));
+    add(h.Name, "histogram",
+        absl::StrCat(h.Name, "_count", labelText(h.For), " ", h.Count));
+    addGauge(h.Name + "_p50", h.For, h.P50);
+    addGauge(h.Name + "_p90", h.For, h.P90);
+    addGauge(h.Name + "_p99", h.For, h.P99);
+    addGauge(h.Name + "_max", h.For, h.Max);
+  }
+  std::string text() const {
+    std::string all;
+    for (const auto &[name, lines] : Metrics)
+      all += lines;
+    return all;
+  }
+
+private:
+  std::map<std::string, std::string> Metrics;
+};
+
 } // namespace
 
 struct Metrics::Histogram {
@@ -100,19 +156,15 @@
 }
 
 std::string renderText(const Snapshot &snapshot) {
-  std::string text;
+  Exposition all;
   for (const CounterValue &c : snapshot.Counters)
-    absl::StrAppend(&text, c.Name, labelText(c.For), " ", c.Value, "\n");
-  for (const HistogramValue &h : snapshot.Histograms) {
-    const std::string labels = labelText(h.For);
-    absl::StrAppend(&text, h.Name, "_count", labels, " ", h.Count, "\n");
-    absl::StrAppendFormat(&text, "%s_mean%s %.3f\n", h.Name, labels, h.Mean);
-    absl::StrAppendFormat(&text, "%s_p50%s %.3f\n", h.Name, labels, h.P50);
-    absl::StrAppendFormat(&text, "%s_p90%s %.3f\n", h.Name, labels, h.P90);
-    absl::StrAppendFormat(&text, "%s_p99%s %.3f\n", h.Name, labels, h.P99);
-    absl::StrAppendFormat(&text, "%s_max%s %.3f\n", h.Name, labels, h.Max);
-  }
-  return text;
+    all.add(c.Name, "counter",
+            absl::StrCat(c.Name, labelText(c.For), " ", c.Value));
+  for (const GaugeValue &g : snapshot.Gauges)
+    all.addGauge(g.Name, g.For, g.Value);
+  for (const HistogramValue &h : snapshot.Histograms)
+    all.add(h);
+  return all.text();
 }
 
 std::string renderBars(const HistogramValue &histogram) {
--- a/jujube/metrics/metrics.h
+++ b/jujube/metrics/metrics.h
@@ -18,6 +18,8 @@
 struct Labels {
   std::string Team;
   std::string Class;
+  // Why something was refused or waited.
+  std::string Cause;
 
   auto operator<=>(const Labels &) const = default;
 };
@@ -31,6 +33,15 @@
   bool operator==(const CounterValue &) const = default;
 };
 
+// A level at one moment, for example the length of a queue.
+struct GaugeValue {
+  std::string Name;
+  Labels For;
+  double Value = 0;
+
+  bool operator==(const GaugeValue &) const = default;
+};
+
 // A histogram at one moment. Values have the unit that the name ends in.
 struct HistogramValue {
   std::string Name;
@@ -51,6 +62,7 @@
 struct Snapshot {
   std::vector<CounterValue> Counters;
   std::vector<HistogramValue> Histograms;
+  std::vector<GaugeValue> Gauges;
 
   bool operator==(const Snapshot &) const = default;
 };
@@ -77,7 +89,8 @@
       Histograms;
 };
 
-// Renders a snapshot as the text that /metrics serves: a line per value.
+// Renders a snapshot as the text that /metrics serves, in the format of
+// Prometheus: histograms have cumulative buckets, and quantiles beside them.
 std::string renderText(const Snapshot &snapshot);
 
 // Renders a histogram's buckets as rows of bars for a terminal.
--- a/jujube/metrics/metrics_test.cc
+++ b/jujube/metrics/metrics_test.cc
@@ -36,6 +36,29 @@
   BOOST_TEST(renderBars(all.Histograms[0]).find(" \n") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(TextHasTypesAndCumulativeBuckets) {
+  Metrics metrics;
+  metrics.add("refused", {"events", "batch", "no_room"}, 3);
+  metrics.observe("wait_ms", {"events", "batch"}, 0.5);
+  metrics.observe("wait_ms", {"events", "batch"}, 3);
+  Snapshot all = metrics.snapshot();
+  all.Gauges.push_back({"queue", {"", "batch"}, 7});
+  const std::string text = renderText(all);
+  const auto has = [&text](const std::string &line) {
+    return text.find(line + "\n") != std::string::npos;
+  };
+  BOOST_TEST(has("# TYPE refused counter"));
+  BOOST_TEST(has(R"(refused{team="events",class="batch",cause="no_room"} 3)"));
+  BOOST_TEST(has("# TYPE queue gauge"));
+  BOOST_TEST(has(R"(queue{team="",class="batch"} 7.000)"));
+  BOOST_TEST(has("# TYPE wait_ms histogram"));
+  BOOST_TEST(has(R"(wait_ms_bucket{team="events",class="batch",le="1"} 1)"));
+  BOOST_TEST(has(R"(wait_ms_bucket{team="events",class="batch",le="4"} 2)"));
+  BOOST_TEST(has(R"(wait_ms_bucket{team="events",class="batch",le="+Inf"} 2)"));
+  BOOST_TEST(has(R"(wait_ms_sum{team="events",class="batch"} 3.500)"));
+  BOOST_TEST(has(R"(wait_ms_count{team="events",class="batch"} 2)"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/replica/replica.cc
+++ b/jujube/replica/replica.cc
@@ -4,11 +4,15 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
+#include "jujube/logging/line.h"
 
 namespace jujube::replica {
 namespace {
 
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
 // The log is replaced by a snapshot after this many applied commands, or this
 // many bytes of them if the state is smaller.
 constexpr uint64_t CompactAfterEntries = 20'000;
@@ -145,9 +149,10 @@
 }
 
 void Replica::handle(consensus::RoleChanged &action) {
-  LOG(INFO) << "event=role_changed role="
-            << nameIn(consensus::RoleNames, action.Now)
-            << " term=" << action.At.Value << " leader=" << action.Leader.str();
+  Line(Event::RoleChanged)
+      .with("role", nameIn(consensus::RoleNames, action.Now))
+      .with("term", action.At)
+      .with("leader", action.Leader);
   Hooks.RoleChanged(action);
 }
 
@@ -180,7 +185,7 @@
 void Replica::fail(const Error &error) {
   if (std::exchange(HasFailed, true))
     return;
-  LOG(ERROR) << "event=replica_failed error=\"" << error.text() << "\"";
+  Line(Event::ReplicaFailed, Level::Error).with("error", error.text());
   Hooks.Fail(error);
 }
 
--- a/jujube/runtime/supervisor.cc
+++ b/jujube/runtime/supervisor.cc
@@ -10,12 +10,16 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
-#include "glog/logging.h"
+#include "jujube/logging/line.h"
 #include "jujube/runtime/mailbox.h"
 
 namespace jujube::runtime {
 namespace {
 
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
 // Tells one start of a child from the next.
 struct ChildExit {
   std::size_t Index = 0;
@@ -73,9 +77,10 @@
     Tasks[exit.Index].reset();
     if (isOk(exit.Outcome))
       return;
-    LOG(WARNING) << "event=task_failed supervisor=" << Settings.Name
-                 << " task=" << Children[exit.Index].Name << " error=\""
-                 << errorOf(exit.Outcome).text() << "\"";
+    Line(Event::TaskFailed, Level::Warning)
+        .with("supervisor", Settings.Name)
+        .with("task", Children[exit.Index].Name)
+        .with("error", errorOf(exit.Outcome).text());
     if (!takeRestart()) {
       escalate(errorOf(exit.Outcome));
       return;
@@ -161,11 +166,11 @@
     if (read(signalled.get(), &info, sizeof info) != sizeof info)
       return;
     if (info.ssi_signo == SIGHUP) {
-      LOG(INFO) << "event=reload_requested";
+      Line(Event::ReloadRequested).with("signal", "SIGHUP");
       return;
     }
     context.loop().unwatch(signalled.get());
-    LOG(INFO) << "event=stop_requested";
+    Line(Event::StopRequested).with("signal", info.ssi_signo);
     stopRequest->raise();
   });
   return root.run(context);
--- a/jujube/wire/domain_encoding.h
+++ b/jujube/wire/domain_encoding.h
@@ -108,16 +108,19 @@
 namespace jujube::metrics {
 
 template <typename Archive> void serialize(Archive &ar, Labels &v) {
-  ar(v.Team, v.Class);
+  ar(v.Team, v.Class, v.Cause);
 }
 template <typename Archive> void serialize(Archive &ar, CounterValue &v) {
   ar(v.Name, v.For, v.Value);
 }
+template <typename Archive> void serialize(Archive &ar, GaugeValue &v) {
+  ar(v.Name, v.For, v.Value);
+}
 template <typename Archive> void serialize(Archive &ar, HistogramValue &v) {
   ar(v.Name, v.For, v.Count, v.Mean, v.Max, v.P50, v.P90, v.P99, v.Buckets);
 }
 template <typename Archive> void serialize(Archive &ar, Snapshot &v) {
-  ar(v.Counters, v.Histograms);
+  ar(v.Counters, v.Histograms, v.Gauges);
 }
 
 } // namespace jujube::metrics
--- a/jujube/zone/scheduler.cc
+++ b/jujube/zone/scheduler.cc
@@ -1,16 +1,19 @@
 #include "jujube/zone/scheduler.h"
 
+#include "jujube/logging/line.h"
 #include <algorithm>
 #include <iterator>
 #include <numeric>
 #include <utility>
 #include <variant>
 
-#include "glog/logging.h"
-
 namespace jujube::zone {
 namespace {
 
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
 // How often slices are looked up anew.
 constexpr Duration LimitsPeriod = Duration::millis(200);
 // Most time-driven events of one sweep.
@@ -363,7 +366,7 @@
   for (const WorkerId &worker : Leases.ended(at.Now)) {
     if (Expiring.contains(worker))
       continue;
-    LOG(INFO) << "event=worker_lost worker=" << worker.str();
+    Line(Event::WorkerLost, Level::Warning).with("worker", worker);
     Planner.workerLost(worker, at.Now);
     auto more = Book.workerExpired(worker, at.Wall);
     if (!more.empty())
--- a/testing/control_cell.cc
+++ b/testing/control_cell.cc
@@ -176,6 +176,15 @@
   return false;
 }
 
+metrics::Snapshot ControlCell::metricsOf(int member) {
+  const auto slot = runtime::makeReplySlot<metrics::Snapshot>();
+  (void)Members.at(member).Boxes.Questions->post({slot});
+  // Until the member's next timer.
+  Wire.run(Duration::millis(100));
+  auto snapshot = slot->wait(Duration());
+  return isOk(snapshot) ? valueOf(std::move(snapshot)) : metrics::Snapshot();
+}
+
 int ControlCell::leader() {
   for (const auto &[number, member] : Members)
     if (member.Task && member.Task->isServing())
--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -48,6 +48,8 @@
   bool awaitState(const std::string &id, const std::string &state,
                   Duration patience = Duration::seconds(30));
 
+  metrics::Snapshot metricsOf(int member);
+
   // The member that leads; 0 if none does.
   int leader();
   void kill(int member);
--- a/testing/control_path_test.cc
+++ b/testing/control_path_test.cc
@@ -42,6 +42,38 @@
   checkPromises(cell, cell.workers());
 }
 
+BOOST_AUTO_TEST_CASE(MetricsTellWhatHappenedToJobs) {
+  ControlCell cell({});
+  requireOk(cell.submit("a", 8, 300));
+  BOOST_TEST(cell.awaitState("a", "completed"));
+  BOOST_TEST(cell.stateOf("unknown") == "gone");
+  const metrics::Snapshot all = cell.metricsOf(cell.leader());
+  const auto counter = [&all](const std::string &name) {
+    const auto it =
+        std::ranges::find(all.Counters, name, &metrics::CounterValue::Name);
+    return it == all.Counters.end() ? 0 : it->Value;
+  };
+  const auto gauge = [&all](const std::string &name) {
+    const auto it =
+        std::ranges::find(all.Gauges, name, &metrics::GaugeValue::Name);
+    return it == all.Gauges.end() ? -1 : it->Value;
+  };
+  BOOST_TEST(counter("jobs_accepted") == 1U);
+  BOOST_TEST(counter("jobs_ended") == 1U);
+  BOOST_TEST(counter("attempts_ended") == 8U);
+  BOOST_TEST(counter("commands_refused") > 0U);
+  BOOST_TEST(gauge("is_leader") == 1);
+  BOOST_TEST(gauge("workers") == 3);
+  BOOST_TEST(gauge("attempts_live") == 0);
+  BOOST_TEST(gauge("configuration_version") >= 1);
+  // Six tasks fit at a time: two wait for room.
+  const auto waits = std::ranges::find(all.Histograms, "job_wait_ms",
+                                       &metrics::HistogramValue::Name);
+  BOOST_REQUIRE((waits != all.Histograms.end()));
+  BOOST_TEST(waits->For.Cause == "room");
+  BOOST_TEST(waits->Max > 100);
+}
+
 BOOST_AUTO_TEST_CASE(JobThatAlwaysFailsIsFailedAfterItsAttempts) {
   ControlCell cell({});
   jobs::JobSpec job = sampleJob("a", {sampleStep(1)});
