--- a/jujube/http/exchange_server.h
+++ b/jujube/http/exchange_server.h
@@ -33,8 +33,8 @@
 using ExchangeHook = std::function<ExchangeAnswer(const Exchange &)>;
 
 // The server as a child called `name`. While `isHealthy` returns false,
-// connections are closed after each answer. Bodies over `options.MaxBody` are
-// refused with 413.
+// connections are closed after each answer and when idle. Bodies over
+// `options.MaxBody` are refused with 413.
 Result<runtime::ChildSpec> exchangeServerTask(const std::string &name,
                                               ServerOptions options,
                                               ExchangeHook answer,
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -34,6 +34,9 @@
 constexpr Duration NextRequestWait = Duration::millis(5);
 // Between looks for connections that were idle too long.
 constexpr Duration SweepPeriod = Duration::seconds(1);
+// A host that is not healthy closes connections that have been idle this long.
+// Source: a request that was sent on a new connection arrives within it.
+constexpr Duration UnhealthyKeepAlive = Duration::millis(250);
 
 // Serves one request of a stream; called on many threads at once.
 using ProcessHook = std::function<Disposition(SocketStream &)>;
@@ -42,6 +45,7 @@
 struct ServerPlan {
   ServerOptions Options;
   ProcessHook Process;
+  std::function<bool()> IsHealthy;
   std::shared_ptr<SSL_CTX> Tls;
 };
 
@@ -204,10 +208,20 @@
     return true;
   }
 
+  // Clients of a host that is not healthy come back to another one only once
+  // their connections have ended.
   void closeExpired() {
-    while (!Idle.empty() &&
-           Context.now() - Idle.begin()->second.Since > Plan.Options.KeepAlive)
-      (void)closeLongestIdle();
+    const Duration most =
+        Plan.IsHealthy() ? Plan.Options.KeepAlive
+                         : std::min(Plan.Options.KeepAlive, UnhealthyKeepAlive);
+    while (!Idle.empty() && Context.now() - Idle.begin()->second.Since > most)
+      closeOrServe(unpark(Idle.begin()));
+  }
+
+  // A request that has just arrived is still served.
+  void closeOrServe(ConnectionPtr connection) {
+    if (connection->hasInput())
+      serveOnThread(std::move(connection));
   }
 
   // Without a handshake there is no way to answer over TLS; the client sees the
@@ -272,8 +286,9 @@
 
 Result<runtime::ChildSpec> makeServer(const std::string &name,
                                       ServerOptions options,
-                                      ProcessHook process) {
-  ServerPlan plan{std::move(options), std::move(process)};
+                                      ProcessHook process,
+                                      std::function<bool()> isHealthy) {
+  ServerPlan plan{std::move(options), std::move(process), std::move(isHealthy)};
   if (plan.Options.Listen.Ip.empty())
     return Error{ErrorKind::InvalidArgument, "no address to listen on",
                  "give IP:PORT"};
@@ -299,10 +314,11 @@
                                                      options.MaxBody,
                                                      options.KeepAlive,
                                                      std::move(execute),
-                                                     std::move(isHealthy)});
+                                                     isHealthy});
   return makeServer(
       "http", std::move(options),
-      [requests](SocketStream &stream) { return requests->process(stream); });
+      [requests](SocketStream &stream) { return requests->process(stream); },
+      isHealthy);
 }
 
 Result<runtime::ChildSpec> exchangeServerTask(const std::string &name,
@@ -310,10 +326,11 @@
                                               ExchangeHook answer,
                                               std::function<bool()> isHealthy) {
   const auto requests = std::make_shared<ExchangeProcessor>(
-      options, std::move(answer), std::move(isHealthy));
-  return makeServer(name, std::move(options), [requests](SocketStream &stream) {
-    return requests->process(stream);
-  });
+      options, std::move(answer), isHealthy);
+  return makeServer(
+      name, std::move(options),
+      [requests](SocketStream &stream) { return requests->process(stream); },
+      isHealthy);
 }
 
 } // namespace jujube::http
--- a/jujube/http/server.h
+++ b/jujube/http/server.h
@@ -48,7 +48,7 @@
 // When asked to stop it refuses new connections, closes idle ones, finishes
 // the requests in progress and ends. `execute` is called on the threads of the
 // connections, many at once. While `isHealthy` returns false GET /healthz
-// answers 503, and connections are closed after each answer.
+// answers 503, and connections are closed after each answer and when idle.
 // Fails if the options can't be served: no address, unreadable TLS files.
 Result<runtime::ChildSpec> serverTask(ServerOptions options,
                                       api::ExecuteHook execute,
--- a/jujube/http/server_test.cc
+++ b/jujube/http/server_test.cc
@@ -1,7 +1,11 @@
 // The server over loopback against an execute hook of the test.
 #include "jujube/http/server.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
@@ -238,6 +242,25 @@
   BOOST_TEST(leaving->get_header_value("Connection") == "close");
 }
 
+BOOST_AUTO_TEST_CASE(IdleConnectionsEndWhileTheHostIsNotHealthy) {
+  TestServer server(neverCalled());
+  const runtime::FileDescriptor socket(
+      ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(server.port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  BOOST_REQUIRE(connect(socket.get(), reinterpret_cast<sockaddr *>(&address),
+                        sizeof address) == 0);
+  pollfd idle{socket.get(), POLLIN, 0};
+  // Longer than the server's sweeps are apart.
+  BOOST_TEST(poll(&idle, 1, 1500) == 0);
+  server.IsHealthy = false;
+  BOOST_REQUIRE(poll(&idle, 1, 5000) == 1);
+  char byte = 0;
+  BOOST_TEST(recv(socket.get(), &byte, 1, 0) == 0);
+}
+
 // What a caller of a live request learns: surely not run and when to try again,
 // run and failed, or not known.
 BOOST_AUTO_TEST_CASE(FatesOfALiveRequestAreTold) {
