Leaders come back sooner: lost opening packets, calls held during elections

A member that came up first sent its opening packets to machines that were still dark; the kernel sends them again after a second, the transport gave up after a second, and the first pre-votes waited behind that. Entry hosts lost half a second in the same way, refused calls after 0.35 s though members were electing, and told callers to come back a second later, when the leader had been there for 0.4 s. They went on for 0.45 s to send calls to a leader that was lost, whose outcome then stayed unknown to the deadline, and followed hints to it.

Ruled out: split votes (pre-votes went out once the connections were open), the wait for an earlier leader's lease (needed: an earlier run may have acknowledged a leader just before it ended).

Change: a connection has 0.3 s to open, and the next attempt follows after 0.1 s. Calls wait up to 0.9 s while members answer that they do not lead, and are refused after 0.35 s as before when none answers. A leader that has been silent for 0.25 s gets no calls; members that did not answer are not followed to; a call without an answer is sent again after 0.5 s.

Tests: FrontPathTest/CallsWaitForALeaderThatIsBeingElected and TransportSuite/PeerIsTriedAgainBeforeTheKernelWould fail without the change.

--- a/jujube/control/control_client.cc
+++ b/jujube/control/control_client.cc
@@ -6,21 +6,31 @@
 namespace jujube::control {
 namespace {
 
-// How long one member has to answer. Source: twice the longest usual sync of a
-// slow disk, and less than a third of the callers' deadlines.
-constexpr Duration AttemptTimeout = Duration::millis(800);
+// How long one member has to answer; then the command is sent again, to the
+// leader of that time. Source: a sync of a slow disk takes 0.3 s, a change of
+// leader 0.5 s.
+constexpr Duration AttemptTimeout = Duration::millis(500);
 // The same when a leader is looked for. Source: some forty round trips between
 // zones, and a group commit on a slow disk.
 constexpr Duration SeekTimeout = Duration::millis(300);
-// A leader that has not answered for this span gets no commands. Source: two
-// reports of an entry host, and their answers.
-constexpr Duration LeaderSilence = Duration::millis(450);
+// A leader that has not answered for this span gets no commands. Source: a
+// report of an entry host, and its answer from a busy leader.
+constexpr Duration LeaderSilence = Duration::millis(250);
+// A member that did not answer is not followed to for this span. Source: the
+// other members name a lost leader until its lease is over.
+constexpr Duration SuspectSpan = Duration::millis(500);
 // Wait between attempts while no member leads.
 constexpr Duration RetryPause = Duration::millis(60);
 // A command that no leader has taken is refused after this span, so that the
 // caller can try another host or come back. Source: a quarter of the shortest
 // objective of the queues.
 constexpr Duration RefuseAfter = Duration::millis(350);
+// The same while members answer that they do not lead: a leader is being
+// elected, which takes less than this, and coming back would take longer.
+constexpr Duration RefuseWhileElectingAfter = Duration::millis(900);
+// Members that have answered within this span take part in an election. Source:
+// two reports of an entry host, and one attempt at a member that is lost.
+constexpr Duration ElectingSign = Duration::millis(500);
 
 } // namespace
 
@@ -40,22 +50,29 @@
 
 void ControlClient::call(jobs::Command what, Duration timeout, Done done) {
   const Instant now = Loop.now();
-  attempt(std::make_shared<Request>(Request{
-      std::move(what), now + timeout, now + std::min(timeout, RefuseAfter),
-      false, false, std::move(done)}));
+  attempt(std::make_shared<Request>(Request{std::move(what), now, now + timeout,
+                                            false, false, std::move(done)}));
 }
 
 void ControlClient::seek(jobs::Command what, Duration timeout, Done done) {
   const Instant now = Loop.now();
-  attempt(std::make_shared<Request>(Request{std::move(what), now + timeout,
-                                            now + timeout, false, true,
-                                            std::move(done)}));
+  attempt(std::make_shared<Request>(Request{std::move(what), now, now + timeout,
+                                            false, true, std::move(done)}));
 }
 
 bool ControlClient::isLeaderSilent() const {
   return LastAnswer == Instant() || Loop.now() - LastAnswer > LeaderSilence;
 }
 
+bool ControlClient::isRefused(const Request &request) const {
+  if (request.MayHaveRun || request.IsSeeking)
+    return false;
+  const bool isElecting =
+      LastSign != Instant() && Loop.now() - LastSign <= ElectingSign;
+  return Loop.now() - request.Began >=
+         (isElecting ? RefuseWhileElectingAfter : RefuseAfter);
+}
+
 void ControlClient::attempt(const RequestPtr &request) {
   const Duration left = request->Deadline - Loop.now();
   if (left <= Duration() && request->MayHaveRun) {
@@ -64,9 +81,7 @@
                           "resend it with the same id"});
     return;
   }
-  const bool isRefused =
-      !request->MayHaveRun && Loop.now() >= request->RefuseAt;
-  if (left <= Duration() || isRefused || Members.empty()) {
+  if (left <= Duration() || isRefused(*request) || Members.empty()) {
     request->Finish(Error{ErrorKind::NotRun, "no leader can be reached",
                           "resend it later, or at another host"});
     return;
@@ -87,10 +102,12 @@
                            Result<wire::Message> result) {
   if (!isOk(result)) {
     request->MayHaveRun = true;
+    Suspects[from] = Loop.now() + SuspectSpan;
     follow(Address{}, from);
     retry(request);
     return;
   }
+  Suspects.erase(from);
   if (const auto *news = std::get_if<wire::ControlNews>(&valueOf(result))) {
     LastAnswer = Loop.now();
     request->Finish(news->What);
@@ -103,6 +120,7 @@
     return;
   }
   if (refusal->Why.Kind == ErrorKind::NotLeader) {
+    LastSign = Loop.now();
     follow(refusal->Leader, from);
     retry(request);
   } else if (refusal->Why.Kind == ErrorKind::Unavailable) {
@@ -117,19 +135,30 @@
   Loop.callAt(Loop.now() + RetryPause, [this, request] { attempt(request); });
 }
 
+bool ControlClient::isSuspect(const Address &member) const {
+  const auto it = Suspects.find(member);
+  return it != Suspects.end() && Loop.now() < it->second;
+}
+
 void ControlClient::follow(const Address &hint, const Address &failed) {
-  const auto it = std::ranges::find(Members, hint);
-  if (hint.Port != 0 && it != Members.end() && hint != failed) {
+  const bool isHint = hint.Port != 0 && hint != failed && !isSuspect(hint);
+  auto it = std::ranges::find(Members, hint);
+  if (isHint && it == Members.end())
+    it = Members.insert(it, hint);
+  if (isHint) {
     Current = static_cast<std::size_t>(it - Members.begin());
     return;
   }
-  if (hint.Port != 0 && it == Members.end()) {
-    Members.push_back(hint);
-    Current = Members.size() - 1;
+  if (Members.empty() || Members[Current] != failed)
+    return;
+  // The next one that has answered, or just the next one.
+  for (std::size_t i = 1; i <= Members.size(); ++i) {
+    const std::size_t next = (Current + i) % Members.size();
+    if (isSuspect(Members[next]) && i < Members.size())
+      continue;
+    Current = next;
     return;
   }
-  if (!Members.empty() && Members[Current] == failed)
-    Current = (Current + 1) % Members.size();
 }
 
 } // namespace jujube::control
--- a/jujube/control/control_client.h
+++ b/jujube/control/control_client.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -50,15 +51,15 @@
   // `timeout` has passed. Nothing is sent to a leader that has been silent, so
   // that what can't be served is surely not taken. Ends with the leader's
   // error, with NotRun if no leader took it, or with OutcomeUnknown if one may
-  // have.
+  // have. Without a leader it is given up soon, but not while members are
+  // electing one.
   void call(jobs::Command what, Duration timeout, Done done);
 
 private:
   struct Request {
     jobs::Command What;
+    Instant Began;
     Instant Deadline;
-    // A command that no leader can have taken is given up then.
-    Instant RefuseAt;
     bool MayHaveRun = false;
     // Sent also to members that have been silent.
     bool IsSeeking = false;
@@ -67,6 +68,9 @@
   using RequestPtr = std::shared_ptr<Request>;
 
   bool isLeaderSilent() const;
+  // True if a command that no leader can have taken is given up now.
+  bool isRefused(const Request &request) const;
+  bool isSuspect(const Address &member) const;
   void attempt(const RequestPtr &request);
   void handle(const RequestPtr &request, const Address &from,
               Result<wire::Message> result);
@@ -78,6 +82,10 @@
   std::vector<Address> Members;
   std::size_t Current = 0;
   Instant LastAnswer;
+  // When a member last answered that it does not lead.
+  Instant LastSign;
+  // Members that did not answer, and until when they are not followed to.
+  std::map<Address, Instant> Suspects;
 };
 
 } // namespace jujube::control
--- a/jujube/wire/transport.cc
+++ b/jujube/wire/transport.cc
@@ -20,10 +20,6 @@
 constexpr std::size_t ChallengeBytes = 16;
 constexpr std::size_t DigestChars = 64;
 constexpr std::size_t MaxUdpBytes = 65536;
-// A peer that could not be reached is not tried again for this span.
-constexpr Duration RetryAfter = Duration::millis(200);
-// A peer has to accept a connection and send its challenge within this span.
-constexpr Duration OpenTimeout = Duration::seconds(1);
 // Most payloads that wait for a connection to open, and their bytes.
 constexpr std::size_t MaxWaiting = 4096;
 constexpr std::size_t MaxWaitingBytes = MaxBufferedBytes;
@@ -142,7 +138,7 @@
     cancelOpenTimer(peer);
     retire(std::move(peer.Stream));
     peer = Outbound{};
-    peer.NoRetryBefore = Loop.now() + RetryAfter;
+    peer.NoRetryBefore = Loop.now() + ReconnectPause;
     (void)Inbox->post(PeerLost{to});
   }
 
--- a/jujube/wire/transport.h
+++ b/jujube/wire/transport.h
@@ -34,6 +34,14 @@
 // Largest payload that goes out as a datagram; longer ones go by stream.
 inline constexpr std::size_t MaxDatagramBytes = 1200;
 
+// A peer has to accept a connection and send its challenge within this span.
+// Source: the kernel sends a lost opening packet again only after a second; a
+// peer whose machine has just come back is reached sooner by a new attempt.
+inline constexpr Duration OpenTimeout = Duration::millis(300);
+// A peer that could not be reached is not tried again for this span. Source:
+// the heartbeat of the groups.
+inline constexpr Duration ReconnectPause = Duration::millis(100);
+
 // An encoded message for another process. Delivery is not certain: packets are
 // dropped while the receiver can't be reached.
 struct Packet {
--- a/jujube/wire/transport_test.cc
+++ b/jujube/wire/transport_test.cc
@@ -162,6 +162,13 @@
   BOOST_TEST((firstLost(a, silent) == silent));
 }
 
+// An opening packet that is lost, because the peer's machine is not there yet,
+// is sent again by the kernel after this span.
+BOOST_AUTO_TEST_CASE(PeerIsTriedAgainBeforeTheKernelWould) {
+  constexpr Duration KernelRetransmission = Duration::seconds(1);
+  BOOST_TEST(((OpenTimeout + ReconnectPause) * 2 < KernelRetransmission));
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsAreGivenUpSoonAfterAPathIsCut) {
   const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
   const auto client =
--- a/testing/front_path_test.cc
+++ b/testing/front_path_test.cc
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "jujube/front/front_task.h"
 #include "testing/control_cell.h"
 #include "testing/job_samples.h"
@@ -14,8 +16,14 @@
 const Address FrontAt{"10.1.0.1", 7420};
 const jobs::Caller Caller{"a.example", "/plans/", "key-a"};
 
+ControlCellOptions cellOptions(uint64_t seed) {
+  ControlCellOptions options;
+  options.Seed = seed;
+  return options;
+}
+
 struct Bed {
-  ControlCell Cell{{}};
+  ControlCell Cell;
   front::FrontMailboxes Boxes{runtime::makeMailbox<control::ClientRequest>(64),
                               runtime::makeMailbox<http::CallRequest>(64),
                               runtime::makeMailbox<http::CallResult>(64),
@@ -23,7 +31,7 @@
                               std::make_shared<std::atomic<bool>>(false)};
   std::unique_ptr<front::FrontTask> Front;
 
-  Bed() {
+  explicit Bed(uint64_t seed = 1) : Cell(cellOptions(seed)) {
     front::FrontOptions options;
     options.Self = HostId("front-1");
     options.Listen = FrontAt;
@@ -97,6 +105,37 @@
   BOOST_TEST((errorOf(*answer).Kind == ErrorKind::OutcomeUnknown));
 }
 
+// Load: calls that come in all through a change of leader.
+BOOST_AUTO_TEST_CASE(CallsWaitForALeaderThatIsBeingElected) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    Bed bed(seed);
+    bed.Cell.kill(bed.Cell.leader());
+    std::vector<runtime::ReplySlotPtr<Result<jobs::Reply>>> calls;
+    for (int i = 0; i < 20; ++i) {
+      calls.push_back(bed.post(absl::StrCat("a", i)));
+      bed.Cell.wire().run(Duration::millis(50));
+    }
+    for (const auto &slot : calls) {
+      const auto answer = bed.await(slot, Duration::seconds(3));
+      BOOST_REQUIRE(answer.has_value());
+      BOOST_TEST(isOk(*answer),
+                 "seed " << seed << ": "
+                         << (isOk(*answer) ? "" : errorOf(*answer).text()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CallsAreRefusedSoonWhenNoMemberAnswers) {
+  Bed bed;
+  for (int i = 1; i <= 3; ++i)
+    bed.Cell.kill(i);
+  bed.Cell.wire().run(Duration::millis(800));
+  const auto answer = bed.await(bed.post("a"), Duration::millis(450));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_REQUIRE(!isOk(*answer));
+  BOOST_TEST((errorOf(*answer).Kind == ErrorKind::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(ChangeOfLeaderIsShorterThanACallersPatience) {
   Bed bed;
   bed.Cell.kill(bed.Cell.leader());
