Long approvals name all workers and are renewed ahead; room is kept for gangs

Rounds of 0.6 s each named 11, then 24, then 8 workers; by the time that enough were approved, the first tickets (1.5 s) had expired, and the room on the approved workers had gone to less urgent steps. Queries of 0.1 s waited behind them for 3.8 s.

Change: a query whose fixed part exceeds what naming workers costs names all it may (48) and renews all tickets before they expire; queries of medium length use all hosts again. A gang that waits, and can be in time, keeps less urgent steps off as many of its approved workers as it needs, half of the fleet at most.

--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -87,15 +87,14 @@
   const jobs::Queue *queue =
       jobs::findQueue(Book.configuration(), job->Spec.Queue);
   const Instant now = Loop.now();
-  const bool isLong = dispatch::hasLongQueries(*queue->Approval);
+  const bool isLong =
+      dispatch::lengthOf(*queue->Approval) == dispatch::QueryLength::Long;
   const auto helper = Helpers.choose(
       now, isLong ? LongQueryPatience : ShortQueryPatience, isLong);
   if (!helper)
     return;
-  const auto length = Duration::millis(
-      static_cast<int64_t>(static_cast<double>(queue->Approval->Base.millis()) +
-                           queue->Approval->PerWorkerMs *
-                               static_cast<double>(query.Workers.size())));
+  const Duration length =
+      dispatch::queryTime(*queue->Approval, query.Workers.size());
   const Instant due = Helpers.assign(*helper, length, now);
   const Duration timeout = due - now + Duration::millis(500);
   Approved.begin(query, queue->Id);
--- a/jujube/dispatch/approvals.cc
+++ b/jujube/dispatch/approvals.cc
@@ -71,6 +71,16 @@
   return Steps.at(step).Approved.at(worker).Text;
 }
 
+Instant Approvals::validUntil(const jobs::StepKey &step,
+                              const WorkerId &worker) const {
+  const auto it = Steps.find(step);
+  if (it == Steps.end())
+    return Instant();
+  const auto ticket = it->second.Approved.find(worker);
+  return ticket == it->second.Approved.end() ? Instant()
+                                             : ticket->second.ValidUntil;
+}
+
 void Approvals::expire(const jobs::StepKey &step, const WorkerId &worker) {
   const auto it = Steps.find(step);
   if (it == Steps.end())
--- a/jujube/dispatch/approvals.h
+++ b/jujube/dispatch/approvals.h
@@ -49,6 +49,8 @@
   // Valid tickets only.
   std::optional<std::string> ticket(const jobs::StepKey &step,
                                     const WorkerId &worker, Instant now) const;
+  // Until when a ticket can be used; the default Instant without one.
+  Instant validUntil(const jobs::StepKey &step, const WorkerId &worker) const;
   // A worker refused the ticket, or started anew.
   void expire(const jobs::StepKey &step, const WorkerId &worker);
   void expireWorker(const WorkerId &worker);
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -16,12 +16,22 @@
 constexpr std::size_t MaxAskedWorkers = 30;
 // Fewest, so that one refusal does not cost another call.
 constexpr std::size_t MinAskedWorkers = 4;
-// Queries whose fixed part takes this long are long. Source: a tenth of the
-// shortest objective of the queues.
-constexpr Duration LongQuery = Duration::millis(40);
-// What a worker without room for a task counts in a long query, in tasks: room
-// comes up while the query is under way.
+// The same of a long query. Source: with a quarter of the workers approved,
+// twelve that are hold a wide gang.
+constexpr std::size_t MaxAskedByLongQuery = 48;
+// Queries whose fixed part takes this long are of medium length, and long.
+// Sources: a tenth of the shortest objective of the queues, and the time for
+// naming 48 workers, about.
+constexpr Duration MediumQuery = Duration::millis(40);
+constexpr Duration LongQuery = Duration::millis(250);
+// Added to the time of a query for the ways to the host and back.
+constexpr Duration QueryOverhead = Duration::millis(100);
+// What a worker without room for a task counts in a query ahead of room, in
+// tasks: room comes up while the query is under way.
 constexpr double TasksOnFullWorker = 0.5;
+// Largest share of the workers on which room is kept for gangs, so that less
+// urgent steps go on elsewhere.
+constexpr double MaxHeldShare = 0.5;
 
 Resources demandOf(const jobs::StepSpec &step) {
   return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
@@ -175,6 +185,39 @@
       return;
     noteWait(step, step.State->Tasks.size(), false);
     askFor(step, step.State->Tasks.size());
+    holdRoomFor(step);
+  }
+
+  // Keeps less urgent steps off as many workers as the gang needs, so that room
+  // comes together there.
+  void holdRoomFor(const ReadyStep &step) {
+    const bool isLate = step.DueBy < In.WallNow + step.Spec->Estimate;
+    if (isLate)
+      return;
+    std::vector<const WorkerView *> usable;
+    for (const WorkerView &view : In.Workers)
+      if (!Held.contains(view.Who->Id) && isEligible(step, *view.Who) &&
+          isKnownApproved(step, view.Who->Id))
+        usable.push_back(&view);
+    std::ranges::sort(usable, std::greater<>(), [&](const WorkerView *view) {
+      return Free.at(view->Who->Id).MilliCpu;
+    });
+    const auto most = static_cast<std::size_t>(
+        MaxHeldShare * static_cast<double>(In.Workers.size()));
+    auto needed = static_cast<int64_t>(step.State->Tasks.size());
+    for (const WorkerView *view : usable) {
+      if (needed <= 0 || Held.size() >= most)
+        return;
+      Held.insert(view->Who->Id);
+      needed -= fitCount(step, view->Who->Capacity);
+    }
+  }
+
+  bool isKnownApproved(const ReadyStep &step, const WorkerId &worker) const {
+    if (!step.Queue->Approval)
+      return true;
+    const ApprovalState state = In.Approved.stateOf(step.Key, worker, In.Now);
+    return state == ApprovalState::Valid || state == ApprovalState::Expired;
   }
 
   bool placeOnOneRack(const ReadyStep &step, uint32_t attempt) {
@@ -234,7 +277,7 @@
     for (const WorkerView &view : In.Workers) {
       isAnyEligible |= isEligible(step, *view.Who);
       if (room < needed && hasRoom(step, view))
-        room += fitCount(step, view);
+        room += fitCount(step, Free.at(view.Who->Id));
     }
     if (!isAnyEligible)
       return WaitCause::NoWorker;
@@ -244,7 +287,7 @@
   // True if one more task of the step fits there, approval aside.
   bool hasRoom(const ReadyStep &step, const WorkerView &view) const {
     const jobs::Worker &worker = *view.Who;
-    return isEligible(step, worker) &&
+    return !Held.contains(worker.Id) && isEligible(step, worker) &&
            demandOf(*step.Spec).fitsIn(Free.at(worker.Id)) &&
            (step.Spec->MaxPerWorker == 0 ||
             tasksOn(step, worker.Id) < step.Spec->MaxPerWorker);
@@ -305,9 +348,8 @@
     Added[step.Job->Spec.Team] += step.Spec->Ask;
   }
 
-  // How many tasks of the step fit on the worker at once.
-  int64_t fitCount(const ReadyStep &step, const WorkerView &view) const {
-    Resources free = Free.at(view.Who->Id);
+  // How many tasks of the step fit into `free` on one worker.
+  static int64_t fitCount(const ReadyStep &step, Resources free) {
     const Resources demand = demandOf(*step.Spec);
     int64_t n = 0;
     const int64_t most = step.Spec->MaxPerWorker == 0
@@ -321,54 +363,101 @@
   }
 
   // Asks for approval of workers for `tasks` more tasks. Short queries name
-  // workers that have room; they are answered before it is gone. Long ones are
+  // workers that have room; they are answered before it is gone. Others are
   // made ahead, so that room that comes up later finds a valid ticket.
   void askFor(const ReadyStep &step, std::size_t tasks) {
     if (!step.Queue->Approval || In.Approved.isAsking(step.Key))
       return;
-    const bool isLong = hasLongQueries(*step.Queue->Approval);
+    const QueryLength length = lengthOf(*step.Queue->Approval);
+    const bool isLong = length == QueryLength::Long;
     std::size_t &used = isLong ? LongQueries : ShortQueries;
     if (used >= (isLong ? In.MaxLongQueries : In.MaxShortQueries))
       return;
+    jobs::ApprovalQuery query =
+        isLong ? longQuery(step) : queryFor(step, tasks);
+    if (query.Workers.empty())
+      return;
+    ++used;
+    Plan.Queries.push_back(std::move(query));
+  }
+
+  // Names workers that are expected to be enough for `tasks`; none if a gang
+  // would hardly find a place on them.
+  jobs::ApprovalQuery queryFor(const ReadyStep &step, std::size_t tasks) const {
     auto needed = static_cast<double>(tasks);
     jobs::ApprovalQuery query{step.Key};
     // Renewed tickets are sure; unknown workers may be denied.
     addAsked(step, ApprovalState::Expired, 1.0, needed, query);
     const double rate = In.Approved.approvalRate(step.Queue->Id);
     addAsked(step, ApprovalState::Unknown, rate, needed, query);
-    const bool isHopelessGang = step.Spec->IsGang && !isLong &&
-                                needed > 0.5 * static_cast<double>(tasks);
-    if (query.Workers.empty() || isHopelessGang)
-      return;
-    ++used;
-    Plan.Queries.push_back(std::move(query));
+    const bool isHopelessGang =
+        step.Spec->IsGang &&
+        lengthOf(*step.Queue->Approval) == QueryLength::Short &&
+        needed > 0.5 * static_cast<double>(tasks);
+    if (isHopelessGang)
+      query.Workers.clear();
+    return query;
+  }
+
+  // Names all workers that are not known, and renews what expires before a
+  // later query could be answered.
+  jobs::ApprovalQuery longQuery(const ReadyStep &step) const {
+    const std::vector<Candidate> unknown =
+        candidates(step, ApprovalState::Unknown);
+    const Duration lead =
+        queryTime(*step.Queue->Approval, MaxAskedWorkers) + QueryOverhead;
+    jobs::ApprovalQuery query{step.Key};
+    bool isDue = !unknown.empty();
+    for (const ApprovalState state :
+         {ApprovalState::Expired, ApprovalState::Valid})
+      for (const Candidate &it : candidates(step, state)) {
+        query.Workers.push_back(it.View->Who->Id);
+        isDue |=
+            In.Approved.validUntil(step.Key, it.View->Who->Id) < In.Now + lead;
+      }
+    if (!isDue)
+      return {step.Key};
+    for (const Candidate &it : unknown)
+      query.Workers.push_back(it.View->Who->Id);
+    if (query.Workers.size() > MaxAskedByLongQuery)
+      query.Workers.resize(MaxAskedByLongQuery);
+    return query;
   }
 
   // True if the worker may be named in a query of the step.
   bool isAskable(const ReadyStep &step, const WorkerView &view) const {
     if (view.IsDoubtful)
       return false;
-    return hasLongQueries(*step.Queue->Approval) ? isEligible(step, *view.Who)
-                                                 : hasRoom(step, view);
+    return lengthOf(*step.Queue->Approval) == QueryLength::Short
+               ? hasRoom(step, view)
+               : isEligible(step, *view.Who);
   }
 
-  void addAsked(const ReadyStep &step, ApprovalState state, double rate,
-                double &needed, jobs::ApprovalQuery &query) const {
-    struct Candidate {
-      int64_t Fit;
-      std::size_t Spread;
-      const WorkerView *View;
-    };
-    std::vector<Candidate> candidates;
+  struct Candidate {
+    int64_t Fit;
+    std::size_t Spread;
+    const WorkerView *View;
+  };
+
+  // Workers that may be asked about and are in this state, those with the most
+  // room first.
+  std::vector<Candidate> candidates(const ReadyStep &step,
+                                    ApprovalState state) const {
+    std::vector<Candidate> found;
     for (const WorkerView &view : In.Workers)
       if (isAskable(step, view) &&
           In.Approved.stateOf(step.Key, view.Who->Id, In.Now) == state)
-        candidates.push_back(
-            {fitCount(step, view), spread(step.Key, view.Who->Id), &view});
-    std::ranges::sort(candidates, std::greater<>(), [](const Candidate &it) {
+        found.push_back({fitCount(step, Free.at(view.Who->Id)),
+                         spread(step.Key, view.Who->Id), &view});
+    std::ranges::sort(found, std::greater<>(), [](const Candidate &it) {
       return std::pair(it.Fit, it.Spread);
     });
-    for (const Candidate &it : candidates) {
+    return found;
+  }
+
+  void addAsked(const ReadyStep &step, ApprovalState state, double rate,
+                double &needed, jobs::ApprovalQuery &query) const {
+    for (const Candidate &it : candidates(step, state)) {
       const bool isEnough =
           needed <= 0 && (state == ApprovalState::Expired ||
                           query.Workers.size() >= MinAskedWorkers);
@@ -388,6 +477,8 @@
   const DispatchInput &In;
   const DispatchHooks &Hooks;
   std::map<WorkerId, Resources> Free;
+  // Workers on which room is kept for a gang.
+  std::set<WorkerId> Held;
   std::map<TeamId, Resources> Added;
   std::size_t ShortQueries = 0;
   std::size_t LongQueries = 0;
@@ -409,8 +500,15 @@
          queue.LatencyTarget;
 }
 
-bool hasLongQueries(const jobs::ApprovalTerms &terms) {
-  return terms.Base >= LongQuery;
+QueryLength lengthOf(const jobs::ApprovalTerms &terms) {
+  if (terms.Base < MediumQuery)
+    return QueryLength::Short;
+  return terms.Base < LongQuery ? QueryLength::Medium : QueryLength::Long;
+}
+
+Duration queryTime(const jobs::ApprovalTerms &terms, std::size_t workers) {
+  return terms.Base + Duration::millis(static_cast<int64_t>(
+                          terms.PerWorkerMs * static_cast<double>(workers)));
 }
 
 DispatchHooks defaultHooks() {
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -96,15 +96,33 @@
   Instant Now;
   // For due times.
   Instant WallNow;
-  // Most approval queries that may be added: of queues whose queries are short,
-  // and of those whose queries are long.
+  // Most approval queries that may be added: of long ones, and of the others.
   std::size_t MaxShortQueries = 0;
   std::size_t MaxLongQueries = 0;
 };
 
-// True if a query of the queue keeps the host that makes it busy for so long
-// that short ones should not wait behind it.
-bool hasLongQueries(const jobs::ApprovalTerms &terms);
+// How long a query for approval takes, which decides when it is made.
+enum class QueryLength {
+  // It is answered before the room that it was made for is gone.
+  Short,
+  // It is made ahead of room.
+  Medium,
+  // Its fixed part exceeds what naming more workers costs: it names all that it
+  // can, and tickets are renewed before they expire. It keeps the host that
+  // makes it busy for so long that others should not wait behind it.
+  Long,
+};
+
+inline constexpr NameTable<QueryLength, 3> QueryLengthNames = {{
+    {QueryLength::Short, "short"},
+    {QueryLength::Medium, "medium"},
+    {QueryLength::Long, "long"},
+}};
+static_assert(isComplete(QueryLengthNames));
+
+QueryLength lengthOf(const jobs::ApprovalTerms &terms);
+// How long a query that names so many workers takes.
+Duration queryTime(const jobs::ApprovalTerms &terms, std::size_t workers);
 
 // Wall time at which an occurrence of a job is due.
 Instant dueAt(const jobs::Job &job, uint32_t occurrence);
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -246,6 +246,72 @@
   BOOST_TEST(bounded.Queries.empty());
 }
 
+// A book with two workers of four processors and a queue of long queries.
+jobs::JobBook longQueryBook(const std::vector<jobs::JobSpec> &specs) {
+  jobs::JobBook book =
+      approvedBook({sampleWorker("w1"), sampleWorker("w2")}, specs);
+  jobs::Configuration config = book.configuration();
+  config.Version = 3;
+  config.Queues[0].Approval = {Duration::millis(500), 7,
+                               Duration::millis(1500)};
+  book.apply(jobs::ConfigurationPut{config});
+  return book;
+}
+
+BOOST_AUTO_TEST_CASE(LongQueriesNameAllWorkersAndRenewTicketsAhead) {
+  jobs::StepSpec gang = sampleStep(8);
+  gang.IsGang = true;
+  const jobs::JobBook book = longQueryBook({sampleJob("a", {gang})});
+  Approvals approved;
+  const DispatchPlan first = planOf(book, approved);
+  BOOST_REQUIRE(first.Queries.size() == 1U);
+  BOOST_TEST(first.Queries[0].Workers.size() == 2U);
+  approved.begin(first.Queries[0], testing::SampleQueue);
+  approved.finish(first.Queries[0],
+                  {{{WorkerId("w2"), "ticket"}}, Duration::seconds(3)}, Now);
+  // The ticket outlasts a later query.
+  BOOST_TEST(planOf(book, approved).Queries.empty());
+  approved.finish(first.Queries[0],
+                  {{{WorkerId("w2"), "ticket"}}, Duration::millis(900)}, Now);
+  const DispatchPlan renewal = planOf(book, approved);
+  BOOST_REQUIRE(renewal.Queries.size() == 1U);
+  BOOST_TEST((renewal.Queries[0].Workers == std::vector{WorkerId("w2")}));
+}
+
+BOOST_AUTO_TEST_CASE(RoomIsKeptForAGangWhereItIsApproved) {
+  jobs::StepSpec gang = sampleStep(4, 1000);
+  gang.IsGang = true;
+  gang.Estimate = Duration::seconds(5);
+  jobs::JobBook book = longQueryBook({sampleJob("first", {sampleStep(4)}),
+                                      sampleJob("gang", {gang}),
+                                      sampleJob("z", {sampleStep(8)})});
+  jobs::Configuration config = book.configuration();
+  config.Version = 4;
+  config.Queues[0].LatencyTarget = Duration::seconds(30);
+  config.Queues.push_back(config.Queues[0]);
+  config.Queues[1].Id = jobs::QueueId("less_urgent");
+  config.Queues[1].PathPrefix = "/less/";
+  config.Queues[1].Priority = 1;
+  config.Queues[1].Approval.reset();
+  book.apply(jobs::ConfigurationPut{config});
+  jobs::JobSpec less = sampleJob("less", {sampleStep(8)});
+  less.Queue = jobs::QueueId("less_urgent");
+  book.apply(jobs::JobCancelled{jobs::JobId("z")});
+  book.apply(jobs::JobAccepted{less, Instant::atMillis(1000)});
+  for (uint32_t i = 0; i < 2; ++i)
+    book.apply(jobs::AttemptStarted{taskOf("first", i), 1, WorkerId("w2")});
+  Approvals approved;
+  const jobs::ApprovalQuery query{{jobs::JobId("gang"), 0, 0},
+                                  {WorkerId("w1"), WorkerId("w2")}};
+  approved.begin(query, testing::SampleQueue);
+  approved.finish(query, {{{WorkerId("w2"), "ticket"}}, Duration::seconds(3)},
+                  Now);
+  // Two processors are free on w2, where the gang waits for four.
+  const DispatchPlan plan = planOf(book, approved);
+  BOOST_TEST(plan.Starts.size() == 4U);
+  BOOST_TEST((workersOf(plan) == std::set<std::string>{"w1"}));
+}
+
 BOOST_AUTO_TEST_CASE(UrgentQueuesAndJobsThatCanStillBeInTimeGoFirst) {
   jobs::JobBook book = sampleBook({sampleWorker("w1", 1000)}, {});
   // Its objective, 1000 + 2 * 1000 + 1000, has passed at 10,000.
--- /dev/null
+++ b/testing/dispatch_load_test.cc
@@ -0,0 +1,69 @@
+// Heavy loads on the dispatcher, and what callers get.
+#include "testing/dispatch_load.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujube::testing {
+namespace {
+
+// Three queues: short urgent jobs, wide jobs of low priority, and gangs of
+// large tasks for which a quarter of the workers is approved by queries of half
+// a second and more, under tickets of a second and a half. `widePeriod` is the
+// time between wide jobs.
+std::vector<LoadKind> threeQueues(Duration widePeriod) {
+  LoadKind gang{"gang",
+                1,
+                Duration::millis(650),
+                {5, 8, 11, 4, 12, 7, 9},
+                4500,
+                Duration::millis(5000),
+                true};
+  gang.SlackFactor = 2.2;
+  gang.LatencyTarget = Duration::millis(1000);
+  gang.Approval = {Duration::millis(510), 7.2, Duration::millis(1500)};
+  gang.ApprovedPercent = 25;
+  LoadKind wide{"wide",      2,   widePeriod,
+                {8, 12, 10}, 980, Duration::millis(3400)};
+  wide.SlackFactor = 4;
+  wide.LatencyTarget = Duration::millis(3000);
+  wide.Approval = {Duration::millis(82), 1.2, Duration::millis(1500)};
+  wide.ApprovedPercent = 45;
+  LoadKind urgent{"urgent",  0,    Duration::millis(20),
+                  {2, 1, 3}, 1400, Duration::millis(800)};
+  urgent.SlackFactor = 1.5;
+  urgent.LatencyTarget = Duration::millis(250);
+  urgent.Approval = {Duration::millis(9), 0.13, Duration::millis(1500)};
+  urgent.ApprovedPercent = 70;
+  return {gang, wide, urgent};
+}
+
+// Nine tenths of the jobs of every queue are to end within their objectives.
+void checkAims(Duration widePeriod) {
+  for (const auto &[queue, result] :
+       playLoad(threeQueues(widePeriod), 48, 16'000, Duration::seconds(40),
+                Duration::seconds(12))) {
+    BOOST_TEST(result.InAim * 10 >= result.Jobs * 9,
+               queue << ": " << result.InAim << " of " << result.Jobs
+                     << " in aim, " << result.Started << " started, mean wait "
+                     << result.MeanWait.millis() << " ms");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(DispatchLoadTest)
+
+BOOST_AUTO_TEST_CASE(EveryQueueIsInTimeAtFourFifthsOfTheFleet) {
+  checkAims(Duration::millis(160));
+}
+
+BOOST_AUTO_TEST_CASE(EveryQueueIsInTimeAtNineTenthsOfTheFleet) {
+  checkAims(Duration::millis(120));
+}
+
+BOOST_AUTO_TEST_CASE(EveryQueueIsInTimeOnAFullFleet) {
+  checkAims(Duration::millis(80));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::testing
