Entry hosts are unready after 0.4 s without a leader

Cause: in a zone that is cut off, callers are refused until the balancer has seen two failed checks a second apart; a host reported itself unready only after 0.9 s, which is longer than a change of leader. One check that fails does no harm, and a change of leader does not last for two.

Change: readiness follows the leader's answers of the last 0.4 s; connections are closed after 0.9 s as before.

Test: FrontPathTest/HostThatIsCutOffIsUnreadySoonAndRefusesAtOnce.

--- a/jujube/front/front_task.cc
+++ b/jujube/front/front_task.cc
@@ -17,8 +17,13 @@
 constexpr Duration ReportPeriod = Duration::millis(150);
 constexpr Duration ReportTimeout = Duration::millis(1000);
 // The host reports itself unready when no leader has answered for this span, so
-// that callers in a zone that is cut off are taken to another one. Source:
-// longer than a change of leader.
+// that callers in a zone that is cut off are taken to another one. Source: two
+// reports and their answers; the balancer takes a host out after two checks a
+// second apart, which a change of leader does not last.
+constexpr Duration ReadyBound = Duration::millis(400);
+// Connections are closed after this span, so that callers come back to another
+// host. Source: longer than a change of leader, and before the balancer can
+// have noticed nothing is gained.
 constexpr Duration SilenceBound = Duration::millis(900);
 
 } // namespace
@@ -27,7 +32,8 @@
                      const FrontMailboxes &mailboxes,
                      runtime::TaskContext &context, wire::PacketMailbox outbox)
     : Settings(options), IsConnected(mailboxes.IsConnected),
-      Unreadable(mailboxes.Unreadable), Loop(context.loop()),
+      IsReady(mailboxes.IsReady), Unreadable(mailboxes.Unreadable),
+      Loop(context.loop()),
       Messages(Loop, Settings.Self, Settings.Listen, std::move(outbox)),
       Leader(Loop, Messages, Settings.Seeds()),
       Calls(Loop, mailboxes.Calls, mailboxes.Results) {
@@ -105,6 +111,8 @@
 
 void FrontTask::offerHelp() {
   const Instant last = Leader.lastAnswer();
+  if (last == Instant() || Loop.now() - last > ReadyBound)
+    IsReady->store(false);
   const bool isConnected =
       last != Instant() && Loop.now() - last <= SilenceBound;
   if (!isConnected) {
@@ -126,6 +134,7 @@
   const auto *members = std::get_if<jobs::Members>(&valueOf(reply));
   if (members == nullptr)
     return;
+  IsReady->store(true);
   if (!IsConnected->exchange(true))
     Line(Event::LeaderFound).with("members", members->Addresses.size());
   Leader.setMembers(members->Addresses);
--- a/jujube/front/front_task.h
+++ b/jujube/front/front_task.h
@@ -38,8 +38,11 @@
   control::ClientMailbox Clients;
   http::CallMailbox Calls;
   http::CallResults Results;
-  // True while the leader has answered lately; read by the readiness check.
+  // True while the leader has answered lately; without it connections are
+  // closed.
   std::shared_ptr<std::atomic<bool>> IsConnected;
+  // The same for a shorter span; read by the readiness check.
+  std::shared_ptr<std::atomic<bool>> IsReady;
   // True once the process is asked to stop.
   std::shared_ptr<std::atomic<bool>> IsLeaving;
   // Calls that could not be read, counted by the HTTP server's threads.
@@ -68,6 +71,7 @@
 
   FrontOptions Settings;
   std::shared_ptr<std::atomic<bool>> IsConnected;
+  std::shared_ptr<std::atomic<bool>> IsReady;
   std::shared_ptr<std::atomic<uint64_t>> Unreadable;
   runtime::PollLoop &Loop;
   wire::Messenger Messages;
--- a/testing/front_path_test.cc
+++ b/testing/front_path_test.cc
@@ -28,6 +28,7 @@
                               runtime::makeMailbox<http::CallRequest>(64),
                               runtime::makeMailbox<http::CallResult>(64),
                               std::make_shared<std::atomic<bool>>(false),
+                              std::make_shared<std::atomic<bool>>(false),
                               std::make_shared<std::atomic<bool>>(false)};
   std::unique_ptr<front::FrontTask> Front;
 
@@ -66,6 +67,7 @@
     return answer;
   }
   bool isConnected() const { return Boxes.IsConnected->load(); }
+  bool isReady() const { return Boxes.IsReady->load(); }
 };
 
 BOOST_AUTO_TEST_SUITE(FrontPathTest)
@@ -82,7 +84,9 @@
 BOOST_AUTO_TEST_CASE(HostThatIsCutOffIsUnreadySoonAndRefusesAtOnce) {
   Bed bed;
   bed.Cell.wire().cut({FrontAt});
-  bed.Cell.wire().run(Duration::millis(1300));
+  bed.Cell.wire().run(Duration::millis(700));
+  BOOST_TEST(!bed.isReady());
+  bed.Cell.wire().run(Duration::millis(600));
   BOOST_TEST(!bed.isConnected());
   const auto answer = bed.await(bed.post("a"), Duration::millis(500));
   BOOST_REQUIRE(answer.has_value());
@@ -91,6 +95,7 @@
   bed.Cell.wire().heal();
   bed.Cell.wire().run(Duration::seconds(2));
   BOOST_TEST(bed.isConnected());
+  BOOST_TEST(bed.isReady());
   // What was refused as not run never runs.
   BOOST_TEST(bed.Cell.stateOf("a") == "gone");
 }
