Steps that fill, and lasting steps that bound their unavailability, are served

Change: a task that fills takes memory but no processors from a worker's room and goes where most is left over, a quarter of the worker's processors at least. While a task that serves misses its target, the tasks that fill beside it are halved in speed every 0.6 s, and sped up by tenths once all tails are calm; a new leader sets the speed that it does not know. Nothing but a cancel ends a lasting task: one with a bound whose start had no answer is asked to start again under its attempt, where others are stopped. demandOf() had two copies; one is left.

--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -140,6 +140,7 @@
   run.FreeMilliCpu = planned.FreeMilliCpu;
   run.IsFar = planned.IsFar;
   run.Slack = planned.Slack;
+  run.Share = dispatch::FullShare;
   run.Checkpoint = Book.findTask(what.Task)->Checkpoint;
   sessionOf(what.Worker).Runs[what.Task] = std::move(run);
   sendStart(what.Worker, what.Task);
@@ -202,10 +203,12 @@
   case OrderVerdict::NoAnswer:
   case OrderVerdict::StaleFence:
     run->MayArrive = true;
-    if (run->Sends >= MaxStartSends)
-      stop(task, StopReason::StartUnanswered);
-    else
+    if (run->Sends < MaxStartSends)
       sendStart(worker, task);
+    else if (isBounded(task))
+      run->NextSend = now + StopPause;
+    else
+      stop(task, StopReason::StartUnanswered);
     return;
   case OrderVerdict::BadTicket:
     Callbacks.ExpireTicket(jobs::stepOf(task), worker);
@@ -237,6 +240,13 @@
     lose(task, *run);
 }
 
+// True if the system must not make a task of the step unavailable at will: it
+// may be at work though its start was not answered.
+bool WorkerDesk::isBounded(const jobs::TaskKey &task) const {
+  const jobs::StepSpec *spec = Book.findStep(jobs::stepOf(task));
+  return spec != nullptr && spec->IsLongRunning && spec->MaxUnavailable;
+}
+
 void WorkerDesk::stop(const jobs::TaskKey &task, StopReason why) {
   const jobs::Task *held = Book.findTask(task);
   if (held == nullptr || !held->Live)
@@ -337,9 +347,15 @@
       lose(task, run);
     return;
   }
-  for (auto &[task, run] : session.Runs)
+  for (auto &[task, run] : session.Runs) {
+    const bool isDue = run.NextSend != Instant() && now >= run.NextSend;
     if (run.Now == Phase::Stopping && !run.IsStopSent && now >= run.NextSend)
       sendStop(worker, task);
+    else if (run.Now == Phase::Starting && isDue) {
+      run.NextSend = Instant();
+      sendStart(worker, task);
+    }
+  }
   const bool hasNews = session.AckedEnds > session.ToldEnds;
   // A worker that did not answer is not used before it has.
   const bool isDoubted =
--- a/jujube/control/worker_desk.h
+++ b/jujube/control/worker_desk.h
@@ -20,6 +20,7 @@
 #include "jujube/dispatch/dispatcher.h"
 #include "jujube/dispatch/lease_clock.h"
 #include "jujube/dispatch/orders.h"
+#include "jujube/dispatch/pacing.h"
 #include "jujube/jobs/job_book.h"
 
 namespace jujube::control {
@@ -58,6 +59,9 @@
     std::function<Instant()> Now;
     // A worker refused the ticket of a step.
     std::function<void(const jobs::StepKey &, const WorkerId &)> ExpireTicket;
+    // The share that tasks which fill get next.
+    std::function<int(int share, const std::vector<dispatch::ServingTail> &)>
+        NextShare = dispatch::nextShare;
   };
 
   // `fence` rises with each leader.
@@ -128,6 +132,8 @@
     int64_t FreeMilliCpu = 0;
     bool IsFar = false;
     Duration Slack;
+    // The share that the worker has confirmed; unset if it is not known.
+    std::optional<int> Share;
     std::string Checkpoint;
   };
 
@@ -148,6 +154,9 @@
     // Ends that are being stored.
     bool IsStoring = false;
     Instant AvoidUntil;
+    // The share of tasks that fill, and when it is set next.
+    std::optional<int> FillerShare;
+    Instant NextPace;
     // Different jobs that failed since one ended well.
     std::set<jobs::JobId> FailedJobs;
     Instant DoubtUntil;
@@ -166,6 +175,12 @@
                const dispatch::OrderAnswer &answer);
   void compareLists(const WorkerId &worker, Session &session, Instant askedAt,
                     const dispatch::OrderAnswer &answer);
+  // Slows tasks that fill while tasks that serve miss their targets.
+  void pace(const WorkerId &worker, Session &session,
+            const std::vector<dispatch::RunningRow> &rows);
+  void sendPace(const WorkerId &worker, const jobs::TaskKey &task,
+                const RunState &run, int share);
+  bool isBounded(const jobs::TaskKey &task) const;
   void stopStray(const WorkerId &worker, const dispatch::RunningRow &row);
   void noteOutcome(Session &session, const jobs::TaskKey &task,
                    jobs::EndKind how);
--- a/jujube/control/worker_desk_lists.cc
+++ b/jujube/control/worker_desk_lists.cc
@@ -75,6 +75,7 @@
   if (session.Life == before)
     session.ToldEnds = std::max(session.ToldEnds, told);
   compareLists(worker, session, askedAt, answer);
+  pace(worker, session, answer.Running);
 }
 
 void WorkerDesk::compareLists(const WorkerId &worker, Session &session,
--- /dev/null
+++ b/jujube/control/worker_desk_pacing.cc
@@ -0,0 +1,75 @@
+// Tasks that fill beside tasks that serve, on one worker.
+#include <algorithm>
+#include <utility>
+
+#include "jujube/control/worker_desk.h"
+#include "jujube/logging/line.h"
+
+namespace jujube::control {
+namespace {
+
+// Between changes of the share. Source: a worker's figures are of the last half
+// second, and an order takes effect after 0.1 s.
+constexpr Duration PacePeriod = Duration::millis(600);
+// What a new leader takes the share for, which it does not know.
+constexpr int UnknownShare = 50;
+
+} // namespace
+
+void WorkerDesk::pace(const WorkerId &worker, Session &session,
+                      const std::vector<dispatch::RunningRow> &rows) {
+  const Instant now = Callbacks.Now();
+  std::vector<dispatch::ServingTail> tails;
+  for (const dispatch::RunningRow &row : rows) {
+    const jobs::StepSpec *spec = Book.findStep(jobs::stepOf(row.Task));
+    if (spec != nullptr && spec->ResponseTarget > Duration() && row.Tail)
+      tails.push_back({*row.Tail, spec->ResponseTarget});
+  }
+  std::vector<std::pair<jobs::TaskKey, RunState *>> fillers;
+  for (auto &[task, run] : session.Runs) {
+    const jobs::StepSpec *spec = Book.findStep(jobs::stepOf(task));
+    if (spec != nullptr && spec->IsFiller && run.Now == Phase::Running)
+      fillers.emplace_back(task, &run);
+  }
+  if (fillers.empty() || now < session.NextPace)
+    return;
+  session.NextPace = now + PacePeriod;
+  const bool isKnown = std::ranges::all_of(
+      fillers, [](const auto &it) { return it.second->Share.has_value(); });
+  const int before = session.FillerShare.value_or(isKnown ? dispatch::FullShare
+                                                          : UnknownShare);
+  const int share = Callbacks.NextShare(before, tails);
+  session.FillerShare = share;
+  for (const auto &[task, run] : fillers)
+    if (run->Share != share)
+      sendPace(worker, task, *run, share);
+}
+
+void WorkerDesk::sendPace(const WorkerId &worker, const jobs::TaskKey &task,
+                          const RunState &run, int share) {
+  const std::optional<Address> at = addressOf(worker);
+  if (!at)
+    return;
+  logging::Line(logging::Event::TaskPaced)
+      .with("job", task.Job)
+      .with("step", task.Step)
+      .with("index", task.Index)
+      .with("attempt", run.Attempt)
+      .with("worker", worker)
+      .with("percent", share);
+  const uint32_t attempt = run.Attempt;
+  Callbacks.Send(
+      {worker, *at, dispatch::PaceOrder{task, attempt, share, Fence}},
+      OrderTimeout,
+      [this, worker, task, attempt,
+       share](const dispatch::OrderAnswer &answer) {
+        (void)noteAnswer(worker, sessionOf(worker), answer);
+        RunState *held = findRun(worker, task, attempt);
+        if (held != nullptr)
+          held->Share = answer.Verdict == dispatch::OrderVerdict::Accepted
+                            ? std::optional(share)
+                            : std::nullopt;
+      });
+}
+
+} // namespace jujube::control
--- a/jujube/control/worker_desk_test.cc
+++ b/jujube/control/worker_desk_test.cc
@@ -299,6 +299,95 @@
   BOOST_TEST(std::get<StopOrder>(sent->What.What).Fence == Fence);
 }
 
+// Job a serves, job b fills; both run on w1.
+struct FillingBed : Bed {
+  FillingBed() : Bed(bookOf()) {
+    announce();
+    for (const char *job : {"a", "b"}) {
+      const jobs::AttemptStarted event{taskOf(job, 0), 1, W1};
+      Book.apply(event);
+      Desk->start({event, ""});
+      answer<StartOrder>(OrderVerdict::Accepted);
+    }
+  }
+  static jobs::JobBook bookOf() {
+    jobs::StepSpec serving = sampleStep(1);
+    serving.IsLongRunning = true;
+    serving.ResponseTarget = Duration::millis(100);
+    jobs::StepSpec filler = sampleStep(1);
+    filler.IsFiller = true;
+    return sampleBook({},
+                      {sampleJob("a", {serving}), sampleJob("b", {filler})});
+  }
+  // The worker lists both; the one that serves has this tail.
+  void listTail(int64_t ms) {
+    Time.advance(Duration::millis(600));
+    list({{taskOf("a", 0), 1, "", 100, Duration::millis(ms)},
+          {taskOf("b", 0), 1, "", 30}},
+         {});
+  }
+  std::optional<int> takePace(OrderVerdict verdict) {
+    auto sent = take<dispatch::PaceOrder>();
+    if (!sent)
+      return std::nullopt;
+    OrderAnswer reply;
+    reply.Verdict = verdict;
+    sent->Done(reply);
+    const auto &order = std::get<dispatch::PaceOrder>(sent->What.What);
+    BOOST_TEST((order.Task == taskOf("b", 0)));
+    BOOST_TEST(order.Fence == Fence);
+    return order.Percent;
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(TasksThatFillAreSlowedWhileATargetIsMissed,
+                        FillingBed) {
+  listTail(50);
+  BOOST_TEST(!takePace(OrderVerdict::Accepted).has_value());
+  listTail(150);
+  BOOST_TEST(takePace(OrderVerdict::Accepted).value_or(-1) == 50);
+  listTail(150);
+  BOOST_TEST(takePace(OrderVerdict::NoAnswer).value_or(-1) == 25);
+  // An order that may not have arrived is sent again.
+  listTail(90);
+  BOOST_TEST(takePace(OrderVerdict::Accepted).value_or(-1) == 25);
+  listTail(90);
+  BOOST_TEST(!takePace(OrderVerdict::Accepted).has_value());
+  listTail(50);
+  BOOST_TEST(takePace(OrderVerdict::Accepted).value_or(-1) == 35);
+}
+
+BOOST_FIXTURE_TEST_CASE(NewLeaderSetsASpeedThatItDoesNotKnow, FillingBed) {
+  Bed next(Book);
+  next.Desk->takeOver();
+  next.announce();
+  next.list({{taskOf("a", 0), 1, "", 100, Duration::millis(50)},
+             {taskOf("b", 0), 1, "", 30}},
+            {});
+  auto sent = next.take<dispatch::PaceOrder>();
+  BOOST_REQUIRE(sent.has_value());
+  BOOST_TEST(std::get<dispatch::PaceOrder>(sent->What.What).Percent == 60);
+}
+
+// A lasting task with a bound may be at work though no start was answered: it
+// is asked to start again rather than stopped.
+BOOST_AUTO_TEST_CASE(LastingTaskWithABoundIsNotStoppedForWantOfAnAnswer) {
+  jobs::StepSpec lasting = sampleStep(1);
+  lasting.IsLongRunning = true;
+  lasting.MaxUnavailable = 0;
+  Bed bed(sampleBook({}, {sampleJob("a", {lasting})}));
+  bed.announce();
+  bed.start();
+  for (int i = 0; i < 3; ++i)
+    bed.answer<StartOrder>(OrderVerdict::NoAnswer);
+  bed.Time.advance(Duration::millis(400));
+  bed.Desk->tick();
+  BOOST_TEST(!bed.take<StopOrder>().has_value());
+  auto again = bed.take<StartOrder>();
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST(std::get<StartOrder>(again->What.What).Attempt == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StrayAttemptIsStopped) {
   RunningBed bed;
   bed.list({runningRow(), {taskOf("gone", 0), 3, "", 50}}, {});
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -32,11 +32,9 @@
 // Largest share of the workers on which room is kept for gangs, so that less
 // urgent steps go on elsewhere.
 constexpr double MaxHeldShare = 0.5;
-
-Resources demandOf(const jobs::StepSpec &step) {
-  return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
-                       : step.Ask;
-}
+// Tasks that fill may ask for this part of a worker's processors though all are
+// given away. Source: tasks use less than they ask for.
+constexpr int64_t FillerPart = 4;
 
 bool hasLabel(const jobs::Worker &worker, const std::string &label) {
   return label.empty() ||
@@ -60,9 +58,11 @@
 public:
   Pass(const DispatchInput &input, const DispatchHooks &hooks)
       : In(input), Hooks(hooks) {
-    for (const WorkerView &view : In.Workers)
-      Free[view.Who->Id] =
-          view.Who->Capacity - In.Book.loadOf(view.Who->Id).Used;
+    for (const WorkerView &view : In.Workers) {
+      const jobs::Load &load = In.Book.loadOf(view.Who->Id);
+      Free[view.Who->Id] = view.Who->Capacity - load.Used;
+      Filling[view.Who->Id] = load.FillerMilliCpu;
+    }
   }
 
   DispatchPlan run() {
@@ -233,12 +233,14 @@
   bool placeAll(const ReadyStep &step, uint32_t attempt,
                 const std::string *rack) {
     const auto freeBefore = Free;
+    const auto fillingBefore = Filling;
     const auto addedBefore = Added;
     const std::size_t startsBefore = Plan.Starts.size();
     for (uint32_t i = 0; i < step.State->Tasks.size(); ++i) {
       const Choice choice = choose(step, rack);
       if (choice.Who == nullptr) {
         Free = freeBefore;
+        Filling = fillingBefore;
         Added = addedBefore;
         Plan.Starts.resize(startsBefore);
         return false;
@@ -289,10 +291,22 @@
     const jobs::Worker &worker = *view.Who;
     return !Held.contains(worker.Id) && isEligible(step, worker) &&
            demandOf(*step.Spec).fitsIn(Free.at(worker.Id)) &&
+           (!step.Spec->IsFiller || mayFill(step, worker)) &&
            (step.Spec->MaxPerWorker == 0 ||
             tasksOn(step, worker.Id) < step.Spec->MaxPerWorker);
   }
 
+  // Processors that the other tasks leave, less those of tasks that fill.
+  int64_t leftOver(const jobs::Worker &worker) const {
+    return std::max(Free.at(worker.Id).MilliCpu,
+                    worker.Capacity.MilliCpu / FillerPart) -
+           Filling.at(worker.Id);
+  }
+
+  bool mayFill(const ReadyStep &step, const jobs::Worker &worker) const {
+    return step.Spec->Ask.MilliCpu <= leftOver(worker);
+  }
+
   // True if the worker could run a task of the step if it were empty.
   static bool isEligible(const ReadyStep &step, const jobs::Worker &worker) {
     return worker.Pool == step.Queue->Pool &&
@@ -300,11 +314,13 @@
            hasLabel(worker, step.Spec->RequiredLabel);
   }
 
-  // Lower goes first: sound workers, those near the data, the tightest fit.
+  // Lower goes first: sound workers, those near the data, the tightest fit; for
+  // tasks that fill, the worker that has most left over.
   std::tuple<bool, bool, int64_t> rankOf(const ReadyStep &step,
                                          const WorkerView &view) const {
     return {view.IsDoubtful, isFar(step, *view.Who),
-            Free.at(view.Who->Id).MilliCpu};
+            step.Spec->IsFiller ? -leftOver(*view.Who)
+                                : Free.at(view.Who->Id).MilliCpu};
   }
 
   static bool isFar(const ReadyStep &step, const jobs::Worker &worker) {
@@ -345,6 +361,8 @@
                            isFar(step, *choice.Who),
                            step.DueBy - In.WallNow});
     free -= demandOf(*step.Spec);
+    Filling[choice.Who->Id] +=
+        step.Spec->IsFiller ? step.Spec->Ask.MilliCpu : 0;
     Added[step.Job->Spec.Team] += step.Spec->Ask;
   }
 
@@ -477,6 +495,8 @@
   const DispatchInput &In;
   const DispatchHooks &Hooks;
   std::map<WorkerId, Resources> Free;
+  // Processors that tasks which fill ask for.
+  std::map<WorkerId, int64_t> Filling;
   // Workers on which room is kept for a gang.
   std::set<WorkerId> Held;
   std::map<TeamId, Resources> Added;
--- a/jujube/dispatch/orders.h
+++ b/jujube/dispatch/orders.h
@@ -42,10 +42,19 @@
   Duration Wait;
 };
 
+// Lets a running task work at a share of its speed.
+struct PaceOrder {
+  jobs::TaskKey Task;
+  uint32_t Attempt = 0;
+  // 0 to 100; a task starts at 100.
+  int Percent = 100;
+  uint64_t Fence = 0;
+};
+
 struct Order {
   WorkerId To;
   Address At;
-  std::variant<StartOrder, StopOrder, LeaseOrder> What;
+  std::variant<StartOrder, StopOrder, LeaseOrder, PaceOrder> What;
 };
 
 enum class OrderVerdict {
@@ -87,6 +96,8 @@
   std::string Checkpoint;
   // Progress, 0 to 100.
   int32_t Percent = 0;
+  // Of a task that serves, the tail of its response times.
+  std::optional<Duration> Tail;
 };
 struct EndedRow {
   uint64_t Number = 0;
--- a/jujube/dispatch/servable.cc
+++ b/jujube/dispatch/servable.cc
@@ -32,10 +32,6 @@
                             [i](uint32_t before) { return before >= i; }))
       return impossible(absl::StrCat("step ", i, " waits for a later step"),
                         "name earlier steps only");
-    if (step.IsFiller || step.MaxUnavailable)
-      return impossible(
-          absl::StrCat("step ", i, " fills or bounds its unavailability"),
-          "this version does not serve such steps");
   }
   if (tasks * std::max<uint32_t>(spec.Occurrences, 1) > MaxTasks)
     return impossible("the job has more than 4096 tasks", "split the job");
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -318,7 +318,7 @@
   return makeServer(
       "http", std::move(options),
       [requests](SocketStream &stream) { return requests->process(stream); },
-      isHealthy);
+      std::move(isHealthy));
 }
 
 Result<runtime::ChildSpec> exchangeServerTask(const std::string &name,
@@ -330,7 +330,7 @@
   return makeServer(
       name, std::move(options),
       [requests](SocketStream &stream) { return requests->process(stream); },
-      isHealthy);
+      std::move(isHealthy));
 }
 
 } // namespace jujube::http
--- a/jujube/jobs/job_book.cc
+++ b/jujube/jobs/job_book.cc
@@ -21,12 +21,6 @@
   return job.Rounds[key.Occurrence].Steps[key.Step];
 }
 
-// What a run takes from its worker's capacity.
-Resources demandOf(const StepSpec &step) {
-  return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
-                       : step.Ask;
-}
-
 } // namespace
 
 void JobBook::apply(const Event &event) {
@@ -256,6 +250,7 @@
   const StepSpec &spec = specOf(job, key);
   Load &load = Loads[worker];
   load.Used += demandOf(spec);
+  load.FillerMilliCpu += spec.IsFiller ? spec.Ask.MilliCpu : 0;
   load.Tasks.insert(key);
   Used[job.Spec.Team] += spec.Ask;
 }
@@ -265,6 +260,7 @@
   const StepSpec &spec = specOf(job, key);
   Load &load = Loads[worker];
   load.Used -= demandOf(spec);
+  load.FillerMilliCpu -= spec.IsFiller ? spec.Ask.MilliCpu : 0;
   load.Tasks.erase(key);
   if (load.Tasks.empty())
     Loads.erase(worker);
--- a/jujube/jobs/job_book.h
+++ b/jujube/jobs/job_book.h
@@ -77,6 +77,8 @@
 // What runs or may run on a worker, and for a team.
 struct Load {
   Resources Used;
+  // Processors that tasks which fill ask for; they are not in Used.
+  int64_t FillerMilliCpu = 0;
   std::set<TaskKey> Tasks;
 };
 
--- a/jujube/jobs/types.h
+++ b/jujube/jobs/types.h
@@ -98,6 +98,12 @@
   bool operator==(const StepSpec &) const = default;
 };
 
+// What a running task of the step takes from its worker's capacity.
+inline Resources demandOf(const StepSpec &step) {
+  return step.IsFiller ? Resources{0, step.Ask.MemoryMb, step.Ask.Accelerators}
+                       : step.Ask;
+}
+
 // What a caller hands in.
 struct JobSpec {
   JobId Id;
--- a/testing/control_path_test.cc
+++ b/testing/control_path_test.cc
@@ -74,6 +74,48 @@
   BOOST_TEST(waits->Max > 100);
 }
 
+BOOST_AUTO_TEST_CASE(TaskThatFillsYieldsToOneThatServes) {
+  ControlCellOptions options;
+  options.Workers = 1;
+  ControlCell cell(options);
+  jobs::StepSpec serving = sampleStep(1);
+  serving.IsLongRunning = true;
+  serving.ResponseTarget = Duration::millis(120);
+  serving.MaxUnavailable = 0;
+  jobs::JobSpec desk = sampleJob("a", {serving});
+  desk.Payload = "60000";
+  jobs::StepSpec filler = sampleStep(1);
+  filler.IsFiller = true;
+  jobs::JobSpec invoices = sampleJob("b", {filler});
+  invoices.Payload = "30000";
+  requireOk(cell.submit(desk));
+  requireOk(cell.submit(invoices));
+  cell.wire().run(Duration::seconds(4));
+  // Both at full speed have a tail of 160 ms; half of it is calm again.
+  BOOST_TEST(cell.workers().shareOf("a.0.0.0") == 100);
+  const int share = cell.workers().shareOf("b.0.0.0");
+  BOOST_TEST(share > 0);
+  BOOST_TEST(share <= 50);
+  BOOST_TEST(cell.stateOf("a") == "running");
+  checkPromises(cell, cell.workers());
+}
+
+BOOST_AUTO_TEST_CASE(LastingTaskIsStartedAgainHoweverItEnds) {
+  ControlCell cell({});
+  jobs::StepSpec lasting = sampleStep(1);
+  lasting.IsLongRunning = true;
+  lasting.MaxUnavailable = 1;
+  jobs::JobSpec job = sampleJob("a", {lasting});
+  job.Payload = "fail";
+  requireOk(cell.submit(job));
+  cell.wire().run(Duration::seconds(3));
+  BOOST_TEST(startsOf(cell, cell.workers()) > 3);
+  BOOST_TEST(cell.stateOf("a") == "running");
+  (void)cell.execute(
+      jobs::CancelJob{{"a.example", "/plans/", "key-a"}, jobs::JobId("a")});
+  BOOST_TEST(cell.awaitState("a", "cancelled"));
+}
+
 BOOST_AUTO_TEST_CASE(JobThatAlwaysFailsIsFailedAfterItsAttempts) {
   ControlCell cell({});
   jobs::JobSpec job = sampleJob("a", {sampleStep(1)});
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -85,6 +85,12 @@
     return start(worker, call.Body);
   if (call.Target == "/run-stop")
     return stop(worker, call.Body);
+  if (call.Target == "/pace") {
+    const auto it = worker.Tasks.find(body["task"]);
+    if (it != worker.Tasks.end())
+      it->second.Percent = body["percent"];
+    return {200, Json{{"clockMs", clockOf(worker)}}.dump()};
+  }
   acknowledge(worker, body.value("ackCursor", uint64_t{0}));
   return {200, lists(worker)};
 }
@@ -132,10 +138,17 @@
   return {200, Json{{"clockMs", clockOf(worker)}}.dump()};
 }
 
+int64_t PlatformWorkers::tailOn(const Worker &worker) const {
+  int64_t tail = 0;
+  for (const auto &[task, run] : worker.Tasks)
+    tail += CalmTail.millis() * run.Percent / 100;
+  return tail;
+}
+
 std::string PlatformWorkers::lists(const Worker &worker) const {
   Json running = Json::array();
   for (const auto &[task, run] : worker.Tasks)
-    running.push_back({task, run.Attempt, "", 50});
+    running.push_back({task, run.Attempt, "", 50, tailOn(worker)});
   Json finished = Json::array();
   for (const Ended &it : worker.Ends)
     finished.push_back({it.Number, it.Task, it.Attempt, it.How, ""});
@@ -203,6 +216,13 @@
   ++worker.Born;
 }
 
+int PlatformWorkers::shareOf(const std::string &task) const {
+  for (const auto &[id, worker] : Workers)
+    if (const auto it = worker.Tasks.find(task); it != worker.Tasks.end())
+      return it->second.Percent;
+  return -1;
+}
+
 std::size_t PlatformWorkers::running() const {
   std::size_t n = 0;
   for (const auto &[id, worker] : Workers)
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -45,6 +45,9 @@
   // Starts that were carried out, by task.
   const std::map<std::string, int> &starts() const { return Starts; }
   std::size_t running() const;
+  // The share of its speed that a running task was last given; -1 if the task
+  // does not run.
+  int shareOf(const std::string &task) const;
   // Two runs of one task, a start after an end that was acknowledged, or a
   // worker over its capacity.
   const std::vector<std::string> &violations() const { return Violations; }
@@ -56,6 +59,7 @@
     Instant Ends;
     bool Fails = false;
     Resources Ask;
+    int Percent = 100;
   };
   struct Ended {
     uint64_t Number = 0;
@@ -88,10 +92,15 @@
     std::vector<Late> Orders;
   };
 
+  // A task's part of the tail at full speed.
+  static constexpr Duration CalmTail = Duration::millis(80);
+
   http::OutboundAnswer execute(Worker &worker, const http::OutboundCall &call);
   http::OutboundAnswer start(Worker &worker, const std::string &body);
   http::OutboundAnswer stop(Worker &worker, const std::string &body);
   std::string lists(const Worker &worker) const;
+  // What all tasks of a worker are said to have as tail: each adds its share.
+  int64_t tailOn(const Worker &worker) const;
   void end(Worker &worker, const std::string &task, const std::string &how);
   void acknowledge(Worker &worker, uint64_t upTo);
   int64_t clockOf(const Worker &worker) const;
