--- a/jujube/control/control_client.cc
+++ b/jujube/control/control_client.cc
@@ -25,7 +25,7 @@
 // caller can try another host or come back. Source: a quarter of the shortest
 // objective of the queues.
 constexpr Duration RefuseAfter = Duration::millis(350);
-// The same while members answer that they do not lead: a leader is being
+// The same while most members answer that they do not lead: a leader is being
 // elected, which takes less than this, and coming back would take longer.
 constexpr Duration RefuseWhileElectingAfter = Duration::millis(900);
 // Members that have answered within this span take part in an election. Source:
@@ -67,10 +67,16 @@
 bool ControlClient::isRefused(const Request &request) const {
   if (request.MayHaveRun || request.IsSeeking)
     return false;
-  const bool isElecting =
-      LastSign != Instant() && Loop.now() - LastSign <= ElectingSign;
   return Loop.now() - request.Began >=
-         (isElecting ? RefuseWhileElectingAfter : RefuseAfter);
+         (isElecting() ? RefuseWhileElectingAfter : RefuseAfter);
+}
+
+// A minority can't elect a leader: it is cut off together with this host.
+bool ControlClient::isElecting() const {
+  const auto n = std::ranges::count_if(Signs, [this](const auto &it) {
+    return Loop.now() - it.second <= ElectingSign;
+  });
+  return static_cast<std::size_t>(n) > Members.size() / 2;
 }
 
 void ControlClient::attempt(const RequestPtr &request) {
@@ -120,7 +126,7 @@
     return;
   }
   if (refusal->Why.Kind == ErrorKind::NotLeader) {
-    LastSign = Loop.now();
+    Signs[from] = Loop.now();
     follow(refusal->Leader, from);
     retry(request);
   } else if (refusal->Why.Kind == ErrorKind::Unavailable) {
--- a/jujube/control/control_client.h
+++ b/jujube/control/control_client.h
@@ -51,8 +51,8 @@
   // `timeout` has passed. Nothing is sent to a leader that has been silent, so
   // that what can't be served is surely not taken. Ends with the leader's
   // error, with NotRun if no leader took it, or with OutcomeUnknown if one may
-  // have. Without a leader it is given up soon, but not while members are
-  // electing one.
+  // have. Without a leader it is given up soon, but not while most members are
+  // there to elect one.
   void call(jobs::Command what, Duration timeout, Done done);
 
 private:
@@ -70,6 +70,7 @@
   bool isLeaderSilent() const;
   // True if a command that no leader can have taken is given up now.
   bool isRefused(const Request &request) const;
+  bool isElecting() const;
   bool isSuspect(const Address &member) const;
   void attempt(const RequestPtr &request);
   void handle(const RequestPtr &request, const Address &from,
@@ -82,8 +83,8 @@
   std::vector<Address> Members;
   std::size_t Current = 0;
   Instant LastAnswer;
-  // When a member last answered that it does not lead.
-  Instant LastSign;
+  // When members last answered that they do not lead.
+  std::map<Address, Instant> Signs;
   // Members that did not answer, and until when they are not followed to.
   std::map<Address, Instant> Suspects;
 };
--- a/testing/front_path_test.cc
+++ b/testing/front_path_test.cc
@@ -100,6 +100,18 @@
   BOOST_TEST(bed.Cell.stateOf("a") == "gone");
 }
 
+// One member that answers can't elect a leader.
+BOOST_AUTO_TEST_CASE(HostCutOffWithAMinorityRefusesSoon) {
+  Bed bed;
+  const int near = bed.Cell.leader() == 1 ? 2 : 1;
+  bed.Cell.wire().cut({FrontAt, Address{absl::StrCat("10.0.0.", near), 7420}});
+  bed.Cell.wire().run(Duration::millis(800));
+  const auto answer = bed.await(bed.post("a"), Duration::millis(450));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_REQUIRE(!isOk(*answer));
+  BOOST_TEST((errorOf(*answer).Kind == ErrorKind::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(JobThatMayHaveArrivedIsNotCalledNotRun) {
   Bed bed;
   const auto slot = bed.post("a");
