Retries go to other workers, and workers that fail often are doubted

A task that failed frees the worker that fits tightest, so its next attempt went back there; one task that ended well cleared all doubt.

Change: the book keeps where a task failed last, and the step's next attempts go there last. A worker is doubted after 3 different jobs in a row or 4 among its last 8 ends, for 5 s, then twice as long each time up to 40 s; an end that went well does not cut that short.

Tests: ControlPathTest/JobsOutliveAWorkerThatFailsEverything, DispatcherTest/RetryGoesToAnotherWorker, WorkerDeskTest/WorkerThatFailsOftenIsDoubtedThoughSomeEndWell, WorkerThatGoesOnFailingIsDoubtedForLonger.

--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -106,7 +106,7 @@
   session.Sequence = 0;
   session.AckedEnds = 0;
   session.ToldEnds = 0;
-  session.FailedJobs.clear();
+  session.Outcomes.clear();
   session.Clock = dispatch::LeaseClock(Leases, Callbacks.Now());
 }
 
--- a/jujube/control/worker_desk.h
+++ b/jujube/control/worker_desk.h
@@ -9,6 +9,7 @@
 #define JUJUBE_CONTROL_WORKER_DESK_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -105,6 +106,12 @@
   // round trips between zones.
   static constexpr Duration OrderTimeout = Duration::millis(250);
 
+  // How long a worker that fails is used only if no other one will do; doubled
+  // each time, up to the last. Sources: ten short tasks; as long as such a
+  // worker stays in the fleet.
+  static constexpr Duration FirstDoubt = Duration::seconds(5);
+  static constexpr Duration LastDoubt = Duration::seconds(40);
+
   enum class Phase {
     // The start was sent and is not answered.
     Starting,
@@ -157,9 +164,11 @@
     // The share of tasks that fill, and when it is set next.
     std::optional<int> FillerShare;
     Instant NextPace;
-    // Different jobs that failed since one ended well.
-    std::set<jobs::JobId> FailedJobs;
+    // The jobs of its last ends that failed, empty ones for those that did not.
+    std::deque<jobs::JobId> Outcomes;
     Instant DoubtUntil;
+    // How long it is doubted next.
+    Duration NextDoubt = FirstDoubt;
   };
 
   Session &sessionOf(const WorkerId &worker);
--- a/jujube/control/worker_desk_lists.cc
+++ b/jujube/control/worker_desk_lists.cc
@@ -18,10 +18,19 @@
 constexpr Duration ListTimeout = Duration::millis(1000);
 // Pauses after orders without an answer.
 constexpr Duration AskPause = Duration::millis(150);
-// After failures of this many different jobs in a row, a worker is used only if
-// no other one will do.
-constexpr std::size_t DoubtAfterJobs = 3;
-constexpr Duration DoubtSpan = Duration::seconds(5);
+// A worker is used only if no other one will do after failures of this many
+// different jobs in a row, or among its last ends. Source: one task in twenty
+// fails by its own fault.
+constexpr std::size_t DoubtAfterInARow = 3;
+constexpr std::size_t DoubtAfterOfKept = 4;
+constexpr std::size_t OutcomesKept = 8;
+
+// Different jobs among outcomes; those that ended well are empty.
+std::size_t countJobs(std::deque<jobs::JobId>::const_iterator begin,
+                      std::deque<jobs::JobId>::const_iterator end) {
+  const std::set<jobs::JobId> jobs(begin, end);
+  return jobs.size() - jobs.count(jobs::JobId());
+}
 
 } // namespace
 
@@ -148,13 +157,25 @@
 
 void WorkerDesk::noteOutcome(Session &session, const jobs::TaskKey &task,
                              EndKind how) {
-  if (how == EndKind::Done) {
-    session.FailedJobs.clear();
-    session.DoubtUntil = Instant();
-  } else if (how == EndKind::Failed) {
-    session.FailedJobs.insert(task.Job);
-    if (session.FailedJobs.size() >= DoubtAfterJobs)
-      session.DoubtUntil = Callbacks.Now() + DoubtSpan;
+  if (how != EndKind::Done && how != EndKind::Failed)
+    return;
+  session.Outcomes.push_back(how == EndKind::Failed ? task.Job : jobs::JobId());
+  if (session.Outcomes.size() > OutcomesKept)
+    session.Outcomes.pop_front();
+  const Instant now = Callbacks.Now();
+  if (now < session.DoubtUntil)
+    return;
+  const auto isDone = [](const jobs::JobId &job) { return job.empty(); };
+  const std::size_t all =
+      countJobs(session.Outcomes.begin(), session.Outcomes.end());
+  const auto lastDone =
+      std::find_if(session.Outcomes.rbegin(), session.Outcomes.rend(), isDone);
+  const std::size_t inARow = countJobs(lastDone.base(), session.Outcomes.end());
+  if (inARow >= DoubtAfterInARow || all >= DoubtAfterOfKept) {
+    session.DoubtUntil = now + session.NextDoubt;
+    session.NextDoubt = std::min(session.NextDoubt * 2, LastDoubt);
+  } else if (all <= 1) {
+    session.NextDoubt = FirstDoubt;
   }
 }
 
--- a/jujube/control/worker_desk_test.cc
+++ b/jujube/control/worker_desk_test.cc
@@ -299,6 +299,67 @@
   BOOST_TEST(std::get<StopOrder>(sent->What.What).Fence == Fence);
 }
 
+BOOST_AUTO_TEST_CASE(WorkerThatGoesOnFailingIsDoubtedForLonger) {
+  std::vector<jobs::JobSpec> specs;
+  for (int i = 0; i < 5; ++i)
+    specs.push_back(sampleJob("j" + std::to_string(i), {sampleStep(1)}));
+  Bed bed(sampleBook({}, specs));
+  bed.announce();
+  uint64_t number = 0;
+  const auto fail = [&](int job) {
+    const jobs::TaskKey task = taskOf("j" + std::to_string(job), 0);
+    const jobs::AttemptStarted event{task, 1, W1};
+    bed.Book.apply(event);
+    bed.Desk->start({event, ""});
+    bed.answer<StartOrder>(OrderVerdict::Accepted);
+    bed.list({}, {{++number, task, 1, jobs::EndKind::Failed, ""}});
+    bed.storeAll();
+  };
+  const auto isDoubted = [&] {
+    bed.announce();
+    const auto views = bed.Desk->usable();
+    BOOST_REQUIRE(views.size() == 1U);
+    return views[0].IsDoubtful;
+  };
+  fail(0);
+  fail(1);
+  BOOST_TEST(!isDoubted());
+  fail(2);
+  BOOST_TEST(isDoubted());
+  bed.Time.advance(Duration::millis(5100));
+  BOOST_TEST(!isDoubted());
+  // One more is enough now, and lasts twice as long.
+  fail(3);
+  BOOST_TEST(isDoubted());
+  bed.Time.advance(Duration::millis(6000));
+  BOOST_TEST(isDoubted());
+  bed.Time.advance(Duration::millis(5000));
+  BOOST_TEST(!isDoubted());
+}
+
+// Load: a worker that fails every second task.
+BOOST_AUTO_TEST_CASE(WorkerThatFailsOftenIsDoubtedThoughSomeEndWell) {
+  std::vector<jobs::JobSpec> specs;
+  for (int i = 0; i < 8; ++i)
+    specs.push_back(sampleJob("j" + std::to_string(i), {sampleStep(1)}));
+  Bed bed(sampleBook({}, specs));
+  bed.announce();
+  for (int i = 0; i < 8; ++i) {
+    const jobs::TaskKey task = taskOf("j" + std::to_string(i), 0);
+    const jobs::AttemptStarted event{task, 1, W1};
+    bed.Book.apply(event);
+    bed.Desk->start({event, ""});
+    bed.answer<StartOrder>(OrderVerdict::Accepted);
+    bed.list({},
+             {{static_cast<uint64_t>(i) + 1, task, 1,
+               i % 2 == 0 ? jobs::EndKind::Failed : jobs::EndKind::Done, ""}});
+    bed.storeAll();
+    bed.announce();
+    BOOST_REQUIRE(bed.Desk->usable().size() == 1U);
+    BOOST_TEST(bed.Desk->usable()[0].IsDoubtful == (i >= 6));
+  }
+}
+
 // Job a serves, job b fills; both run on w1.
 struct FillingBed : Bed {
   FillingBed() : Bed(bookOf()) {
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -112,10 +112,19 @@
                        &job.Spec.Steps[s],
                        &state,
                        &queue,
-                       objectiveOf(job, queue, occurrence)});
+                       objectiveOf(job, queue, occurrence),
+                       failedOn(state)});
     }
   }
 
+  static std::set<WorkerId> failedOn(const jobs::StepState &state) {
+    std::set<WorkerId> workers;
+    for (const jobs::Task &task : state.Tasks)
+      if (!task.IsDone && !task.LastFailedOn.empty())
+        workers.insert(task.LastFailedOn);
+    return workers;
+  }
+
   // Most further tasks that the team may have running.
   int64_t teamRoom(const ReadyStep &step) {
     const jobs::Team *team =
@@ -314,11 +323,13 @@
            hasLabel(worker, step.Spec->RequiredLabel);
   }
 
-  // Lower goes first: sound workers, those near the data, the tightest fit; for
-  // tasks that fill, the worker that has most left over.
-  std::tuple<bool, bool, int64_t> rankOf(const ReadyStep &step,
-                                         const WorkerView &view) const {
-    return {view.IsDoubtful, isFar(step, *view.Who),
+  // Lower goes first: sound workers, those on which the step has not failed,
+  // those near the data, the tightest fit; for tasks that fill, the worker that
+  // has most left over.
+  std::tuple<bool, bool, bool, int64_t> rankOf(const ReadyStep &step,
+                                               const WorkerView &view) const {
+    return {view.IsDoubtful, step.FailedOn.contains(view.Who->Id),
+            isFar(step, *view.Who),
             step.Spec->IsFiller ? -leftOver(*view.Who)
                                 : Free.at(view.Who->Id).MilliCpu};
   }
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   const jobs::Queue *Queue = nullptr;
   // Latest wall time at which it should be done to meet its job's objective.
   Instant DueBy;
+  // Workers on which tasks of the step that wait have failed.
+  std::set<WorkerId> FailedOn;
 };
 
 // Behaviour that varies; each has a default.
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -188,6 +188,21 @@
   BOOST_TEST((workersOf(plan) == std::set<std::string>{"w1"}));
 }
 
+BOOST_AUTO_TEST_CASE(RetryGoesToAnotherWorker) {
+  // w1 is the tighter fit.
+  jobs::JobBook book =
+      sampleBook({sampleWorker("w1", 2000), sampleWorker("w2")},
+                 {sampleJob("a", {sampleStep(1)})});
+  BOOST_TEST((workersOf(planOf(book)) == std::set<std::string>{"w1"}));
+  book.apply(jobs::AttemptStarted{taskOf("a", 0), 1, WorkerId("w1")});
+  book.apply(jobs::AttemptEnded{taskOf("a", 0), 1, jobs::EndKind::Failed, {}});
+  BOOST_TEST((workersOf(planOf(book)) == std::set<std::string>{"w2"}));
+  // A stop is no failure of the worker.
+  book.apply(jobs::AttemptStarted{taskOf("a", 0), 2, WorkerId("w2")});
+  book.apply(jobs::AttemptEnded{taskOf("a", 0), 2, jobs::EndKind::Stopped, {}});
+  BOOST_TEST((workersOf(planOf(book)) == std::set<std::string>{"w2"}));
+}
+
 BOOST_AUTO_TEST_CASE(StepWithoutApprovalAsksAndStartsOnceItIsApproved) {
   jobs::JobBook book = approvedBook({sampleWorker("w1"), sampleWorker("w2")},
                                     {sampleJob("a", {sampleStep(2)})});
--- a/jujube/jobs/job_book.cc
+++ b/jujube/jobs/job_book.cc
@@ -144,6 +144,8 @@
   Task &task = step.Tasks[event.Task.Index];
   if (!event.Checkpoint.empty())
     task.Checkpoint = event.Checkpoint;
+  if (event.How == EndKind::Failed)
+    task.LastFailedOn = task.Live->Worker;
   endRun(*job, event.Task);
   if (isEnded(job->State)) {
     shrink(*job);
--- a/jujube/jobs/job_book.h
+++ b/jujube/jobs/job_book.h
@@ -34,6 +34,8 @@
   bool IsDone = false;
   std::optional<Run> Live;
   std::string Checkpoint;
+  // Where it failed last; empty if it never has.
+  WorkerId LastFailedOn;
 
   bool operator==(const Task &) const = default;
 };
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -132,7 +132,7 @@
   ar(v.Worker, v.Attempt);
 }
 template <typename Archive> void serialize(Archive &ar, Task &v) {
-  ar(v.LastAttempt, v.Failures, v.IsDone, v.Live, v.Checkpoint);
+  ar(v.LastAttempt, v.Failures, v.IsDone, v.Live, v.Checkpoint, v.LastFailedOn);
 }
 template <typename Archive> void serialize(Archive &ar, StepState &v) {
   ar(v.Tasks, v.DoneTasks, v.LiveTasks, v.GangFailures, v.LastFailedAttempt);
--- a/testing/control_path_test.cc
+++ b/testing/control_path_test.cc
@@ -116,6 +116,23 @@
   BOOST_TEST(cell.awaitState("a", "cancelled"));
 }
 
+// Load: one of three workers fails whatever starts on it, and a task has two
+// attempts.
+BOOST_AUTO_TEST_CASE(JobsOutliveAWorkerThatFailsEverything) {
+  ControlCell cell({});
+  cell.workers().setFailing("w1");
+  constexpr int Jobs = 30;
+  for (int i = 0; i < Jobs; ++i) {
+    requireOk(cell.submit(absl::StrCat("a", i), 1, 300));
+    cell.wire().run(Duration::millis(100));
+  }
+  for (int i = 0; i < Jobs; ++i)
+    BOOST_TEST(cell.awaitState(absl::StrCat("a", i), "completed"));
+  // It is tried now and then only.
+  BOOST_TEST(startsOf(cell, cell.workers()) < Jobs + Jobs / 3);
+  checkPromises(cell, cell.workers());
+}
+
 BOOST_AUTO_TEST_CASE(JobThatAlwaysFailsIsFailedAfterItsAttempts) {
   ControlCell cell({});
   jobs::JobSpec job = sampleJob("a", {sampleStep(1)});
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -117,9 +117,11 @@
     Violations.push_back(absl::StrCat("start after the end of ", task));
   ++Starts[task];
   const Instant now = Time.now();
-  worker.Tasks[task] = {attempt, now,
-                        now + Duration::millis(std::atoi(spec.c_str())),
-                        spec == "fail", TaskAsk};
+  const Duration span = worker.IsFailing
+                            ? Duration::millis(50)
+                            : Duration::millis(std::atoi(spec.c_str()));
+  worker.Tasks[task] = {attempt, now, now + span,
+                        worker.IsFailing || spec == "fail", TaskAsk};
   const Resources used = TaskAsk * static_cast<int64_t>(worker.Tasks.size());
   if (!used.fitsIn(worker.Capacity))
     Violations.emplace_back("a worker is over its capacity");
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -42,6 +42,9 @@
   void restart(const std::string &id);
   void setDraining(const std::string &id) { Workers.at(id).IsDraining = true; }
 
+  // Whatever starts on the worker from now on fails after 50 ms.
+  void setFailing(const std::string &id) { Workers.at(id).IsFailing = true; }
+
   // Starts that were carried out, by task.
   const std::map<std::string, int> &starts() const { return Starts; }
   std::size_t running() const;
@@ -84,6 +87,7 @@
     uint64_t LastEnd = 0;
     bool IsSilent = false;
     bool IsDraining = false;
+    bool IsFailing = false;
     Duration Delay;
     std::map<std::string, RunningTask> Tasks;
     std::map<std::string, uint32_t> LastAttempts;
