--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "glog/logging.h"
 #include "jujube/base/digest.h"
 #include "jujube/catalogue/follower.h"
-#include "glog/logging.h"
 #include "jujube/logging/line.h"
 
 namespace jujube::keeper {
