--- a/jujube/control/worker_desk_lists.cc
+++ b/jujube/control/worker_desk_lists.cc
@@ -25,10 +25,11 @@
 constexpr std::size_t DoubtAfterOfKept = 4;
 constexpr std::size_t OutcomesKept = 8;
 
-// Different jobs among outcomes; those that ended well are empty.
-std::size_t countJobs(std::deque<jobs::JobId>::const_iterator begin,
-                      std::deque<jobs::JobId>::const_iterator end) {
-  const std::set<jobs::JobId> jobs(begin, end);
+// Different jobs among the outcomes from the n-th on; those that ended well are
+// empty.
+std::size_t countJobs(const std::deque<jobs::JobId> &outcomes, std::size_t n) {
+  const std::set<jobs::JobId> jobs(
+      outcomes.begin() + static_cast<std::ptrdiff_t>(n), outcomes.end());
   return jobs.size() - jobs.count(jobs::JobId());
 }
 
@@ -165,12 +166,12 @@
   const Instant now = Callbacks.Now();
   if (now < session.DoubtUntil)
     return;
-  const auto isDone = [](const jobs::JobId &job) { return job.empty(); };
-  const std::size_t all =
-      countJobs(session.Outcomes.begin(), session.Outcomes.end());
-  const auto lastDone =
-      std::find_if(session.Outcomes.rbegin(), session.Outcomes.rend(), isDone);
-  const std::size_t inARow = countJobs(lastDone.base(), session.Outcomes.end());
+  const auto lastDone = std::ranges::find_if(
+      session.Outcomes.rbegin(), session.Outcomes.rend(), &jobs::JobId::empty);
+  const auto sinceDone = static_cast<std::size_t>(
+      std::distance(session.Outcomes.begin(), lastDone.base()));
+  const std::size_t all = countJobs(session.Outcomes, 0);
+  const std::size_t inARow = countJobs(session.Outcomes, sinceDone);
   if (inARow >= DoubtAfterInARow || all >= DoubtAfterOfKept) {
     session.DoubtUntil = now + session.NextDoubt;
     session.NextDoubt = std::min(session.NextDoubt * 2, LastDoubt);
--- a/jujube/control/worker_desk_test.cc
+++ b/jujube/control/worker_desk_test.cc
@@ -132,6 +132,14 @@
   }
 };
 
+// Jobs j0, j1, ... of one task each.
+std::vector<jobs::JobSpec> numberedJobs(std::size_t n) {
+  std::vector<jobs::JobSpec> specs(n);
+  for (std::size_t i = 0; i < n; ++i)
+    specs[i] = sampleJob("j" + std::to_string(i), {sampleStep(1)});
+  return specs;
+}
+
 RunningRow runningRow() { return {taskOf("a", 0), 1, "", 10}; }
 EndedRow endedRow(jobs::EndKind how) { return {4, taskOf("a", 0), 1, how, ""}; }
 
@@ -300,10 +308,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(WorkerThatGoesOnFailingIsDoubtedForLonger) {
-  std::vector<jobs::JobSpec> specs;
-  for (int i = 0; i < 5; ++i)
-    specs.push_back(sampleJob("j" + std::to_string(i), {sampleStep(1)}));
-  Bed bed(sampleBook({}, specs));
+  Bed bed(sampleBook({}, numberedJobs(5)));
   bed.announce();
   uint64_t number = 0;
   const auto fail = [&](int job) {
@@ -339,10 +344,7 @@
 
 // Load: a worker that fails every second task.
 BOOST_AUTO_TEST_CASE(WorkerThatFailsOftenIsDoubtedThoughSomeEndWell) {
-  std::vector<jobs::JobSpec> specs;
-  for (int i = 0; i < 8; ++i)
-    specs.push_back(sampleJob("j" + std::to_string(i), {sampleStep(1)}));
-  Bed bed(sampleBook({}, specs));
+  Bed bed(sampleBook({}, numberedJobs(8)));
   bed.announce();
   for (int i = 0; i < 8; ++i) {
     const jobs::TaskKey task = taskOf("j" + std::to_string(i), 0);
