--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 #include "jujube/logging/line.h"
+#include "jujube/replica/store_hooks.h"
 
 namespace jujube::control {
 namespace {
@@ -114,29 +115,17 @@
   return Ok{};
 }
 
-Status
-ControlTask::writeJournal(const std::vector<consensus::Persist> &changes) {
-  const Instant begin = Loop.now();
-  for (const consensus::Persist &change : changes)
-    if (Status status = Disk->write(change); !isOk(status))
-      return status;
-  Status synced = Disk->sync();
-  const Duration span = Loop.now() - begin;
-  Numbers.observe("sync_ms", {}, static_cast<double>(span.millis()));
-  SlowSyncs = span > SlowSync ? SlowSyncs + 1 : 0;
-  return synced;
-}
-
+// Times the writes: a leader with a slow disk passes leadership on.
 replica::DiskHooks ControlTask::diskHooks() {
-  replica::DiskHooks hooks;
-  hooks.Write = [this](const std::vector<consensus::Persist> &changes) {
-    return writeJournal(changes);
-  };
-  hooks.SaveSnapshot = [this](const consensus::Snapshot &snapshot) {
-    return Disk->saveSnapshot(snapshot);
-  };
-  hooks.InstallSnapshot = [this](const consensus::Snapshot &snapshot) {
-    return Disk->installSnapshot(snapshot);
+  replica::DiskHooks hooks = replica::hooksOf(*Disk);
+  hooks.Write = [this, write = std::move(hooks.Write)](
+                    const std::vector<consensus::Persist> &changes) {
+    const Instant begin = Loop.now();
+    Status synced = write(changes);
+    const Duration span = Loop.now() - begin;
+    Numbers.observe("sync_ms", {}, static_cast<double>(span.millis()));
+    SlowSyncs = span > SlowSync ? SlowSyncs + 1 : 0;
+    return synced;
   };
   return hooks;
 }
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -67,7 +67,6 @@
   Status openReplica();
   replica::DiskHooks diskHooks();
   replica::ReplicaHooks replicaHooks();
-  Status writeJournal(const std::vector<consensus::Persist> &changes);
   void changeRole(const consensus::RoleChanged &change);
   void lead();
   WorkerDesk::Hooks deskHooks();
--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "jujube/daemon/daemon.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -52,6 +53,17 @@
 // A process that fails ends within this span, even if its error output is full
 // and nobody reads it.
 constexpr unsigned FatalSeconds = 2;
+constexpr int FailureWriteMs = 200;
+
+// Writes a part of the stack of a crash. Called by a signal handler: a reader
+// that does not read costs the rest of the stack, not the end of the process.
+void writeFailure(const char *data, std::size_t n) {
+  static bool isStuck = false;
+  pollfd output{STDERR_FILENO, POLLOUT, 0};
+  isStuck = isStuck || poll(&output, 1, FailureWriteMs) <= 0;
+  if (!isStuck && write(STDERR_FILENO, data, n) < 0)
+    isStuck = true;
+}
 
 // Takes the lines that libraries and assertions write through glog.
 class GlogForwarder : public google::LogSink {
@@ -66,8 +78,10 @@
   void send(google::LogSeverity severity, const char * /*path*/,
             const char *file, int line, const google::LogMessageTime &,
             const char *message, std::size_t n) override {
-    if (severity == google::GLOG_FATAL)
+    if (severity == google::GLOG_FATAL) {
       alarm(FatalSeconds);
+      writeFailure(message, n);
+    }
     const auto level = severity == google::GLOG_INFO ? logging::Level::Info
                        : severity == google::GLOG_WARNING
                            ? logging::Level::Warning
@@ -81,14 +95,16 @@
   LogPipe &Pipe;
 };
 
-// Only what ends the process goes to glog's own output.
+// glog writes to no file, and to standard error only the stack of what ends the
+// process: the sink that bounds its own writes comes after glog's.
 void startGlog(const char *program) {
   for (const google::LogSeverity severity :
        {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR,
         google::GLOG_FATAL})
     google::SetLogDestination(severity, "");
-  FLAGS_stderrthreshold = google::GLOG_FATAL;
+  FLAGS_stderrthreshold = google::NUM_SEVERITIES;
   google::InitGoogleLogging(program);
+  google::InstallFailureWriter(writeFailure);
   google::InstallFailureSignalHandler();
 }
 
--- a/jujube/daemon/log_pipe.cc
+++ b/jujube/daemon/log_pipe.cc
@@ -134,7 +134,7 @@
   logging::LineQueue::Batch batch = Queue.take(BatchBytes);
   for (const std::string &line : batch.Lines)
     Pending += line;
-  Written += batch.Lines.size();
+  Taken += batch.Lines.size();
   if (std::ranges::any_of(batch.Dropped, [](uint64_t n) { return n > 0; }))
     Pending += render(dropRecord(batch.Dropped));
   return !Pending.empty();
--- a/jujube/daemon/log_pipe.h
+++ b/jujube/daemon/log_pipe.h
@@ -56,7 +56,8 @@
 
   // Lines that were not written since the process began.
   logging::DropCounts dropped() const { return Queue.dropped(); }
-  uint64_t written() const { return Written.load(); }
+  // Lines that were taken from the queue to be written.
+  uint64_t taken() const { return Taken.load(); }
 
 private:
   class Writer;
@@ -76,7 +77,7 @@
   // True while the task knows that lines are queued.
   std::atomic<bool> IsAwake = false;
   std::atomic<uint64_t> Sequence = 0;
-  std::atomic<uint64_t> Written = 0;
+  std::atomic<uint64_t> Taken = 0;
   // Taken from the queue and not written yet; the writer's only.
   std::string Pending;
 };
--- a/jujube/daemon/log_pipe_test.cc
+++ b/jujube/daemon/log_pipe_test.cc
@@ -89,7 +89,7 @@
     log.push(decision(i));
   running.end();
   BOOST_TEST(absl::StrContains(pipe.readAll(), "attempt=100\n"));
-  BOOST_TEST(log.written() == 100);
+  BOOST_TEST(log.taken() == 100);
 }
 
 BOOST_AUTO_TEST_CASE(ReaderThatStopsReadingStallsNothing) {
@@ -110,7 +110,7 @@
   BOOST_TEST((clock.now() - began - pushing).millis() < 2'000);
   const uint64_t dropped = log.dropped()[2];
   BOOST_TEST(dropped > 0U);
-  BOOST_TEST(log.written() + dropped <= 20'000U);
+  BOOST_TEST(log.taken() + dropped <= 20'000U);
 }
 
 BOOST_AUTO_TEST_CASE(ReaderThatGoesOnIsToldHowManyLinesAreMissing) {
@@ -137,7 +137,7 @@
   running.end();
   log.push(decision(2));
   log.flush();
-  BOOST_TEST(log.written() == 2);
+  BOOST_TEST(log.taken() == 2);
 }
 
 BOOST_AUTO_TEST_CASE(DetailSaysWhichLinesAreKept) {
@@ -149,7 +149,7 @@
   log.push({logging::Event::RoleChanged, logging::Level::Info, {}});
   log.push(decision(1));
   log.flush();
-  BOOST_TEST(log.written() == 1);
+  BOOST_TEST(log.taken() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(LongLinesAreCut) {
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -294,6 +294,40 @@
   BOOST_TEST((renewal.Queries[0].Workers == std::vector{WorkerId("w2")}));
 }
 
+// Load: a fleet with more workers than one query names.
+BOOST_AUTO_TEST_CASE(LongQueriesEndOnceEnoughIsKnown) {
+  std::vector<jobs::Worker> workers;
+  workers.reserve(60);
+  for (int i = 0; i < 60; ++i)
+    workers.push_back(sampleWorker("w" + std::to_string(i)));
+  jobs::StepSpec gang = sampleStep(4);
+  gang.IsGang = true;
+  jobs::JobBook book = approvedBook(workers, {sampleJob("a", {gang})});
+  jobs::Configuration config = book.configuration();
+  config.Version = 3;
+  config.Queues[0].Approval = {Duration::millis(500), 7,
+                               Duration::millis(1500)};
+  book.apply(jobs::ConfigurationPut{config});
+  Approvals approved;
+  const DispatchPlan first = planOf(book, approved);
+  BOOST_REQUIRE(first.Queries.size() == 1U);
+  BOOST_TEST(first.Queries[0].Workers.size() == 48U);
+  jobs::ApprovalAnswer answer{{}, Duration::seconds(3)};
+  for (int i = 0; i < 6; ++i)
+    answer.Approved.push_back({first.Queries[0].Workers[i], "ticket"});
+  approved.begin(first.Queries[0], testing::SampleQueue);
+  approved.finish(first.Queries[0], answer, Now);
+  // All that is approved is full, and holds the gang six times.
+  for (const jobs::Approval &it : answer.Approved) {
+    const std::string id = "full-" + it.Worker.str();
+    book.apply(jobs::JobAccepted{sampleJob(id, {sampleStep(1, 4000)}), Now});
+    book.apply(jobs::AttemptStarted{taskOf(id, 0), 1, it.Worker});
+  }
+  const DispatchPlan plan = planOf(book, approved);
+  BOOST_TEST(plan.Starts.empty());
+  BOOST_TEST(plan.Queries.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RoomIsKeptForAGangWhereItIsApproved) {
   jobs::StepSpec gang = sampleStep(4, 1000);
   gang.IsGang = true;
--- a/jujube/keeper/fleet_task.cc
+++ b/jujube/keeper/fleet_task.cc
@@ -8,6 +8,7 @@
 #include "jujube/base/digest.h"
 #include "jujube/catalogue/follower.h"
 #include "jujube/logging/line.h"
+#include "jujube/replica/store_hooks.h"
 
 namespace jujube::keeper {
 namespace {
@@ -74,25 +75,7 @@
   options.Configured = Settings.Keepers;
   options.Rule = consensus::Formation::WhenAllBlank;
   return Group.open(options, Disk->takeRecovered(), Settings.ElectionSeed,
-                    replicaHooks(), diskHooks());
-}
-
-replica::DiskHooks FleetTask::diskHooks() {
-  replica::DiskHooks hooks;
-  hooks.Write =
-      [this](const std::vector<consensus::Persist> &changes) -> Status {
-    for (const consensus::Persist &change : changes)
-      if (Status status = Disk->write(change); !isOk(status))
-        return status;
-    return Disk->sync();
-  };
-  hooks.SaveSnapshot = [this](const consensus::Snapshot &snapshot) {
-    return Disk->saveSnapshot(snapshot);
-  };
-  hooks.InstallSnapshot = [this](const consensus::Snapshot &snapshot) {
-    return Disk->installSnapshot(snapshot);
-  };
-  return hooks;
+                    replicaHooks(), replica::hooksOf(*Disk));
 }
 
 replica::ReplicaHooks FleetTask::replicaHooks() {
--- a/jujube/keeper/fleet_task.h
+++ b/jujube/keeper/fleet_task.h
@@ -69,7 +69,6 @@
             wire::PacketMailbox outbox);
 
   Status openReplica();
-  replica::DiskHooks diskHooks();
   replica::ReplicaHooks replicaHooks();
   void changeRole(const consensus::RoleChanged &change);
 
