--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -19,8 +19,8 @@
 constexpr std::size_t MaxAskedByLongQuery = 48;
 // No more workers are asked about once those that are approved hold this many
 // times the step when they are empty. Source: a full fleet has about a fifth of
-// its room, and a third of a worker fits a large task.
-constexpr int64_t EnoughKnown = 4;
+// its room, and what is free is seldom large enough.
+constexpr int64_t EnoughKnown = 8;
 // Added to the time of a query for the ways to the host and back.
 constexpr Duration QueryOverhead = Duration::millis(100);
 // What a worker without room for a task counts in a query ahead of room, in
