Metrics and lines that tell why a leader is slow or deposed

On the grown sites leaders were deposed one after the other, and neither logs nor metrics told whether turns of planning outlast the lease (H1), each task costs too much processor (H2), or time-outs are short for the syncs (H3).

- TurnMeter accounts for elapsed time, processor time and units by kind of work.
- Histograms turn_ms, plan_ms, plan_examined, take_over_ms; counters work_units, work_cpu_us, leaderships_lost.
- Lines leadership_taken, leadership_lost, turn_long (at most one a second) and work_done (every 10 s).
- DispatchPlan::Examined counts the pairs of step and worker a plan looked at.
- Mailbox::drain() and watchMailbox() take a bound; nobody sets it yet.

--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -98,6 +98,9 @@
   const Membership &membership() const { return Entries.membership(); }
   // Voters that lately acknowledged this leader, with itself; 0 on other roles.
   std::size_t responsiveVoters(Instant now) const;
+  // The send time of the latest message of this leader that a quorum has
+  // acknowledged; the default Instant on other roles or if there is none.
+  Instant confirmedAt(Instant now) const;
   const HardState &hardState() const { return Hard; }
   const Log &log() const { return Entries; }
 
--- a/jujube/consensus/node_election.cc
+++ b/jujube/consensus/node_election.cc
@@ -42,9 +42,11 @@
   ElectionAt = RefuseUntil + randomDelay();
 }
 
-Instant Node::leaseEnd(Instant now) const {
+Instant Node::confirmedAt(Instant now) const {
   const Instant none;
-  const Instant confirmed = quorumValue<Instant>(
+  if (CurrentRole != Role::Leader)
+    return none;
+  return quorumValue<Instant>(
       Entries.membership(), quorum(),
       [&](const Member &member) {
         if (member.Host == Settings.Self.Host)
@@ -53,6 +55,11 @@
         return it == Peers.end() ? none : it->second.AckedSend.value_or(none);
       },
       none);
+}
+
+Instant Node::leaseEnd(Instant now) const {
+  const Instant none;
+  const Instant confirmed = confirmedAt(now);
   return confirmed == none ? none : confirmed + Settings.Lease;
 }
 
--- a/jujube/control/control_numbers.cc
+++ b/jujube/control/control_numbers.cc
@@ -161,6 +161,7 @@
 
 metrics::Snapshot ControlTask::snapshot() const {
   metrics::Snapshot all = Numbers.snapshot();
+  addWork(all);
   const auto gauge = [&all](const std::string &name, auto value,
                             const metrics::Labels &labels = {}) {
     all.Gauges.push_back({name, labels, static_cast<double>(value)});
--- a/jujube/control/control_options.h
+++ b/jujube/control/control_options.h
@@ -11,6 +11,7 @@
 
 #include "jujube/base/address.h"
 #include "jujube/base/clock.h"
+#include "jujube/base/cpu_clock.h"
 #include "jujube/base/ids.h"
 #include "jujube/dispatch/lease_clock.h"
 #include "jujube/dispatch/orders.h"
@@ -19,6 +20,12 @@
 
 namespace jujube::control {
 
+// Leases of the group's leader. Source: callers' shortest objective leaves
+// about half a second for a change of leader; a sync on a slow disk takes 0.3
+// s.
+inline constexpr Duration GroupHeartbeat = Duration::millis(100);
+inline constexpr Duration GroupLease = Duration::millis(400);
+
 // Translates orders into the HTTP calls of the workers' protocol.
 struct WorkerProtocol {
   std::function<http::OutboundCall(const dispatch::Order &)> Encode;
@@ -55,6 +62,8 @@
   std::optional<uint64_t> ElectionSeed;
   // Time of day, for due times and the order of waiting jobs.
   Clock WallClock = Clock::wall();
+  // Processor time of the control task, for accounts of its work.
+  CpuClock Processor = CpuClock::ofThread();
   dispatch::LeasePolicy Leases;
   // How long the state of ended jobs is kept.
   Duration KeepEnded = Duration::seconds(150);
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -55,6 +55,7 @@
       Helpers.countFree(now, ShortQueryPatience, false),
       Helpers.countFree(now, LongQueryPatience, true)};
   const dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
+  notePlan(plan.Examined, Loop.now() - now);
   startPlanned(plan.Starts);
   noteWaits(plan.Waits);
   for (const jobs::ApprovalQuery &query : plan.Queries)
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -26,11 +26,8 @@
 // A voter that is silent this long is replaced if another host waits. Source:
 // the time after which a lost machine's successor has to have caught up.
 constexpr Duration ReplaceVoterAfter = Duration::millis(2500);
-// Leases of the group's leader. Source: callers' shortest objective leaves
-// about half a second for a change of leader; a sync on a slow disk takes 0.3
-// s.
-constexpr Duration GroupHeartbeat = Duration::millis(100);
-constexpr Duration GroupLease = Duration::millis(400);
+// Between lines about the processor time of the task's work.
+constexpr Duration WorkPeriod = Duration::seconds(10);
 
 } // namespace
 
@@ -39,6 +36,7 @@
                          runtime::TaskContext &context,
                          wire::PacketMailbox outbox)
     : Settings(options), Loop(context.loop()),
+      Meter(Loop.clock(), Settings.Processor),
       Messages(Loop, Settings.Self, Settings.Listen, std::move(outbox)),
       Group(Loop, Messages,
             {"control member",
@@ -47,6 +45,7 @@
       Forward(Loop, Messages, Settings.Seeds),
       Calls(Loop, mailboxes.Calls, mailboxes.Results),
       Wall(Settings.WallClock) {
+  Loop.onTurn([this] { Meter.beginTurn(); }, [this] { noteTurn(); });
   Loop.watchMailbox<ClientRequest>(
       mailboxes.Clients,
       [this](ClientRequest request) { serve(std::move(request)); });
@@ -71,10 +70,13 @@
   if (Status status = task->openReplica(); !isOk(status))
     return errorOf(status);
   task->Loop.callEvery(TickPeriod, [raw = task.get()] {
-    if (raw->Desk)
+    if (raw->Desk) {
+      const auto scope = raw->Meter.enter(Work::WorkerOrders);
       raw->Desk->tick();
+    }
     raw->IsPlanDue = true;
   });
+  task->Loop.callEvery(WorkPeriod, [raw = task.get()] { raw->tellWork(); });
   task->Loop.callEvery(SweepPeriod, [raw = task.get()] { raw->sweep(); });
   return task;
 }
@@ -111,7 +113,13 @@
                      replicaHooks(), diskHooks());
       !isOk(status))
     return status;
-  Group.log().onTurnEnd([this] { endTurn(); });
+  Group.log().onTurnEnd([this] {
+    {
+      const auto scope = Meter.enter(Work::Plan, 0);
+      endTurn();
+    }
+    Meter.settle(Work::Peers);
+  });
   return Ok{};
 }
 
@@ -120,6 +128,7 @@
   replica::DiskHooks hooks = replica::hooksOf(*Disk);
   hooks.Write = [this, write = std::move(hooks.Write)](
                     const std::vector<consensus::Persist> &changes) {
+    const auto scope = Meter.enter(Work::Sync);
     const Instant begin = Loop.now();
     Status synced = write(changes);
     const Duration span = Loop.now() - begin;
@@ -127,6 +136,11 @@
     SlowSyncs = span > SlowSync ? SlowSyncs + 1 : 0;
     return synced;
   };
+  hooks.SaveSnapshot = [this, save = std::move(hooks.SaveSnapshot)](
+                           const consensus::Snapshot &snapshot) {
+    const auto scope = Meter.enter(Work::Snapshot, 0);
+    return save(snapshot);
+  };
   return hooks;
 }
 
@@ -138,7 +152,10 @@
     CHECK(isOk(state)) << errorOf(state).text();
     Book = jobs::JobBook::restore(valueOf(std::move(state)));
   };
-  hooks.Capture = [this] { return wire::encodeJobBook(Book.capture()); };
+  hooks.Capture = [this] {
+    const auto scope = Meter.enter(Work::Snapshot);
+    return wire::encodeJobBook(Book.capture());
+  };
   hooks.RoleChanged = [this](const consensus::RoleChanged &change) {
     changeRole(change);
   };
@@ -149,9 +166,11 @@
   const bool isLeader =
       change.Now == consensus::Role::Leader && change.Leader == Settings.Self;
   if (isLeader) {
+    const auto scope = Meter.enter(Work::TakeOver);
     lead();
     return;
   }
+  noteLeadershipLost(change);
   Desk.reset();
   Approved = dispatch::Approvals();
   EndedAt.clear();
@@ -172,6 +191,8 @@
     else
       Waits.begin(id, now);
   Desk->takeOver();
+  Lead = Leadership{now, now};
+  noteLeadershipTaken(Loop.now() - now);
   IsPlanDue = true;
 }
 
@@ -201,6 +222,7 @@
 
 void ControlTask::sendOrder(const dispatch::Order &order, Duration timeout,
                             std::function<void(dispatch::OrderAnswer)> done) {
+  const auto scope = Meter.enter(Work::WorkerOrders);
   http::OutboundCall call = Settings.Workers.Encode(order);
   call.Timeout = timeout;
   // Answers to a leader that was deposed meanwhile are dropped.
@@ -209,12 +231,19 @@
                                   const http::OutboundResult &result) {
     if (desk.lock() == nullptr || desk.lock() != Desk)
       return;
+    const auto scope = Meter.enter(Work::WorkerAnswers);
     done(Settings.Workers.Decode(order, result));
     IsPlanDue = true;
   });
 }
 
+void ControlTask::receive(const wire::TransportEvent &event) {
+  const auto scope = Meter.enter(Work::Peers);
+  Group.receive(event);
+}
+
 void ControlTask::serve(ClientRequest request) {
+  const auto scope = Meter.enter(Work::Commands);
   const auto slot = request.Answer;
   const Answer done = [slot](Result<jobs::Reply> reply) {
     slot->set(std::move(reply));
@@ -235,6 +264,7 @@
     Group.refuseKind(request);
     return;
   }
+  const auto scope = Meter.enter(Work::Commands);
   execute(call->What, [this, request](Result<jobs::Reply> reply) {
     if (isOk(reply))
       Messages.reply(request, wire::ControlNews{valueOf(std::move(reply))});
@@ -255,6 +285,7 @@
 void ControlTask::flushBatch() {
   if (Batch.empty())
     return;
+  const auto scope = Meter.enter(Work::Propose, Batch.size());
   const std::string payload =
       wire::encodeControlEvents(std::exchange(Batch, {}));
   Group.log().propose(
@@ -265,8 +296,10 @@
 }
 
 void ControlTask::applyRecord(const std::string &payload) {
+  const auto scope = Meter.enter(Work::Apply, 0);
   const auto events = wire::decodeControlEvents(payload);
   CHECK(isOk(events)) << errorOf(events).text();
+  Meter.addUnits(Work::Apply, valueOf(events).size());
   for (const jobs::Event &event : valueOf(events))
     follow(event);
 }
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -13,6 +13,7 @@
 #include "jujube/control/control_client.h"
 #include "jujube/control/control_options.h"
 #include "jujube/control/helper_roster.h"
+#include "jujube/control/turn_meter.h"
 #include "jujube/control/wait_ledger.h"
 #include "jujube/control/worker_desk.h"
 #include "jujube/dispatch/approvals.h"
@@ -52,13 +53,15 @@
          runtime::TaskContext &context, wire::PacketMailbox outbox);
 
   // Handles what the transport tells.
-  void receive(const wire::TransportEvent &event) { Group.receive(event); }
+  void receive(const wire::TransportEvent &event);
   // Passes leadership on and ends the loop.
   void stop() { Group.stop(); }
   // Why the task has to end; Ok if it was asked to.
   const Status &outcome() const { return Group.outcome(); }
   // True while it leads and answers commands.
   bool isServing() const { return Desk != nullptr && Group.log().mayServe(); }
+  // What it has done since it was created.
+  const TurnMeter::Accounts &work() const { return Meter.totals(); }
 
 private:
   ControlTask(const ControlOptions &options, const ControlMailboxes &mailboxes,
@@ -129,6 +132,14 @@
   void noteJobEnded(const jobs::Job &job, std::optional<Duration> aim);
   metrics::Snapshot snapshot() const;
 
+  // Accounts of the task's own work (control_work.cc).
+  void noteTurn();
+  void notePlan(std::size_t examined, Duration elapsed);
+  void noteLeadershipTaken(Duration elapsed);
+  void noteLeadershipLost(const consensus::RoleChanged &change);
+  void tellWork();
+  void addWork(metrics::Snapshot &all) const;
+
   void endTurn();
   void planIfDue();
   void startPlanned(const std::vector<dispatch::PlannedStart> &starts);
@@ -139,6 +150,7 @@
 
   ControlOptions Settings;
   runtime::PollLoop &Loop;
+  TurnMeter Meter;
   wire::Messenger Messages;
   replica::GroupMember Group;
   ControlClient Forward;
@@ -151,7 +163,17 @@
   std::vector<jobs::Event> Batch;
   std::vector<std::function<void(bool)>> BatchHooks;
 
+  // Since this member leads.
+  struct Leadership {
+    Instant Since;
+    // The send time of the latest message that a quorum acknowledged.
+    Instant Confirmed;
+    Duration LongestTurn;
+    Work LongestWork = Work::Other;
+  };
+
   // Leader only.
+  std::optional<Leadership> Lead;
   std::shared_ptr<WorkerDesk> Desk;
   dispatch::Approvals Approved;
   HelperRoster Helpers;
@@ -165,6 +187,10 @@
   Instant ConfiguredAt;
   // Consecutive slow syncs of this member's disk.
   int SlowSyncs = 0;
+  // Long turns since the last line about one, and when the next may be written.
+  int LongTurns = 0;
+  Instant NextLongTurnLine;
+  TurnMeter::Accounts ToldWork;
 };
 
 // The supervisor tree of a member: the control task, the transport, the caller,
--- /dev/null
+++ b/jujube/control/control_work.cc
@@ -0,0 +1,114 @@
+// What a member tells of its own work: how long its turns last, what they are
+// spent on, and why it stopped leading.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jujube/control/control_task.h"
+#include "jujube/logging/line.h"
+
+namespace jujube::control {
+namespace {
+
+using logging::Event;
+using logging::Level;
+using logging::Line;
+
+// A turn that lasts longer is told. Source: no heartbeat leaves meanwhile.
+constexpr Duration LongTurn = GroupHeartbeat;
+// Between two lines about long turns.
+constexpr Duration LongTurnPause = Duration::seconds(1);
+constexpr int64_t MicrosPerMilli = 1000;
+
+} // namespace
+
+void ControlTask::noteTurn() {
+  const TurnMeter::Turn turn = Meter.endTurn();
+  const std::string kind(nameIn(WorkNames, turn.Longest));
+  Numbers.observe("turn_ms", {"", kind},
+                  static_cast<double>(turn.Elapsed.millis()));
+  if (Lead) {
+    Lead->Confirmed = Group.log().confirmedAt();
+    if (turn.Elapsed >= Lead->LongestTurn) {
+      Lead->LongestTurn = turn.Elapsed;
+      Lead->LongestWork = turn.Longest;
+    }
+  }
+  if (turn.Elapsed <= LongTurn)
+    return;
+  ++LongTurns;
+  const Instant now = Loop.now();
+  if (now < NextLongTurnLine)
+    return;
+  NextLongTurnLine = now + LongTurnPause;
+  Line(Event::TurnLong, Level::Warning)
+      .with("elapsed_ms", turn.Elapsed)
+      .with("work", kind)
+      .with("long_turns", std::exchange(LongTurns, 0))
+      .with("leads", Lead.has_value())
+      .with("open_jobs", Book.openJobs().size())
+      .with("term", Group.log().term());
+}
+
+void ControlTask::notePlan(std::size_t examined, Duration elapsed) {
+  Meter.addUnits(Work::Plan, examined);
+  Numbers.observe("plan_ms", {}, static_cast<double>(elapsed.millis()));
+  Numbers.observe("plan_examined", {}, static_cast<double>(examined));
+}
+
+void ControlTask::noteLeadershipTaken(Duration elapsed) {
+  Numbers.observe("take_over_ms", {}, static_cast<double>(elapsed.millis()));
+  Line(Event::LeadershipTaken)
+      .with("elapsed_ms", elapsed)
+      .with("open_jobs", Book.openJobs().size())
+      .with("kept_jobs", Book.jobs().size())
+      .with("workers", Book.workers().size())
+      .with("busy_workers", Book.loads().size())
+      .with("term", Group.log().term());
+}
+
+void ControlTask::noteLeadershipLost(const consensus::RoleChanged &change) {
+  if (!Lead)
+    return;
+  const Instant now = Loop.now();
+  Numbers.add("leaderships_lost", {});
+  Line(Event::LeadershipLost, Level::Warning)
+      .with("led_ms", now - Lead->Since)
+      .with("longest_turn_ms", Lead->LongestTurn)
+      .with("longest_work", nameIn(WorkNames, Lead->LongestWork))
+      .with("unanswered_ms", now - Lead->Confirmed)
+      .with("open_jobs", Book.openJobs().size())
+      .with("leader", change.Leader)
+      .with("term", change.At);
+  Lead.reset();
+}
+
+void ControlTask::tellWork() {
+  Line line(Event::WorkDone);
+  line.with("leads", Lead.has_value())
+      .with("open_jobs", Book.openJobs().size())
+      .with("term", Group.log().term());
+  for (const auto &row : WorkNames) {
+    const auto at = static_cast<std::size_t>(row.Value);
+    const TurnMeter::Account &now = Meter.totals()[at];
+    const TurnMeter::Account &then = ToldWork[at];
+    line.with(absl::StrCat(row.Name, "_cpu_ms"),
+              (now.CpuMicros - then.CpuMicros) / MicrosPerMilli);
+    line.with(absl::StrCat(row.Name, "_units"), now.Units - then.Units);
+  }
+  ToldWork = Meter.totals();
+}
+
+void ControlTask::addWork(metrics::Snapshot &all) const {
+  for (const auto &row : WorkNames) {
+    const TurnMeter::Account &account =
+        Meter.totals()[static_cast<std::size_t>(row.Value)];
+    const metrics::Labels labels{"", std::string(row.Name)};
+    all.Counters.push_back({"work_units", labels, account.Units});
+    all.Counters.push_back(
+        {"work_cpu_us", labels,
+         static_cast<uint64_t>(std::max<int64_t>(account.CpuMicros, 0))});
+  }
+}
+
+} // namespace jujube::control
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -89,6 +89,8 @@
   std::vector<PlannedStart> Starts;
   std::vector<jobs::ApprovalQuery> Queries;
   std::vector<StepWait> Waits;
+  // Pairs of a step and a worker that were looked at: what the plan cost.
+  std::size_t Examined = 0;
 };
 
 struct DispatchInput {
--- a/jujube/dispatch/pass.cc
+++ b/jujube/dispatch/pass.cc
@@ -22,6 +22,7 @@
   });
   for (const ReadyStep &step : steps)
     place(step);
+  Plan.Examined = Examined;
   return std::move(Plan);
 }
 
@@ -173,6 +174,7 @@
 Pass::Choice Pass::choose(const ReadyStep &step,
                           const std::string *rack) const {
   const WorkerView *best = nullptr;
+  Examined += In.Workers.size();
   for (const WorkerView &view : In.Workers) {
     if (rack != nullptr && view.Who->Rack != *rack)
       continue;
--- a/jujube/dispatch/pass.h
+++ b/jujube/dispatch/pass.h
@@ -110,6 +110,7 @@
   std::map<TeamId, Resources> Added;
   std::size_t ShortQueries = 0;
   std::size_t LongQueries = 0;
+  mutable std::size_t Examined = 0;
   DispatchPlan Plan;
 };
 
--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -98,6 +98,7 @@
 std::vector<Pass::Candidate> Pass::candidates(const ReadyStep &step,
                                               ApprovalState state) const {
   std::vector<Candidate> found;
+  Examined += In.Workers.size();
   for (const WorkerView &view : In.Workers)
     if (isAskable(step, view) &&
         In.Approved.stateOf(step.Key, view.Who->Id, In.Now) == state)
--- a/jujube/dispatch/pass_room.cc
+++ b/jujube/dispatch/pass_room.cc
@@ -26,6 +26,7 @@
   if (isLate)
     return;
   std::vector<const WorkerView *> usable;
+  Examined += In.Workers.size();
   for (const WorkerView &view : In.Workers)
     if (!Held.contains(view.Who->Id) && isEligible(step, *view.Who) &&
         isKnownApproved(step, view.Who->Id))
@@ -82,6 +83,7 @@
   const auto needed = step.Spec->IsGang ? static_cast<int64_t>(tasks) : 1;
   int64_t room = 0;
   bool isAnyEligible = false;
+  Examined += In.Workers.size();
   for (const WorkerView &view : In.Workers) {
     isAnyEligible |= isEligible(step, *view.Who);
     if (room < needed && hasRoom(step, view))
--- a/jujube/logging/event.h
+++ b/jujube/logging/event.h
@@ -26,6 +26,10 @@
   DiskSlow,
   LeaderFound,
   LeaderLost,
+  LeadershipTaken,
+  LeadershipLost,
+  TurnLong,
+  WorkDone,
   HostJoined,
   SlicesReclaimed,
   DrainStarted,
@@ -62,7 +66,7 @@
   FaultApplied,
 };
 
-inline constexpr NameTable<Event, 46> EventNames = {{
+inline constexpr NameTable<Event, 50> EventNames = {{
     {Event::Started, "started"},
     {Event::Stopped, "stopped"},
     {Event::GaveUp, "gave_up"},
@@ -79,6 +83,10 @@
     {Event::DiskSlow, "disk_slow"},
     {Event::LeaderFound, "leader_found"},
     {Event::LeaderLost, "leader_lost"},
+    {Event::LeadershipTaken, "leadership_taken"},
+    {Event::LeadershipLost, "leadership_lost"},
+    {Event::TurnLong, "turn_long"},
+    {Event::WorkDone, "work_done"},
     {Event::HostJoined, "host_joined"},
     {Event::SlicesReclaimed, "slices_reclaimed"},
     {Event::DrainStarted, "drain_started"},
--- a/jujube/replica/replica.h
+++ b/jujube/replica/replica.h
@@ -67,6 +67,7 @@
   Term term() const { return Node.term(); }
   // Voters of the group that have lately acknowledged this leader, with itself.
   std::size_t voters() const { return Node.responsiveVoters(Loop.now()); }
+  Instant confirmedAt() const { return Node.confirmedAt(Loop.now()); }
   const HostId &leader() const { return Node.leader(); }
   // Port 0 while no leader is known.
   Address leaderAddress() const {
--- a/jujube/runtime/mailbox.h
+++ b/jujube/runtime/mailbox.h
@@ -3,7 +3,9 @@
 #define JUJUBE_RUNTIME_MAILBOX_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -32,11 +34,20 @@
     return Ok{};
   }
 
-  // Removes and returns all queued messages, oldest first.
-  std::deque<Message> drain() ABSL_LOCKS_EXCLUDED(Mutex) {
+  // Removes and returns the oldest messages, at most `most`, oldest first. fd()
+  // stays readable while others are left.
+  std::deque<Message> drain(std::size_t most = SIZE_MAX)
+      ABSL_LOCKS_EXCLUDED(Mutex) {
     absl::MutexLock lock(&Mutex);
-    Event.clear();
-    return std::exchange(Queue, {});
+    if (Queue.size() <= most) {
+      Event.clear();
+      return std::exchange(Queue, {});
+    }
+    const auto end = Queue.begin() + static_cast<std::ptrdiff_t>(most);
+    std::deque<Message> taken(std::make_move_iterator(Queue.begin()),
+                              std::make_move_iterator(end));
+    Queue.erase(Queue.begin(), end);
+    return taken;
   }
 
   // Readable while messages are queued.
--- a/jujube/runtime/poll_loop.cc
+++ b/jujube/runtime/poll_loop.cc
@@ -82,6 +82,8 @@
         absl::StrCat("poll failed: ",
                      std::strerror(errno)), // NOLINT(concurrency-mt-unsafe)
         "raise the limit of open files"};
+  if (TurnBegins)
+    TurnBegins();
   if (n > 0) {
     for (std::size_t i = 0; i < fds.size(); ++i)
       ready[i].Events = fds[i].revents;
@@ -97,6 +99,8 @@
   fireTimers();
   if (TurnEnd)
     TurnEnd();
+  if (TurnEnded)
+    TurnEnded();
   return Ok{};
 }
 
--- a/jujube/runtime/poll_loop.h
+++ b/jujube/runtime/poll_loop.h
@@ -4,6 +4,7 @@
 
 #include <poll.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,14 +36,17 @@
   void watch(int fd, short events, EventHandler handler);
   void unwatch(int fd);
 
-  // Calls `handler` for each message of `mailbox`, oldest first.
+  // Calls `handler` for each message of `mailbox`, oldest first, at most `most`
+  // of them a turn.
   template <typename Message>
   void watchMailbox(MailboxPtr<Message> mailbox,
-                    std::function<void(Message)> handler) {
+                    std::function<void(Message)> handler,
+                    std::size_t most = SIZE_MAX) {
     const int fd = mailbox->fd();
     watch(fd, POLLIN,
-          [mailbox = std::move(mailbox), handler = std::move(handler)](short) {
-            for (Message &message : mailbox->drain())
+          [mailbox = std::move(mailbox), handler = std::move(handler),
+           most](short) {
+            for (Message &message : mailbox->drain(most))
               handler(std::move(message));
           });
   }
@@ -57,6 +61,13 @@
   // were due have been handled; to do work for many events together.
   void onTurnEnd(TimerHandler handler) { TurnEnd = std::move(handler); }
 
+  // Calls `begin` once a turn has something to do, and `end` after all of it,
+  // also after onTurnEnd's handler; to account for the turn.
+  void onTurn(TimerHandler begin, TimerHandler end) {
+    TurnBegins = std::move(begin);
+    TurnEnded = std::move(end);
+  }
+
   // Blocks until an event or timer is due and handles all that are.
   Status runOnce();
   // Runs until stop() is called from a handler.
@@ -90,6 +101,8 @@
   std::map<int, Watch> Watches;
   std::multimap<Instant, Timer> Timers;
   TimerHandler TurnEnd;
+  TimerHandler TurnBegins;
+  TimerHandler TurnEnded;
   uint64_t LastSerial = 0;
   uint64_t LastTimer = 0;
   bool IsStopped = false;
