Regression test: leaders with a large backlog depose each other (KNOWN-RED)

FakeWire lets a host be busy for what its last turn cost; ControlCell derives that from the units that TurnMeter counted. A pair of step and worker takes 0.13 us of a core (work_cpu_us over work_units of the cell; dispatch-bench with 350 workers agrees), divided by the 0.4 core of a host of these sites.

--- /dev/null
+++ b/testing/control_backlog_test.cc
@@ -0,0 +1,92 @@
+// A control group whose members are slow: what they do takes as long as it
+// would on a small share of a core.
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "testing/control_cell.h"
+#include "testing/job_samples.h"
+
+namespace jujube::testing {
+namespace {
+
+using control::Work;
+
+constexpr int Fleet = 350;
+constexpr uint32_t TasksOnFleet = 700;
+constexpr std::size_t BacklogJobs = 4000;
+
+// Source: share of a core that a host of the grown sites has.
+constexpr double CoreShare = 0.4;
+// Microseconds of a whole core. Source: work_cpu_us over work_units of this
+// cell; dispatch-bench with 350 workers has the same for a pair.
+constexpr double MicrosPerExaminedPair = 0.13;
+constexpr double MicrosPerMessage = 10;
+constexpr double MicrosPerEvent = 2;
+
+WorkCosts grownSiteCosts() {
+  WorkCosts costs = {};
+  const auto set = [&costs](Work kind, double micros) {
+    costs[static_cast<std::size_t>(kind)] = micros / CoreShare;
+  };
+  set(Work::Plan, MicrosPerExaminedPair);
+  set(Work::Apply, MicrosPerEvent);
+  set(Work::Propose, MicrosPerEvent);
+  for (const Work kind :
+       {Work::Peers, Work::Commands, Work::WorkerAnswers, Work::WorkerOrders})
+    set(kind, MicrosPerMessage);
+  return costs;
+}
+
+jobs::JobSpec shortJob(const std::string &id) {
+  jobs::JobSpec job = sampleJob(id, {sampleStep(1)});
+  job.Payload = "500";
+  return job;
+}
+
+// A cell whose workers are full, with a backlog of jobs that wait for room.
+struct BackloggedCell {
+  ControlCell Cell{[] {
+    ControlCellOptions options;
+    options.Workers = Fleet;
+    return options;
+  }()};
+
+  BackloggedCell() {
+    BOOST_REQUIRE(isOk(Cell.submit("full", TasksOnFleet, 5000)));
+    Cell.wire().run(Duration::seconds(1));
+    BOOST_REQUIRE(Cell.workers().running() == TasksOnFleet);
+    std::vector<jobs::JobSpec> backlog;
+    backlog.reserve(BacklogJobs);
+    for (std::size_t i = 0; i < BacklogJobs; ++i)
+      backlog.push_back(shortJob(absl::StrCat("job", i)));
+    BOOST_REQUIRE(Cell.submitAll(backlog));
+    Cell.setCosts(grownSiteCosts());
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(ControlBacklogTest)
+
+BOOST_AUTO_TEST_CASE(LeaderWithALargeBacklogKeepsLeading) {
+  BackloggedCell it;
+  ControlCell &cell = it.Cell;
+  cell.kill(cell.leader());
+  BOOST_REQUIRE(cell.wire().run(Duration::seconds(5),
+                                [&] { return cell.leader() != 0; }));
+  std::vector<ControlCell::AnswerSlot> submitted;
+  for (int second = 0; second < 10; ++second) {
+    submitted.push_back(cell.post(shortJob(absl::StrCat("new", second))));
+    cell.wire().run(Duration::seconds(1));
+  }
+  BOOST_REQUIRE(cell.takeOvers() == 1U);
+  BOOST_TEST(std::ranges::all_of(submitted, ControlCell::isAcknowledged));
+  BOOST_TEST(cell.workers().starts().size() > TasksOnFleet);
+  BOOST_TEST(cell.awaitPending(0, Duration::seconds(60)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::testing
--- a/testing/control_cell.cc
+++ b/testing/control_cell.cc
@@ -1,6 +1,8 @@
 #include "testing/control_cell.h"
 
+#include <algorithm>
 #include <filesystem>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -17,6 +19,8 @@
 // Between looks of the workers at what has arrived.
 constexpr Duration CallDelay = Duration::millis(2);
 constexpr Duration AnnouncePeriod = Duration::millis(1500);
+constexpr double MicrosPerMilli = 1000;
+const jobs::Caller SampleCaller{"a.example", "/plans/", "key-a"};
 constexpr Duration Patience = Duration::seconds(20);
 
 } // namespace
@@ -64,6 +68,7 @@
   options.MayFound = mayFound;
   options.DataFolder = folderOf(member);
   options.FleetToken = "fleet-token";
+  options.Voters = Options.Voters;
   options.ElectionSeed = Options.Seed * 10 + static_cast<uint64_t>(member);
   options.WallClock = Wire.clock();
   options.Leases.Lease = Duration::seconds(5);
@@ -82,6 +87,21 @@
   host.Receive = [raw = held.Task.get()](const auto &event) {
     raw->receive(event);
   };
+  host.CostOfTurn = meterOf(*held.Task);
+}
+
+std::function<Duration()>
+ControlCell::meterOf(const control::ControlTask &task) const {
+  return [this, &task, before = task.work(), owed = 0.0]() mutable {
+    for (std::size_t i = 0; i < Costs.size(); ++i)
+      owed += Costs[i] *
+              static_cast<double>(task.work()[i].Units - before[i].Units);
+    before = task.work();
+    const Duration whole =
+        Duration::millis(static_cast<int64_t>(owed / MicrosPerMilli));
+    owed -= static_cast<double>(whole.millis()) * MicrosPerMilli;
+    return whole;
+  };
 }
 
 // Calls of members that were killed meanwhile are answered to nobody.
@@ -143,11 +163,37 @@
 }
 
 Status ControlCell::submit(const jobs::JobSpec &job) {
-  const auto reply =
-      execute(jobs::SubmitJob{{"a.example", "/plans/", "key-a"}, job});
+  const auto reply = execute(jobs::SubmitJob{SampleCaller, job});
   return isOk(reply) ? Status(Ok{}) : Status(errorOf(reply));
 }
 
+ControlCell::AnswerSlot ControlCell::post(const jobs::JobSpec &job) {
+  const auto isRunning = [](const auto &it) {
+    return it.second.Task != nullptr;
+  };
+  const int at = leader();
+  Member &member = at != 0 ? Members.at(at)
+                           : std::ranges::find_if(Members, isRunning)->second;
+  AnswerSlot slot = runtime::makeReplySlot<Result<jobs::Reply>>();
+  (void)member.Boxes.Clients->post(
+      {jobs::SubmitJob{SampleCaller, job}, Patience, slot});
+  return slot;
+}
+
+bool ControlCell::isAcknowledged(const AnswerSlot &slot) {
+  const auto reply = slot->wait(Duration());
+  return isOk(reply) && isOk(valueOf(reply));
+}
+
+bool ControlCell::submitAll(const std::vector<jobs::JobSpec> &jobs) {
+  std::vector<AnswerSlot> slots;
+  std::ranges::transform(
+      jobs, std::back_inserter(slots),
+      [this](const jobs::JobSpec &job) { return post(job); });
+  return Wire.run(Patience,
+                  [&] { return std::ranges::all_of(slots, isAcknowledged); });
+}
+
 Status ControlCell::submit(const std::string &id, uint32_t tasks, int ms) {
   jobs::JobSpec job = sampleJob(id, {sampleStep(tasks)});
   job.Payload = std::to_string(ms);
@@ -155,8 +201,7 @@
 }
 
 std::string ControlCell::stateOf(const std::string &id) {
-  const auto reply = execute(
-      jobs::ReadJob{{"a.example", "/plans/", "key-a"}, jobs::JobId(id)});
+  const auto reply = execute(jobs::ReadJob{SampleCaller, jobs::JobId(id)});
   if (!isOk(reply))
     return std::string(nameIn(ErrorKindNames, errorOf(reply).Kind));
   const auto *news = std::get_if<jobs::JobNews>(&valueOf(reply));
@@ -176,6 +221,20 @@
   return false;
 }
 
+bool ControlCell::awaitPending(uint64_t jobs, Duration patience) {
+  const Instant end = Wire.now() + patience;
+  while (Wire.now() < end) {
+    const auto reply = execute(jobs::CountPending{SampleCaller});
+    const auto *count = isOk(reply)
+                            ? std::get_if<jobs::PendingCount>(&valueOf(reply))
+                            : nullptr;
+    if (count != nullptr && count->Jobs <= jobs)
+      return true;
+    Wire.run(Duration::millis(500));
+  }
+  return false;
+}
+
 metrics::Snapshot ControlCell::metricsOf(int member) {
   const auto slot = runtime::makeReplySlot<metrics::Snapshot>();
   (void)Members.at(member).Boxes.Questions->post({slot});
@@ -192,6 +251,14 @@
   return 0;
 }
 
+uint64_t ControlCell::takeOvers() const {
+  constexpr auto At = static_cast<std::size_t>(control::Work::TakeOver);
+  uint64_t n = 0;
+  for (const auto &[number, member] : Members)
+    n += member.Task ? member.Task->work()[At].Units : 0;
+  return n;
+}
+
 void ControlCell::kill(int member) {
   Members.at(member).Task.reset();
   Wire.remove(addressOf(member));
--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -3,6 +3,7 @@
 #ifndef TESTING_CONTROL_CELL_H_
 #define TESTING_CONTROL_CELL_H_
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,12 +15,16 @@
 
 namespace jujube::testing {
 
+// Microseconds of a host's time that a unit of each kind of work takes.
+using WorkCosts = std::array<double, control::WorkNames.size()>;
+
 struct ControlCellOptions {
   int Members = 3;
   int Workers = 3;
   // Tasks that fit on one worker.
   int64_t TasksPerWorker = 2;
   uint64_t Seed = 1;
+  std::size_t Voters = 3;
 };
 
 // Members are numbered from 1.
@@ -42,22 +47,35 @@
   // A job of one step, whose tasks run for `ms`.
   Status submit(const std::string &id, uint32_t tasks, int ms);
   Status submit(const jobs::JobSpec &job);
+  using AnswerSlot = runtime::ReplySlotPtr<Result<jobs::Reply>>;
+  // Submits a job at a member that runs, without waiting.
+  AnswerSlot post(const jobs::JobSpec &job);
+  static bool isAcknowledged(const AnswerSlot &slot);
+  // Submits all jobs at once at the leader; true if all were acknowledged.
+  bool submitAll(const std::vector<jobs::JobSpec> &jobs);
   // The job's state, or the name of the error.
   std::string stateOf(const std::string &id);
   // Runs until the job has this state.
   bool awaitState(const std::string &id, const std::string &state,
                   Duration patience = Duration::seconds(30));
 
+  // Runs until this many jobs have neither started nor ended.
+  bool awaitPending(uint64_t jobs, Duration patience);
+
   metrics::Snapshot metricsOf(int member);
 
   // The member that leads; 0 if none does.
   int leader();
+  // How often members that run have begun to lead.
+  uint64_t takeOvers() const;
   void kill(int member);
   // Tells a member that its process is about to stop.
   void tellToLeave(int member) { Members.at(member).Boxes.Leaving->raise(); }
   // Starts a member again; with an empty disk if `isWiped`.
   void restart(int member, bool isWiped = false);
   void cutOff(int member);
+  // From now on members are busy with their work for as long as it costs.
+  void setCosts(const WorkCosts &costs) { Costs = costs; }
 
 private:
   struct Member {
@@ -68,6 +86,8 @@
   Address addressOf(int member) const;
   std::string folderOf(int member) const;
   void start(int member, bool mayFound);
+  // Sums up what the task's work costs, turn by turn.
+  std::function<Duration()> meterOf(const control::ControlTask &task) const;
   void serveCalls();
   void announceAll();
 
@@ -76,6 +96,7 @@
   FakeWire Wire;
   PlatformWorkers Workers;
   std::map<int, Member> Members;
+  WorkCosts Costs = {};
 };
 
 } // namespace jujube::testing
--- a/testing/fake_wire.cc
+++ b/testing/fake_wire.cc
@@ -28,14 +28,25 @@
 void FakeWire::pause(const Address &at) { Hosts.at(at)->IsPaused = true; }
 
 void FakeWire::resume(const Address &at) {
-  Host &host = *Hosts.at(at);
-  host.IsPaused = false;
-  for (wire::TransportEvent &event : std::exchange(host.Held, {}))
-    pass(host, std::move(event));
+  Hosts.at(at)->IsPaused = false;
+  (void)releaseHeld();
 }
 
-void FakeWire::pass(Host &host, wire::TransportEvent event) {
-  if (host.IsPaused) {
+bool FakeWire::releaseHeld() {
+  bool hasAny = false;
+  for (const auto &[address, host] : Hosts) {
+    if (host->IsPaused || isBusy(*host))
+      continue;
+    for (wire::TransportEvent &event : std::exchange(host->Held, {})) {
+      hasAny = true;
+      pass(*host, std::move(event));
+    }
+  }
+  return hasAny;
+}
+
+void FakeWire::pass(Host &host, wire::TransportEvent event) const {
+  if (host.IsPaused || isBusy(host)) {
     host.Held.push_back(std::move(event));
     return;
   }
@@ -60,11 +71,14 @@
 
 bool FakeWire::deliverAll() {
   bool hasAny = false;
-  for (const auto &[address, host] : Hosts)
+  for (const auto &[address, host] : Hosts) {
+    if (isBusy(*host))
+      continue;
     for (wire::Packet &packet : host->Outbox->drain()) {
       hasAny = true;
       deliver(address, std::move(packet));
     }
+  }
   return hasAny;
 }
 
@@ -72,27 +86,32 @@
   bool hasAny = false;
   for (const auto &[address, host] : Hosts) {
     runtime::PollLoop &loop = host->Context.loop();
-    if (host->IsPaused || loop.nextTimer() > now())
+    if (host->IsPaused || isBusy(*host) || loop.nextTimer() > now())
       continue;
     hasAny = true;
     (void)loop.runOnce();
+    host->BusyUntil = now() + host->CostOfTurn();
   }
   return hasAny;
 }
 
 void FakeWire::settle() {
-  bool isBusy = true;
-  while (isBusy) {
-    isBusy = runDue();
-    isBusy = deliverAll() || isBusy;
+  bool hasAny = true;
+  while (hasAny) {
+    hasAny = releaseHeld();
+    hasAny = runDue() || hasAny;
+    hasAny = deliverAll() || hasAny;
   }
 }
 
 Instant FakeWire::nextTimer() const {
   Instant next = Instant::never();
-  for (const auto &[address, host] : Hosts)
-    if (!host->IsPaused)
+  for (const auto &[address, host] : Hosts) {
+    if (isBusy(*host))
+      next = std::min(next, host->BusyUntil);
+    else if (!host->IsPaused)
       next = std::min(next, host->Context.loop().nextTimer());
+  }
   return next;
 }
 
--- a/testing/fake_wire.h
+++ b/testing/fake_wire.h
@@ -28,7 +28,11 @@
     // Set by the owner once the task is created.
     ReceiveHook Receive = [](const wire::TransportEvent &) {};
     bool IsPaused = false;
-    // Arrived while it was paused.
+    // What the turn that has just run cost. Until that has passed the process
+    // does nothing, and what it sent is under way to nobody.
+    std::function<Duration()> CostOfTurn = [] { return Duration(); };
+    Instant BusyUntil;
+    // Arrived while it was paused or busy.
     std::vector<wire::TransportEvent> Held;
   };
 
@@ -62,7 +66,10 @@
   bool deliverAll();
   bool runDue();
   void deliver(const Address &from, wire::Packet packet);
-  static void pass(Host &host, wire::TransportEvent event);
+  void pass(Host &host, wire::TransportEvent event) const;
+  // Hands over what arrived while hosts were busy.
+  bool releaseHeld();
+  bool isBusy(const Host &host) const { return now() < host.BusyUntil; }
   bool isCut(const Address &a, const Address &b) const;
   Instant nextTimer() const;
 
