Traces are generated alike on x86-64 and arm64

Seen: on arm64, TraceSuite/BreezeguardOutcomesAreMet and MkwawaOutcomesAreMet fail on the unchanged code: the generator does not write the committed traces.

Cause: several random draws in the arguments of one call. The order of their evaluation is unspecified; g++ takes the last first on x86-64 and the first first on arm64.

Change: each draw is a statement, in the order of the committed traces. All 10 cases of replay_test pass on arm64.

--- a/jujube/replay/generator.cc
+++ b/jujube/replay/generator.cc
@@ -234,28 +234,33 @@
   // Declared sizes are wrong: invoices use more memory than they ask, replays
   // far less processor time.
   void submitInvoice(Instant at, uint32_t team, uint32_t tasks) {
-    submit(at, entryOf(team, "invoice"), tasks,
-           between(Duration::seconds(30), Duration::seconds(150)),
-           size(1700, 4000 + 100 * below(13)));
+    const int64_t memoryMb = 4000 + 100 * below(13);
+    const Duration run = between(Duration::seconds(30), Duration::seconds(150));
+    submit(at, entryOf(team, "invoice"), tasks, run, size(1700, memoryMb));
   }
 
+  // Each draw is a statement of its own: the order in which a call's arguments
+  // are evaluated differs between architectures, and the traces must not.
   void submitAny(Instant at) {
     const uint32_t team = pickTeam();
     const uint32_t kind = below(20);
-    if (kind < 9)
-      submit(at, entryOf(team, "settle"), 1,
-             between(Duration::seconds(2), Duration::seconds(8)),
-             size(400, 800));
-    else if (kind < 13)
+    if (kind < 9) {
+      const Duration run = between(Duration::seconds(2), Duration::seconds(8));
+      submit(at, entryOf(team, "settle"), 1, run, size(400, 800));
+    } else if (kind < 13) {
       submitInvoice(at, team, 5 + below(30));
-    else if (kind < 17)
-      submit(at, entryOf(team, "replay"), 2 + below(14),
-             between(Duration::seconds(20), Duration::seconds(60)),
-             size(1200, 5000));
-    else
-      submit(at, entryOf(team, "plan"), 4 + below(9),
-             between(Duration::seconds(60), Duration::seconds(120)),
+    } else if (kind < 17) {
+      const Duration run =
+          between(Duration::seconds(20), Duration::seconds(60));
+      const uint32_t tasks = 2 + below(14);
+      submit(at, entryOf(team, "replay"), tasks, run, size(1200, 5000));
+    } else {
+      const Duration run =
+          between(Duration::seconds(60), Duration::seconds(120));
+      const uint32_t tasks = 4 + below(9);
+      submit(at, entryOf(team, "plan"), tasks, run,
              size(1900, 5500, Place.AcceleratorRacks > 0 ? 1 : 0));
+    }
   }
 
   void addSteadyWork() {
