A refusal after an attempt that may be stored is no refusal

Cause: ControlClient repeats a command whose answer was lost, and passed on whatever the last attempt was refused with. A leader refuses by the state that it has now: the key of a job that the first attempt had stored may have been withdrawn, or its queue removed, before the second arrives. The caller takes 401, 404, 429 and 503 for the fate of its job.

Change: once an attempt of a change may be stored, a refusal that depends on the leader's state ends the call as OutcomeUnknown (504), at once. Refusals that follow from the command alone (InvalidArgument, MalformedBody, ImpossibleRequest) hold for each attempt and are passed on, and so is Gone; reads are not affected. An empty list of members no longer turns an attempt into NotRun either. The leader goes on to answer 401 to a new call with a withdrawn key, also for a job that it holds: such a call must not succeed.

Evidence: FrontPathTest/StoredJobIsNotRefusedWhenItsKeyIsWithdrawn loses the answer of the leader that stored the job and withdraws the key before the resend. Without the change the caller is told 'unauthenticated' and the job completes; with it OutcomeUnknown.

--- a/jujube/control/control_client.cc
+++ b/jujube/control/control_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace jujube::control {
 namespace {
 
@@ -32,6 +34,36 @@
 // two reports of an entry host, and one attempt at a member that is lost.
 constexpr Duration ElectingSign = Duration::millis(500);
 
+Error outcomeUnknown(const std::string &message) {
+  return Error{ErrorKind::OutcomeUnknown, message,
+               "resend it with the same id"};
+}
+
+bool isRead(const jobs::Command &what) {
+  switch (jobs::kindOf(what)) {
+  case jobs::CommandKind::ReadJob:
+  case jobs::CommandKind::CountPending:
+  case jobs::CommandKind::ReadConfiguration:
+  case jobs::CommandKind::OfferHelp:
+    return true;
+  case jobs::CommandKind::SubmitJob:
+  case jobs::CommandKind::CancelJob:
+  case jobs::CommandKind::PutConfiguration:
+  case jobs::CommandKind::AnnounceWorker:
+  case jobs::CommandKind::WithdrawWorker:
+    return false;
+  }
+  return false;
+}
+
+// True if the refusal follows from the command alone, so that it holds for
+// each attempt, or tells that there is nothing to change.
+bool holdsForAllAttempts(ErrorKind kind) {
+  return kind == ErrorKind::InvalidArgument ||
+         kind == ErrorKind::MalformedBody ||
+         kind == ErrorKind::ImpossibleRequest || kind == ErrorKind::Gone;
+}
+
 } // namespace
 
 ControlClient::ControlClient(runtime::PollLoop &loop, wire::Messenger &messages,
@@ -81,15 +113,11 @@
 
 void ControlClient::attempt(const RequestPtr &request) {
   const Duration left = request->Deadline - Loop.now();
-  if (left <= Duration() && request->MayHaveRun) {
-    request->Finish(Error{ErrorKind::OutcomeUnknown,
-                          "no leader has answered in time",
-                          "resend it with the same id"});
-    return;
-  }
   if (left <= Duration() || isRefused(*request) || Members.empty()) {
-    request->Finish(Error{ErrorKind::NotRun, "no leader can be reached",
-                          "resend it later, or at another host"});
+    request->Finish(request->MayHaveRun
+                        ? outcomeUnknown("no leader has answered in time")
+                        : Error{ErrorKind::NotRun, "no leader can be reached",
+                                "resend it later, or at another host"});
     return;
   }
   if (isLeaderSilent() && !request->IsSeeking) {
@@ -133,10 +161,22 @@
     request->MayHaveRun = true;
     retry(request);
   } else {
-    request->Finish(refusal->Why);
+    finishRefused(*request, refusal->Why);
   }
 }
 
+// A leader refuses by the state that it has now: a key may have been withdrawn
+// since an earlier attempt was stored.
+void ControlClient::finishRefused(const Request &request, const Error &why) {
+  const bool isInDoubt = request.MayHaveRun && !isRead(request.What) &&
+                         !holdsForAllAttempts(why.Kind);
+  request.Finish(isInDoubt
+                     ? outcomeUnknown(absl::StrCat(
+                           "an earlier attempt may be stored; the last one: ",
+                           why.Message))
+                     : why);
+}
+
 void ControlClient::retry(const RequestPtr &request) {
   Loop.callAt(Loop.now() + RetryPause, [this, request] { attempt(request); });
 }
--- a/jujube/control/control_client.h
+++ b/jujube/control/control_client.h
@@ -51,8 +51,8 @@
   // `timeout` has passed. Nothing is sent to a leader that has been silent, so
   // that what can't be served is surely not taken. Ends with the leader's
   // error, with NotRun if no leader took it, or with OutcomeUnknown if one may
-  // have. Without a leader it is given up soon, but not while most members are
-  // there to elect one.
+  // have, even if a later attempt of a change was refused. Without a leader it
+  // is given up soon, but not while most members are there to elect one.
   void call(jobs::Command what, Duration timeout, Done done);
 
 private:
@@ -75,6 +75,7 @@
   void attempt(const RequestPtr &request);
   void handle(const RequestPtr &request, const Address &from,
               Result<wire::Message> result);
+  static void finishRefused(const Request &request, const Error &why);
   void retry(const RequestPtr &request);
   void follow(const Address &hint, const Address &failed);
 
--- a/testing/front_path_test.cc
+++ b/testing/front_path_test.cc
@@ -2,6 +2,7 @@
 // clock: what callers are told when the leader is out of reach.
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -122,6 +123,48 @@
   BOOST_TEST((errorOf(*answer).Kind == ErrorKind::OutcomeUnknown));
 }
 
+// The answer of the leader that stored the job is lost.
+BOOST_AUTO_TEST_CASE(StoredJobIsNotRefusedWhenItsKeyIsWithdrawn) {
+  Bed bed;
+  const int leader = bed.Cell.leader();
+  std::vector<Address> others;
+  for (int i = 1; i <= 3; ++i)
+    if (i != leader)
+      others.push_back({absl::StrCat("10.0.0.", i), 7420});
+  std::ranges::for_each(others, [&](auto &at) { bed.Cell.wire().pause(at); });
+  const auto slot = bed.post("a");
+  bed.Cell.wire().run(Duration::millis(160));
+  bed.Cell.wire().cut({FrontAt});
+  std::ranges::for_each(others, [&](auto &at) { bed.Cell.wire().resume(at); });
+  bed.Cell.wire().run(Duration::millis(20));
+  jobs::Configuration withdrawn = sampleConfiguration(9);
+  withdrawn.Teams[0].Keys = {"key-b"};
+  BOOST_REQUIRE(
+      isOk(bed.Cell.execute(leader, jobs::PutConfiguration{withdrawn})));
+  bed.Cell.wire().heal();
+  const auto answer = bed.await(slot, Duration::seconds(4));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_REQUIRE(!isOk(*answer));
+  BOOST_TEST((errorOf(*answer).Kind == ErrorKind::OutcomeUnknown),
+             errorOf(*answer).text());
+  BOOST_REQUIRE(
+      isOk(bed.Cell.execute(jobs::PutConfiguration{sampleConfiguration(10)})));
+  BOOST_TEST(bed.Cell.awaitState("a", "completed"));
+}
+
+BOOST_AUTO_TEST_CASE(UnknownKeyIsRefusedForGood) {
+  Bed bed;
+  auto slot = runtime::makeReplySlot<Result<jobs::Reply>>();
+  (void)bed.Boxes.Clients->post(
+      {jobs::SubmitJob{{"a.example", "/plans/", "key-b"},
+                       sampleJob("a", {sampleStep(1)})},
+       Duration::seconds(3), slot});
+  const auto answer = bed.await(slot, Duration::seconds(1));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_REQUIRE(!isOk(*answer));
+  BOOST_TEST((errorOf(*answer).Kind == ErrorKind::Unauthenticated));
+}
+
 // Load: calls that come in all through a change of leader.
 BOOST_AUTO_TEST_CASE(CallsWaitForALeaderThatIsBeingElected) {
   for (uint64_t seed = 1; seed <= 4; ++seed) {
