--- a/jujube/base/address.cc
+++ b/jujube/base/address.cc
@@ -20,7 +20,9 @@
   Address address{std::string(text.substr(0, colon)), 0};
   in_addr parsed{};
   int port = 0;
-  if (inet_pton(AF_INET, address.Ip.c_str(), &parsed) != 1 ||
+  // inet_pton() reads up to the first zero byte.
+  if (address.Ip.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, address.Ip.c_str(), &parsed) != 1 ||
       !absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 0 ||
       port > std::numeric_limits<uint16_t>::max())
     return bad;
--- a/jujube/base/base_test.cc
+++ b/jujube/base/base_test.cc
@@ -113,6 +113,8 @@
   BOOST_TEST(valueOf(Address::parse("127.0.0.1:80")).str() == "127.0.0.1:80");
   BOOST_TEST(!isOk(Address::parse("localhost:80")));
   BOOST_TEST(!isOk(Address::parse("127.0.0.1:65536")));
+  BOOST_TEST(!isOk(Address::parse("127.0.0.1:-1")));
+  BOOST_TEST(!isOk(Address::parse(absl::string_view("127.0.0.1\0x:80", 14))));
   BOOST_TEST(valueOf(parseAddresses("127.0.0.1:1,127.0.0.2:2")).size() == 2U);
 }
 
