Odd answers of workers end no attempt

(2) A running row that could not be read was left out, and its attempt counted as not listed: it was stopped, and could be started elsewhere while it ended.

OrderAnswer says whether all running rows were read; if not, nothing is concluded from what is missing.

--- a/jujube/control/worker_desk_lists.cc
+++ b/jujube/control/worker_desk_lists.cc
@@ -114,7 +114,8 @@
     run->Checkpoint = row.Checkpoint.empty() ? run->Checkpoint : row.Checkpoint;
   }
   for (auto &[task, run] : session.Runs) {
-    const bool isDue = run.Since < askedAt && !listed.contains(task);
+    const bool isDue =
+        answer.IsRunningWhole && run.Since < askedAt && !listed.contains(task);
     if (isDue && run.Now == Phase::Stopped)
       events.emplace_back(
           jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint});
--- a/jujube/control/worker_desk_test.cc
+++ b/jujube/control/worker_desk_test.cc
@@ -240,6 +240,21 @@
   BOOST_TEST(!bed.task().Live.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(AttemptIsNotMissingFromAListThatCantBeReadWhole) {
+  RunningBed bed;
+  bed.Time.advance(Duration::millis(300));
+  bed.Desk->tick();
+  auto sent = bed.take<LeaseOrder>();
+  BOOST_REQUIRE(sent.has_value());
+  OrderAnswer reply;
+  reply.Verdict = OrderVerdict::Accepted;
+  reply.IsRunningWhole = false;
+  sent->Done(reply);
+  BOOST_TEST(!bed.take<StopOrder>().has_value());
+  bed.list({}, {});
+  BOOST_TEST(bed.take<StopOrder>().has_value());
+}
+
 // Asking a silent worker again and again must not prolong its leases.
 BOOST_AUTO_TEST_CASE(SilentWorkerIsLostOnlyWhenItsLeasesAreOver) {
   RunningBed bed;
--- a/jujube/dispatch/orders.h
+++ b/jujube/dispatch/orders.h
@@ -114,6 +114,8 @@
   std::optional<Incarnation> Life;
   // Of a LeaseOrder.
   std::vector<RunningRow> Running;
+  // False if rows could not be read: what is missing may run.
+  bool IsRunningWhole = true;
   std::vector<EndedRow> Ended;
 };
 
