--- a/jujube/dispatch/approvals.cc
+++ b/jujube/dispatch/approvals.cc
@@ -1,7 +1,5 @@
 #include "jujube/dispatch/approvals.h"
 
-#include <algorithm>
-
 namespace jujube::dispatch {
 namespace {
 
@@ -27,15 +25,14 @@
   step.IsAsking = false;
   Rate &rate = Rates[step.Queue];
   for (const WorkerId &worker : query.Workers)
-    if (!step.Approved.contains(worker)) {
+    if (!step.Workers[worker].IsApproved)
       rate.Asked += 1;
-      step.Denied.insert(worker);
-    }
   for (const jobs::Approval &approval : answer.Approved) {
-    if (step.Denied.erase(approval.Worker) > 0)
+    const auto [known, isNew] = step.Workers.try_emplace(approval.Worker);
+    Verdict &verdict = known->second;
+    if (!isNew && !verdict.IsApproved)
       rate.Approved += 1;
-    step.Approved[approval.Worker] = {approval.Ticket,
-                                      sentAt + answer.Validity - TicketMargin};
+    verdict = {true, approval.Ticket, sentAt + answer.Validity - TicketMargin};
   }
 }
 
@@ -46,58 +43,59 @@
 }
 
 bool Approvals::isAsking(const jobs::StepKey &step) const {
+  const Step *held = find(step);
+  return held != nullptr && held->IsAsking;
+}
+
+const Approvals::Step *Approvals::find(const jobs::StepKey &step) const {
   const auto it = Steps.find(step);
-  return it != Steps.end() && it->second.IsAsking;
+  return it == Steps.end() ? nullptr : &it->second;
+}
+
+ApprovalState Approvals::Step::stateOf(const WorkerId &worker,
+                                       Instant now) const {
+  const auto it = Workers.find(worker);
+  if (it == Workers.end())
+    return ApprovalState::Unknown;
+  if (!it->second.IsApproved)
+    return ApprovalState::Denied;
+  return now < it->second.ValidUntil ? ApprovalState::Valid
+                                     : ApprovalState::Expired;
 }
 
 ApprovalState Approvals::stateOf(const jobs::StepKey &step,
                                  const WorkerId &worker, Instant now) const {
-  const auto it = Steps.find(step);
-  if (it == Steps.end())
-    return ApprovalState::Unknown;
-  const auto ticket = it->second.Approved.find(worker);
-  if (ticket != it->second.Approved.end())
-    return now < ticket->second.ValidUntil ? ApprovalState::Valid
-                                           : ApprovalState::Expired;
-  return it->second.Denied.contains(worker) ? ApprovalState::Denied
-                                            : ApprovalState::Unknown;
+  const Step *held = find(step);
+  return held == nullptr ? ApprovalState::Unknown : held->stateOf(worker, now);
 }
 
 std::optional<std::string> Approvals::ticket(const jobs::StepKey &step,
                                              const WorkerId &worker,
                                              Instant now) const {
-  if (stateOf(step, worker, now) != ApprovalState::Valid)
+  const Step *held = find(step);
+  if (held == nullptr || held->stateOf(worker, now) != ApprovalState::Valid)
     return std::nullopt;
-  return Steps.at(step).Approved.at(worker).Text;
-}
-
-Instant Approvals::validUntil(const jobs::StepKey &step,
-                              const WorkerId &worker) const {
-  const auto it = Steps.find(step);
-  if (it == Steps.end())
-    return Instant();
-  const auto ticket = it->second.Approved.find(worker);
-  return ticket == it->second.Approved.end() ? Instant()
-                                             : ticket->second.ValidUntil;
+  return held->Workers.at(worker).Ticket;
 }
 
 void Approvals::expire(const jobs::StepKey &step, const WorkerId &worker) {
   const auto it = Steps.find(step);
   if (it == Steps.end())
     return;
-  const auto ticket = it->second.Approved.find(worker);
-  if (ticket != it->second.Approved.end())
-    ticket->second.ValidUntil = Instant();
+  const auto known = it->second.Workers.find(worker);
+  if (known != it->second.Workers.end())
+    known->second.ValidUntil = Instant();
 }
 
 void Approvals::expireWorker(const WorkerId &worker) {
   for (auto &[key, step] : Steps)
-    expire(key, worker);
+    if (const auto it = step.Workers.find(worker); it != step.Workers.end())
+      it->second.ValidUntil = Instant();
 }
 
 void Approvals::retain(
     const std::function<bool(const jobs::StepKey &)> &isWanted) {
-  std::erase_if(Steps, [&](const auto &it) {
+  absl::erase_if(Steps, [&](const auto &it) {
     return !it.second.IsAsking && !isWanted(it.first);
   });
 }
--- a/jujube/dispatch/approvals.h
+++ b/jujube/dispatch/approvals.h
@@ -6,10 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "jujube/base/clock.h"
 #include "jujube/jobs/commands.h"
 #include "jujube/jobs/types.h"
@@ -35,6 +34,20 @@
 
 class Approvals {
 public:
+  // What the service has said of one worker for one step.
+  struct Verdict {
+    bool IsApproved = false;
+    std::string Ticket;
+    Instant ValidUntil;
+  };
+  struct Step {
+    jobs::QueueId Queue;
+    bool IsAsking = false;
+    absl::flat_hash_map<WorkerId, Verdict> Workers;
+
+    ApprovalState stateOf(const WorkerId &worker, Instant now) const;
+  };
+
   // A query was sent at `now`; no other is sent for the step before it ends.
   void begin(const jobs::ApprovalQuery &query, const jobs::QueueId &queue);
   // The answer to a query that was sent at `sentAt`; tickets count from then.
@@ -44,13 +57,13 @@
   void abandon(const jobs::StepKey &step);
   bool isAsking(const jobs::StepKey &step) const;
 
+  // Null if nothing was asked for the step.
+  const Step *find(const jobs::StepKey &step) const;
   ApprovalState stateOf(const jobs::StepKey &step, const WorkerId &worker,
                         Instant now) const;
   // Valid tickets only.
   std::optional<std::string> ticket(const jobs::StepKey &step,
                                     const WorkerId &worker, Instant now) const;
-  // Until when a ticket can be used; the default Instant without one.
-  Instant validUntil(const jobs::StepKey &step, const WorkerId &worker) const;
   // A worker refused the ticket, or started anew.
   void expire(const jobs::StepKey &step, const WorkerId &worker);
   void expireWorker(const WorkerId &worker);
@@ -62,22 +75,12 @@
   double approvalRate(const jobs::QueueId &queue) const;
 
 private:
-  struct Ticket {
-    std::string Text;
-    Instant ValidUntil;
-  };
-  struct Step {
-    jobs::QueueId Queue;
-    bool IsAsking = false;
-    std::map<WorkerId, Ticket> Approved;
-    std::set<WorkerId> Denied;
-  };
   struct Rate {
     double Asked = 2;
     double Approved = 1;
   };
 
-  std::map<jobs::StepKey, Step> Steps;
+  absl::flat_hash_map<jobs::StepKey, Step> Steps;
   std::map<jobs::QueueId, Rate> Rates;
 };
 
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -1,8 +1,5 @@
 #include "jujube/dispatch/dispatcher.h"
 
-#include <algorithm>
-#include <tuple>
-
 #include "jujube/dispatch/pass.h"
 
 namespace jujube::dispatch {
@@ -14,33 +11,8 @@
 constexpr Duration MediumQuery = Duration::millis(40);
 constexpr Duration LongQuery = Duration::millis(250);
 
-// The longest chain of estimates over the job's steps.
-Duration longestChain(const jobs::JobSpec &spec) {
-  std::vector<Duration> ends;
-  for (const jobs::StepSpec &step : spec.Steps) {
-    Duration begin;
-    for (const uint32_t before : step.After)
-      begin = std::max(begin, ends[before]);
-    ends.push_back(begin + step.Estimate);
-  }
-  return ends.empty() ? Duration() : *std::ranges::max_element(ends);
-}
-
 } // namespace
 
-Instant dueAt(const jobs::Job &job, uint32_t occurrence) {
-  return job.Spec.FirstDue ? *job.Spec.FirstDue + job.Spec.Period * occurrence
-                           : job.AcceptedAt;
-}
-
-Instant objectiveOf(const jobs::Job &job, const jobs::Queue &queue,
-                    uint32_t occurrence) {
-  const auto chain = static_cast<double>(longestChain(job.Spec).millis());
-  return dueAt(job, occurrence) +
-         Duration::millis(static_cast<int64_t>(chain * queue.SlackFactor)) +
-         queue.LatencyTarget;
-}
-
 QueryLength lengthOf(const jobs::ApprovalTerms &terms) {
   if (terms.Base < MediumQuery)
     return QueryLength::Short;
@@ -54,13 +26,8 @@
 
 DispatchHooks defaultHooks() {
   DispatchHooks hooks;
-  hooks.GoesFirst = [](const ReadyStep &a, const ReadyStep &b,
-                       Instant wallNow) {
-    const auto rank = [wallNow](const ReadyStep &step) {
-      const bool isLate = step.DueBy < wallNow + step.Spec->Estimate;
-      return std::tuple(step.Queue->Priority, isLate, step.DueBy, step.Key);
-    };
-    return rank(a) < rank(b);
+  hooks.CanBeInTime = [](const jobs::WaitingStep &step, Instant wallNow) {
+    return wallNow + step.Estimate <= step.DueBy;
   };
   return hooks;
 }
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -4,15 +4,17 @@
 #ifndef JUJUBE_DISPATCH_DISPATCHER_H_
 #define JUJUBE_DISPATCH_DISPATCHER_H_
 
+#include <compare>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "jujube/base/clock.h"
 #include "jujube/dispatch/approvals.h"
 #include "jujube/jobs/job_book.h"
+#include "jujube/jobs/objective.h"
 
 namespace jujube::dispatch {
 
@@ -24,25 +26,23 @@
   bool IsDoubtful = false;
 };
 
-// A step with tasks to start.
-struct ReadyStep {
-  jobs::StepKey Key;
-  const jobs::Job *Job = nullptr;
-  const jobs::StepSpec *Spec = nullptr;
-  const jobs::StepState *State = nullptr;
-  const jobs::Queue *Queue = nullptr;
-  // Latest wall time at which it should be done to meet its job's objective.
+// Where a step stands in the order of plans.
+struct StepPosition {
+  int32_t Priority = 0;
+  // It can't be done by its objective any more.
+  bool IsLate = false;
   Instant DueBy;
-  // Workers on which tasks of the step that wait have failed.
-  std::set<WorkerId> FailedOn;
+  jobs::StepKey Key;
+
+  auto operator<=>(const StepPosition &) const = default;
 };
 
 // Behaviour that varies; each has a default.
 struct DispatchHooks {
-  // True if `a` goes before `b`. Default: priority, then steps that can still
-  // be in time, then the earlier objective.
-  std::function<bool(const ReadyStep &a, const ReadyStep &b, Instant wallNow)>
-      GoesFirst;
+  // True if the step goes before those of its priority for which this is false.
+  // Called only for steps whose objective has not passed. Default: it can still
+  // be in time.
+  std::function<bool(const jobs::WaitingStep &, Instant wallNow)> CanBeInTime;
 };
 DispatchHooks defaultHooks();
 
@@ -89,12 +89,14 @@
   std::vector<PlannedStart> Starts;
   std::vector<jobs::ApprovalQuery> Queries;
   std::vector<StepWait> Waits;
-  // Pairs of a step and a worker that were looked at: what the plan cost.
+  // Pairs of a step and a worker that were looked at, and workers that were
+  // indexed: what the plan cost.
   std::size_t Examined = 0;
 };
 
 struct DispatchInput {
   const jobs::JobBook &Book;
+  // In order of their ids.
   std::vector<WorkerView> Workers;
   const Approvals &Approved;
   // For tickets.
@@ -129,12 +131,8 @@
 // How long a query that names so many workers takes.
 Duration queryTime(const jobs::ApprovalTerms &terms, std::size_t workers);
 
-// Wall time at which an occurrence of a job is due.
-Instant dueAt(const jobs::Job &job, uint32_t occurrence);
-// Wall time by which an occurrence should be done. Precondition: the job has
-// not ended.
-Instant objectiveOf(const jobs::Job &job, const jobs::Queue &queue,
-                    uint32_t occurrence);
+using jobs::dueAt;
+using jobs::objectiveOf;
 
 DispatchPlan planStarts(const DispatchInput &input, const DispatchHooks &hooks);
 
--- /dev/null
+++ b/jujube/dispatch/fleet.cc
@@ -0,0 +1,95 @@
+#include "jujube/dispatch/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujube::dispatch::internal {
+namespace {
+
+// Tasks that fill may ask for this part of a worker's processors though all are
+// given away. Source: tasks use less than they ask for.
+constexpr int64_t FillerPart = 4;
+
+} // namespace
+
+int64_t Fleet::Node::leftOver() const {
+  return std::max(Free.MilliCpu, Who->Capacity.MilliCpu / FillerPart) -
+         FillerMilliCpu;
+}
+
+Fleet::Fleet(const std::vector<WorkerView> &views, const jobs::JobBook &book) {
+  Nodes.reserve(views.size());
+  for (const WorkerView &view : views) {
+    const jobs::Load &load = book.loadOf(view.Who->Id);
+    Pools[view.Who->Pool].Members.push_back(
+        static_cast<NodeIndex>(Nodes.size()));
+    Nodes.push_back({view.Who, view.IsDoubtful, false,
+                     view.Who->Capacity - load.Used, load.FillerMilliCpu});
+  }
+  for (auto &[id, pool] : Pools) {
+    pool.ByFree = pool.Members;
+    std::ranges::sort(pool.ByFree, {}, [this](NodeIndex index) {
+      return std::pair(Nodes[index].Free.MilliCpu, index);
+    });
+  }
+}
+
+std::optional<NodeIndex> Fleet::find(const WorkerId &id) const {
+  const auto it = std::ranges::lower_bound(
+      Nodes, id, {},
+      [](const Node &node) -> const WorkerId & { return node.Who->Id; });
+  if (it == Nodes.end() || it->Who->Id != id)
+    return std::nullopt;
+  return static_cast<NodeIndex>(it - Nodes.begin());
+}
+
+std::span<const NodeIndex> Fleet::members(const jobs::PoolId &pool) const {
+  const auto it = Pools.find(pool);
+  return it == Pools.end() ? std::span<const NodeIndex>()
+                           : std::span(it->second.Members);
+}
+
+std::span<const NodeIndex> Fleet::withFree(const jobs::PoolId &pool,
+                                           int64_t milliCpu) const {
+  const auto it = Pools.find(pool);
+  if (it == Pools.end())
+    return {};
+  const std::vector<NodeIndex> &all = it->second.ByFree;
+  return {lowerBound(it->second, milliCpu, 0), all.end()};
+}
+
+std::vector<NodeIndex>::const_iterator
+Fleet::lowerBound(const Pool &pool, int64_t milliCpu, NodeIndex index) const {
+  return std::ranges::lower_bound(
+      pool.ByFree, std::pair(milliCpu, index), {},
+      [this](NodeIndex it) { return std::pair(Nodes[it].Free.MilliCpu, it); });
+}
+
+void Fleet::take(NodeIndex index, const Resources &demand,
+                 int64_t fillerMilliCpu) {
+  Node &node = Nodes[index];
+  node.FillerMilliCpu += fillerMilliCpu;
+  const int64_t before = node.Free.MilliCpu;
+  if (demand.MilliCpu != 0 && !node.IsHeld) {
+    Pool &pool = Pools.at(node.Who->Pool);
+    const auto from = pool.ByFree.begin() +
+                      (lowerBound(pool, before, index) - pool.ByFree.cbegin());
+    const auto to = pool.ByFree.begin() +
+                    (lowerBound(pool, before - demand.MilliCpu, index) -
+                     pool.ByFree.cbegin());
+    std::rotate(to, from, from + 1);
+  }
+  node.Free -= demand;
+}
+
+void Fleet::hold(NodeIndex index) {
+  Node &node = Nodes[index];
+  if (node.IsHeld)
+    return;
+  Pool &pool = Pools.at(node.Who->Pool);
+  pool.ByFree.erase(lowerBound(pool, node.Free.MilliCpu, index));
+  node.IsHeld = true;
+  ++Held;
+}
+
+} // namespace jujube::dispatch::internal
--- a/jujube/dispatch/pass.h
+++ b/jujube/dispatch/pass.h
@@ -5,16 +5,51 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
-#include <set>
+#include <optional>
+#include <span>
 #include <string>
-#include <tuple>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "jujube/dispatch/dispatcher.h"
+#include "jujube/dispatch/fleet.h"
 
 namespace jujube::dispatch::internal {
 
+// A step with tasks to start.
+struct ReadyStep {
+  jobs::StepKey Key;
+  const jobs::Job *Job = nullptr;
+  const jobs::StepSpec *Spec = nullptr;
+  const jobs::StepState *State = nullptr;
+  const jobs::Queue *Queue = nullptr;
+  // Latest wall time at which it should be done to meet its job's objective.
+  Instant DueBy;
+  // What is known of approvals; null if nothing was asked.
+  const Approvals::Step *Approval = nullptr;
+
+  // Tasks that are neither done nor running.
+  int64_t waitingTasks() const;
+};
+
+// What steps with the same chances to find room have in common.
+struct DemandKey {
+  absl::string_view Pool;
+  absl::string_view Label;
+  Resources Demand;
+  // What a task that fills asks for; -1 for others.
+  int64_t FillerMilliCpu = -1;
+
+  bool operator==(const DemandKey &) const = default;
+
+  template <typename H> friend H AbslHashValue(H state, const DemandKey &key) {
+    return H::combine(std::move(state), key.Pool, key.Label,
+                      key.Demand.MilliCpu, key.Demand.MemoryMb,
+                      key.Demand.Accelerators, key.FillerMilliCpu);
+  }
+};
+
 class Pass {
 public:
   Pass(const DispatchInput &input, const DispatchHooks &hooks);
@@ -22,95 +57,123 @@
   DispatchPlan run();
 
 private:
-  struct Choice {
-    const jobs::Worker *Who = nullptr;
-    std::string Ticket;
+  // Tasks for one worker.
+  struct Pick {
+    NodeIndex Node = 0;
+    int64_t Tasks = 0;
   };
   // A worker that may be named in a query.
   struct Candidate {
-    int64_t Fit;
-    std::size_t Spread;
-    const WorkerView *View;
+    int64_t Fit = 0;
+    std::size_t Spread = 0;
+    NodeIndex Node = 0;
+  };
+  // What is known of a demand. Room only shrinks in the course of a pass.
+  struct DemandState {
+    bool IsWithoutRoom = false;
+    // Some worker could hold a task if it were empty.
+    std::optional<bool> IsServable;
+  };
+  struct TeamState {
+    const jobs::Team *Team = nullptr;
+    Resources Used;
   };
+  using NodeSpan = std::span<const NodeIndex>;
 
   // ---- Steps and their places (pass.cc) ----
-  std::vector<ReadyStep> readySteps() const;
-  void addReadySteps(const jobs::Job &job, const jobs::Queue &queue,
-                     uint32_t occurrence, std::vector<ReadyStep> &out) const;
-  static std::set<WorkerId> failedOn(const jobs::StepState &state);
+  ReadyStep readyStep(const jobs::WaitingStep &waiting) const;
+  void handle(const ReadyStep &step);
+  TeamState &teamOf(const ReadyStep &step);
   // Most further tasks that the team may have running.
   int64_t teamRoom(const ReadyStep &step);
-  void place(const ReadyStep &step);
-  static std::vector<uint32_t> waitingTasks(const ReadyStep &step);
-  void placeTasks(const ReadyStep &step);
-  void placeGang(const ReadyStep &step);
-  bool placeOnOneRack(const ReadyStep &step, uint32_t attempt);
-  // Places all tasks or none.
-  bool placeAll(const ReadyStep &step, uint32_t attempt,
-                const std::string *rack);
-  Choice choose(const ReadyStep &step, const std::string *rack) const;
-  void commit(const ReadyStep &step, uint32_t index, uint32_t attempt,
-              const Choice &choice);
+  // Places up to `wanted` tasks, a gang's all or none; returns how many.
+  int64_t place(const ReadyStep &step, int64_t wanted);
+  void commit(const ReadyStep &step, const std::vector<Pick> &picks);
+  void start(const ReadyStep &step, uint32_t index, uint32_t attempt,
+             NodeIndex node);
+
+  // ---- Workers for tasks (pass_picks.cc) ----
+  // Workers that may have room for the step, those with less free first.
+  std::vector<NodeIndex> sourceOf(const ReadyStep &step);
+  std::vector<NodeIndex> approvedNodes(const ReadyStep &step);
+  std::vector<Pick> pickOnOneRack(const ReadyStep &step, NodeSpan source,
+                                  int64_t wanted);
+  std::vector<Pick> pick(const ReadyStep &step, NodeSpan source,
+                         int64_t wanted);
+  std::vector<Pick> pickForFiller(const ReadyStep &step, NodeSpan source,
+                                  int64_t wanted);
+  // Lower goes first: sound workers, those on which the step has not failed,
+  // those near the data.
+  int tierOf(const ReadyStep &step, const Fleet::Node &node,
+             const std::vector<const WorkerId *> &failedOn) const;
+  // The workers on which tasks of the step that wait have failed.
+  static std::vector<const WorkerId *> failedOn(const ReadyStep &step);
 
   // ---- Room (pass_room.cc) ----
   // Keeps less urgent steps off as many workers as the gang needs, so that room
   // comes together there.
   void holdRoomFor(const ReadyStep &step);
-  bool isKnownApproved(const ReadyStep &step, const WorkerId &worker) const;
-  bool isApproved(const ReadyStep &step, const WorkerId &worker) const;
-  uint32_t tasksOn(const ReadyStep &step, const WorkerId &worker) const;
-  void noteWait(const ReadyStep &step, std::size_t tasks, bool isAtTeamMaximum);
-  // Why `tasks` more tasks of the step find no place; a gang needs all at once.
-  WaitCause placeCause(const ReadyStep &step, std::size_t tasks) const;
-  // True if one more task of the step fits there, approval aside.
-  bool hasRoom(const ReadyStep &step, const WorkerView &view) const;
-  // Processors that the other tasks leave, less those of tasks that fill.
-  int64_t leftOver(const jobs::Worker &worker) const;
-  bool mayFill(const ReadyStep &step, const jobs::Worker &worker) const;
+  std::vector<NodeIndex> holdable(const ReadyStep &step);
+  void noteWait(const ReadyStep &step, int64_t tasks, WaitCause why);
+  // Why so many more tasks of the step find no place; a gang needs all at once.
+  WaitCause placeCause(const ReadyStep &step, int64_t tasks);
+  DemandState &demandState(const ReadyStep &step);
+  // True if some worker has room for a task, approval and the bound per worker
+  // aside.
+  bool hasAnyRoom(const ReadyStep &step);
+  bool isServable(const ReadyStep &step);
+  // Workers among which all are that have room for a task.
+  NodeSpan roomSource(const ReadyStep &step) const;
+  // Most further tasks of the step that the worker holds, approval aside.
+  int64_t roomOn(const ReadyStep &step, NodeIndex index) const;
+  bool hasRoom(const ReadyStep &step, const Fleet::Node &node) const;
+  // Counts the step's tasks by worker if they are bounded.
+  void countTasks(const ReadyStep &step);
+  int64_t tasksOn(NodeIndex index) const;
   // True if the worker could run a task of the step if it were empty.
   static bool isEligible(const ReadyStep &step, const jobs::Worker &worker);
-  // Lower goes first: sound workers, those on which the step has not failed,
-  // those near the data, the tightest fit; for tasks that fill, the worker that
-  // has most left over.
-  std::tuple<bool, bool, bool, int64_t> rankOf(const ReadyStep &step,
-                                               const WorkerView &view) const;
   static bool isFar(const ReadyStep &step, const jobs::Worker &worker);
   // How many tasks of the step fit into `free` on one worker.
-  static int64_t fitCount(const ReadyStep &step, Resources free);
+  static int64_t fitCount(const ReadyStep &step, const Resources &free);
 
   // ---- Approvals (pass_approvals.cc) ----
   // Asks for approval of workers for `tasks` more tasks. Short queries name
   // workers that have room; they are answered before it is gone. Others are
   // made ahead, so that room that comes up later finds a valid ticket.
-  void askFor(const ReadyStep &step, std::size_t tasks);
+  void askFor(const ReadyStep &step, int64_t tasks);
   // Names workers that are expected to be enough for `tasks`; none if a gang
   // would hardly find a place on them.
-  jobs::ApprovalQuery queryFor(const ReadyStep &step, std::size_t tasks) const;
+  jobs::ApprovalQuery queryFor(const ReadyStep &step, int64_t tasks);
   // Renews what expires before a later query could be answered, and names all
   // workers that are not known unless enough are approved.
-  jobs::ApprovalQuery longQuery(const ReadyStep &step) const;
+  jobs::ApprovalQuery longQuery(const ReadyStep &step);
   // True if the worker may be named in a query of the step.
-  bool isAskable(const ReadyStep &step, const WorkerView &view) const;
+  bool isAskable(const ReadyStep &step, NodeIndex index) const;
   // Workers that may be asked about and are in this state, those with the most
   // room first.
-  std::vector<Candidate> candidates(const ReadyStep &step,
-                                    ApprovalState state) const;
+  std::vector<Candidate> candidates(const ReadyStep &step, ApprovalState state);
+  // Of the workers that are not known, as many as any query names if so many
+  // have room for all that one may hold of the step; else fewer.
+  std::vector<Candidate> roomyCandidates(const ReadyStep &step);
+  // Workers among which all are that may be named.
+  NodeSpan askableSource(const ReadyStep &step) const;
+  bool isCandidate(const ReadyStep &step, NodeIndex index, ApprovalState state);
+  // The nodes of the workers that an answer has named.
+  std::vector<NodeIndex> knownNodes(const ReadyStep &step);
   void addAsked(const ReadyStep &step, ApprovalState state, double rate,
-                double &needed, jobs::ApprovalQuery &query) const;
+                double &needed, jobs::ApprovalQuery &query);
   // Lets different steps ask for different workers among equal ones.
   static std::size_t spread(const jobs::StepKey &step, const WorkerId &worker);
 
   const DispatchInput &In;
   const DispatchHooks &Hooks;
-  std::map<WorkerId, Resources> Free;
-  // Processors that tasks which fill ask for.
-  std::map<WorkerId, int64_t> Filling;
-  // Workers on which room is kept for a gang.
-  std::set<WorkerId> Held;
-  std::map<TeamId, Resources> Added;
+  Fleet Workers;
+  absl::flat_hash_map<DemandKey, DemandState> Demands;
+  absl::flat_hash_map<absl::string_view, TeamState> Teams;
+  // Tasks of the step that is handled, if they are bounded for each worker.
+  absl::flat_hash_map<NodeIndex, int64_t> TasksOn;
   std::size_t ShortQueries = 0;
   std::size_t LongQueries = 0;
-  mutable std::size_t Examined = 0;
   DispatchPlan Plan;
 };
 
--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -1,9 +1,10 @@
 // Which approvals are asked for.
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <functional>
+#include <tuple>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "jujube/dispatch/pass.h"
 
 namespace jujube::dispatch::internal {
@@ -26,17 +27,22 @@
 // What a worker without room for a task counts in a query ahead of room, in
 // tasks: room comes up while the query is under way.
 constexpr double TasksOnFullWorker = 0.5;
+// More than any worker has.
+constexpr Resources Unbounded = {INT64_MAX, INT64_MAX, INT64_MAX};
 
 } // namespace
 
-void Pass::askFor(const ReadyStep &step, std::size_t tasks) {
-  if (!step.Queue->Approval || In.Approved.isAsking(step.Key))
+void Pass::askFor(const ReadyStep &step, int64_t tasks) {
+  if (!step.Queue->Approval ||
+      (step.Approval != nullptr && step.Approval->IsAsking))
     return;
   const QueryLength length = lengthOf(*step.Queue->Approval);
   const bool isLong = length == QueryLength::Long;
   std::size_t &used = isLong ? LongQueries : ShortQueries;
   if (used >= (isLong ? In.MaxLongQueries : In.MaxShortQueries))
     return;
+  if (length == QueryLength::Short && !hasAnyRoom(step))
+    return;
   jobs::ApprovalQuery query = isLong ? longQuery(step) : queryFor(step, tasks);
   if (query.Workers.empty())
     return;
@@ -44,8 +50,7 @@
   Plan.Queries.push_back(std::move(query));
 }
 
-jobs::ApprovalQuery Pass::queryFor(const ReadyStep &step,
-                                   std::size_t tasks) const {
+jobs::ApprovalQuery Pass::queryFor(const ReadyStep &step, int64_t tasks) {
   auto needed = static_cast<double>(tasks);
   jobs::ApprovalQuery query{step.Key};
   // Renewed tickets are sure; unknown workers may be denied.
@@ -61,7 +66,7 @@
   return query;
 }
 
-jobs::ApprovalQuery Pass::longQuery(const ReadyStep &step) const {
+jobs::ApprovalQuery Pass::longQuery(const ReadyStep &step) {
   const Duration lead =
       queryTime(*step.Queue->Approval, MaxAskedWorkers) + QueryOverhead;
   jobs::ApprovalQuery query{step.Key};
@@ -70,14 +75,14 @@
   for (const ApprovalState state :
        {ApprovalState::Expired, ApprovalState::Valid})
     for (const Candidate &it : candidates(step, state)) {
-      query.Workers.push_back(it.View->Who->Id);
-      known += fitCount(step, it.View->Who->Capacity);
-      isDue |=
-          In.Approved.validUntil(step.Key, it.View->Who->Id) < In.Now + lead;
+      const jobs::Worker &worker = *Workers[it.Node].Who;
+      query.Workers.push_back(worker.Id);
+      known += fitCount(step, worker.Capacity);
+      isDue |= step.Approval->Workers.at(worker.Id).ValidUntil < In.Now + lead;
     }
   if (known < EnoughKnown * static_cast<int64_t>(step.State->Tasks.size()))
     for (const Candidate &it : candidates(step, ApprovalState::Unknown)) {
-      query.Workers.push_back(it.View->Who->Id);
+      query.Workers.push_back(Workers[it.Node].Who->Id);
       isDue = true;
     }
   if (!isDue)
@@ -87,45 +92,110 @@
   return query;
 }
 
-bool Pass::isAskable(const ReadyStep &step, const WorkerView &view) const {
-  if (view.IsDoubtful)
+bool Pass::isAskable(const ReadyStep &step, NodeIndex index) const {
+  const Fleet::Node &node = Workers[index];
+  if (node.IsDoubtful)
     return false;
   return lengthOf(*step.Queue->Approval) == QueryLength::Short
-             ? hasRoom(step, view)
-             : isEligible(step, *view.Who);
+             ? roomOn(step, index) > 0
+             : isEligible(step, *node.Who);
+}
+
+std::vector<NodeIndex> Pass::knownNodes(const ReadyStep &step) {
+  std::vector<NodeIndex> nodes;
+  if (step.Approval == nullptr)
+    return nodes;
+  for (const auto &[id, verdict] : step.Approval->Workers) {
+    ++Plan.Examined;
+    if (const auto node = Workers.find(id))
+      nodes.push_back(*node);
+  }
+  return nodes;
 }
 
 std::vector<Pass::Candidate> Pass::candidates(const ReadyStep &step,
-                                              ApprovalState state) const {
+                                              ApprovalState state) {
+  if (state == ApprovalState::Unknown) {
+    std::vector<Candidate> roomy = roomyCandidates(step);
+    if (roomy.size() == MaxAskedByLongQuery)
+      return roomy;
+  }
+  std::vector<NodeIndex> nodes;
+  if (state == ApprovalState::Unknown) {
+    const NodeSpan all = askableSource(step);
+    nodes.assign(all.begin(), all.end());
+  } else {
+    nodes = knownNodes(step);
+  }
+  std::vector<Candidate> found;
+  for (const NodeIndex it : nodes)
+    if (isCandidate(step, it, state))
+      found.push_back({fitCount(step, Workers[it].Free),
+                       spread(step.Key, Workers[it].Who->Id), it});
+  const auto most = std::min(found.size(), MaxAskedByLongQuery);
+  std::ranges::partial_sort(found,
+                            found.begin() + static_cast<std::ptrdiff_t>(most),
+                            std::greater<>(), [](const Candidate &it) {
+                              return std::tuple(it.Fit, it.Spread, it.Node);
+                            });
+  return found;
+}
+
+std::vector<Pass::Candidate> Pass::roomyCandidates(const ReadyStep &step) {
+  const int64_t most = fitCount(step, Unbounded);
+  const NodeSpan roomy =
+      step.Spec->IsFiller
+          ? NodeSpan()
+          : Workers.withFree(step.Queue->Pool,
+                             demandOf(*step.Spec).MilliCpu * most);
   std::vector<Candidate> found;
-  Examined += In.Workers.size();
-  for (const WorkerView &view : In.Workers)
-    if (isAskable(step, view) &&
-        In.Approved.stateOf(step.Key, view.Who->Id, In.Now) == state)
-      found.push_back({fitCount(step, Free.at(view.Who->Id)),
-                       spread(step.Key, view.Who->Id), &view});
-  std::ranges::sort(found, std::greater<>(), [](const Candidate &it) {
-    return std::pair(it.Fit, it.Spread);
-  });
+  if (roomy.size() < MaxAskedByLongQuery)
+    return found;
+  const std::size_t begin = spread(step.Key, WorkerId()) % roomy.size();
+  for (std::size_t i = 0;
+       i < roomy.size() && found.size() < MaxAskedByLongQuery; ++i) {
+    const NodeIndex it = roomy[(begin + i) % roomy.size()];
+    if (isCandidate(step, it, ApprovalState::Unknown) &&
+        fitCount(step, Workers[it].Free) == most)
+      found.push_back({most, i, it});
+  }
   return found;
 }
 
+Pass::NodeSpan Pass::askableSource(const ReadyStep &step) const {
+  return lengthOf(*step.Queue->Approval) == QueryLength::Short
+             ? roomSource(step)
+             : Workers.members(step.Queue->Pool);
+}
+
+bool Pass::isCandidate(const ReadyStep &step, NodeIndex index,
+                       ApprovalState state) {
+  ++Plan.Examined;
+  const ApprovalState held =
+      step.Approval == nullptr
+          ? ApprovalState::Unknown
+          : step.Approval->stateOf(Workers[index].Who->Id, In.Now);
+  return held == state && isAskable(step, index);
+}
+
 void Pass::addAsked(const ReadyStep &step, ApprovalState state, double rate,
-                    double &needed, jobs::ApprovalQuery &query) const {
+                    double &needed, jobs::ApprovalQuery &query) {
   for (const Candidate &it : candidates(step, state)) {
     const bool isEnough =
         needed <= 0 && (state == ApprovalState::Expired ||
                         query.Workers.size() >= MinAskedWorkers);
     if (isEnough || query.Workers.size() >= MaxAskedWorkers)
       return;
-    query.Workers.push_back(it.View->Who->Id);
+    query.Workers.push_back(Workers[it.Node].Who->Id);
     needed -= rate * std::max(static_cast<double>(it.Fit), TasksOnFullWorker);
   }
 }
 
 std::size_t Pass::spread(const jobs::StepKey &step, const WorkerId &worker) {
-  return std::hash<std::string>()(
-      absl::StrCat(step.Job.str(), step.Step, worker.str()));
+  std::size_t seed = std::hash<std::string>()(step.Job.str());
+  boost::hash_combine(seed, step.Step);
+  boost::hash_combine(seed, std::hash<std::string>()(worker.str()));
+  return seed;
 }
 
 } // namespace jujube::dispatch::internal
--- /dev/null
+++ b/jujube/dispatch/pass_picks.cc
@@ -0,0 +1,127 @@
+// Which workers the tasks of a step go to.
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <queue>
+#include <tuple>
+#include <utility>
+
+#include "jujube/dispatch/pass.h"
+
+namespace jujube::dispatch::internal {
+
+std::vector<NodeIndex> Pass::sourceOf(const ReadyStep &step) {
+  const NodeSpan room = roomSource(step);
+  if (!step.Queue->Approval)
+    return {room.begin(), room.end()};
+  if (step.Approval == nullptr)
+    return {};
+  if (step.Approval->Workers.size() < room.size())
+    return approvedNodes(step);
+  std::vector<NodeIndex> nodes;
+  Plan.Examined += room.size();
+  std::ranges::copy_if(room, std::back_inserter(nodes), [&](NodeIndex it) {
+    return step.Approval->stateOf(Workers[it].Who->Id, In.Now) ==
+           ApprovalState::Valid;
+  });
+  return nodes;
+}
+
+std::vector<NodeIndex> Pass::approvedNodes(const ReadyStep &step) {
+  std::vector<NodeIndex> nodes;
+  for (const NodeIndex it : knownNodes(step))
+    if (step.Approval->stateOf(Workers[it].Who->Id, In.Now) ==
+        ApprovalState::Valid)
+      nodes.push_back(it);
+  std::ranges::sort(nodes, {}, [this](NodeIndex it) {
+    return std::pair(Workers[it].Free.MilliCpu, it);
+  });
+  return nodes;
+}
+
+std::vector<Pass::Pick> Pass::pickOnOneRack(const ReadyStep &step,
+                                            NodeSpan source, int64_t wanted) {
+  std::map<absl::string_view, std::vector<NodeIndex>> racks;
+  for (const NodeIndex it : source)
+    racks[Workers[it].Who->Rack].push_back(it);
+  for (const auto &[rack, nodes] : racks)
+    if (std::vector<Pick> picks = pick(step, nodes, wanted); !picks.empty())
+      return picks;
+  return {};
+}
+
+std::vector<Pass::Pick> Pass::pick(const ReadyStep &step, NodeSpan source,
+                                   int64_t wanted) {
+  if (step.Spec->IsFiller)
+    return pickForFiller(step, source, wanted);
+  std::vector<Pick> picks;
+  std::vector<std::pair<int, Pick>> later;
+  const std::vector<const WorkerId *> failed = failedOn(step);
+  const auto add = [&](const Pick &it) {
+    picks.push_back({it.Node, std::min(it.Tasks, wanted)});
+    wanted -= picks.back().Tasks;
+  };
+  for (const NodeIndex it : source) {
+    if (wanted == 0)
+      return picks;
+    ++Plan.Examined;
+    const Pick here{it, roomOn(step, it)};
+    if (here.Tasks == 0)
+      continue;
+    if (const int tier = tierOf(step, Workers[it], failed); tier > 0)
+      later.emplace_back(tier, here);
+    else
+      add(here);
+  }
+  std::ranges::stable_sort(later, {}, &std::pair<int, Pick>::first);
+  for (const auto &[tier, here] : later)
+    if (wanted > 0)
+      add(here);
+  if (step.Spec->IsGang && wanted > 0)
+    return {};
+  return picks;
+}
+
+std::vector<Pass::Pick> Pass::pickForFiller(const ReadyStep &step,
+                                            NodeSpan source, int64_t wanted) {
+  // Tier, processors that are left over, negative, and what the worker holds.
+  using Entry = std::tuple<int, int64_t, NodeIndex, int64_t>;
+  std::priority_queue<Entry, std::vector<Entry>, std::greater<>> best;
+  const std::vector<const WorkerId *> failed = failedOn(step);
+  for (const NodeIndex it : source) {
+    ++Plan.Examined;
+    if (const int64_t room = roomOn(step, it); room > 0)
+      best.emplace(tierOf(step, Workers[it], failed), -Workers[it].leftOver(),
+                   it, room);
+  }
+  std::vector<Pick> picks;
+  for (; wanted > 0 && !best.empty(); --wanted) {
+    const auto [tier, left, node, room] = best.top();
+    best.pop();
+    picks.push_back({node, 1});
+    if (room > 1)
+      best.emplace(tier, left + step.Spec->Ask.MilliCpu, node, room - 1);
+  }
+  if (step.Spec->IsGang && wanted > 0)
+    return {};
+  return picks;
+}
+
+int Pass::tierOf(const ReadyStep &step, const Fleet::Node &node,
+                 const std::vector<const WorkerId *> &failedOn) const {
+  const bool hasFailed = std::ranges::any_of(
+      failedOn, [&node](const WorkerId *it) { return *it == node.Who->Id; });
+  return (node.IsDoubtful ? 4 : 0) + (hasFailed ? 2 : 0) +
+         (isFar(step, *node.Who) ? 1 : 0);
+}
+
+std::vector<const WorkerId *> Pass::failedOn(const ReadyStep &step) {
+  std::vector<const WorkerId *> workers;
+  for (const jobs::Task &task : step.State->Tasks)
+    if (!task.IsDone && !task.LastFailedOn.empty())
+      workers.push_back(&task.LastFailedOn);
+  return workers;
+}
+
+} // namespace jujube::dispatch::internal
--- a/jujube/dispatch/pass_room.cc
+++ b/jujube/dispatch/pass_room.cc
@@ -1,6 +1,6 @@
-// Which workers have room for a step, and which go first.
+// Which workers have room for a step, and why the others don't.
 #include <algorithm>
-#include <functional>
+#include <utility>
 
 #include "jujube/dispatch/pass.h"
 
@@ -10,9 +10,6 @@
 // Largest share of the workers on which room is kept for gangs, so that less
 // urgent steps go on elsewhere.
 constexpr double MaxHeldShare = 0.5;
-// Tasks that fill may ask for this part of a worker's processors though all are
-// given away. Source: tasks use less than they ask for.
-constexpr int64_t FillerPart = 4;
 
 bool hasLabel(const jobs::Worker &worker, const std::string &label) {
   return label.empty() ||
@@ -23,94 +20,129 @@
 
 void Pass::holdRoomFor(const ReadyStep &step) {
   const bool isLate = step.DueBy < In.WallNow + step.Spec->Estimate;
-  if (isLate)
+  const auto most = static_cast<std::size_t>(
+      MaxHeldShare * static_cast<double>(Workers.size()));
+  if (isLate || Workers.heldCount() >= most)
     return;
-  std::vector<const WorkerView *> usable;
-  Examined += In.Workers.size();
-  for (const WorkerView &view : In.Workers)
-    if (!Held.contains(view.Who->Id) && isEligible(step, *view.Who) &&
-        isKnownApproved(step, view.Who->Id))
-      usable.push_back(&view);
-  std::ranges::sort(usable, std::greater<>(), [&](const WorkerView *view) {
-    return Free.at(view->Who->Id).MilliCpu;
+  std::vector<NodeIndex> usable = holdable(step);
+  std::ranges::sort(usable, {}, [this](NodeIndex it) {
+    return std::pair(-Workers[it].Free.MilliCpu, it);
   });
-  const auto most = static_cast<std::size_t>(
-      MaxHeldShare * static_cast<double>(In.Workers.size()));
   auto needed = static_cast<int64_t>(step.State->Tasks.size());
-  for (const WorkerView *view : usable) {
-    if (needed <= 0 || Held.size() >= most)
+  for (const NodeIndex it : usable) {
+    if (needed <= 0 || Workers.heldCount() >= most)
       return;
-    Held.insert(view->Who->Id);
-    needed -= fitCount(step, view->Who->Capacity);
+    Workers.hold(it);
+    needed -= fitCount(step, Workers[it].Who->Capacity);
   }
 }
 
-bool Pass::isKnownApproved(const ReadyStep &step,
-                           const WorkerId &worker) const {
-  if (!step.Queue->Approval)
-    return true;
-  const ApprovalState state = In.Approved.stateOf(step.Key, worker, In.Now);
-  return state == ApprovalState::Valid || state == ApprovalState::Expired;
+std::vector<NodeIndex> Pass::holdable(const ReadyStep &step) {
+  std::vector<NodeIndex> nodes;
+  if (step.Queue->Approval) {
+    for (const NodeIndex it : knownNodes(step))
+      if (step.Approval->Workers.at(Workers[it].Who->Id).IsApproved)
+        nodes.push_back(it);
+  } else {
+    const NodeSpan all = Workers.members(step.Queue->Pool);
+    Plan.Examined += all.size();
+    nodes.assign(all.begin(), all.end());
+  }
+  std::erase_if(nodes, [&](NodeIndex it) {
+    return Workers[it].IsHeld || !isEligible(step, *Workers[it].Who);
+  });
+  return nodes;
 }
 
-bool Pass::isApproved(const ReadyStep &step, const WorkerId &worker) const {
-  return !step.Queue->Approval ||
-         In.Approved.stateOf(step.Key, worker, In.Now) == ApprovalState::Valid;
+void Pass::noteWait(const ReadyStep &step, int64_t tasks, WaitCause why) {
+  Plan.Waits.push_back({step.Key, why, static_cast<std::size_t>(tasks)});
 }
 
-uint32_t Pass::tasksOn(const ReadyStep &step, const WorkerId &worker) const {
-  const auto isHere = [&](const jobs::Task &task) {
-    return task.Live && task.Live->Worker == worker;
-  };
-  const auto planned =
-      std::ranges::count_if(Plan.Starts, [&](const PlannedStart &it) {
-        return it.Start.Worker == worker &&
-               jobs::stepOf(it.Start.Task) == step.Key;
-      });
-  return static_cast<uint32_t>(
-      std::ranges::count_if(step.State->Tasks, isHere) + planned);
+WaitCause Pass::placeCause(const ReadyStep &step, int64_t tasks) {
+  if (!isServable(step))
+    return WaitCause::NoWorker;
+  if (!hasAnyRoom(step))
+    return WaitCause::Room;
+  const int64_t needed = step.Spec->IsGang ? tasks : 1;
+  int64_t room = 0;
+  for (const NodeIndex it : roomSource(step)) {
+    ++Plan.Examined;
+    if (roomOn(step, it) > 0)
+      room += fitCount(step, Workers[it].Free);
+    if (room >= needed)
+      return WaitCause::Approval;
+  }
+  return WaitCause::Room;
 }
 
-void Pass::noteWait(const ReadyStep &step, std::size_t tasks,
-                    bool isAtTeamMaximum) {
-  Plan.Waits.push_back(
-      {step.Key,
-       isAtTeamMaximum ? WaitCause::TeamMaximum : placeCause(step, tasks),
-       tasks});
+Pass::DemandState &Pass::demandState(const ReadyStep &step) {
+  return Demands[{step.Queue->Pool.str(), step.Spec->RequiredLabel,
+                  demandOf(*step.Spec),
+                  step.Spec->IsFiller ? step.Spec->Ask.MilliCpu : -1}];
 }
 
-WaitCause Pass::placeCause(const ReadyStep &step, std::size_t tasks) const {
-  const auto needed = step.Spec->IsGang ? static_cast<int64_t>(tasks) : 1;
-  int64_t room = 0;
-  bool isAnyEligible = false;
-  Examined += In.Workers.size();
-  for (const WorkerView &view : In.Workers) {
-    isAnyEligible |= isEligible(step, *view.Who);
-    if (room < needed && hasRoom(step, view))
-      room += fitCount(step, Free.at(view.Who->Id));
+bool Pass::hasAnyRoom(const ReadyStep &step) {
+  DemandState &state = demandState(step);
+  if (state.IsWithoutRoom)
+    return false;
+  for (const NodeIndex it : roomSource(step)) {
+    ++Plan.Examined;
+    if (hasRoom(step, Workers[it]))
+      return true;
   }
-  if (!isAnyEligible)
-    return WaitCause::NoWorker;
-  return room >= needed ? WaitCause::Approval : WaitCause::Room;
+  state.IsWithoutRoom = true;
+  return false;
 }
 
-bool Pass::hasRoom(const ReadyStep &step, const WorkerView &view) const {
-  const jobs::Worker &worker = *view.Who;
-  return !Held.contains(worker.Id) && isEligible(step, worker) &&
-         demandOf(*step.Spec).fitsIn(Free.at(worker.Id)) &&
-         (!step.Spec->IsFiller || mayFill(step, worker)) &&
-         (step.Spec->MaxPerWorker == 0 ||
-          tasksOn(step, worker.Id) < step.Spec->MaxPerWorker);
+bool Pass::isServable(const ReadyStep &step) {
+  DemandState &state = demandState(step);
+  if (!state.IsServable)
+    state.IsServable = std::ranges::any_of(
+        Workers.members(step.Queue->Pool), [&](NodeIndex it) {
+          ++Plan.Examined;
+          return isEligible(step, *Workers[it].Who);
+        });
+  return *state.IsServable;
 }
 
-int64_t Pass::leftOver(const jobs::Worker &worker) const {
-  return std::max(Free.at(worker.Id).MilliCpu,
-                  worker.Capacity.MilliCpu / FillerPart) -
-         Filling.at(worker.Id);
+Pass::NodeSpan Pass::roomSource(const ReadyStep &step) const {
+  return step.Spec->IsFiller
+             ? Workers.members(step.Queue->Pool)
+             : Workers.withFree(step.Queue->Pool, step.Spec->Ask.MilliCpu);
 }
 
-bool Pass::mayFill(const ReadyStep &step, const jobs::Worker &worker) const {
-  return step.Spec->Ask.MilliCpu <= leftOver(worker);
+bool Pass::hasRoom(const ReadyStep &step, const Fleet::Node &node) const {
+  return !node.IsHeld && isEligible(step, *node.Who) &&
+         demandOf(*step.Spec).fitsIn(node.Free) &&
+         (!step.Spec->IsFiller || step.Spec->Ask.MilliCpu <= node.leftOver());
+}
+
+int64_t Pass::roomOn(const ReadyStep &step, NodeIndex index) const {
+  const Fleet::Node &node = Workers[index];
+  if (!hasRoom(step, node))
+    return 0;
+  int64_t room = fitCount(step, node.Free);
+  if (step.Spec->MaxPerWorker > 0)
+    room = std::min(
+        room, std::max<int64_t>(step.Spec->MaxPerWorker - tasksOn(index), 0));
+  if (step.Spec->IsFiller && step.Spec->Ask.MilliCpu > 0)
+    room = std::min(room, node.leftOver() / step.Spec->Ask.MilliCpu);
+  return room;
+}
+
+void Pass::countTasks(const ReadyStep &step) {
+  TasksOn.clear();
+  if (step.Spec->MaxPerWorker == 0)
+    return;
+  for (const jobs::Task &task : step.State->Tasks)
+    if (task.Live)
+      if (const auto node = Workers.find(task.Live->Worker))
+        ++TasksOn[*node];
+}
+
+int64_t Pass::tasksOn(NodeIndex index) const {
+  const auto it = TasksOn.find(index);
+  return it == TasksOn.end() ? 0 : it->second;
 }
 
 bool Pass::isEligible(const ReadyStep &step, const jobs::Worker &worker) {
@@ -119,28 +151,24 @@
          hasLabel(worker, step.Spec->RequiredLabel);
 }
 
-std::tuple<bool, bool, bool, int64_t>
-Pass::rankOf(const ReadyStep &step, const WorkerView &view) const {
-  return {view.IsDoubtful, step.FailedOn.contains(view.Who->Id),
-          isFar(step, *view.Who),
-          step.Spec->IsFiller ? -leftOver(*view.Who)
-                              : Free.at(view.Who->Id).MilliCpu};
-}
-
 bool Pass::isFar(const ReadyStep &step, const jobs::Worker &worker) {
   return !step.Spec->DataRack.empty() && !hasLabel(worker, step.Spec->DataRack);
 }
 
-int64_t Pass::fitCount(const ReadyStep &step, Resources free) {
+int64_t Pass::fitCount(const ReadyStep &step, const Resources &free) {
   const Resources demand = demandOf(*step.Spec);
-  int64_t n = 0;
-  const int64_t most = step.Spec->MaxPerWorker == 0
-                           ? static_cast<int64_t>(step.State->Tasks.size())
-                           : step.Spec->MaxPerWorker;
-  while (n < most && demand.fitsIn(free)) {
-    free -= demand;
-    ++n;
-  }
+  if (!demand.fitsIn(free))
+    return 0;
+  int64_t n = step.Spec->MaxPerWorker == 0
+                  ? static_cast<int64_t>(step.State->Tasks.size())
+                  : step.Spec->MaxPerWorker;
+  const auto bound = [&n](int64_t have, int64_t each) {
+    if (each > 0)
+      n = std::min(n, have / each);
+  };
+  bound(free.MilliCpu, demand.MilliCpu);
+  bound(free.MemoryMb, demand.MemoryMb);
+  bound(free.Accelerators, demand.Accelerators);
   return n;
 }
 
--- a/jujube/jobs/job_book.cc
+++ b/jujube/jobs/job_book.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "jujube/jobs/objective.h"
+
 namespace jujube::jobs {
 namespace {
 
@@ -81,11 +83,8 @@
 }
 
 uint64_t JobBook::pending(const QueueId &queue) const {
-  return static_cast<uint64_t>(
-      std::ranges::count_if(Open, [&](const JobId &id) {
-        const Job *job = find(id);
-        return job->Spec.Queue == queue && job->State == JobState::Queued;
-      }));
+  const auto it = Pending.find(queue);
+  return it == Pending.end() ? 0 : it->second;
 }
 
 bool JobBook::isReady(const Job &job, uint32_t occurrence, uint32_t step) {
@@ -96,8 +95,12 @@
 }
 
 void JobBook::handle(const ConfigurationPut &event) {
-  if (event.Value.Version > Config.Version)
-    Config = event.Value;
+  if (event.Value.Version <= Config.Version)
+    return;
+  Config = event.Value;
+  Waiting.clear();
+  for (const JobId &id : Open)
+    refreshAll(*find(id));
 }
 
 void JobBook::handle(const JobAccepted &event) {
@@ -109,7 +112,8 @@
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
   job.Rounds.assign(std::max<uint32_t>(event.Spec.Occurrences, 1), round);
   Open.insert(event.Spec.Id);
-  Jobs.emplace(event.Spec.Id, std::move(job));
+  ++Pending[event.Spec.Queue];
+  refreshAll(Jobs.emplace(event.Spec.Id, std::move(job)).first->second);
 }
 
 void JobBook::handle(const JobCancelled &event) {
@@ -131,8 +135,9 @@
   task.Live = Run{event.Worker, event.Attempt};
   ++step.LiveTasks;
   ++job->LiveTasks;
-  job->State = JobState::Running;
+  setState(*job, JobState::Running);
   addLoad(*job, event.Task, event.Worker);
+  refreshFrom(*job, event.Task.Occurrence, event.Task.Step);
 }
 
 void JobBook::handle(const AttemptEnded &event) {
@@ -155,8 +160,12 @@
     countDone(*job, step, event.Task);
   else if (event.How == EndKind::Failed && !spec.IsLongRunning && !task.IsDone)
     countFailure(*job, step, event.Task, event.Attempt);
-  if (!isEnded(job->State) && isAllDone(*job))
+  if (isEnded(job->State))
+    return;
+  if (step.isDone() && isAllDone(*job))
     end(*job, JobState::Completed);
+  else
+    refreshFrom(*job, event.Task.Occurrence, event.Task.Step);
 }
 
 void JobBook::countDone(const Job &job, StepState &step, const TaskKey &key) {
@@ -218,11 +227,67 @@
 }
 
 void JobBook::end(Job &job, JobState state) {
-  job.State = state;
+  setState(job, state);
   Open.erase(job.Spec.Id);
+  dropWaiting(job);
   shrink(job);
 }
 
+void JobBook::setState(Job &job, JobState state) {
+  if (job.State == JobState::Queued && state != JobState::Queued &&
+      --Pending[job.Spec.Queue] == 0)
+    Pending.erase(job.Spec.Queue);
+  job.State = state;
+}
+
+bool JobBook::isWaiting(const Job &job, uint32_t occurrence, uint32_t step) {
+  const StepState &state = job.Rounds[occurrence].Steps[step];
+  const bool hasTasks =
+      job.Spec.Steps[step].IsGang
+          ? state.LiveTasks == 0 && !state.isDone()
+          : state.DoneTasks + state.LiveTasks < state.Tasks.size();
+  return hasTasks && isReady(job, occurrence, step);
+}
+
+void JobBook::refresh(const Job &job, const Queue &queue, uint32_t occurrence,
+                      uint32_t step) {
+  const StepKey key{job.Spec.Id, occurrence, step};
+  if (!isWaiting(job, occurrence, step)) {
+    Waiting.erase(key);
+    return;
+  }
+  if (!Waiting.contains(key))
+    Waiting.put({queue.Priority, objectiveOf(job, queue, occurrence), key,
+                 job.Spec.FirstDue ? dueAt(job, occurrence) : Instant(),
+                 job.Spec.Steps[step].Estimate});
+}
+
+void JobBook::refreshFrom(const Job &job, uint32_t occurrence, uint32_t step) {
+  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  if (queue == nullptr)
+    return;
+  refresh(job, *queue, occurrence, step);
+  const auto end = static_cast<uint32_t>(job.Spec.Steps.size());
+  if (job.Rounds[occurrence].Steps[step].isDone())
+    for (uint32_t later = step + 1; later < end; ++later)
+      refresh(job, *queue, occurrence, later);
+}
+
+void JobBook::refreshAll(const Job &job) {
+  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  if (queue == nullptr)
+    return;
+  for (uint32_t k = 0; k < job.Rounds.size(); ++k)
+    for (uint32_t s = 0; s < job.Rounds[k].Steps.size(); ++s)
+      refresh(job, *queue, k, s);
+}
+
+void JobBook::dropWaiting(const Job &job) {
+  for (uint32_t k = 0; k < job.Rounds.size(); ++k)
+    for (uint32_t s = 0; s < job.Rounds[k].Steps.size(); ++s)
+      Waiting.erase({job.Spec.Id, k, s});
+}
+
 void JobBook::shrink(Job &job) {
   if (job.LiveTasks != 0)
     return;
@@ -288,6 +353,10 @@
       book.Open.insert(job.Spec.Id);
     const JobId id = job.Spec.Id;
     const Job &held = book.Jobs.emplace(id, std::move(job)).first->second;
+    if (held.State == JobState::Queued)
+      ++book.Pending[held.Spec.Queue];
+    if (!isEnded(held.State))
+      book.refreshAll(held);
     for (uint32_t k = 0; k < held.Rounds.size(); ++k)
       for (uint32_t s = 0; s < held.Rounds[k].Steps.size(); ++s)
         for (uint32_t i = 0; i < held.Rounds[k].Steps[s].Tasks.size(); ++i)
--- a/jujube/jobs/job_book.h
+++ b/jujube/jobs/job_book.h
@@ -16,6 +16,7 @@
 #include "jujube/jobs/configuration.h"
 #include "jujube/jobs/events.h"
 #include "jujube/jobs/types.h"
+#include "jujube/jobs/waiting_steps.h"
 
 namespace jujube::jobs {
 
@@ -93,6 +94,9 @@
   const std::map<JobId, Job> &jobs() const { return Jobs; }
   // Jobs that have not ended.
   const std::set<JobId> &openJobs() const { return Open; }
+  // Steps of open jobs that are ready, due or not, and have tasks to start; a
+  // gang only if none of its tasks may be running.
+  const WaitingSteps &waiting() const { return Waiting; }
   const std::map<WorkerId, Worker> &workers() const { return Workers; }
   const Worker *findWorker(const WorkerId &id) const;
   // Empty for a worker on which nothing may be running.
@@ -126,6 +130,15 @@
 
   Job *findMutable(const JobId &id);
   void end(Job &job, JobState state);
+  static bool isWaiting(const Job &job, uint32_t occurrence, uint32_t step);
+  void refresh(const Job &job, const Queue &queue, uint32_t occurrence,
+               uint32_t step);
+  // After a change of one of the job's steps: brings it and those that wait for
+  // it up to date.
+  void refreshFrom(const Job &job, uint32_t occurrence, uint32_t step);
+  void refreshAll(const Job &job);
+  void dropWaiting(const Job &job);
+  void setState(Job &job, JobState state);
   void countDone(const Job &job, StepState &step, const TaskKey &key);
   void countFailure(Job &job, StepState &step, const TaskKey &key,
                     uint32_t attempt);
@@ -139,6 +152,8 @@
   Configuration Config;
   std::map<JobId, Job> Jobs;
   std::set<JobId> Open;
+  WaitingSteps Waiting;
+  std::map<QueueId, uint64_t> Pending;
   std::map<WorkerId, Worker> Workers;
   std::map<WorkerId, Load> Loads;
   std::map<TeamId, Resources> Used;
--- a/jujube/jobs/job_book_test.cc
+++ b/jujube/jobs/job_book_test.cc
@@ -1,6 +1,7 @@
 #include "jujube/jobs/job_book.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "testing/job_samples.h"
 
@@ -231,6 +232,44 @@
       (copy.usedBy(testing::SampleTeam) == book.usedBy(testing::SampleTeam)));
 }
 
+std::set<StepKey> waitingKeys(const JobBook &book) {
+  std::set<StepKey> keys;
+  for (const WaitingStep &step : book.waiting().ordered())
+    keys.insert(step.Key);
+  return keys;
+}
+
+BOOST_AUTO_TEST_CASE(WaitingStepsFollowStartsEndsAndConfigurations) {
+  StepSpec second = sampleStep(1);
+  second.After = {0};
+  JobBook book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1), second}),
+                                        sampleJob("b", {sampleStep(1)})});
+  const StepKey first{JobId("a"), 0, 0};
+  const StepKey later{JobId("a"), 0, 1};
+  const StepKey other{JobId("b"), 0, 0};
+  BOOST_TEST((waitingKeys(book) == std::set{first, other}));
+  book.apply(AttemptStarted{taskOf("a", 0), 1, WorkerId("w1")});
+  BOOST_TEST((waitingKeys(book) == std::set{other}));
+  book.apply(AttemptEnded{taskOf("a", 0), 1, EndKind::Lost, {}});
+  BOOST_TEST((waitingKeys(book) == std::set{first, other}));
+  book.apply(AttemptStarted{taskOf("a", 0), 2, WorkerId("w1")});
+  book.apply(AttemptEnded{taskOf("a", 0), 2, EndKind::Done, {}});
+  BOOST_TEST((waitingKeys(book) == std::set{later, other}));
+  BOOST_TEST((waitingKeys(JobBook::restore(book.capture())) ==
+              std::set{later, other}));
+  Configuration config = testing::sampleConfiguration(2);
+  config.Queues[0].Priority = 3;
+  book.apply(ConfigurationPut{config});
+  BOOST_TEST(book.waiting().ordered().begin()->Priority == 3);
+  book.apply(JobCancelled{JobId("b")});
+  BOOST_TEST((waitingKeys(book) == std::set{later}));
+  config.Version = 3;
+  config.Queues.clear();
+  book.apply(ConfigurationPut{config});
+  BOOST_TEST(book.waiting().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/jobs/types.h
+++ b/jujube/jobs/types.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jujube/base/address.h"
@@ -55,6 +56,10 @@
   uint32_t Step = 0;
 
   auto operator<=>(const StepKey &) const = default;
+
+  template <typename H> friend H AbslHashValue(H state, const StepKey &key) {
+    return H::combine(std::move(state), key.Job, key.Occurrence, key.Step);
+  }
 };
 
 inline StepKey stepOf(const TaskKey &key) {
