A long committed log is applied in parts

A member that starts again, or takes over, applied all entries that became committed within one turn: 5 MB after a loss of power, during which it sent and answered no heartbeat, so that leaders deposed each other.

Node hands out committed entries in parts of 64 KB and is due again at once; the loop handles messages between. A leader is reported, and serves, once it has handed out all entries of earlier leaders.

--- a/jujube/consensus/node.cc
+++ b/jujube/consensus/node.cc
@@ -178,6 +178,8 @@
 Instant Node::nextWake() const {
   if (IsSuperseded)
     return Instant::never();
+  if (Applied < Commit)
+    return Instant();
   if (CurrentRole == Role::Leader) {
     if (HasUnsent)
       return Instant();
@@ -204,9 +206,11 @@
 }
 
 void Node::applyCommitted() {
-  while (Applied < Commit) {
+  std::size_t bytes = 0;
+  while (Applied < Commit && bytes < Settings.MaxApplyBytes) {
     Applied = Applied.next();
     const LogEntry &entry = Entries.at(Applied);
+    bytes += sizeOf(entry);
     UncommittedBytes -= std::min(UncommittedBytes, sizeOf(entry));
     Apply action{entry, std::nullopt};
     if (const auto it = Proposals.find(Applied); it != Proposals.end()) {
@@ -253,7 +257,7 @@
 
 void Node::reportRole() {
   RoleChanged report{CurrentRole, Hard.Current, Hard.Group, Leader};
-  if (CurrentRole == Role::Leader && Commit < ReadyIndex) {
+  if (CurrentRole == Role::Leader && Applied < ReadyIndex) {
     report.Now = Role::Candidate;
     report.Leader = HostId();
   }
--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -78,8 +78,8 @@
   // owner after exactly these.
   void compact(LogIndex upTo, std::string snapshot);
 
-  // True while this node leads and holds its lease: what it has applied is the
-  // latest state.
+  // True while this node leads, holds its lease, and has handed out all entries
+  // of earlier leaders: what it has applied is the latest acknowledged state.
   bool mayServe(Instant now) const;
   // True once no entry of the log is left unsent or uncommitted.
   bool isQuiet() const { return Commit == Entries.last(); }
@@ -233,7 +233,7 @@
   std::map<HostId, Sighting> Standbys;
   std::map<LogIndex, uint64_t> Proposals;
   Instant ElectedAt;
-  // Once committed, this leader may serve.
+  // Once applied, this leader may serve.
   LogIndex ReadyIndex;
   bool HasUnsent = false;
   // Elected by all voters that are left, fewer than a quorum; its first changes
--- a/jujube/consensus/node_election.cc
+++ b/jujube/consensus/node_election.cc
@@ -64,7 +64,7 @@
 }
 
 bool Node::mayServe(Instant now) const {
-  return CurrentRole == Role::Leader && Commit >= ReadyIndex &&
+  return CurrentRole == Role::Leader && Applied >= ReadyIndex &&
          now < leaseEnd(now);
 }
 
--- a/jujube/consensus/options.cc
+++ b/jujube/consensus/options.cc
@@ -69,6 +69,9 @@
                    "set them to at least 1 ms");
   if (options.MaxAppendBytes == 0 || options.SnapshotChunkBytes == 0)
     return invalid("messages may hold no bytes", "raise the message bounds");
+  if (options.MaxApplyBytes == 0)
+    return invalid("no committed entry may be applied",
+                   "raise the bytes that are applied at once");
   if (options.Start.Value == 0)
     return invalid("the incarnation is 0", "number incarnations from 1");
   return Ok{};
--- a/jujube/consensus/options.h
+++ b/jujube/consensus/options.h
@@ -71,6 +71,9 @@
   std::size_t MaxAppendBytes = std::size_t{256} * 1024;
   std::size_t SnapshotChunkBytes = std::size_t{256} * 1024;
   std::size_t MaxUncommittedBytes = std::size_t{8} * 1024 * 1024;
+  // Committed entries are handed out in parts of about this size, so that
+  // messages and heartbeats go on while a long log is applied.
+  std::size_t MaxApplyBytes = std::size_t{64} * 1024;
   // Entries kept beside a snapshot for members that lag a little.
   std::size_t RetainBytes = std::size_t{1024} * 1024;
 
