Heartbeats leave before a turn's planning

Replica::endTurn() ticked the node after the owner's work, so that a heartbeat that was due waited for a whole plan. It ticks before as well.

--- a/jujube/replica/replica.cc
+++ b/jujube/replica/replica.cc
@@ -69,11 +69,12 @@
 void Replica::endTurn() {
   if (HasFailed)
     return;
+  // Heartbeats leave before the owner does the work of its turn.
+  tickIfDue();
   if (BeforeFlush)
     BeforeFlush();
   do {
-    if (Node.nextWake() <= Loop.now())
-      run(Node.tick(Loop.now()));
+    tickIfDue();
   } while (flush());
   compactIfLong();
   if (Wake)
@@ -81,6 +82,11 @@
   Wake = Loop.callAt(Node.nextWake(), [this] { Wake.reset(); });
 }
 
+void Replica::tickIfDue() {
+  if (Node.nextWake() <= Loop.now())
+    run(Node.tick(Loop.now()));
+}
+
 void Replica::run(consensus::Actions actions) {
   for (consensus::Action &action : actions)
     std::visit([this](auto &a) { handle(a); }, action);
--- a/jujube/replica/replica.h
+++ b/jujube/replica/replica.h
@@ -85,6 +85,7 @@
           std::optional<DiskHooks> disk);
 
   void endTurn();
+  void tickIfDue();
   void run(consensus::Actions actions);
   void handle(consensus::Send &action);
   void handle(consensus::Persist &action);
