Commands are queued, bounded per turn, and shed when they are late

Callers' commands, thousands after a change of leader, were all executed within one turn, ahead of heartbeats and acknowledgements; those whose front had given up after 500 ms were executed all the same, and again when they were resent.

- Announcements of workers and reports of hosts are not queued: behind commands they would make a busy leader lose sight of them.
- A turn takes at most 1,024 messages of other processes and 128 answers of workers; what is left keeps its mailbox readable.
- The next plan waits for as long as the last one took, so that planning takes at most half of the time.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -27,7 +27,7 @@
 } // namespace
 
 void ControlTask::execute(const jobs::Command &command, const Answer &done) {
-  const CommandBrief brief{jobs::kindOf(command), jobs::jobOf(command)};
+  const CommandBrief brief = briefOf(command);
   const Answer note = [this, brief, done](Result<jobs::Reply> reply) {
     if (!isOk(reply))
       noteRefusal(brief, errorOf(reply));
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -42,10 +42,10 @@
 }
 
 void ControlTask::planIfDue() {
-  if (!IsPlanDue || IsPlanStoring || Book.openJobs().empty())
+  const Instant now = Loop.now();
+  if (!IsPlanDue || IsPlanStoring || now < NextPlan || Book.openJobs().empty())
     return;
   IsPlanDue = false;
-  const Instant now = Loop.now();
   const dispatch::DispatchInput input{
       Book,
       Desk->usable(),
@@ -60,6 +60,11 @@
   noteWaits(plan.Waits);
   for (const jobs::ApprovalQuery &query : plan.Queries)
     ask(query);
+  // Planning takes at most half of the time, however long the backlog is.
+  const Instant end = Loop.now();
+  NextPlan = end + (end - now);
+  if (end > now)
+    Loop.callAt(NextPlan, [] {});
 }
 
 void ControlTask::startPlanned(
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -114,6 +114,7 @@
       !isOk(status))
     return status;
   Group.log().onTurnEnd([this] {
+    serveAdmitted();
     {
       const auto scope = Meter.enter(Work::Plan, 0);
       endTurn();
@@ -242,37 +243,6 @@
   Group.receive(event);
 }
 
-void ControlTask::serve(ClientRequest request) {
-  const auto scope = Meter.enter(Work::Commands);
-  const auto slot = request.Answer;
-  const Answer done = [slot](Result<jobs::Reply> reply) {
-    slot->set(std::move(reply));
-  };
-  if (Desk != nullptr && Group.log().mayServe()) {
-    execute(request.What, done);
-    return;
-  }
-  const Address leader = Group.log().leaderAddress();
-  if (leader.Port != 0)
-    Forward.setMembers({leader});
-  Forward.seek(std::move(request.What), request.Timeout, done);
-}
-
-void ControlTask::handle(const wire::Envelope &request) {
-  const auto *call = std::get_if<wire::ControlCall>(&request.What);
-  if (call == nullptr) {
-    Group.refuseKind(request);
-    return;
-  }
-  const auto scope = Meter.enter(Work::Commands);
-  execute(call->What, [this, request](Result<jobs::Reply> reply) {
-    if (isOk(reply))
-      Messages.reply(request, wire::ControlNews{valueOf(std::move(reply))});
-    else
-      Group.refuse(request, errorOf(reply));
-  });
-}
-
 void ControlTask::store(std::vector<jobs::Event> events,
                         std::function<void(bool)> done) {
   // Stored at the end of a turn; this may be called after the end of the last.
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "jujube/control/admission_queue.h"
 #include "jujube/control/control_client.h"
 #include "jujube/control/control_options.h"
 #include "jujube/control/helper_roster.h"
@@ -76,8 +77,13 @@
   void sendOrder(const dispatch::Order &order, Duration timeout,
                  std::function<void(dispatch::OrderAnswer)> done);
 
+  // Queues what the leader is asked, but for what keeps hosts and workers in
+  // its view.
   void serve(ClientRequest request);
+  void serveNow(ClientRequest request);
   void handle(const wire::Envelope &request);
+  void handleNow(const wire::Envelope &request, const jobs::Command &command);
+  void serveAdmitted();
   void execute(const jobs::Command &command, const Answer &done);
   void run(const jobs::SubmitJob &command, const Answer &done);
   void run(const jobs::CancelJob &command, const Answer &done);
@@ -118,6 +124,9 @@
     jobs::CommandKind Kind = jobs::CommandKind::SubmitJob;
     jobs::JobId Job;
   };
+  static CommandBrief briefOf(const jobs::Command &command) {
+    return {jobs::kindOf(command), jobs::jobOf(command)};
+  }
   void noteRefusal(const CommandBrief &command, const Error &error);
   void noteAccepted(const jobs::JobSpec &spec);
   void noteApproval(const jobs::ApprovalQuery &query,
@@ -159,6 +168,7 @@
   std::unique_ptr<storage::Store> Disk;
   jobs::JobBook Book;
 
+  AdmissionQueue Admissions;
   // The batch of this turn.
   std::vector<jobs::Event> Batch;
   std::vector<std::function<void(bool)>> BatchHooks;
@@ -182,6 +192,7 @@
   WaitLedger Waits;
   bool IsPlanDue = false;
   bool IsPlanStoring = false;
+  Instant NextPlan;
   metrics::Metrics Numbers;
   // When this member applied the configuration that it holds.
   Instant ConfiguredAt;
--- a/jujube/control/control_tree.cc
+++ b/jujube/control/control_tree.cc
@@ -8,6 +8,10 @@
 // trips and a sync, with room for requests that are under way.
 constexpr Duration LeaveDelay = Duration::millis(300);
 
+// Messages of other processes that one turn takes: commands among them are
+// only queued.
+constexpr std::size_t MaxEventsPerTurn = 1024;
+
 runtime::TaskBody gateBody(const ControlMailboxes &mailboxes) {
   return
       [leaving = mailboxes.Leaving](runtime::TaskContext &context) -> Status {
@@ -32,9 +36,9 @@
     ControlTask &member = *valueOf(created);
     context.onStop([&member] { member.stop(); });
     context.loop().watchMailbox<wire::TransportEvent>(
-        inbox, [&member](const wire::TransportEvent &event) {
-          member.receive(event);
-        });
+        inbox,
+        [&member](const wire::TransportEvent &event) { member.receive(event); },
+        MaxEventsPerTurn);
     const Status status = context.loop().run();
     return isOk(member.outcome()) ? status : member.outcome();
   };
--- a/jujube/http/caller.cc
+++ b/jujube/http/caller.cc
@@ -26,6 +26,8 @@
 // Largest answer that is read. Source: a worker lists at most 500 ends.
 constexpr std::size_t MaxAnswer = std::size_t{4} << 20;
 constexpr std::size_t ReadBytes = std::size_t{16} << 10;
+// Results that one turn of a CallDesk's loop takes.
+constexpr std::size_t MaxResultsPerTurn = 128;
 
 Error notSent(const Address &to) {
   return Error{ErrorKind::Unavailable,
@@ -307,14 +309,17 @@
 CallDesk::CallDesk(runtime::PollLoop &loop, CallMailbox calls,
                    CallResults results)
     : Loop(loop), Calls(std::move(calls)) {
-  Loop.watchMailbox<CallResult>(std::move(results), [this](CallResult result) {
-    const auto it = Waiting.find(result.Id);
-    if (it == Waiting.end())
-      return;
-    const Done done = std::move(it->second);
-    Waiting.erase(it);
-    done(std::move(result.Outcome));
-  });
+  Loop.watchMailbox<CallResult>(
+      std::move(results),
+      [this](CallResult result) {
+        const auto it = Waiting.find(result.Id);
+        if (it == Waiting.end())
+          return;
+        const Done done = std::move(it->second);
+        Waiting.erase(it);
+        done(std::move(result.Outcome));
+      },
+      MaxResultsPerTurn);
 }
 
 void CallDesk::call(OutboundCall what, Done done) {
