--- a/jujube/control/control_options.h
+++ b/jujube/control/control_options.h
@@ -17,6 +17,7 @@
 #include "jujube/dispatch/orders.h"
 #include "jujube/http/caller.h"
 #include "jujube/jobs/commands.h"
+#include "jujube/storage/file_hooks.h"
 
 namespace jujube::control {
 
@@ -57,6 +58,7 @@
   std::string DataFolder;
   // False for disks that keep no owners and modes of files.
   bool ChecksDataAccess = true;
+  storage::FileHooks Files;
   std::string FleetToken;
   // Seed of the random delays of elections; drawn from the system if not set.
   std::optional<uint64_t> ElectionSeed;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -85,6 +85,7 @@
   storage::StoreOptions folder;
   folder.Folder = Settings.DataFolder;
   folder.ChecksAccess = Settings.ChecksDataAccess;
+  folder.Hooks = Settings.Files;
   auto disk = storage::Store::open(std::move(folder), Wall.now());
   if (!isOk(disk))
     return errorOf(disk);
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "nlohmann/json.hpp"
 
 namespace jujube::testing {
@@ -18,6 +19,15 @@
 // What one task of the tests' jobs needs.
 constexpr Resources TaskAsk{1000, 100, 0};
 
+constexpr uint16_t Port = 9000;
+
+// The worker at an address: the last two numbers of the address are its number.
+std::string idAt(const Address &at) {
+  const std::vector<std::string> parts = absl::StrSplit(at.Ip, '.');
+  return absl::StrCat("w",
+                      std::stoi(parts.at(2)) * 256 + std::stoi(parts.at(3)));
+}
+
 http::OutboundAnswer refused(const std::string &reason) {
   return {409, Json{{"reason", reason}}.dump()};
 }
@@ -28,6 +38,11 @@
   Workers[id].Capacity = capacity;
 }
 
+Address PlatformWorkers::addressOf(const std::string &id) const {
+  const int number = std::atoi(id.c_str() + 1);
+  return {absl::StrCat(Network, ".", number / 256, ".", number % 256), Port};
+}
+
 int64_t PlatformWorkers::clockOf(const Worker &) const {
   return Time.now().millis() + ClockOffset;
 }
@@ -38,7 +53,7 @@
   what.Who.Id = WorkerId(id);
   what.Who.Life = Incarnation{worker.Born};
   what.Who.Pool = jobs::PoolId("desk");
-  what.Who.At = {absl::StrCat("10.9.0.", id.substr(1)), 9000};
+  what.Who.At = addressOf(id);
   what.Who.Capacity = worker.Capacity;
   what.Who.IsDraining = worker.IsDraining;
   what.Sequence = ++worker.Sequence;
@@ -48,9 +63,7 @@
 
 void PlatformWorkers::handle(const http::OutboundCall &call,
                              const Reply &reply) {
-  const std::string id =
-      absl::StrCat("w", call.To.Ip.substr(call.To.Ip.rfind('.') + 1));
-  Worker &worker = Workers.at(id);
+  Worker &worker = Workers.at(idAt(call.To));
   const bool isOrder = call.Target != "/hold";
   if (worker.IsSilent || (isOrder && worker.Delay > Duration())) {
     if (!worker.IsSilent)
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "jujube/base/address.h"
 #include "jujube/base/clock.h"
 #include "jujube/http/caller.h"
 #include "jujube/jobs/commands.h"
@@ -22,9 +23,12 @@
   using Reply = std::function<void(http::OutboundResult)>;
 
   // Tasks run for the milliseconds that their payload gives; "fail" fails.
-  explicit PlatformWorkers(Clock clock) : Time(std::move(clock)) {}
+  // Worker wN has the address NETWORK.(N / 256).(N % 256).
+  explicit PlatformWorkers(Clock clock, std::string network = "10.9")
+      : Time(std::move(clock)), Network(std::move(network)) {}
 
   void add(const std::string &id, Resources capacity);
+  Address addressOf(const std::string &id) const;
   // What a worker says of itself now.
   jobs::Announcement announcement(const std::string &id);
 
@@ -110,6 +114,7 @@
   int64_t clockOf(const Worker &worker) const;
 
   Clock Time;
+  std::string Network;
   std::map<std::string, Worker> Workers;
   std::map<std::string, int> Starts;
   std::set<std::string> Done;
