A turn of a poll loop costs what is ready, not all that is watched

The caller of a leader watches a connection or two for each worker. Every turn rebuilt the list of all of them for poll(2), and the kernel looked at each, so that with 350 workers the caller used more processor time than planning did. The loop now keeps its watches in epoll(7), and handlers are shared with the call in progress instead of copied. What epoll does not take, files on disks and closed descriptors, is reported as poll(2) does.

--- a/jujube/runtime/poll_loop.cc
+++ b/jujube/runtime/poll_loop.cc
@@ -1,10 +1,14 @@
 #include "jujube/runtime/poll_loop.h"
 
+#include <sys/epoll.h>
+
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 
 #include "absl/strings/str_cat.h"
+#include "glog/logging.h"
 
 namespace jujube::runtime {
 namespace {
@@ -12,19 +16,49 @@
 // Longest wait of one poll(2) call.
 constexpr Duration MaxWait = Duration::minutes(1);
 
-struct Ready {
-  int Fd;
-  short Events;
-  uint64_t Serial;
-};
+// Most descriptors that are handled in one turn; others wait for the next.
+constexpr int MaxReady = 256;
+
+// The events of poll(2) and epoll(7) have the same values on Linux.
+static_assert(POLLIN == EPOLLIN && POLLOUT == EPOLLOUT && POLLERR == EPOLLERR &&
+              POLLHUP == EPOLLHUP);
 
 } // namespace
 
+PollLoop::PollLoop(Clock clock)
+    : Source(std::move(clock)), Epoll(epoll_create1(EPOLL_CLOEXEC)) {
+  PCHECK(Epoll.isOpen()) << "no epoll descriptor; raise the limit of open "
+                            "files";
+}
+
+bool PollLoop::control(int operation, int fd, short events) const {
+  epoll_event wanted{};
+  wanted.events = static_cast<uint32_t>(events);
+  wanted.data.fd = fd;
+  return epoll_ctl(Epoll.get(), operation, fd, &wanted) == 0;
+}
+
 void PollLoop::watch(int fd, short events, EventHandler handler) {
-  Watches[fd] = Watch{events, std::move(handler), ++LastSerial};
+  const auto [it, isNew] = Watches.try_emplace(fd);
+  const bool isChanged = isNew || it->second.Events != events;
+  it->second = {events,
+                std::make_shared<const EventHandler>(std::move(handler)),
+                ++LastSerial};
+  if (!isChanged)
+    return;
+  const bool isAdded = !isNew && AlwaysReady.erase(fd) == 0;
+  if (control(isAdded ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, events))
+    return;
+  // Files on disks are always ready; poll(2) reports what is not open.
+  AlwaysReady[fd] = errno == EPERM ? events : static_cast<short>(POLLNVAL);
 }
 
-void PollLoop::unwatch(int fd) { Watches.erase(fd); }
+void PollLoop::unwatch(int fd) {
+  if (Watches.erase(fd) == 0)
+    return;
+  if (AlwaysReady.erase(fd) == 0)
+    (void)control(EPOLL_CTL_DEL, fd, 0);
+}
 
 TimerId PollLoop::callAt(Instant when, TimerHandler handler) {
   const TimerId id{when, ++LastTimer};
@@ -67,34 +101,43 @@
     timer.Handler();
 }
 
-Status PollLoop::runOnce() {
-  std::vector<pollfd> fds;
-  std::vector<Ready> ready;
-  fds.reserve(Watches.size());
-  for (const auto &[fd, watch] : Watches) {
-    fds.push_back({fd, watch.Events, 0});
-    ready.push_back({fd, 0, watch.Serial});
-  }
-  const int n = poll(fds.data(), fds.size(), timeoutMillis());
+Result<std::vector<PollLoop::Ready>> PollLoop::await() {
+  std::array<epoll_event, MaxReady> events;
+  const int timeout = AlwaysReady.empty() ? timeoutMillis() : 0;
+  const int n = epoll_wait(Epoll.get(), events.data(), MaxReady, timeout);
   if (n < 0 && errno != EINTR)
     return Error{
         ErrorKind::Internal,
-        absl::StrCat("poll failed: ",
+        absl::StrCat("epoll failed: ",
                      std::strerror(errno)), // NOLINT(concurrency-mt-unsafe)
         "raise the limit of open files"};
+  std::vector<Ready> ready;
+  const auto add = [&](int fd, short what) {
+    const auto it = Watches.find(fd);
+    if (it != Watches.end())
+      ready.push_back({fd, what, it->second.Serial});
+  };
+  for (int i = 0; i < n; ++i)
+    add(events[static_cast<std::size_t>(i)].data.fd,
+        static_cast<short>(events[static_cast<std::size_t>(i)].events));
+  for (const auto &[fd, what] : AlwaysReady)
+    add(fd, what);
+  return ready;
+}
+
+Status PollLoop::runOnce() {
+  const Result<std::vector<Ready>> ready = await();
+  if (!isOk(ready))
+    return errorOf(ready);
   if (TurnBegins)
     TurnBegins();
-  if (n > 0) {
-    for (std::size_t i = 0; i < fds.size(); ++i)
-      ready[i].Events = fds[i].revents;
-    for (const Ready &r : ready) {
-      const auto it = Watches.find(r.Fd);
-      if (r.Events == 0 || it == Watches.end() || it->second.Serial != r.Serial)
-        continue;
-      // The handler may remove its own watch, so a copy is called.
-      const EventHandler handler = it->second.Handler;
-      handler(r.Events);
-    }
+  for (const Ready &r : valueOf(ready)) {
+    const auto it = Watches.find(r.Fd);
+    if (it == Watches.end() || it->second.Serial != r.Serial)
+      continue;
+    // The handler may remove its own watch.
+    const std::shared_ptr<const EventHandler> handler = it->second.Handler;
+    (*handler)(r.Events);
   }
   fireTimers();
   if (TurnEnd)
--- a/jujube/runtime/poll_loop.h
+++ b/jujube/runtime/poll_loop.h
@@ -8,9 +8,12 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "jujube/base/clock.h"
+#include "jujube/runtime/file_descriptor.h"
 #include "jujube/runtime/mailbox.h"
 
 namespace jujube::runtime {
@@ -23,16 +26,19 @@
 };
 
 // Waits on descriptors and timers and calls their handlers, all on the thread
-// of the task that owns it. Handlers may add and remove watches and timers.
+// of the task that owns it. Handlers may add and remove watches and timers. The
+// cost of a turn depends on the descriptors that are ready, not on all that are
+// watched.
 class PollLoop {
 public:
   // Called with the poll(2) events that occurred.
   using EventHandler = std::function<void(short events)>;
   using TimerHandler = std::function<void()>;
 
-  explicit PollLoop(Clock clock) : Source(std::move(clock)) {}
+  explicit PollLoop(Clock clock);
 
-  // Watches `fd` for poll(2) events; replaces an earlier watch of it.
+  // Watches `fd` for poll(2) events; replaces an earlier watch of it. A watch
+  // has to be removed before its descriptor is closed.
   void watch(int fd, short events, EventHandler handler);
   void unwatch(int fd);
 
@@ -85,20 +91,33 @@
 private:
   struct Watch {
     short Events = 0;
-    EventHandler Handler;
+    // Shared with the call that may remove the watch.
+    std::shared_ptr<const EventHandler> Handler;
     // Tells a watch from a later one on a reused descriptor.
     uint64_t Serial = 0;
   };
+  struct Ready {
+    int Fd = -1;
+    short Events = 0;
+    uint64_t Serial = 0;
+  };
   struct Timer {
     TimerId Id;
     TimerHandler Handler;
   };
 
+  // Tells the kernel what is watched; false if it does not take `fd`.
+  bool control(int operation, int fd, short events) const;
+  Result<std::vector<Ready>> await();
   void fireTimers();
   int timeoutMillis() const;
 
   Clock Source;
-  std::map<int, Watch> Watches;
+  FileDescriptor Epoll;
+  absl::flat_hash_map<int, Watch> Watches;
+  // Watched descriptors that epoll(7) does not take, and the events that
+  // poll(2) would report of them at once.
+  std::map<int, short> AlwaysReady;
   std::multimap<Instant, Timer> Timers;
   TimerHandler TurnEnd;
   TimerHandler TurnBegins;
--- a/jujube/runtime/runtime_test.cc
+++ b/jujube/runtime/runtime_test.cc
@@ -1,6 +1,11 @@
+#include <fcntl.h>
+#include <poll.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/synchronization/notification.h"
 #include "jujube/runtime/mailbox.h"
@@ -181,6 +186,65 @@
   BOOST_TEST(calls == 1);
 }
 
+BOOST_AUTO_TEST_CASE(FileOnADiskIsAlwaysReady) {
+  PollLoop loop(Clock::monotonic());
+  const FileDescriptor file(open("/proc/self/exe", O_RDONLY | O_CLOEXEC));
+  short seen = 0;
+  loop.watch(file.get(), POLLIN, [&](short events) { seen = events; });
+  BOOST_TEST(isOk(loop.runOnce()));
+  BOOST_TEST(seen == POLLIN);
+  loop.unwatch(file.get());
+  seen = 0;
+  loop.callAt(loop.now(), [] {});
+  BOOST_TEST(isOk(loop.runOnce()));
+  BOOST_TEST(seen == 0);
+}
+
+BOOST_AUTO_TEST_CASE(DescriptorThatIsNotOpenIsReported) {
+  PollLoop loop(Clock::monotonic());
+  FileDescriptor file(open("/proc/self/exe", O_RDONLY | O_CLOEXEC));
+  const int fd = file.get();
+  file = FileDescriptor();
+  short seen = 0;
+  loop.watch(fd, POLLIN, [&](short events) { seen = events; });
+  BOOST_TEST(isOk(loop.runOnce()));
+  BOOST_TEST(seen == POLLNVAL);
+}
+
+BOOST_AUTO_TEST_CASE(ReusedDescriptorIsWatchedAnew) {
+  PollLoop loop(Clock::monotonic());
+  auto first = std::make_unique<SignalEvent>();
+  const int fd = first->fd();
+  loop.watch(fd, POLLIN, [](short) {});
+  loop.unwatch(fd);
+  first.reset();
+  SignalEvent second;
+  BOOST_REQUIRE(second.fd() == fd);
+  bool isSeen = false;
+  loop.watch(fd, POLLIN, [&](short) { isSeen = true; });
+  second.raise();
+  BOOST_TEST(isOk(loop.runOnce()));
+  BOOST_TEST(isSeen);
+}
+
+BOOST_AUTO_TEST_CASE(MoreDescriptorsThanATurnHandlesAreAllServed) {
+  PollLoop loop(Clock::monotonic());
+  std::vector<std::unique_ptr<SignalEvent>> events;
+  std::size_t seen = 0;
+  for (int i = 0; i < 600; ++i) {
+    events.push_back(std::make_unique<SignalEvent>());
+    events.back()->raise();
+    loop.watch(events.back()->fd(), POLLIN,
+               [&, raw = events.back().get()](short) {
+                 raw->clear();
+                 ++seen;
+               });
+  }
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(isOk(loop.runOnce()));
+  BOOST_TEST(seen == events.size());
+}
+
 BOOST_AUTO_TEST_CASE(WaitingTaskUsesNoProcessorTime) {
   PollLoop loop(Clock::monotonic());
   const auto mailbox = makeMailbox<int>(1);
