Calls to one worker share connections

Starts of one plan to one worker each opened a connection, since none was free at that moment, and the surplus was closed after ten idle seconds. A call now waits for a connection whose call should be answered soon, for 20 ms at most; a long poll does not count as such. The connections of an address are found once for a call, and a watch is renewed only when its events change.

--- a/jujube/http/caller.cc
+++ b/jujube/http/caller.cc
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "jujube/runtime/file_descriptor.h"
 #include "jujube/runtime/sockets.h"
@@ -51,12 +53,18 @@
   return out;
 }
 
+struct Peer;
+
 // A connection and the call that it carries, if any.
 struct Link {
-  Address To;
+  Peer &To;
   runtime::FileDescriptor Socket;
   bool IsConnected = false;
+  // What the loop watches it for.
+  short Events = 0;
   std::optional<uint64_t> Carries;
+  bool IsLongPoll = false;
+  Instant BusySince;
   std::string Output;
   bool HasSent = false;
   std::unique_ptr<Parser> Answer;
@@ -66,6 +74,15 @@
 };
 using LinkIt = std::list<Link>::iterator;
 
+// The connections to an address, and the calls that wait for one.
+struct Peer {
+  Address At;
+  std::list<Link> Links;
+  std::deque<uint64_t> Queue;
+  // A timer will look at the queue again.
+  bool HasTimer = false;
+};
+
 // The state of the caller's task.
 class CallerTask {
 public:
@@ -77,12 +94,12 @@
 
   void begin(CallRequest request) {
     const uint64_t id = request.Id;
-    const Address to = request.What.To;
+    Peer &peer = peerAt(request.What.To);
     const Instant due = Loop.now() + request.What.Timeout;
     const runtime::TimerId timer = Loop.callAt(due, [this, id] { expire(id); });
     Calls.emplace(id, Call{std::move(request.What), timer});
-    Queues[to].push_back(id);
-    serve(to);
+    peer.Queue.push_back(id);
+    serve(peer);
   }
 
 private:
@@ -92,49 +109,74 @@
     std::optional<LinkIt> On;
   };
 
+  Peer &peerAt(const Address &at) {
+    std::unique_ptr<Peer> &peer = Peers[at];
+    if (!peer)
+      peer = std::make_unique<Peer>(Peer{at});
+    return *peer;
+  }
+
   // Gives waiting calls of the address to free or new connections.
-  void serve(const Address &to) {
-    std::deque<uint64_t> &queue = Queues[to];
-    while (!queue.empty()) {
-      if (!Calls.contains(queue.front())) {
-        queue.pop_front();
+  void serve(Peer &peer) {
+    while (!peer.Queue.empty()) {
+      const uint64_t id = peer.Queue.front();
+      if (!Calls.contains(id)) {
+        peer.Queue.pop_front();
         continue;
       }
-      const std::optional<LinkIt> link = freeLink(to);
+      const std::optional<LinkIt> link = freeLink(peer);
       if (!link)
         return;
-      const uint64_t id = queue.front();
-      queue.pop_front();
+      peer.Queue.pop_front();
       carry(*link, id);
     }
-    Queues.erase(to);
   }
 
-  std::optional<LinkIt> freeLink(const Address &to) {
-    std::list<Link> &links = Links[to];
-    for (auto it = links.begin(); it != links.end(); ++it)
-      if (!it->Carries)
-        return it;
-    if (links.size() >= Settings.MaxPerAddress)
+  std::optional<LinkIt> freeLink(Peer &peer) {
+    const auto free = std::ranges::find_if(
+        peer.Links, [](const Link &link) { return !link.Carries; });
+    if (free != peer.Links.end())
+      return free;
+    if (peer.Links.size() >= Settings.MaxPerAddress || isFreeSoon(peer))
       return std::nullopt;
-    Result<runtime::FileDescriptor> fd = runtime::connectTcp(to);
+    Result<runtime::FileDescriptor> fd = runtime::connectTcp(peer.At);
     if (!isOk(fd)) {
-      failWaiting(to);
+      failWaiting(peer);
       return std::nullopt;
     }
-    links.push_back(Link{to, valueOf(std::move(fd))});
-    return std::prev(links.end());
+    peer.Links.push_back(Link{peer, valueOf(std::move(fd))});
+    return std::prev(peer.Links.end());
   }
 
-  void failWaiting(const Address &to) {
-    for (const uint64_t id : std::exchange(Queues[to], {}))
-      finish(id, notSent(to));
+  // True while a call is under way that should be answered soon; looks again
+  // once it was not.
+  bool isFreeSoon(Peer &peer) {
+    const Instant now = Loop.now();
+    Instant last;
+    for (const Link &link : peer.Links)
+      if (!link.IsLongPoll)
+        last = std::max(last, link.BusySince + Settings.OpenDelay);
+    if (last <= now)
+      return false;
+    if (!std::exchange(peer.HasTimer, true))
+      Loop.callAt(last, [this, &peer] {
+        peer.HasTimer = false;
+        serve(peer);
+      });
+    return true;
+  }
+
+  void failWaiting(Peer &peer) {
+    for (const uint64_t id : std::exchange(peer.Queue, {}))
+      finish(id, notSent(peer.At));
   }
 
   void carry(LinkIt link, uint64_t id) {
     Call &call = Calls.at(id);
     call.On = link;
     link->Carries = id;
+    link->IsLongPoll = call.What.IsLongPoll;
+    link->BusySince = Loop.now();
     link->Output = render(call.What);
     link->HasSent = false;
     link->Input.clear();
@@ -148,8 +190,9 @@
   }
 
   void watch(LinkIt link, short events) {
-    Loop.watch(link->Socket.get(), events,
-               [this, link](short ready) { advance(link, ready); });
+    if (std::exchange(link->Events, events) != events)
+      Loop.watch(link->Socket.get(), events,
+                 [this, link](short ready) { advance(link, ready); });
   }
 
   void advance(LinkIt link, short ready) {
@@ -221,35 +264,32 @@
 
   void complete(LinkIt link) {
     const uint64_t id = *link->Carries;
-    const beast::response<beast::string_body> answer = link->Answer->release();
+    beast::response<beast::string_body> answer = link->Answer->release();
     link->Carries.reset();
     link->Answer.reset();
     link->IdleSince = Loop.now();
-    const Address to = link->To;
+    Peer &peer = link->To;
     if (!answer.keep_alive())
       close(link);
     finish(id, OutboundAnswer{static_cast<int>(answer.result_int()),
-                              answer.body()});
-    serve(to);
+                              std::move(answer.body())});
+    serve(peer);
   }
 
   // The connection is lost, and with it the answer to its call.
   void drop(LinkIt link) {
     const std::optional<uint64_t> id = link->Carries;
     const bool hasSent = link->HasSent;
-    const Address to = link->To;
+    Peer &peer = link->To;
     close(link);
     if (id)
-      finish(*id, hasSent ? unknownOutcome(to) : notSent(to));
-    serve(to);
+      finish(*id, hasSent ? unknownOutcome(peer.At) : notSent(peer.At));
+    serve(peer);
   }
 
   void close(LinkIt link) {
     Loop.unwatch(link->Socket.get());
-    const Address to = link->To;
-    Links[to].erase(link);
-    if (Links[to].empty())
-      Links.erase(to);
+    link->To.Links.erase(link);
   }
 
   void expire(uint64_t id) {
@@ -274,21 +314,24 @@
   }
 
   void closeIdle() {
-    std::vector<LinkIt> idle;
-    for (auto &[to, links] : Links)
-      for (auto it = links.begin(); it != links.end(); ++it)
-        if (!it->Carries && Loop.now() - it->IdleSince > Settings.KeepIdle)
-          idle.push_back(it);
-    for (const LinkIt it : idle)
-      close(it);
+    const Instant now = Loop.now();
+    for (auto &[at, peer] : Peers)
+      for (auto it = peer->Links.begin(); it != peer->Links.end();) {
+        const auto link = it++;
+        if (!link->Carries && now - link->IdleSince > Settings.KeepIdle)
+          close(link);
+      }
+    std::erase_if(Peers, [](const auto &it) {
+      const Peer &peer = *it.second;
+      return peer.Links.empty() && peer.Queue.empty() && !peer.HasTimer;
+    });
   }
 
   const CallerOptions &Settings;
   CallResults Results;
   runtime::PollLoop &Loop;
-  std::map<Address, std::list<Link>> Links;
-  std::map<Address, std::deque<uint64_t>> Queues;
-  std::map<uint64_t, Call> Calls;
+  std::map<Address, std::unique_ptr<Peer>> Peers;
+  absl::flat_hash_map<uint64_t, Call> Calls;
 };
 
 } // namespace
--- a/jujube/http/caller.h
+++ b/jujube/http/caller.h
@@ -35,6 +35,8 @@
   std::string Body;
   // From when the call is made to its whole answer.
   Duration Timeout;
+  // The peer holds the answer back on purpose; no other call waits for it.
+  bool IsLongPoll = false;
 };
 
 struct OutboundAnswer {
@@ -61,6 +63,9 @@
 struct CallerOptions {
   // Most connections to one address; further calls wait for a free one.
   std::size_t MaxPerAddress = 8;
+  // How long a call waits for the connection of one that is under way before
+  // another connection is opened. Source: ten round trips between zones.
+  Duration OpenDelay = Duration::millis(20);
   // A kept connection that was not used for this span is closed. Source: the
   // workers' own idle timeout is 15 s.
   Duration KeepIdle = Duration::seconds(10);
--- /dev/null
+++ b/testing/caller_connections_test.cc
@@ -0,0 +1,101 @@
+// How many connections the caller opens to workers, on a clock that stands
+// still unless a test moves it.
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jujube/http/caller.h"
+#include "testing/socket_cell.h"
+#include "testing/socket_workers.h"
+
+namespace jujube::testing {
+namespace {
+
+constexpr char Network[] = "127.8";
+constexpr char StartBody[] =
+    R"({"task":"a.0.0.0","attempt":1,"spec":"60000","expiresMs":1,)"
+    R"("fencingToken":1})";
+constexpr char WaitingHold[] = R"({"fencingToken":1,"ackCursor":0,)"
+                               R"("waitMs":60000})";
+
+// A worker on the test's thread, and a caller.
+class Bed {
+public:
+  Bed()
+      : Millis(std::make_shared<std::atomic<int64_t>>(1000)),
+        Source([millis = Millis] { return Instant::atMillis(*millis); }),
+        Loop(Source), Workers(Loop, Network), Desk(Loop, Calls, Results),
+        Caller({"caller", http::callerTask({}, Calls, Results).Body}, Source) {
+    BOOST_REQUIRE(isOk(Workers.add("w1", {1000, 1000, 0})));
+  }
+
+  SocketWorkers &workers() { return Workers; }
+  std::size_t answered() const { return Answered; }
+  void advance(Duration span) { *Millis += span.millis(); }
+
+  void call(const std::string &target, const std::string &body) {
+    http::OutboundCall what{Workers.workers().addressOf("w1"),
+                            "POST",
+                            target,
+                            {},
+                            body,
+                            Duration::minutes(2)};
+    what.IsLongPoll = body == WaitingHold;
+    Desk.call(std::move(what),
+              [this](const http::OutboundResult &) { ++Answered; });
+  }
+  void runUntil(const std::function<bool()> &isDone) {
+    while (!isDone())
+      BOOST_REQUIRE(isOk(Loop.runOnce()));
+  }
+
+private:
+  std::shared_ptr<std::atomic<int64_t>> Millis;
+  Clock Source;
+  runtime::PollLoop Loop;
+  SocketWorkers Workers;
+  http::CallMailbox Calls = runtime::makeMailbox<http::CallRequest>(64);
+  http::CallResults Results = runtime::makeMailbox<http::CallResult>(64);
+  http::CallDesk Desk;
+  RunningTree Caller;
+  std::size_t Answered = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(CallerConnectionsTest)
+
+BOOST_AUTO_TEST_CASE(StartsToOneWorkerAtOnceShareAConnection) {
+  Bed bed;
+  for (int i = 0; i < 6; ++i)
+    bed.call("/run-start", StartBody);
+  bed.runUntil([&] { return bed.answered() == 6; });
+  BOOST_TEST(bed.workers().connections() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StartDoesNotWaitForALongPoll) {
+  Bed bed;
+  bed.call("/hold", WaitingHold);
+  bed.runUntil([&] { return bed.workers().calls().contains("/hold"); });
+  bed.call("/run-start", StartBody);
+  bed.runUntil([&] { return bed.answered() == 1; });
+  BOOST_TEST(bed.workers().connections() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(CallThatIsNotAnsweredSoonHoldsUpNoOther) {
+  Bed bed;
+  bed.workers().workers().setSilent("w1", true);
+  bed.call("/run-start", StartBody);
+  bed.runUntil([&] { return bed.workers().calls().contains("/run-start"); });
+  bed.workers().workers().setSilent("w1", false);
+  bed.call("/run-stop", StartBody);
+  bed.advance(Duration::millis(20));
+  bed.runUntil([&] { return bed.answered() == 1; });
+  BOOST_TEST(bed.workers().connections() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::testing
--- a/testing/socket_cell.cc
+++ b/testing/socket_cell.cc
@@ -50,8 +50,8 @@
 
 } // namespace
 
-RunningTree::RunningTree(runtime::ChildSpec child)
-    : Thread(valueOf(runtime::Task::start(child.Name, Clock::monotonic(),
+RunningTree::RunningTree(runtime::ChildSpec child, Clock clock)
+    : Thread(valueOf(runtime::Task::start(child.Name, std::move(clock),
                                           std::move(child.Body),
                                           [](const runtime::TaskExit &) {}))) {}
 
--- a/testing/socket_cell.h
+++ b/testing/socket_cell.h
@@ -17,7 +17,8 @@
 // A tree on a thread of its own until it is destroyed.
 class RunningTree {
 public:
-  explicit RunningTree(runtime::ChildSpec child);
+  explicit RunningTree(runtime::ChildSpec child,
+                       Clock clock = Clock::monotonic());
   ~RunningTree();
   RunningTree(const RunningTree &) = delete;
   RunningTree &operator=(const RunningTree &) = delete;
