A plan ends once its budget is used, and the next one goes on behind it

The work of one plan rose with the steps that wait, and a turn of the control task with it. A plan now handles steps in order of urgency until it has used up DispatchInput::Budget, and says where it was cut. The next one begins with the most urgent steps again, for half of the budget, and goes on behind the cut, so that urgent work comes first and no step starves. Room that was kept for gangs before the cut is kept behind it. Quotas and capacities hold across the parts since the starts of one are in the book before the next.

--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,25 @@
   std::size_t Tasks = 0;
 };
 
+// Workers on which room is kept for a gang.
+struct HeldRoom {
+  jobs::StepKey Gang;
+  std::vector<WorkerId> Workers;
+};
+
+// Where a plan ended that had used up its budget.
+struct PlanCursor {
+  // The last step that was handled.
+  StepPosition After;
+  std::vector<HeldRoom> Held;
+};
+
+// What a plan may cost beside indexing the workers: one for each pair that is
+// looked at, and StepWork for each step. Source: some milliseconds on a host
+// with 0.4 of a core, which is little beside a leader's heartbeat.
+inline constexpr std::size_t PlanBudget = 20'000;
+inline constexpr std::size_t StepWork = 10;
+
 struct DispatchPlan {
   std::vector<PlannedStart> Starts;
   std::vector<jobs::ApprovalQuery> Queries;
@@ -92,6 +112,11 @@
   // Pairs of a step and a worker that were looked at, and workers that were
   // indexed: what the plan cost.
   std::size_t Examined = 0;
+  // Steps that were handled.
+  std::size_t Steps = 0;
+  // Set if steps were left for the next plan, which goes on from here once the
+  // starts of this one are in the book.
+  std::optional<PlanCursor> Cut;
 };
 
 struct DispatchInput {
@@ -106,6 +131,11 @@
   // Most approval queries that may be added: of long ones, and of the others.
   std::size_t MaxShortQueries = 0;
   std::size_t MaxLongQueries = 0;
+  // Ends after the step that exceeds it.
+  std::size_t Budget = PlanBudget;
+  // Where the last plan was cut. The most urgent steps go first nevertheless,
+  // for half of the budget.
+  std::optional<PlanCursor> Resume = {};
 };
 
 // How long a query for approval takes, which decides when it is made.
--- a/jujube/dispatch/pass.cc
+++ b/jujube/dispatch/pass.cc
@@ -19,12 +19,38 @@
 }
 
 DispatchPlan Pass::run() {
-  StepWalk walk(In.Book.waiting(), Hooks, In.WallNow, std::nullopt);
-  while (const jobs::WaitingStep *step = walk.next())
-    handle(readyStep(*step));
+  if (In.Resume) {
+    runPart(std::nullopt, In.Resume->After, In.Budget / 2);
+    restoreHeld(In.Resume->Held);
+    runPart(In.Resume->After, std::nullopt, In.Budget);
+  } else {
+    runPart(std::nullopt, std::nullopt, In.Budget);
+  }
   return std::move(Plan);
 }
 
+void Pass::runPart(const std::optional<StepPosition> &after,
+                   const std::optional<StepPosition> &until,
+                   std::size_t budget) {
+  StepWalk walk(In.Book.waiting(), Hooks, In.WallNow, after);
+  std::optional<StepPosition> last;
+  while (const jobs::WaitingStep *step = walk.next()) {
+    const StepPosition here = walk.position();
+    if (until && (here >= *until || work() >= budget))
+      return;
+    if (!until && last && work() >= budget) {
+      Plan.Cut = {*last, heldRoom()};
+      return;
+    }
+    handle(readyStep(*step));
+    last = here;
+  }
+}
+
+std::size_t Pass::work() const {
+  return Plan.Examined - Workers.size() + Plan.Steps * StepWork;
+}
+
 ReadyStep Pass::readyStep(const jobs::WaitingStep &waiting) const {
   const jobs::StepKey &key = waiting.Key;
   const jobs::Job *job = In.Book.find(key.Job);
@@ -64,10 +90,13 @@
 }
 
 void Pass::handle(const ReadyStep &step) {
+  ++Plan.Steps;
   countTasks(step);
   const int64_t waiting = step.waitingTasks();
   const int64_t most = teamRoom(step);
   const bool isGang = step.Spec->IsGang;
+  if (isGang)
+    HandledGangs.insert(step.Key);
   const int64_t wanted = isGang && most < waiting ? 0 : std::min(waiting, most);
   const int64_t placed = wanted > 0 ? place(step, wanted) : 0;
   const int64_t left = waiting - placed;
--- a/jujube/dispatch/pass.h
+++ b/jujube/dispatch/pass.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "jujube/dispatch/dispatcher.h"
 #include "jujube/dispatch/fleet.h"
@@ -80,7 +81,19 @@
   };
   using NodeSpan = std::span<const NodeIndex>;
 
+  // Room that is kept for a gang.
+  struct Hold {
+    jobs::StepKey Gang;
+    std::vector<NodeIndex> Nodes;
+  };
+
   // ---- Steps and their places (pass.cc) ----
+  // Handles the steps behind `after` and before `until` while the work of the
+  // pass is below `budget`. A part without `until` handles one step at least,
+  // and the next plan goes on behind it.
+  void runPart(const std::optional<StepPosition> &after,
+               const std::optional<StepPosition> &until, std::size_t budget);
+  std::size_t work() const;
   ReadyStep readyStep(const jobs::WaitingStep &waiting) const;
   void handle(const ReadyStep &step);
   TeamState &teamOf(const ReadyStep &step);
@@ -114,6 +127,10 @@
   // comes together there.
   void holdRoomFor(const ReadyStep &step);
   std::vector<NodeIndex> holdable(const ReadyStep &step);
+  // Keeps the room that the last plan kept for gangs which this one has not
+  // come to.
+  void restoreHeld(const std::vector<HeldRoom> &held);
+  std::vector<HeldRoom> heldRoom() const;
   void noteWait(const ReadyStep &step, int64_t tasks, WaitCause why);
   // Why so many more tasks of the step find no place; a gang needs all at once.
   WaitCause placeCause(const ReadyStep &step, int64_t tasks);
@@ -172,6 +189,8 @@
   absl::flat_hash_map<absl::string_view, TeamState> Teams;
   // Tasks of the step that is handled, if they are bounded for each worker.
   absl::flat_hash_map<NodeIndex, int64_t> TasksOn;
+  std::vector<Hold> Holds;
+  absl::flat_hash_set<jobs::StepKey> HandledGangs;
   std::size_t ShortQueries = 0;
   std::size_t LongQueries = 0;
   DispatchPlan Plan;
--- a/jujube/dispatch/pass_room.cc
+++ b/jujube/dispatch/pass_room.cc
@@ -29,12 +29,40 @@
     return std::pair(-Workers[it].Free.MilliCpu, it);
   });
   auto needed = static_cast<int64_t>(step.State->Tasks.size());
+  Hold hold{step.Key, {}};
   for (const NodeIndex it : usable) {
     if (needed <= 0 || Workers.heldCount() >= most)
-      return;
+      break;
     Workers.hold(it);
+    hold.Nodes.push_back(it);
     needed -= fitCount(step, Workers[it].Who->Capacity);
   }
+  Holds.push_back(std::move(hold));
+}
+
+void Pass::restoreHeld(const std::vector<HeldRoom> &held) {
+  for (const HeldRoom &room : held) {
+    if (HandledGangs.contains(room.Gang) ||
+        !In.Book.waiting().contains(room.Gang))
+      continue;
+    Hold hold{room.Gang, {}};
+    for (const WorkerId &worker : room.Workers)
+      if (const auto node = Workers.find(worker)) {
+        Workers.hold(*node);
+        hold.Nodes.push_back(*node);
+      }
+    Holds.push_back(std::move(hold));
+  }
+}
+
+std::vector<HeldRoom> Pass::heldRoom() const {
+  std::vector<HeldRoom> rooms;
+  for (const Hold &hold : Holds) {
+    rooms.push_back({hold.Gang, {}});
+    for (const NodeIndex it : hold.Nodes)
+      rooms.back().Workers.push_back(Workers[it].Who->Id);
+  }
+  return rooms;
 }
 
 std::vector<NodeIndex> Pass::holdable(const ReadyStep &step) {
--- a/jujube/dispatch/plan_work_test.cc
+++ b/jujube/dispatch/plan_work_test.cc
@@ -1,5 +1,8 @@
 // How much a plan looks at, whatever waits.
 #include <boost/test/unit_test.hpp>
+#include <optional>
+#include <rapidcheck/boost_test.h>
+#include <set>
 #include <string>
 
 #include "jujube/dispatch/dispatcher.h"
@@ -41,12 +44,19 @@
   return book;
 }
 
-DispatchPlan planOf(const jobs::JobBook &book) {
+DispatchPlan planOf(const jobs::JobBook &book,
+                    std::size_t budget = 1'000'000'000,
+                    const std::optional<PlanCursor> &resume = {}) {
   std::vector<WorkerView> views;
   for (const auto &[id, worker] : book.workers())
     views.push_back({&worker});
-  return planStarts({book, views, Approvals(), Now, Now, Queries, Queries},
-                    defaultHooks());
+  return planStarts(
+      {book, views, Approvals(), Now, Now, Queries, Queries, budget, resume},
+      defaultHooks());
+}
+
+std::size_t workOf(const DispatchPlan &plan) {
+  return plan.Examined - Workers + plan.Steps * StepWork;
 }
 
 BOOST_AUTO_TEST_SUITE(PlanWorkTest)
@@ -65,6 +75,114 @@
              4 * std::size_t{WaitingJobs} + Queries * std::size_t{Workers});
 }
 
+BOOST_AUTO_TEST_CASE(PlansEndOnceTheirBudgetIsUsed) {
+  constexpr std::size_t LargestStep = 4 * Workers;
+  for (const int64_t free : {1000, 4000}) {
+    const jobs::JobBook book = backlog(free);
+    std::optional<PlanCursor> at;
+    int plans = 0;
+    std::set<jobs::StepKey> seen;
+    do {
+      const DispatchPlan plan = planOf(book, 3000, at);
+      BOOST_TEST(workOf(plan) <= 3000 + LargestStep);
+      for (const StepWait &wait : plan.Waits)
+        seen.insert(wait.Step);
+      at = plan.Cut;
+    } while (at && ++plans < WaitingJobs);
+    BOOST_TEST(!at.has_value());
+    BOOST_TEST(seen.size() == std::size_t{WaitingJobs});
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UrgentWorkGoesFirstThoughTheLastPlanWasCut) {
+  jobs::JobBook book = backlog(1000);
+  const DispatchPlan cut = planOf(book, 3000);
+  BOOST_REQUIRE(cut.Cut.has_value());
+  jobs::Configuration config = book.configuration();
+  config.Version = 2;
+  config.Queues.push_back(config.Queues[0]);
+  config.Queues[0].Priority = 1;
+  config.Queues[1].Id = jobs::QueueId("urgent");
+  config.Queues[1].Approval.reset();
+  book.apply(jobs::ConfigurationPut{config});
+  jobs::JobSpec urgent = sampleJob("z", {sampleStep(1, 500)});
+  urgent.Queue = jobs::QueueId("urgent");
+  book.apply(jobs::JobAccepted{urgent, Now});
+  PlanCursor at = *cut.Cut;
+  at.After.Priority = 1;
+  const DispatchPlan plan = planOf(book, 3000, at);
+  BOOST_REQUIRE(plan.Starts.size() == 1U);
+  BOOST_TEST((plan.Starts[0].Start.Task == taskOf("z", 0)));
+}
+
+// One gang that waits, and a step behind it that would take its room.
+BOOST_AUTO_TEST_CASE(RoomOfAGangIsKeptAcrossTheCutOfAPlan) {
+  jobs::StepSpec gang = sampleStep(3);
+  gang.IsGang = true;
+  gang.Estimate = Duration::seconds(1);
+  jobs::JobBook book;
+  book.apply(jobs::ConfigurationPut{testing::sampleConfiguration()});
+  for (const char *id : {"w1", "w2", "w3", "w4"})
+    book.apply(jobs::WorkerChanged{sampleWorker(id, 1000)});
+  for (const char *id : {"w2", "w3"}) {
+    const std::string job = std::string("run") + id;
+    book.apply(jobs::JobAccepted{sampleJob(job, {sampleStep(1)}), Now});
+    book.apply(jobs::AttemptStarted{taskOf(job, 0), 1, WorkerId(id)});
+  }
+  book.apply(jobs::JobAccepted{sampleJob("gang", {gang}), Now});
+  book.apply(jobs::JobAccepted{sampleJob("later", {sampleStep(2, 900)}), Now});
+  const DispatchPlan whole = planOf(book);
+  const DispatchPlan first = planOf(book, 1);
+  BOOST_REQUIRE(first.Cut.has_value());
+  BOOST_TEST(first.Starts.empty());
+  const DispatchPlan second = planOf(book, 1, first.Cut);
+  BOOST_TEST(!second.Cut.has_value());
+  BOOST_TEST(second.Starts.size() == whole.Starts.size());
+  BOOST_TEST(whole.Starts.empty());
+}
+
+// Whatever waits, plans of any budget handle each step and keep capacities and
+// the team's maximum.
+RC_BOOST_PROP(CutPlansReachEveryStepAndKeepBounds, ()) {
+  jobs::JobBook book;
+  jobs::Configuration config = testing::sampleConfiguration();
+  config.Teams[0].Maximum = {*rc::gen::inRange(1000, 9000), 0, 0};
+  book.apply(jobs::ConfigurationPut{config});
+  for (int i = 0; i < 3; ++i)
+    book.apply(jobs::WorkerChanged{sampleWorker("w" + std::to_string(i))});
+  const int jobs = *rc::gen::inRange(1, 20);
+  std::set<jobs::StepKey> open;
+  for (int i = 0; i < jobs; ++i) {
+    jobs::StepSpec step = sampleStep(*rc::gen::inRange<uint32_t>(1, 4),
+                                     *rc::gen::inRange(500, 3000));
+    step.IsGang = *rc::gen::arbitrary<bool>();
+    step.Estimate = Duration::seconds(*rc::gen::inRange(0, 3));
+    const std::string id = "j" + std::to_string(i);
+    book.apply(jobs::JobAccepted{
+        sampleJob(id, {step}), Instant::atMillis(*rc::gen::inRange(1, 9999))});
+    open.insert({jobs::JobId(id), 0, 0});
+  }
+  std::optional<PlanCursor> at;
+  int plans = 0;
+  do {
+    const DispatchPlan plan =
+        planOf(book, *rc::gen::inRange<std::size_t>(0, 60), at);
+    for (const StepWait &wait : plan.Waits)
+      open.erase(wait.Step);
+    for (const PlannedStart &it : plan.Starts) {
+      open.erase(jobs::stepOf(it.Start.Task));
+      book.apply(it.Start);
+    }
+    at = plan.Cut;
+  } while (at && ++plans <= jobs);
+  RC_ASSERT(!at.has_value());
+  RC_ASSERT(open.empty());
+  RC_ASSERT(book.usedBy(testing::SampleTeam).MilliCpu <=
+            config.Teams[0].Maximum.MilliCpu);
+  for (const auto &[id, worker] : book.workers())
+    RC_ASSERT(book.loadOf(id).Used.fitsIn(worker.Capacity));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/dispatch/step_walk.cc
+++ b/jujube/dispatch/step_walk.cc
@@ -1,24 +1,16 @@
 #include "jujube/dispatch/step_walk.h"
 
-#include <algorithm>
-#include <cstdint>
-
 namespace jujube::dispatch::internal {
 namespace {
 
 constexpr Instant Earliest = Instant::atMillis(INT64_MIN);
 
-StepPosition positionOf(const jobs::WaitingStep &step, bool isLate) {
-  return {step.Priority, isLate, step.DueBy, step.Key};
-}
-
 } // namespace
 
 StepWalk::StepWalk(const jobs::WaitingSteps &steps, const DispatchHooks &hooks,
                    Instant wallNow, const std::optional<StepPosition> &after)
-    : Steps(steps.ordered()), Hooks(hooks), WallNow(wallNow), After(after),
-      It(after ? firstFrom(after->Priority, Earliest) : Steps.begin()) {
-  beginGroup();
+    : Steps(steps.ordered()), Hooks(hooks), WallNow(wallNow), After(after) {
+  beginGroup(After ? firstFrom(After->Priority, Earliest) : Steps.begin());
 }
 
 StepWalk::Order::const_iterator StepWalk::firstFrom(int32_t priority,
@@ -26,83 +18,71 @@
   return Steps.lower_bound(jobs::WaitingStep{priority, dueBy, {}, {}, {}});
 }
 
-void StepWalk::beginGroup() {
-  if (It == Steps.end()) {
+void StepWalk::beginGroup(Order::const_iterator first) {
+  if (first == Steps.end()) {
     Now = Phase::End;
     return;
   }
-  Priority = It->Priority;
-  PastEnd = firstFrom(Priority, WallNow);
-  It = PastEnd;
-  Now = Phase::Timely;
-  Skipped.clear();
-  SkippedAt = 0;
+  Priority = first->Priority;
+  const bool isInLateOnes =
+      After && After->Priority == Priority && After->IsLate;
+  beginPhase(isInLateOnes ? Phase::Past : Phase::Timely);
 }
 
-const jobs::WaitingStep *StepWalk::next() {
-  Last = nullptr;
-  while (Last == nullptr && Now != Phase::End) {
-    switch (Now) {
-    case Phase::Timely:
-      Last = nextTimely();
-      break;
-    case Phase::Past:
-      Last = nextPast();
-      break;
-    case Phase::Skipped:
-      Last = nextSkipped();
-      break;
-    case Phase::End:
-      break;
-    }
-  }
-  return Last;
-}
-
-const jobs::WaitingStep *StepWalk::nextTimely() {
-  while (It != Steps.end() && It->Priority == Priority) {
-    const jobs::WaitingStep &step = *It++;
-    if (step.NotBefore > WallNow)
-      continue;
-    if (!Hooks.CanBeInTime(step, WallNow))
-      Skipped.push_back(&step);
-    else if (isBehindStart(step, false))
-      return &step;
-  }
-  Now = Phase::Past;
-  const bool isInside = After && After->Priority == Priority && After->IsLate;
-  It = firstFrom(Priority,
-                 isInside ? std::min(After->DueBy, WallNow) : Earliest);
-  return nullptr;
+void StepWalk::beginPhase(Phase phase) {
+  Now = phase;
+  const bool isPast = phase == Phase::Past;
+  It = firstFrom(Priority, isPast ? Earliest : WallNow);
+  PhaseEnd =
+      isPast ? firstFrom(Priority, WallNow) : firstFrom(Priority + 1, Earliest);
+  const bool isAfterHere = After && After->Priority == Priority &&
+                           After->IsLate == (phase != Phase::Timely);
+  if (!isAfterHere)
+    return;
+  const bool isAfterPast = After->DueBy < WallNow;
+  if (isAfterPast == isPast)
+    It = Steps.upper_bound({Priority, After->DueBy, After->Key, {}, {}});
+  else if (isPast)
+    It = PhaseEnd;
 }
 
-const jobs::WaitingStep *StepWalk::nextPast() {
-  while (It != PastEnd) {
-    const jobs::WaitingStep &step = *It++;
-    if (step.NotBefore <= WallNow && isBehindStart(step, true))
-      return &step;
+void StepWalk::endPhase() {
+  switch (Now) {
+  case Phase::Timely:
+    beginPhase(Phase::Past);
+    return;
+  case Phase::Past:
+    beginPhase(Phase::Late);
+    return;
+  case Phase::Late:
+    beginGroup(PhaseEnd);
+    return;
+  case Phase::End:
+    return;
   }
-  Now = Phase::Skipped;
-  return nullptr;
 }
 
-const jobs::WaitingStep *StepWalk::nextSkipped() {
-  while (SkippedAt < Skipped.size()) {
-    const jobs::WaitingStep &step = *Skipped[SkippedAt++];
-    if (isBehindStart(step, true))
-      return &step;
+const jobs::WaitingStep *StepWalk::next() {
+  while (Now != Phase::End) {
+    while (It != PhaseEnd) {
+      Last = &*It++;
+      if (belongs(*Last))
+        return Last;
+    }
+    endPhase();
   }
-  It = firstFrom(Priority + 1, Earliest);
-  beginGroup();
   return nullptr;
 }
 
-bool StepWalk::isBehindStart(const jobs::WaitingStep &step, bool isLate) const {
-  return !After || *After < positionOf(step, isLate);
+bool StepWalk::belongs(const jobs::WaitingStep &step) const {
+  if (step.NotBefore > WallNow)
+    return false;
+  return Now == Phase::Past ||
+         Hooks.CanBeInTime(step, WallNow) == (Now == Phase::Timely);
 }
 
 StepPosition StepWalk::position() const {
-  return positionOf(*Last, Now != Phase::Timely);
+  return {Last->Priority, Now != Phase::Timely, Last->DueBy, Last->Key};
 }
 
 } // namespace jujube::dispatch::internal
--- a/jujube/dispatch/step_walk.h
+++ b/jujube/dispatch/step_walk.h
@@ -3,9 +3,8 @@
 #ifndef JUJUBE_DISPATCH_STEP_WALK_H_
 #define JUJUBE_DISPATCH_STEP_WALK_H_
 
-#include <cstddef>
+#include <cstdint>
 #include <optional>
-#include <vector>
 
 #include "jujube/dispatch/dispatcher.h"
 
@@ -27,14 +26,22 @@
 
 private:
   using Order = jobs::WaitingSteps::Order;
-  enum class Phase { Timely, Past, Skipped, End };
-
-  // Begins with the priority of the step at `It`.
-  void beginGroup();
-  const jobs::WaitingStep *nextTimely();
-  const jobs::WaitingStep *nextPast();
-  const jobs::WaitingStep *nextSkipped();
-  bool isBehindStart(const jobs::WaitingStep &step, bool isLate) const;
+  // What is read of one priority, one after the other.
+  enum class Phase {
+    // Steps that can be in time.
+    Timely,
+    // Steps whose objective has passed.
+    Past,
+    // Late steps whose objective has not passed.
+    Late,
+    End,
+  };
+
+  // Begins with the priority of the step at `first`.
+  void beginGroup(Order::const_iterator first);
+  void beginPhase(Phase phase);
+  void endPhase();
+  bool belongs(const jobs::WaitingStep &step) const;
   Order::const_iterator firstFrom(int32_t priority, Instant dueBy) const;
 
   const Order &Steps;
@@ -42,14 +49,10 @@
   Instant WallNow;
   const std::optional<StepPosition> &After;
 
-  Phase Now = Phase::Timely;
+  Phase Now = Phase::End;
   int32_t Priority = 0;
   Order::const_iterator It;
-  // End of the steps of this priority whose objective has passed.
-  Order::const_iterator PastEnd;
-  // Late steps of this priority whose objective has not passed.
-  std::vector<const jobs::WaitingStep *> Skipped;
-  std::size_t SkippedAt = 0;
+  Order::const_iterator PhaseEnd;
   const jobs::WaitingStep *Last = nullptr;
 };
 
