--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -68,6 +68,9 @@
   int leader();
   // How often members that run have begun to lead.
   uint64_t takeOvers() const;
+  bool isRunning(int member) const {
+    return Members.at(member).Task != nullptr;
+  }
   void kill(int member);
   // Tells a member that its process is about to stop.
   void tellToLeave(int member) { Members.at(member).Boxes.Leaving->raise(); }
