Planning takes a share of the time, and waits are told in bounded number

- PlanPacer: after a plan the task rests for four times its duration, 50 ms at most, on the task's clock.
A turn ends when the rest is over.
- The next plan goes on where the last was cut; nothing is planned while no step waits.
- WaitLedger keeps its entries in place.
A wait is told once for each step and cause, and at most 40 in a second; the counter step_waits counts all by cause.

control_test, and DispatchLoadTest and ControlPathTest of testing_test, pass.

--- a/jujube/control/control_numbers.cc
+++ b/jujube/control/control_numbers.cc
@@ -91,8 +91,14 @@
       .with("after_ms", after);
 }
 
-void ControlTask::noteWaits(const std::vector<dispatch::StepWait> &waits) {
-  for (const dispatch::StepWait &wait : Waits.update(waits, Loop.now())) {
+void ControlTask::noteWaits(const dispatch::DispatchPlan &plan, bool isWhole) {
+  const Instant now = Loop.now();
+  const std::vector<dispatch::StepWait> told =
+      isWhole ? Waits.update(plan.Waits, now) : Waits.updatePart(plan, now);
+  if (told.empty())
+    return;
+  const std::size_t usable = Desk->usable().size();
+  for (const dispatch::StepWait &wait : told) {
     const jobs::Job *job = Book.find(wait.Step.Job);
     const Resources used = Book.usedBy(job->Spec.Team);
     Line(Event::StepWaits)
@@ -102,7 +108,7 @@
         .with("cause", nameIn(dispatch::WaitCauseNames, wait.Why))
         .with("tasks", wait.Tasks)
         .with("team_milli_cpu", used.MilliCpu)
-        .with("usable_workers", Desk->usable().size())
+        .with("usable_workers", usable)
         .with("open_jobs", Book.openJobs().size())
         .with("term", Group.log().term());
   }
@@ -162,6 +168,11 @@
 metrics::Snapshot ControlTask::snapshot() const {
   metrics::Snapshot all = Numbers.snapshot();
   addWork(all);
+  for (const auto &row : dispatch::WaitCauseNames)
+    all.Counters.push_back(
+        {"step_waits",
+         {"", "", std::string(row.Name)},
+         Waits.lasting()[static_cast<std::size_t>(row.Value)]});
   const auto gauge = [&all](const std::string &name, auto value,
                             const metrics::Labels &labels = {}) {
     all.Gauges.push_back({name, labels, static_cast<double>(value)});
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -42,11 +42,21 @@
 }
 
 void ControlTask::planIfDue() {
+  if (!IsPlanDue || IsPlanStoring)
+    return;
   const Instant now = Loop.now();
-  if (!IsPlanDue || IsPlanStoring || now < NextPlan || Book.openJobs().empty())
+  if (now < Pacer.next()) {
+    wakeForPlan(Pacer.next());
     return;
+  }
   IsPlanDue = false;
-  const dispatch::DispatchInput input{
+  if (Book.waiting().empty()) {
+    PlanResume.reset();
+    if (Waits.isAnyWaiting())
+      noteWaits({}, true);
+    return;
+  }
+  dispatch::DispatchInput input{
       Book,
       Desk->usable(),
       Approved,
@@ -54,17 +64,26 @@
       Wall.now(),
       Helpers.countFree(now, ShortQueryPatience, false),
       Helpers.countFree(now, LongQueryPatience, true)};
-  const dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
-  notePlan(plan.Examined, Loop.now() - now);
+  input.Resume = std::exchange(PlanResume, std::nullopt);
+  dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
   startPlanned(plan.Starts);
-  noteWaits(plan.Waits);
+  noteWaits(plan, !input.Resume && !plan.Cut);
   for (const jobs::ApprovalQuery &query : plan.Queries)
     ask(query);
-  // Planning takes at most half of the time, however long the backlog is.
+  IsPlanDue |= plan.Cut.has_value();
+  PlanResume = std::move(plan.Cut);
   const Instant end = Loop.now();
-  NextPlan = end + (end - now);
-  if (end > now)
-    Loop.callAt(NextPlan, [] {});
+  Pacer.note(now, end);
+  notePlan(plan.Examined, end - now);
+  if (IsPlanDue)
+    wakeForPlan(Pacer.next());
+}
+
+void ControlTask::wakeForPlan(Instant at) {
+  if (IsPlanWakeSet)
+    return;
+  IsPlanWakeSet = true;
+  Loop.callAt(at, [this] { IsPlanWakeSet = false; });
 }
 
 void ControlTask::startPlanned(
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -14,6 +14,7 @@
 #include "jujube/control/control_client.h"
 #include "jujube/control/control_options.h"
 #include "jujube/control/helper_roster.h"
+#include "jujube/control/plan_pacer.h"
 #include "jujube/control/turn_meter.h"
 #include "jujube/control/wait_ledger.h"
 #include "jujube/control/worker_desk.h"
@@ -131,7 +132,8 @@
   void noteAccepted(const jobs::JobSpec &spec);
   void noteApproval(const jobs::ApprovalQuery &query,
                     const jobs::ApprovalAnswer &answer, Duration after);
-  void noteWaits(const std::vector<dispatch::StepWait> &waits);
+  // `isWhole`: the plan is over all steps.
+  void noteWaits(const dispatch::DispatchPlan &plan, bool isWhole);
   void noteEnd(const jobs::AttemptEnded &event, const jobs::Job &job,
                const WorkerId &worker);
   // What the job had until its objective when it was accepted; nothing if that
@@ -151,6 +153,8 @@
 
   void endTurn();
   void planIfDue();
+  // Ends a turn then.
+  void wakeForPlan(Instant at);
   void startPlanned(const std::vector<dispatch::PlannedStart> &starts);
   void ask(const jobs::ApprovalQuery &query);
   void sweep();
@@ -192,7 +196,10 @@
   WaitLedger Waits;
   bool IsPlanDue = false;
   bool IsPlanStoring = false;
-  Instant NextPlan;
+  PlanPacer Pacer;
+  bool IsPlanWakeSet = false;
+  // Where the last plan was cut.
+  std::optional<dispatch::PlanCursor> PlanResume;
   metrics::Metrics Numbers;
   // When this member applied the configuration that it holds.
   Instant ConfiguredAt;
--- /dev/null
+++ b/jujube/control/plan_pacer_test.cc
@@ -0,0 +1,40 @@
+#include "jujube/control/plan_pacer.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jujube::control {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(PlanPacerTest)
+
+BOOST_AUTO_TEST_CASE(PlansThatTakeLongTakeAFifthOfTheTime) {
+  ManualClock time;
+  PlanPacer pacer;
+  BOOST_TEST((pacer.next() <= time.now()));
+  Duration planning;
+  while (time.now() < Instant::atMillis(1000)) {
+    const Instant begin = time.now();
+    time.advance(Duration::millis(5));
+    pacer.note(begin, time.now());
+    planning = planning + Duration::millis(5);
+    time.advance(pacer.next() - time.now());
+  }
+  BOOST_TEST(planning.millis() == 200);
+}
+
+BOOST_AUTO_TEST_CASE(NoPlanWaitsLongerThanUrgentWorkAllows) {
+  PlanPacer pacer;
+  pacer.note(Instant::atMillis(0), Instant::atMillis(1000));
+  BOOST_TEST((pacer.next() == Instant::atMillis(1050)));
+}
+
+BOOST_AUTO_TEST_CASE(ShortPlansFollowAtOnce) {
+  PlanPacer pacer;
+  pacer.note(Instant::atMillis(10), Instant::atMillis(10));
+  BOOST_TEST((pacer.next() == Instant::atMillis(10)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::control
--- a/jujube/control/wait_ledger_test.cc
+++ b/jujube/control/wait_ledger_test.cc
@@ -1,6 +1,7 @@
 #include "jujube/control/wait_ledger.h"
 
 #include <boost/test/unit_test.hpp>
+#include <string>
 
 namespace jujube::control {
 namespace {
@@ -56,6 +57,51 @@
   BOOST_TEST(waitedFor(*account, WaitCause::NoWorker).millis() == 200);
 }
 
+BOOST_AUTO_TEST_CASE(StepThatWaitsAgainUnderACauseIsNotToldAgain) {
+  WaitLedger ledger;
+  const std::vector<dispatch::StepWait> room = {{{Job, 0, 0}, WaitCause::Room}};
+  const std::vector<dispatch::StepWait> team = {
+      {{Job, 0, 0}, WaitCause::TeamMaximum}};
+  std::size_t told = 0;
+  for (int64_t ms = 0; ms < 10'000; ms += 50)
+    told += ledger.update(ms / 500 % 2 == 0 ? room : team, at(ms)).size();
+  BOOST_TEST(told == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(BacklogDoesNotFloodTheLog) {
+  WaitLedger ledger;
+  std::vector<dispatch::StepWait> waits;
+  waits.reserve(2500);
+  for (int i = 0; i < 2500; ++i)
+    waits.push_back(
+        {{jobs::JobId("j" + std::to_string(i)), 0, 0}, WaitCause::Room});
+  std::size_t told = 0;
+  for (int64_t ms = 0; ms <= 5000; ms += 50)
+    told += ledger.update(waits, at(ms)).size();
+  BOOST_TEST(told <= 5U * 40);
+  const auto room = static_cast<std::size_t>(WaitCause::Room);
+  BOOST_TEST(ledger.lasting()[room] == waits.size());
+}
+
+BOOST_AUTO_TEST_CASE(PartOfThePlansLeavesTheOtherStepsWaiting) {
+  WaitLedger ledger;
+  const jobs::JobId other("b");
+  ledger.update(
+      {{{Job, 0, 0}, WaitCause::Room}, {{other, 0, 0}, WaitCause::Room}},
+      at(0));
+  dispatch::DispatchPlan plan;
+  plan.Starts.push_back(
+      {{{Job, 0, 0, 0}, 1, WorkerId("w1")}, "", 0, false, {}});
+  ledger.updatePart(plan, at(100));
+  BOOST_TEST(ledger.isAnyWaiting());
+  BOOST_TEST(
+      waitedFor(*ledger.finish(Job, at(300)), WaitCause::Room).millis() == 100);
+  BOOST_TEST(
+      waitedFor(*ledger.finish(other, at(300)), WaitCause::Room).millis() ==
+      300);
+  BOOST_TEST(!ledger.isAnyWaiting());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
