--- a/testing/control_backlog_test.cc
+++ b/testing/control_backlog_test.cc
@@ -86,6 +86,32 @@
   BOOST_TEST(cell.awaitPending(0, Duration::seconds(60)));
 }
 
+BOOST_AUTO_TEST_CASE(LeaderThatFallsBehindRefusesEarlyWhatItHasNotTaken) {
+  ControlCell cell({});
+  WorkCosts costs = {};
+  costs[static_cast<std::size_t>(Work::Commands)] = 5000;
+  cell.setCosts(costs);
+  const int leader = cell.leader();
+  std::vector<ControlCell::AnswerSlot> submitted;
+  for (int i = 0; i < 500; ++i)
+    submitted.push_back(cell.post(shortJob(absl::StrCat("job", i))));
+  cell.wire().run(Duration::seconds(1));
+  std::size_t taken = 0;
+  for (const ControlCell::AnswerSlot &slot : submitted) {
+    const auto reply = slot->wait(Duration());
+    BOOST_REQUIRE(isOk(reply));
+    const bool isTaken = isOk(valueOf(reply));
+    taken += isTaken ? 1 : 0;
+    BOOST_TEST(
+        (isTaken || errorOf(valueOf(reply)).Kind == ErrorKind::Overloaded));
+  }
+  BOOST_TEST(taken > 0U);
+  BOOST_TEST(taken < submitted.size());
+  BOOST_TEST(cell.leader() == leader);
+  BOOST_TEST(cell.awaitPending(0, Duration::seconds(30)));
+  BOOST_TEST(cell.workers().starts().size() == taken);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
