A plan's units of work count its steps

TurnMeter counted pairs of step and worker only. Plans that skip full workers look at few pairs and still walk their steps: 381 pairs and 5.2 ms of processor time a plan in ControlBacklogTest, so that the test charged too little. Units are pairs and StepWork for each step, as in the plan's budget; plan_steps tells the steps.

Measured in that test, 4,000 waiting steps, 350 workers: 408 plans, 366 pairs and 1,670 steps at the mean, 0.130 us a unit, which is what the test charges; a take-over of 4,001 jobs took 3.0 ms. Both cases pass.

--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -74,7 +74,7 @@
   PlanResume = std::move(plan.Cut);
   const Instant end = Loop.now();
   Pacer.note(now, end);
-  notePlan(plan.Examined, end - now);
+  notePlan(plan, end - now);
   if (IsPlanDue)
     wakeForPlan(Pacer.next());
 }
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -145,7 +145,7 @@
 
   // Accounts of the task's own work (control_work.cc).
   void noteTurn();
-  void notePlan(std::size_t examined, Duration elapsed);
+  void notePlan(const dispatch::DispatchPlan &plan, Duration elapsed);
   void noteLeadershipTaken(Duration elapsed);
   void noteLeadershipLost(const consensus::RoleChanged &change);
   void tellWork();
--- a/jujube/control/control_work.cc
+++ b/jujube/control/control_work.cc
@@ -50,10 +50,12 @@
       .with("term", Group.log().term());
 }
 
-void ControlTask::notePlan(std::size_t examined, Duration elapsed) {
-  Meter.addUnits(Work::Plan, examined);
+void ControlTask::notePlan(const dispatch::DispatchPlan &plan,
+                           Duration elapsed) {
+  Meter.addUnits(Work::Plan, plan.Examined + plan.Steps * dispatch::StepWork);
   Numbers.observe("plan_ms", {}, static_cast<double>(elapsed.millis()));
-  Numbers.observe("plan_examined", {}, static_cast<double>(examined));
+  Numbers.observe("plan_examined", {}, static_cast<double>(plan.Examined));
+  Numbers.observe("plan_steps", {}, static_cast<double>(plan.Steps));
 }
 
 void ControlTask::noteLeadershipTaken(Duration elapsed) {
