Configurations are neither queued behind callers' commands nor shed

Seen: with commands shed after 250 ms, an operator who resends an order that was acknowledged could be told 429 by a busy leader.

Cause: only announcements and reports of hosts were exempt from the queue.

Change: configurations, reads of them, and workers that leave are executed at once too. ConfigurationIsNotRefusedByALeaderThatFallsBehind fails without the change and passes with it.

--- a/jujube/control/control_admission.cc
+++ b/jujube/control/control_admission.cc
@@ -8,18 +8,31 @@
 namespace jujube::control {
 namespace {
 
-// True for what keeps hosts and workers in the leader's view: behind other
-// commands it would make a busy leader lose sight of them.
-bool isKeepAlive(const jobs::Command &command) {
-  const jobs::CommandKind kind = jobs::kindOf(command);
-  return kind == jobs::CommandKind::AnnounceWorker ||
-         kind == jobs::CommandKind::OfferHelp;
+// True for commands that do not wait behind callers'. Reports of hosts and
+// workers: late ones make a busy leader lose sight of their senders. Orders of
+// the operator: one that was acknowledged must not be refused when it is
+// resent.
+bool isImmediate(const jobs::Command &command) {
+  switch (jobs::kindOf(command)) {
+  case jobs::CommandKind::AnnounceWorker:
+  case jobs::CommandKind::WithdrawWorker:
+  case jobs::CommandKind::OfferHelp:
+  case jobs::CommandKind::PutConfiguration:
+  case jobs::CommandKind::ReadConfiguration:
+    return true;
+  case jobs::CommandKind::SubmitJob:
+  case jobs::CommandKind::CancelJob:
+  case jobs::CommandKind::ReadJob:
+  case jobs::CommandKind::CountPending:
+    return false;
+  }
+  return false;
 }
 
 } // namespace
 
 void ControlTask::serve(ClientRequest request) {
-  if (!isServing() || isKeepAlive(request.What)) {
+  if (!isServing() || isImmediate(request.What)) {
     serveNow(std::move(request));
     return;
   }
@@ -54,7 +67,7 @@
     Group.refuseKind(request);
     return;
   }
-  if (isKeepAlive(call->What)) {
+  if (isImmediate(call->What)) {
     handleNow(request, call->What);
     return;
   }
--- a/testing/control_backlog_test.cc
+++ b/testing/control_backlog_test.cc
@@ -112,6 +112,22 @@
   BOOST_TEST(cell.workers().starts().size() == taken);
 }
 
+BOOST_AUTO_TEST_CASE(ConfigurationIsNotRefusedByALeaderThatFallsBehind) {
+  ControlCell cell({});
+  WorkCosts costs = {};
+  costs[static_cast<std::size_t>(Work::Commands)] = 5000;
+  cell.setCosts(costs);
+  for (int i = 0; i < 500; ++i)
+    (void)cell.post(shortJob(absl::StrCat("job", i)));
+  const jobs::Command order = jobs::PutConfiguration{sampleConfiguration(7)};
+  const auto stored = cell.post(order);
+  cell.wire().run(Duration::millis(600));
+  BOOST_TEST(ControlCell::isAcknowledged(stored));
+  const auto again = cell.post(order);
+  cell.wire().run(Duration::millis(600));
+  BOOST_TEST(ControlCell::isAcknowledged(again));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/testing/control_cell.cc
+++ b/testing/control_cell.cc
@@ -167,7 +167,7 @@
   return isOk(reply) ? Status(Ok{}) : Status(errorOf(reply));
 }
 
-ControlCell::AnswerSlot ControlCell::post(const jobs::JobSpec &job) {
+ControlCell::AnswerSlot ControlCell::post(jobs::Command command) {
   const auto isRunning = [](const auto &it) {
     return it.second.Task != nullptr;
   };
@@ -175,11 +175,14 @@
   Member &member = at != 0 ? Members.at(at)
                            : std::ranges::find_if(Members, isRunning)->second;
   AnswerSlot slot = runtime::makeReplySlot<Result<jobs::Reply>>();
-  (void)member.Boxes.Clients->post(
-      {jobs::SubmitJob{SampleCaller, job}, Patience, slot});
+  (void)member.Boxes.Clients->post({std::move(command), Patience, slot});
   return slot;
 }
 
+ControlCell::AnswerSlot ControlCell::post(const jobs::JobSpec &job) {
+  return post(jobs::Command(jobs::SubmitJob{SampleCaller, job}));
+}
+
 bool ControlCell::isAcknowledged(const AnswerSlot &slot) {
   const auto reply = slot->wait(Duration());
   return isOk(reply) && isOk(valueOf(reply));
--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -48,7 +48,8 @@
   Status submit(const std::string &id, uint32_t tasks, int ms);
   Status submit(const jobs::JobSpec &job);
   using AnswerSlot = runtime::ReplySlotPtr<Result<jobs::Reply>>;
-  // Submits a job at a member that runs, without waiting.
+  // Sends a command to the leader, or to a member that runs, without waiting.
+  AnswerSlot post(jobs::Command command);
   AnswerSlot post(const jobs::JobSpec &job);
   static bool isAcknowledged(const AnswerSlot &slot);
   // Submits all jobs at once at the leader; true if all were acknowledged.
