Lists of usable workers and announcements without news look nothing up

Each plan looked every worker up in the book by its id. Sessions and the book's workers are in the same order and are now read side by side. An announcement that repeats what the book holds no longer compares its address with that of every other worker: whoever took the address over has taken the announcer out of the book.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -169,6 +169,12 @@
     return jobs::WorkerNoted{Settings.Control};
   };
   const jobs::Worker *held = Book.findWorker(what.Who.Id);
+  // Whoever took its address over would have taken it out of the book.
+  if (held != nullptr && *held == what.Who) {
+    Desk->noteAnnouncement(what);
+    done(reply());
+    return;
+  }
   const bool isOld = held != nullptr &&
                      (what.Who.Life < held->Life || Desk->isOvertaken(what));
   // An address belongs to the worker that started last.
@@ -186,11 +192,6 @@
     done(reply());
     return;
   }
-  if (held != nullptr && *held == what.Who) {
-    Desk->noteAnnouncement(what);
-    done(reply());
-    return;
-  }
   Line(Event::WorkerChanged)
       .with("worker", what.Who.Id)
       .with("life", what.Who.Life)
--- a/jujube/control/worker_desk.cc
+++ b/jujube/control/worker_desk.cc
@@ -369,17 +369,27 @@
 std::vector<dispatch::WorkerView> WorkerDesk::usable() const {
   const Instant now = Callbacks.Now();
   std::vector<dispatch::WorkerView> views;
-  for (const auto &[id, session] : Sessions) {
-    const jobs::Worker *held = Book.findWorker(id);
-    if (held == nullptr || held->IsDraining || held->Life != session.Life ||
-        session.Misses > 0 || !session.Clock.isKnown() ||
-        now < session.AvoidUntil || now - session.LastHeard > SilenceBound)
-      continue;
-    views.push_back({held, now < session.DoubtUntil});
+  views.reserve(Sessions.size());
+  // Both are in order of ids.
+  auto it = Sessions.begin();
+  for (const auto &[id, held] : Book.workers()) {
+    while (it != Sessions.end() && it->first < id)
+      ++it;
+    if (it == Sessions.end())
+      break;
+    if (it->first == id && isUsable(it->second, held, now))
+      views.push_back({&held, now < it->second.DoubtUntil});
   }
   return views;
 }
 
+bool WorkerDesk::isUsable(const Session &session, const jobs::Worker &held,
+                          Instant now) {
+  return !held.IsDraining && held.Life == session.Life && session.Misses == 0 &&
+         session.Clock.isKnown() && now >= session.AvoidUntil &&
+         now - session.LastHeard <= SilenceBound;
+}
+
 void WorkerDesk::noteSilent(const WorkerId &worker, Session &session) {
   if (session.Misses++ > 0)
     return;
--- a/jujube/control/worker_desk.h
+++ b/jujube/control/worker_desk.h
@@ -171,6 +171,8 @@
     Duration NextDoubt = FirstDoubt;
   };
 
+  static bool isUsable(const Session &session, const jobs::Worker &held,
+                       Instant now);
   Session &sessionOf(const WorkerId &worker);
   std::optional<Address> addressOf(const WorkerId &worker) const;
   void sendStart(const WorkerId &worker, const jobs::TaskKey &task);
