--- a/testing/control_backlog_test.cc
+++ b/testing/control_backlog_test.cc
@@ -92,8 +92,10 @@
   costs[static_cast<std::size_t>(Work::Commands)] = 5000;
   cell.setCosts(costs);
   const int leader = cell.leader();
+  constexpr std::size_t Burst = 500;
   std::vector<ControlCell::AnswerSlot> submitted;
-  for (int i = 0; i < 500; ++i)
+  submitted.reserve(Burst);
+  for (std::size_t i = 0; i < Burst; ++i)
     submitted.push_back(cell.post(shortJob(absl::StrCat("job", i))));
   cell.wire().run(Duration::seconds(1));
   std::size_t taken = 0;
