A wiped seed is admitted though no seed leads

After the last fault nobody leads again.

Cause: a host without a log knows its seeds only. If the leader is none of them, as can be with six members and three seeds, its probes never reach the leader, and once another member's vote request had bound it, it could not answer the leader's messages either, having no address for it.

Change: answers to probes name the leader that the member follows, and where it takes messages. Probes go there too, and a host that hears from a leader whose address it does not know goes on probing.

Evidence: ControlDiskLossTest/WipedSeedIsAdmittedThoughNoSeedLeads fails without the change (no leader within 15 s) and passes with it.

--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -171,7 +171,7 @@
           SnapshotReply{LogIndex{1}, 4, true},
           TimeoutNow{},
           Probe{1, At},
-          ProbeReply{1, At, true, true}};
+          ProbeReply{1, At, true, true, {Host, At}}};
 }
 
 wire::GroupMessage groupMessage(consensus::Body body) {
--- a/jujube/consensus/finder.cc
+++ b/jujube/consensus/finder.cc
@@ -20,8 +20,9 @@
   Sighting &seen = Sightings[from];
   if (message.FromStart < seen.Start)
     return;
-  seen = Sighting{message.FromStart, message.Group,      reply.At,
-                  reply.IsServing,   reply.CanBeElected, now};
+  seen =
+      Sighting{message.FromStart,  message.Group, reply.At,    reply.IsServing,
+               reply.CanBeElected, now,           reply.Leader};
 }
 
 std::map<HostId, Sighting> GroupFinder::fresh(const Options &settings,
@@ -33,6 +34,23 @@
   return recent;
 }
 
+std::vector<Peer> GroupFinder::leaders(const Options &settings,
+                                       Instant now) const {
+  std::vector<Peer> named;
+  for (const auto &[host, seen] : fresh(settings, now))
+    if (!seen.Leader.Host.empty())
+      named.push_back(seen.Leader);
+  return named;
+}
+
+std::optional<Address> GroupFinder::addressOf(const HostId &leader) const {
+  const auto it = std::ranges::find_if(Sightings, [&](const auto &entry) {
+    return entry.second.Leader.Host == leader;
+  });
+  return it == Sightings.end() ? std::nullopt
+                               : std::optional(it->second.Leader.At);
+}
+
 std::optional<Membership> GroupFinder::foundingMembers(const Options &settings,
                                                        Instant now) const {
   // Until then a leader of an earlier group may rely on what this host's
--- a/jujube/consensus/finder.h
+++ b/jujube/consensus/finder.h
@@ -23,6 +23,8 @@
   bool IsServing = false;
   bool CanBeElected = false;
   Instant SeenAt;
+  // The leader that the host follows; its host is empty if it knows none.
+  Peer Leader = {};
 };
 
 // Collects the answers to probes. Owned by a Node.
@@ -37,6 +39,11 @@
   void recordReply(const HostId &from, const Message &message,
                    const ProbeReply &reply, Instant now);
 
+  // Leaders that the answers named.
+  std::vector<Peer> leaders(const Options &settings, Instant now) const;
+  // Where a leader that was named takes messages.
+  std::optional<Address> addressOf(const HostId &leader) const;
+
   // The first members of a new group, if this blank host is the one to found
   // it now.
   std::optional<Membership> foundingMembers(const Options &settings,
--- a/jujube/consensus/node.cc
+++ b/jujube/consensus/node.cc
@@ -80,7 +80,7 @@
     if (isVoter())
       startPreVote(now);
   }
-  if (Leader.empty())
+  if (!knowsLeader())
     seekGroup(now);
   return finish();
 }
@@ -188,7 +188,7 @@
       next = std::min(next, peer.NextHeartbeat);
     return next;
   }
-  const Instant probe = Leader.empty() ? NextProbe : Instant::never();
+  const Instant probe = knowsLeader() ? Instant::never() : NextProbe;
   return Hard.Group.isBlank() ? probe : std::min(probe, ElectionAt);
 }
 
@@ -324,7 +324,8 @@
   if (it != Settings.Configured.end())
     return it->At;
   const auto standby = Standbys.find(host);
-  return standby == Standbys.end() ? Address() : standby->second.At;
+  return standby == Standbys.end() ? Finder.addressOf(host).value_or(Address())
+                                   : standby->second.At;
 }
 
 const Member *Node::self() const {
@@ -333,6 +334,10 @@
                                                               : nullptr;
 }
 
+bool Node::knowsLeader() const {
+  return !Leader.empty() && addressOf(Leader).Port != 0;
+}
+
 bool Node::isVoter() const {
   const Member *member = self();
   return member != nullptr && member->IsVoter;
--- a/jujube/consensus/node.h
+++ b/jujube/consensus/node.h
@@ -138,6 +138,9 @@
   Address addressOf(const HostId &host) const;
   const Member *self() const;
   bool isVoter() const;
+  // True if the leader can be answered. A host that is not a member yet may
+  // hear from one that is none of its configured hosts.
+  bool knowsLeader() const;
   std::size_t quorum() const;
   Duration randomDelay();
   void dispatch(const HostId &from, const Message &message, Instant now);
--- a/jujube/consensus/node_membership.cc
+++ b/jujube/consensus/node_membership.cc
@@ -186,16 +186,17 @@
 void Node::probe(Instant now) {
   NextProbe = now + Settings.ProbePeriod;
   const uint64_t nonce = Finder.beginRound();
-  std::vector<Peer> targets = Settings.Configured;
+  std::map<HostId, Address> targets;
+  for (const Peer &peer : Settings.Configured)
+    targets.emplace(peer.Host, addressOf(peer.Host));
   for (const Member &member : Entries.membership().Members)
-    if (std::ranges::none_of(targets, [&](const Peer &peer) {
-          return peer.Host == member.Host;
-        }))
-      targets.push_back(Peer{member.Host, member.At});
-  for (const Peer &peer : targets)
-    if (peer.Host != Settings.Self.Host)
-      send(peer.Host, addressOf(peer.Host), Incarnation{},
-           Probe{nonce, Settings.Self.At});
+    targets.emplace(member.Host, member.At);
+  // Only the leader admits hosts, and it need not be one of those above.
+  for (const Peer &leader : Finder.leaders(Settings, now))
+    targets.emplace(leader.Host, leader.At);
+  targets.erase(Settings.Self.Host);
+  for (const auto &[host, at] : targets)
+    send(host, at, Incarnation{}, Probe{nonce, Settings.Self.At});
 }
 
 void Node::seekGroup(Instant now) {
@@ -248,6 +249,8 @@
     Standbys[from] = Sighting{m.FromStart, m.Group, body.At, false, false, now};
   ProbeReply answer{body.Nonce, Settings.Self.At, mayServe(now),
                     canBeElected(now)};
+  if (!Leader.empty())
+    answer.Leader = {Leader, addressOf(Leader)};
   sendSynced(from, body.At, m.FromStart, answer);
   if (CurrentRole == Role::Leader)
     admitStandbys(now);
--- a/jujube/consensus/types.h
+++ b/jujube/consensus/types.h
@@ -239,6 +239,8 @@
   bool IsServing = false;
   // As far as the member knows, enough of its group is left to elect it.
   bool CanBeElected = false;
+  // The leader that the member follows; its host is empty if it knows none.
+  Peer Leader;
   bool operator==(const ProbeReply &) const = default;
 };
 
--- a/jujube/wire/consensus_encoding.h
+++ b/jujube/wire/consensus_encoding.h
@@ -47,8 +47,11 @@
 template <typename Archive> void serialize(Archive &ar, Probe &v) {
   ar(v.Nonce, v.At);
 }
+template <typename Archive> void serialize(Archive &ar, Peer &v) {
+  ar(v.Host, v.At);
+}
 template <typename Archive> void serialize(Archive &ar, ProbeReply &v) {
-  ar(v.Nonce, v.At, v.IsServing, v.CanBeElected);
+  ar(v.Nonce, v.At, v.IsServing, v.CanBeElected, v.Leader);
 }
 template <typename Archive> void serialize(Archive &ar, Message &v) {
   ar(v.Group, v.At, v.FromStart, v.ToStart, v.What);
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -34,7 +34,11 @@
       SnapshotReply{LogIndex{1}, 2, true, 3},
       TimeoutNow{},
       Probe{1, Address{"127.0.0.1", 2}},
-      ProbeReply{1, Address{"127.0.0.1", 2}, true, true},
+      ProbeReply{1,
+                 Address{"127.0.0.1", 2},
+                 true,
+                 true,
+                 {HostId("b"), Address{"127.0.0.1", 3}}},
   };
   for (const Body &body : bodies)
     checkRoundTrip(consensus::Message{GroupId{HostId("a"), Incarnation{1}},
--- a/testing/control_disk_loss_test.cc
+++ b/testing/control_disk_loss_test.cc
@@ -14,9 +14,12 @@
 namespace {
 
 constexpr int Size = 6;
+constexpr int Seeds = 3;
 constexpr int Jobs = 5;
 // Source: the sites' recoveryS.
 constexpr Duration RecoveryBound = Duration::seconds(15);
+// Source: the sites' catchUpS.
+constexpr Duration CatchUpBound = Duration::seconds(6);
 
 ControlCellOptions sixMembers(uint64_t seed) {
   ControlCellOptions options;
@@ -119,6 +122,29 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(WipedSeedIsAdmittedThoughNoSeedLeads) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    ControlCell cell(sixMembers(seed));
+    cell.wire().run(Duration::seconds(5));
+    while (cell.leader() <= Seeds) {
+      const int held = cell.leader();
+      cell.kill(held);
+      BOOST_REQUIRE(
+          cell.wire().run(RecoveryBound, [&] { return cell.leader() != 0; }));
+      cell.restart(held);
+      cell.wire().run(Duration::seconds(1));
+    }
+    const int leader = cell.leader();
+    BOOST_REQUIRE(leader > Seeds);
+    submitJobs(cell);
+    cell.restart(1, true);
+    cell.wire().run(CatchUpBound);
+    losePower(cell);
+    powerOn(cell, {2, leader});
+    checkKept(cell);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
