Plans of queues with the greatest priority number end

Cause: the walk over waiting steps sought the end of a priority's steps at 'priority + 1', which overflows.

Change: the end is sought behind the latest objective of the same priority.

--- a/jujube/dispatch/plan_work_test.cc
+++ b/jujube/dispatch/plan_work_test.cc
@@ -115,6 +115,19 @@
   BOOST_TEST((plan.Starts[0].Start.Task == taskOf("z", 0)));
 }
 
+BOOST_AUTO_TEST_CASE(PlanOfTheLowestPriorityThereIsEnds) {
+  jobs::JobBook book;
+  jobs::Configuration config = testing::sampleConfiguration();
+  config.Queues[0].Priority = INT32_MAX;
+  book.apply(jobs::ConfigurationPut{config});
+  book.apply(jobs::WorkerChanged{sampleWorker("w1", 1000)});
+  for (const char *id : {"a", "b"})
+    book.apply(jobs::JobAccepted{sampleJob(id, {sampleStep(1)}), Now});
+  const DispatchPlan plan = planOf(book);
+  BOOST_TEST(plan.Starts.size() == 1U);
+  BOOST_TEST(plan.Waits.size() == 1U);
+}
+
 // One gang that waits, and a step behind it that would take its room.
 BOOST_AUTO_TEST_CASE(RoomOfAGangIsKeptAcrossTheCutOfAPlan) {
   jobs::StepSpec gang = sampleStep(3);
--- a/jujube/dispatch/step_walk.cc
+++ b/jujube/dispatch/step_walk.cc
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr Instant Earliest = Instant::atMillis(INT64_MIN);
+constexpr Instant Latest = Instant::atMillis(INT64_MAX);
 
 } // namespace
 
@@ -33,8 +34,7 @@
   Now = phase;
   const bool isPast = phase == Phase::Past;
   It = firstFrom(Priority, isPast ? Earliest : WallNow);
-  PhaseEnd =
-      isPast ? firstFrom(Priority, WallNow) : firstFrom(Priority + 1, Earliest);
+  PhaseEnd = firstFrom(Priority, isPast ? WallNow : Latest);
   const bool isAfterHere = After && After->Priority == Priority &&
                            After->IsLate == (phase != Phase::Timely);
   if (!isAfterHere)
