--- a/jujube/control/control_admission.cc
+++ b/jujube/control/control_admission.cc
@@ -11,7 +11,7 @@
 // True for commands that do not wait behind callers'. Reports of hosts and
 // workers: late ones make a busy leader lose sight of their senders. Orders of
 // the operator: one that was acknowledged must not be refused when it is
-// resent.
+// resent. Cancellations: they take work away.
 bool isImmediate(const jobs::Command &command) {
   switch (jobs::kindOf(command)) {
   case jobs::CommandKind::AnnounceWorker:
@@ -19,9 +19,9 @@
   case jobs::CommandKind::OfferHelp:
   case jobs::CommandKind::PutConfiguration:
   case jobs::CommandKind::ReadConfiguration:
+  case jobs::CommandKind::CancelJob:
     return true;
   case jobs::CommandKind::SubmitJob:
-  case jobs::CommandKind::CancelJob:
   case jobs::CommandKind::ReadJob:
   case jobs::CommandKind::CountPending:
     return false;
