A turn's events are cut into entries that fit a message

Seen in review: 25 submissions of 200 KB in one turn, or a configuration of 4 MB, are never acknowledged, and the group stops: the leader sends one entry again and again.

Cause: all events of a turn became one entry. The messenger drops payloads over 4 MiB, and the entry stays in the log of every later leader.

A plan's cursor is dropped with the leadership that it belongs to.

--- a/jujube/consensus/node.cc
+++ b/jujube/consensus/node.cc
@@ -140,6 +140,13 @@
                           "this host does not lead its group", remedy}});
     return finish();
   }
+  if (payload.size() > Settings.MaxEntryBytes) {
+    Out.emplace_back(ProposalRefused{
+        proposalId, Error{ErrorKind::BodyTooLarge,
+                          "the change is too large for one entry of the log",
+                          "split it into several"}});
+    return finish();
+  }
   if (UncommittedBytes + payload.size() > Settings.MaxUncommittedBytes) {
     Out.emplace_back(ProposalRefused{
         proposalId,
--- a/jujube/consensus/options.h
+++ b/jujube/consensus/options.h
@@ -68,6 +68,8 @@
   Duration ReplaceAfter = Duration::minutes(5);
 
   // Bounds of one message, and of the entries that are not committed yet.
+  // An entry has to fit a message. Source: messages of 4 MiB at most.
+  std::size_t MaxEntryBytes = std::size_t{3584} * 1024;
   std::size_t MaxAppendBytes = std::size_t{256} * 1024;
   std::size_t SnapshotChunkBytes = std::size_t{256} * 1024;
   std::size_t MaxUncommittedBytes = std::size_t{8} * 1024 * 1024;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -178,9 +178,9 @@
   EndedAt.clear();
   Waits = WaitLedger();
   IsPlanStoring = false;
-  Batch.clear();
-  for (const auto &done : std::exchange(BatchHooks, {}))
-    done(false);
+  PlanResume.reset();
+  for (const BatchPart &part : Batch.take())
+    part.finish(false);
 }
 
 void ControlTask::lead() {
@@ -249,21 +249,18 @@
   // Stored at the end of a turn; this may be called after the end of the last.
   if (Batch.empty())
     Loop.callAt(Loop.now(), [] {});
-  std::ranges::move(events, std::back_inserter(Batch));
-  BatchHooks.push_back(std::move(done));
+  Batch.add(std::move(events), std::move(done));
 }
 
 void ControlTask::flushBatch() {
-  if (Batch.empty())
-    return;
-  const auto scope = Meter.enter(Work::Propose, Batch.size());
-  const std::string payload =
-      wire::encodeControlEvents(std::exchange(Batch, {}));
-  Group.log().propose(
-      payload, [hooks = std::exchange(BatchHooks, {})](const Status &status) {
-        for (const auto &done : hooks)
-          done(isOk(status));
-      });
+  for (BatchPart &part : Batch.take()) {
+    const auto scope = Meter.enter(Work::Propose, part.Events.size());
+    const std::string payload = wire::encodeControlEvents(part.Events);
+    Group.log().propose(payload,
+                        [part = std::move(part)](const Status &status) {
+                          part.finish(isOk(status));
+                        });
+  }
 }
 
 void ControlTask::applyRecord(const std::string &payload) {
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -13,6 +13,7 @@
 #include "jujube/control/admission_queue.h"
 #include "jujube/control/control_client.h"
 #include "jujube/control/control_options.h"
+#include "jujube/control/event_batch.h"
 #include "jujube/control/helper_roster.h"
 #include "jujube/control/plan_pacer.h"
 #include "jujube/control/turn_meter.h"
@@ -174,8 +175,7 @@
 
   AdmissionQueue Admissions;
   // The batch of this turn.
-  std::vector<jobs::Event> Batch;
-  std::vector<std::function<void(bool)>> BatchHooks;
+  EventBatch Batch;
 
   // Since this member leads.
   struct Leadership {
--- a/testing/control_path_test.cc
+++ b/testing/control_path_test.cc
@@ -42,6 +42,17 @@
   checkPromises(cell, cell.workers());
 }
 
+BOOST_AUTO_TEST_CASE(SubmissionsOverAMessageInOneTurnAreReplicated) {
+  ControlCell cell({});
+  std::vector<jobs::JobSpec> large;
+  for (int i = 0; i < 40; ++i) {
+    large.push_back(sampleJob(absl::StrCat("a", i), {sampleStep(1)}));
+    large.back().Payload = std::string(200'000, ' ') + "100";
+  }
+  BOOST_TEST(cell.submitAll(large));
+  BOOST_TEST(cell.awaitState("a39", "completed"));
+}
+
 BOOST_AUTO_TEST_CASE(MetricsTellWhatHappenedToJobs) {
   ControlCell cell({});
   requireOk(cell.submit("a", 8, 300));
