--- a/jujube/dispatch/plan_work_test.cc
+++ b/jujube/dispatch/plan_work_test.cc
@@ -76,7 +76,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(PlansEndOnceTheirBudgetIsUsed) {
-  constexpr std::size_t LargestStep = 4 * Workers;
+  constexpr std::size_t LargestStep = std::size_t{4} * Workers;
   for (const int64_t free : {1000, 4000}) {
     const jobs::JobBook book = backlog(free);
     std::optional<PlanCursor> at;
