--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -34,7 +34,7 @@
       jujube/wire/packed_archive.cc jujube/jobs/configuration.cc
       jujube/jobs/job_state_machine.cc jujube/jobs/objective.cc platform/json_fields.cc platform/job_calls.cc
       platform/control_calls.cc platform/worker_calls.cc)
-  foreach(FOLDER base metrics http)
+  foreach(FOLDER base logging metrics http)
     jujube_sources(jujube/${FOLDER} SOURCES TESTS)
     list(APPEND DECODERS ${SOURCES})
   endforeach()
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the libFuzzer targets and runs each over its corpus and a fixed number
-# of mutations with a fixed seed.
+# of mutations with a fixed seed; with 0 RUNS over its corpus only.
 #   scripts/fuzz.sh [RUNS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
