control: a full disk or the last descriptor does not end a process

Change: children of a supervisor may have a backoff for errors that can pass; such restarts are delayed, up to 2 s, and do not use the budget. Lease orders that would take more than half of them do not wait at the worker.

--- a/jujube/control/control_options.h
+++ b/jujube/control/control_options.h
@@ -71,6 +71,8 @@
   // Processor time of the control task, for the metrics of its work.
   CpuClock Processor = CpuClock::ofThread();
   dispatch::LeasePolicy Leases;
+  // Connections to workers.
+  http::CallerOptions Calling;
   // How long ended jobs are kept.
   Duration EndedJobRetention = Duration::seconds(150);
   WorkerProtocolCodec Workers;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -188,7 +188,8 @@
 
 void ControlTask::becomeLeader() {
   Sessions = std::make_shared<WorkerSessions>(
-      sessionHooks(), Book, Settings.Leases, Group.log().term().Value);
+      sessionHooks(), Book, Settings.Leases, Group.log().term().Value,
+      Settings.Calling.MaxConnections / 2);
   const Instant now = Loop.now();
   for (const auto &[id, job] : Book.jobs())
     if (isEnded(job.State))
--- a/jujube/control/control_tree.cc
+++ b/jujube/control/control_tree.cc
@@ -24,6 +24,13 @@
       };
 }
 
+// A full or failing disk may recover. Until then the member leads nothing and
+// acknowledges nothing, since its task does not run.
+bool isStorageError(const Error &error) {
+  return error.Kind == ErrorKind::StorageFull ||
+         error.Kind == ErrorKind::StorageFailed;
+}
+
 runtime::TaskBody makeMemberTask(const ControlOptions &options,
                                  const ControlMailboxes &mailboxes,
                                  wire::TransportInbox inbox,
@@ -55,12 +62,13 @@
   const auto outbox =
       runtime::makeMailbox<wire::Packet>(wire::MemberMailboxCapacity);
   std::vector<runtime::ChildSpec> children;
-  children.push_back(
-      {"control_member", makeMemberTask(options, mailboxes, inbox, outbox)});
+  children.push_back({"control_member",
+                      makeMemberTask(options, mailboxes, inbox, outbox),
+                      runtime::RestartBackoff{.CanPass = isStorageError}});
   children.push_back(
       wire::transportTask({options.Listen, options.FleetToken}, outbox, inbox));
-  children.push_back(
-      http::httpCallerTask({}, mailboxes.Calls, mailboxes.Results));
+  children.push_back(http::httpCallerTask(options.Calling, mailboxes.Calls,
+                                          mailboxes.Results));
   for (runtime::ChildSpec &server : servers)
     children.push_back(std::move(server));
   children.push_back({"gate", drainGateBody(mailboxes)});
--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -28,8 +28,10 @@
 } // namespace
 
 WorkerSessions::WorkerSessions(Hooks hooks, const jobs::JobStateMachine &book,
-                               dispatch::LeasePolicy leases, uint64_t fence)
-    : Callbacks(std::move(hooks)), Book(book), Leases(leases), Fence(fence) {}
+                               dispatch::LeasePolicy leases, uint64_t fence,
+                               std::size_t maxWaitingOrders)
+    : Callbacks(std::move(hooks)), Book(book), Leases(leases), Fence(fence),
+      MaxWaitingOrders(maxWaitingOrders) {}
 
 WorkerSessions::Session &WorkerSessions::sessionOf(const WorkerId &worker) {
   const auto it = Sessions.find(worker);
@@ -95,10 +97,12 @@
 void WorkerSessions::noteWorkerChanged(const WorkerId &worker) {
   const jobs::Worker *held = Book.findWorker(worker);
   const auto it = Sessions.find(worker);
-  if (held == nullptr && it != Sessions.end() && it->second.Runs.empty())
+  if (held == nullptr && it != Sessions.end() && it->second.Runs.empty()) {
+    WaitingOrders -= it->second.IsOrderWaiting ? 1 : 0;
     Sessions.erase(it);
-  else if (held != nullptr)
+  } else if (held != nullptr) {
     (void)sessionOf(worker);
+  }
 }
 
 void WorkerSessions::beginIncarnation(const WorkerId &worker, Session &session,
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -69,9 +69,12 @@
         NextShare = dispatch::nextShare;
   };
 
-  // `fence` is the fencing token, which increases with each leader.
+  // `fence` is the fencing token, which increases with each leader. At most
+  // `maxWaitingOrders` lease orders wait at workers at the same time, since
+  // each occupies a connection.
   WorkerSessions(Hooks hooks, const jobs::JobStateMachine &book,
-                 dispatch::LeasePolicy leases, uint64_t fence);
+                 dispatch::LeasePolicy leases, uint64_t fence,
+                 std::size_t maxWaitingOrders = SIZE_MAX);
 
   // Takes over the attempts that may be running according to the job state.
   void takeOver();
@@ -156,6 +159,8 @@
     Instant LastHeard;
     std::map<jobs::TaskKey, RunState> Runs;
     bool IsLeaseOrderPending = false;
+    // The pending lease order waits at the worker.
+    bool IsOrderWaiting = false;
     Instant NextLeaseOrder;
     // Consecutive lease orders without an answer, and when the first of them
     // was noticed.
@@ -220,6 +225,8 @@
   const jobs::JobStateMachine &Book;
   dispatch::LeasePolicy Leases;
   uint64_t Fence;
+  std::size_t MaxWaitingOrders;
+  std::size_t WaitingOrders = 0;
   std::map<WorkerId, Session> Sessions;
 };
 
--- a/jujube/control/worker_sessions_lists.cc
+++ b/jujube/control/worker_sessions_lists.cc
@@ -17,6 +17,8 @@
 // delayed by the timeout, which must fit within the shortest objectives.
 constexpr Duration MaxAnswerDelay = Duration::millis(700);
 constexpr Duration LeaseOrderTimeout = Duration::millis(1000);
+// Time between lease orders that may not wait at the worker.
+constexpr Duration ShortOrderPeriod = Duration::millis(200);
 // Pause after a lease order without an answer.
 constexpr Duration LeaseOrderRetryPause = Duration::millis(150);
 // A worker is used only if no other worker fits, after tasks of this many
@@ -53,9 +55,12 @@
       std::ranges::all_of(session.Runs, [](const auto &it) {
         return it.second.State != Phase::Stopped;
       });
-  order.Wait =
-      mayDelayAnswer && !session.Runs.empty() ? MaxAnswerDelay : Duration();
+  if (mayDelayAnswer && !session.Runs.empty() &&
+      WaitingOrders < MaxWaitingOrders)
+    order.Wait = MaxAnswerDelay;
   session.IsLeaseOrderPending = true;
+  session.IsOrderWaiting = order.Wait > Duration();
+  WaitingOrders += session.IsOrderWaiting ? 1 : 0;
   const uint64_t sentAckedEnds = session.AckedEnds;
   Callbacks.Send(
       {worker, *at, order}, LeaseOrderTimeout,
@@ -69,6 +74,8 @@
                                    const dispatch::OrderAnswer &answer) {
   Session &session = sessionOf(worker);
   session.IsLeaseOrderPending = false;
+  const bool hasWaited = std::exchange(session.IsOrderWaiting, false);
+  WaitingOrders -= hasWaited ? 1 : 0;
   const Instant now = Callbacks.Now();
   if (answer.Verdict == OrderVerdict::OtherIncarnation) {
     const std::map<jobs::TaskKey, RunState> runs = session.Runs;
@@ -85,7 +92,8 @@
     return;
   }
   noteHeard(worker, session);
-  session.NextLeaseOrder = now;
+  const bool mayWait = hasWaited || WaitingOrders < MaxWaitingOrders;
+  session.NextLeaseOrder = mayWait ? now : now + ShortOrderPeriod;
   if (session.WorkerIncarnation == before)
     session.ConfirmedAckedEnds =
         std::max(session.ConfirmedAckedEnds, sentAckedEnds);
--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -43,7 +43,9 @@
 
   Fixture(const Fixture &) = delete;
   Fixture &operator=(const Fixture &) = delete;
-  explicit Fixture(jobs::JobStateMachine book) : Book(std::move(book)) {
+  explicit Fixture(jobs::JobStateMachine book,
+                   std::size_t maxWaitingOrders = 10)
+      : Book(std::move(book)) {
     Time.advance(Duration::seconds(100));
     WorkerSessions::Hooks hooks;
     hooks.Send = [this](dispatch::Order order, Duration,
@@ -58,8 +60,8 @@
     hooks.ExpireTicket = [](const jobs::StepKey &, const WorkerId &) {};
     dispatch::LeasePolicy leases;
     leases.Lease = Duration::seconds(5);
-    Sessions =
-        std::make_unique<WorkerSessions>(std::move(hooks), Book, leases, Fence);
+    Sessions = std::make_unique<WorkerSessions>(std::move(hooks), Book, leases,
+                                                Fence, maxWaitingOrders);
   }
 
   void announce(uint64_t life = 1) {
@@ -495,6 +497,28 @@
   BOOST_TEST(fixture.Sessions->usable().empty());
 }
 
+// Each lease order that waits at a worker occupies a connection of the leader.
+BOOST_AUTO_TEST_CASE(LeaseOrdersBeyondTheLimitDoNotWait) {
+  Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}), 0);
+  fixture.announce();
+  fixture.start();
+  fixture.answer<StartOrder>(OrderVerdict::Accepted);
+  for (int i = 0; i < 3; ++i) {
+    fixture.Time.advance(Duration::millis(300));
+    fixture.Sessions->tick();
+    const auto sent = fixture.take<LeaseOrder>();
+    BOOST_REQUIRE(sent.has_value());
+    BOOST_TEST((std::get<LeaseOrder>(sent->What.What).Wait == Duration()));
+    OrderAnswer reply;
+    reply.Verdict = OrderVerdict::Accepted;
+    reply.Running = {runningRow()};
+    sent->Done(reply);
+    // The next order is not sent at once.
+    fixture.Sessions->tick();
+    BOOST_TEST(!fixture.take<LeaseOrder>().has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/http/caller.cc
+++ b/jujube/http/caller.cc
@@ -72,6 +72,8 @@
   // Received bytes that are not parsed yet.
   std::string Input;
   Instant IdleSince;
+  // The position among the idle connections; set while the connection is idle.
+  std::optional<std::list<PeerConnection *>::iterator> IdlePosition;
 };
 using ConnectionIt = std::list<PeerConnection>::iterator;
 
@@ -82,6 +84,8 @@
   std::deque<uint64_t> Queue;
   // A timer to process the queue again is pending.
   bool HasTimer = false;
+  // The queue waits because MaxConnections is reached.
+  bool IsStarved = false;
 };
 
 // The state of the caller's task.
@@ -141,7 +145,7 @@
     if (free != peer.Connections.end())
       return free;
     if (peer.Connections.size() >= Settings.MaxConnectionsPerAddress ||
-        isConnectionFreeSoon(peer))
+        isConnectionFreeSoon(peer) || !reserveConnection(peer))
       return std::nullopt;
     Result<runtime::FileDescriptor> fd = runtime::connectTcp(peer.PeerAddress);
     if (!isOk(fd)) {
@@ -149,9 +153,53 @@
       return std::nullopt;
     }
     peer.Connections.push_back(PeerConnection{peer, valueOf(std::move(fd))});
+    ++ConnectionCount;
     return std::prev(peer.Connections.end());
   }
 
+  // Makes room for one more connection. Returns false if there is none; the
+  // queue of the address is then processed once a connection becomes idle.
+  bool reserveConnection(Peer &peer) {
+    if (ConnectionCount < Settings.MaxConnections)
+      return true;
+    if (!Idle.empty()) {
+      close(positionOf(*Idle.front()));
+      return true;
+    }
+    if (!std::exchange(peer.IsStarved, true))
+      Starved.push_back(peer.PeerAddress);
+    return false;
+  }
+
+  static ConnectionIt positionOf(const PeerConnection &connection) {
+    return std::ranges::find_if(
+        connection.To.Connections,
+        [&](const PeerConnection &it) { return &it == &connection; });
+  }
+
+  void becomeIdle(PeerConnection &connection) {
+    connection.IdleSince = Loop.now();
+    connection.IdlePosition = Idle.insert(Idle.end(), &connection);
+  }
+
+  void endIdle(PeerConnection &connection) {
+    if (connection.IdlePosition)
+      Idle.erase(*std::exchange(connection.IdlePosition, std::nullopt));
+  }
+
+  // Serves the addresses that wait for a connection, the longest waiting first.
+  void serveStarved() {
+    while (!Starved.empty() &&
+           (!Idle.empty() || ConnectionCount < Settings.MaxConnections)) {
+      const auto it = Peers.find(Starved.front());
+      Starved.pop_front();
+      if (it == Peers.end())
+        continue;
+      it->second->IsStarved = false;
+      processQueue(*it->second);
+    }
+  }
+
   // Returns true if a connection is likely to become free within OpenDelay, and
   // schedules another look at the queue for the end of that delay.
   bool isConnectionFreeSoon(Peer &peer) {
@@ -177,6 +225,7 @@
 
   void startCall(ConnectionIt connection, uint64_t id) {
     Call &call = Calls.at(id);
+    endIdle(*connection);
     call.Connection = connection;
     connection->CurrentCall = id;
     connection->IsLongPoll = call.What.IsLongPoll;
@@ -275,13 +324,15 @@
         connection->ResponseParser->release();
     connection->CurrentCall.reset();
     connection->ResponseParser.reset();
-    connection->IdleSince = Loop.now();
     Peer &peer = connection->To;
-    if (!answer.keep_alive())
+    if (answer.keep_alive())
+      becomeIdle(*connection);
+    else
       close(connection);
     finish(id, OutboundResponse{static_cast<int>(answer.result_int()),
                                 std::move(answer.body())});
     processQueue(peer);
+    serveStarved();
   }
 
   // Closes a failed connection and fails its call.
@@ -294,11 +345,14 @@
       finish(*id, hasSent ? unknownOutcome(peer.PeerAddress)
                           : notSent(peer.PeerAddress));
     processQueue(peer);
+    serveStarved();
   }
 
   void close(ConnectionIt connection) {
+    endIdle(*connection);
     Loop.unwatch(connection->Socket.get());
     connection->To.Connections.erase(connection);
+    --ConnectionCount;
   }
 
   void expire(uint64_t id) {
@@ -324,17 +378,13 @@
 
   void closeIdle() {
     const Instant now = Loop.now();
-    for (auto &[at, peer] : Peers)
-      for (auto it = peer->Connections.begin();
-           it != peer->Connections.end();) {
-        const auto connection = it++;
-        if (!connection->CurrentCall &&
-            now - connection->IdleSince > Settings.IdleTimeout)
-          close(connection);
-      }
+    while (!Idle.empty() &&
+           now - Idle.front()->IdleSince > Settings.IdleTimeout)
+      close(positionOf(*Idle.front()));
     std::erase_if(Peers, [](const auto &it) {
       const Peer &peer = *it.second;
-      return peer.Connections.empty() && peer.Queue.empty() && !peer.HasTimer;
+      return peer.Connections.empty() && peer.Queue.empty() && !peer.HasTimer &&
+             !peer.IsStarved;
     });
   }
 
@@ -342,6 +392,11 @@
   CallResults Results;
   runtime::PollLoop &Loop;
   std::map<Address, std::unique_ptr<Peer>> Peers;
+  std::size_t ConnectionCount = 0;
+  // Idle connections, the one that has been idle longest first.
+  std::list<PeerConnection *> Idle;
+  // Addresses with a queue that waits for room for a connection.
+  std::deque<Address> Starved;
   absl::flat_hash_map<uint64_t, Call> Calls;
 };
 
--- a/jujube/http/caller.h
+++ b/jujube/http/caller.h
@@ -65,6 +65,10 @@
 struct CallerOptions {
   // Maximum number of connections to one address; further calls are queued.
   std::size_t MaxConnectionsPerAddress = 8;
+  // Maximum number of connections to all addresses. At the limit, a call that
+  // needs a new connection takes the place of the connection that has been idle
+  // longest, or is queued if none is idle.
+  std::size_t MaxConnections = 3000;
   // How long a queued call waits for a busy connection before another one is
   // opened: ten round trips between zones.
   Duration OpenDelay = Duration::millis(20);
--- a/jujube/http/caller_test.cc
+++ b/jujube/http/caller_test.cc
@@ -1,6 +1,10 @@
 // Tests the caller against a server of this library over loopback.
 #include "jujube/http/caller.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <future>
 
@@ -50,13 +54,16 @@
   CallMailbox Calls = runtime::makeMailbox<CallRequest>(64);
   CallResults Results = runtime::makeMailbox<CallResult>(64);
   runtime::PollLoop Loop{Clock::monotonic()};
-  CallerClient Desk{Loop, Calls, Results};
-  RunningTask Task{httpCallerTask({}, Calls, Results)};
+  CallerClient Client{Loop, Calls, Results};
+  RunningTask Task;
+
+  explicit CallerFixture(CallerOptions options = {})
+      : Task(httpCallerTask(options, Calls, Results)) {}
 
   OutboundResult call(OutboundCall what) {
     std::optional<OutboundResult> outcome;
-    Desk.call(std::move(what),
-              [&](OutboundResult result) { outcome = std::move(result); });
+    Client.call(std::move(what),
+                [&](OutboundResult result) { outcome = std::move(result); });
     const Instant end = Loop.now() + TestTimeout;
     Loop.callAt(end, [] {});
     while (!outcome && Loop.now() < end)
@@ -66,6 +73,24 @@
   }
 };
 
+// Number of this process's sockets that are connected to one of the servers.
+std::size_t
+connectedSockets(const std::vector<std::unique_ptr<Server>> &servers) {
+  std::size_t n = 0;
+  for (int fd = 0; fd < 1024; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr *>(&peer), &size) != 0 ||
+        peer.sin_family != AF_INET)
+      continue;
+    n += static_cast<std::size_t>(
+        std::ranges::count_if(servers, [&peer](const auto &it) {
+          return it->At.Port == ntohs(peer.sin_port);
+        }));
+  }
+  return n;
+}
+
 OutboundCall post(const Address &to, const std::string &body,
                   Duration timeout = Duration::seconds(5)) {
   return {to, "POST", "/echo", {{"X-Name", "value"}}, body, timeout};
@@ -95,12 +120,12 @@
   CallerFixture fixture;
   std::size_t answered = 0;
   for (int i = 0; i < 50; ++i)
-    fixture.Desk.call(post(server.At, std::to_string(i)),
-                      [&answered, i](const OutboundResult &result) {
-                        BOOST_TEST(isOk(result));
-                        BOOST_TEST(valueOf(result).Body == std::to_string(i));
-                        ++answered;
-                      });
+    fixture.Client.call(post(server.At, std::to_string(i)),
+                        [&answered, i](const OutboundResult &result) {
+                          BOOST_TEST(isOk(result));
+                          BOOST_TEST(valueOf(result).Body == std::to_string(i));
+                          ++answered;
+                        });
   const Instant end = fixture.Loop.now() + TestTimeout;
   fixture.Loop.callAt(end, [] {});
   while (answered < 50 && fixture.Loop.now() < end)
@@ -108,6 +133,50 @@
   BOOST_TEST(answered == 50U);
 }
 
+// A task's connections must not use up the descriptors that the process needs
+// for its disk and its peers.
+BOOST_AUTO_TEST_CASE(ConnectionsOfAllAddressesAreBounded) {
+  std::vector<std::unique_ptr<Server>> servers;
+  for (int i = 0; i < 6; ++i)
+    servers.push_back(std::make_unique<Server>([](const RawRequest &exchange) {
+      return RawResponse{200, exchange.Body};
+    }));
+  CallerOptions options;
+  options.MaxConnections = 2;
+  CallerFixture fixture(options);
+  std::size_t answered = 0;
+  for (int i = 0; i < 60; ++i)
+    fixture.Client.call(post(servers[i % 6]->At, std::to_string(i)),
+                        [&answered, i](const OutboundResult &result) {
+                          BOOST_REQUIRE(isOk(result));
+                          BOOST_TEST(valueOf(result).Body == std::to_string(i));
+                          ++answered;
+                        });
+  const Instant end = fixture.Loop.now() + TestTimeout;
+  fixture.Loop.callAt(end, [] {});
+  std::size_t most = 0;
+  while (answered < 60 && fixture.Loop.now() < end) {
+    BOOST_REQUIRE(isOk(fixture.Loop.runOnce()));
+    most = std::max(most, connectedSockets(servers));
+  }
+  BOOST_TEST(answered == 60U);
+  BOOST_TEST(most <= options.MaxConnections);
+}
+
+BOOST_AUTO_TEST_CASE(CallWithoutRoomForAConnectionIsNotSent) {
+  const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
+  Server server([](const RawRequest &) { return RawResponse{}; });
+  CallerOptions options;
+  options.MaxConnections = 1;
+  CallerFixture fixture(options);
+  fixture.Client.call(post(runtime::localAddress(listener.get()), "silent"),
+                      [](const OutboundResult &) {});
+  const OutboundResult result =
+      fixture.call(post(server.At, "a", Duration::millis(200)));
+  BOOST_REQUIRE(!isOk(result));
+  BOOST_TEST((errorOf(result).Kind == ErrorKind::Unavailable));
+}
+
 BOOST_AUTO_TEST_CASE(RefusedConnectionMeansThatNothingWasSent) {
   const Address closed = [] {
     const auto listener = valueOf(runtime::listenTcp({"127.0.0.1", 0}));
--- a/jujube/logging/event.h
+++ b/jujube/logging/event.h
@@ -21,6 +21,7 @@
   StopRequested,
   Leaving,
   TaskFailed,
+  RestartDelayed,
   // ---- Groups and hosts ----
   RoleChanged,
   ReplicaFailed,
@@ -67,7 +68,7 @@
   FaultApplied,
 };
 
-inline constexpr NameTable<Event, 50> EventNames = {{
+inline constexpr NameTable<Event, 51> EventNames = {{
     {Event::Started, "started"},
     {Event::Stopped, "stopped"},
     {Event::TreeFailed, "gave_up"},
@@ -79,6 +80,7 @@
     {Event::StopRequested, "stop_requested"},
     {Event::Leaving, "leaving"},
     {Event::TaskFailed, "task_failed"},
+    {Event::RestartDelayed, "restart_delayed"},
     {Event::RoleChanged, "role_changed"},
     {Event::ReplicaFailed, "replica_failed"},
     {Event::DiskSlow, "disk_slow"},
--- a/jujube/runtime/runtime_test.cc
+++ b/jujube/runtime/runtime_test.cc
@@ -117,6 +117,35 @@
   BOOST_TEST(std::ranges::count(recorded, 'a') == 6); // 3 starts, twice
 }
 
+// A child that waits for a disk with free space must not end the process.
+BOOST_AUTO_TEST_CASE(RestartsWithBackoffDoNotUseTheBudget) {
+  const EventRecord events = makeMailbox<std::string>(100);
+  RestartBackoff backoff;
+  backoff.First = Duration::millis(4);
+  backoff.Max = Duration::millis(16);
+  backoff.CanPass = [](const Error &error) {
+    return error.Kind == ErrorKind::Internal;
+  };
+  const Supervisor supervisor = make(
+      RestartPolicy::OneForOne, {{"a", failingBody(events, 6), backoff}}, 1);
+  std::string recorded;
+  const Instant begin = Clock::monotonic().now();
+  BOOST_TEST(isOk(runUntilEvents(supervisor, events, 7, recorded)));
+  BOOST_TEST(std::ranges::count(recorded, 'a') == 7);
+  // The delays are 4, 8, 16, 16, 16 and 16 ms.
+  BOOST_TEST((Clock::monotonic().now() - begin >= Duration::millis(70)));
+}
+
+BOOST_AUTO_TEST_CASE(ErrorsThatCannotPassUseTheBudget) {
+  const EventRecord events = makeMailbox<std::string>(100);
+  RestartBackoff backoff;
+  backoff.CanPass = [](const Error &) { return false; };
+  const Supervisor supervisor = make(
+      RestartPolicy::OneForOne, {{"a", failingBody(events, 100), backoff}}, 2);
+  std::string recorded;
+  BOOST_TEST(!isOk(runUntilEvents(supervisor, events, 1000, recorded)));
+}
+
 BOOST_AUTO_TEST_CASE(ExceptionCountsAsFailure) {
   const EventRecord events = makeMailbox<std::string>(100);
   const Supervisor supervisor = make(
--- a/jujube/runtime/supervisor.cc
+++ b/jujube/runtime/supervisor.cc
@@ -35,7 +35,8 @@
                 const std::vector<ChildSpec> &children, TaskContext &context)
       : Settings(settings), Children(children), Context(context),
         Exits(makeMailbox<ChildExit>(2 * children.size() + 1)),
-        Tasks(children.size()), StartCounts(children.size()) {}
+        Tasks(children.size()), StartCounts(children.size()),
+        Delays(children.size()) {}
 
   Status run() {
     Context.loop().watchMailbox<ChildExit>(
@@ -50,6 +51,7 @@
 private:
   void start(std::size_t i) {
     const uint64_t startCount = ++StartCounts[i];
+    Delays[i].StartedAt = Context.now();
     auto task = Task::start(
         Children[i].Name, Context.loop().clock(), Children[i].Body,
         [exits = Exits, i, startCount](TaskExit exit) {
@@ -83,16 +85,40 @@
         .with("supervisor", Settings.Name)
         .with("task", Children[exit.Index].Name)
         .with("error", errorOf(exit.Outcome).text());
-    if (!recordRestart()) {
+    const std::optional<RestartBackoff> &backoff = Children[exit.Index].Backoff;
+    if (backoff && backoff->CanPass(errorOf(exit.Outcome)))
+      restartLater(exit.Index, *backoff);
+    else if (recordRestart())
+      restart(exit.Index);
+    else
       escalate(errorOf(exit.Outcome));
-      return;
-    }
+  }
+
+  void restart(std::size_t i) {
     if (Settings.Policy == RestartPolicy::OneForOne) {
-      start(exit.Index);
+      start(i);
       return;
     }
-    stopFrom(exit.Index);
-    startFrom(exit.Index);
+    stopFrom(i);
+    startFrom(i);
+  }
+
+  void restartLater(std::size_t i, const RestartBackoff &backoff) {
+    Delay &delay = Delays[i];
+    const bool isFirst = delay.Next == Duration() ||
+                         Context.now() - delay.StartedAt >= backoff.StableAfter;
+    const Duration wait = isFirst ? backoff.First : delay.Next;
+    delay.Next = std::min(wait * 2, backoff.Max);
+    Line(Event::RestartDelayed)
+        .with("supervisor", Settings.Name)
+        .with("task", Children[i].Name)
+        .with("delay_ms", wait);
+    Context.loop().callAt(Context.now() + wait,
+                          [this, i, startCount = StartCounts[i]] {
+                            // Another child's failure may have restarted it.
+                            if (startCount == StartCounts[i] && isOk(Outcome))
+                              restart(i);
+                          });
   }
 
   // Records a restart. Returns false if the restart budget is exceeded.
@@ -112,12 +138,19 @@
     Context.loop().stop();
   }
 
+  // The delay of the next restart of a child; 0 before its first failure.
+  struct Delay {
+    Duration Next;
+    Instant StartedAt;
+  };
+
   const Supervisor::Options &Settings;
   const std::vector<ChildSpec> &Children;
   TaskContext &Context;
   MailboxPtr<ChildExit> Exits;
   std::vector<std::unique_ptr<Task>> Tasks;
   std::vector<uint64_t> StartCounts;
+  std::vector<Delay> Delays;
   std::deque<Instant> Restarts;
   Status Outcome = Ok{};
 };
--- a/jujube/runtime/supervisor.h
+++ b/jujube/runtime/supervisor.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,10 +38,24 @@
   Duration Window = Duration::seconds(30);
 };
 
+// Delays of the restarts of a child whose failures can pass without a restart
+// of the process, such as those of a full disk. Such restarts do not count
+// towards the restart budget.
+struct RestartBackoff {
+  // The first delay; doubles with each failure in a row up to Max.
+  Duration First = Duration::millis(100);
+  Duration Max = Duration::seconds(2);
+  // A child that ran for this long begins again with the first delay.
+  Duration StableAfter = Duration::seconds(10);
+  // Returns true for errors that can pass. Others use the restart budget.
+  std::function<bool(const Error &)> CanPass;
+};
+
 // Describes a task that a supervisor runs. `Name` is unique among its children.
 struct ChildSpec {
   std::string Name;
   TaskBody Body;
+  std::optional<RestartBackoff> Backoff = std::nullopt;
 };
 
 // Starts its children in order, restarts failed children by policy within the
--- a/testing/socket_cell.cc
+++ b/testing/socket_cell.cc
@@ -1,5 +1,6 @@
 #include "testing/socket_cell.h"
 
+#include <cerrno>
 #include <chrono>
 #include <filesystem>
 #include <thread>
@@ -103,6 +104,12 @@
   options.DataFolder = absl::StrCat(Folder, "/", member);
   options.FleetToken = "fleet-token";
   options.Workers = platform::workerProtocol();
+  options.Files.Write = [isFull = Options.AreDisksFull](
+                            int fd, absl::string_view data) -> Status {
+    if (isFull())
+      return storage::fileError("write", "the journal", ENOSPC);
+    return storage::writeFile(fd, data);
+  };
   options.Files.Sync = [span = Options.SyncTime](int) -> Status {
     std::this_thread::sleep_for(std::chrono::milliseconds(span.millis()));
     return Ok{};
--- a/testing/socket_cell.h
+++ b/testing/socket_cell.h
@@ -32,6 +32,8 @@
   int Members = 5;
   // Duration of a sync of a member's disk.
   Duration SyncTime = Duration::millis(6);
+  // Whether the disks of the members refuse every write.
+  std::function<bool()> AreDisksFull = [] { return false; };
   // Whether the approving service lets a worker run a step.
   std::function<bool(const jobs::StepKey &, const WorkerId &)> IsApproved;
   // Validity period of a ticket.
