jobs: a late announcement does not bring back a worker that has left

Cause: once a drained worker was removed, nothing remembered it, so that an announcement that was delayed on its way registered it again as ready, also after a restart of the leader. Change: the state machine remembers the incarnations that departed, 4,096 at most.

A worker that was removed for its silence may come back as before. Measured: LateAnnouncementDoesNotBringBackADepartedWorker, written for the new state; SilentWorkerThatWasRemovedMayComeBack guards the other side.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -177,6 +177,8 @@
     done(reply());
     return;
   }
+  const bool hasDeparted = Book.hasDeparted(
+      what.AnnouncedWorker.Id, what.AnnouncedWorker.WorkerIncarnation);
   const bool isOld =
       held != nullptr &&
       (what.AnnouncedWorker.WorkerIncarnation < held->WorkerIncarnation ||
@@ -194,7 +196,7 @@
     else
       isReplaced = true;
   }
-  if (isOld || isReplaced) {
+  if (hasDeparted || isOld || isReplaced) {
     done(reply());
     return;
   }
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -9,6 +9,10 @@
 namespace jujube::jobs {
 namespace {
 
+// Most departed workers that are remembered: more than leave a large fleet in a
+// day.
+constexpr std::size_t MaxDeparted = 4096;
+
 const StepSpec &specOf(const Job &job, const TaskKey &key) {
   return job.Spec.Steps[key.Step];
 }
@@ -202,6 +206,8 @@
 }
 
 void JobStateMachine::handle(const WorkerChanged &event) {
+  if (hasDeparted(event.Now.Id, event.Now.WorkerIncarnation))
+    return;
   Worker &current = Workers[event.Now.Id];
   if (event.Now.WorkerIncarnation < current.WorkerIncarnation)
     return;
@@ -224,9 +230,30 @@
     const Task *task = findTask(key);
     handle(AttemptEnded{key, task->Live->Attempt, EndKind::Lost, {}});
   }
+  if (it->second.IsDraining)
+    recordDeparture(event.Worker, it->second.WorkerIncarnation);
   Workers.erase(event.Worker);
 }
 
+bool JobStateMachine::hasDeparted(const WorkerId &id,
+                                  Incarnation incarnation) const {
+  const auto it = Departed.find(id);
+  return it != Departed.end() && incarnation <= it->second;
+}
+
+void JobStateMachine::recordDeparture(const WorkerId &id,
+                                      Incarnation incarnation) {
+  const auto [it, isNew] = Departed.try_emplace(id, incarnation);
+  it->second = std::max(it->second, incarnation);
+  if (!isNew)
+    return;
+  DepartureOrder.push_back(id);
+  if (DepartureOrder.size() <= MaxDeparted)
+    return;
+  Departed.erase(DepartureOrder.front());
+  DepartureOrder.pop_front();
+}
+
 void JobStateMachine::handle(const JobsForgotten &event) {
   for (const JobId &id : event.Jobs) {
     const Job *job = find(id);
@@ -352,14 +379,25 @@
     state.Jobs.push_back(job);
   for (const auto &[id, worker] : Workers)
     state.Workers.push_back(worker);
+  for (const WorkerId &id : DepartureOrder) {
+    Worker departed;
+    departed.Id = id;
+    departed.WorkerIncarnation = Departed.at(id);
+    departed.IsDraining = true;
+    state.Workers.push_back(std::move(departed));
+  }
   return state;
 }
 
 JobStateMachine JobStateMachine::restore(JobSnapshot state) {
   JobStateMachine book;
   book.Config = std::move(state.Config);
-  for (Worker &worker : state.Workers)
-    book.Workers.emplace(worker.Id, std::move(worker));
+  for (Worker &worker : state.Workers) {
+    if (worker.At == Address{})
+      book.recordDeparture(worker.Id, worker.WorkerIncarnation);
+    else
+      book.Workers.emplace(worker.Id, std::move(worker));
+  }
   for (Job &job : state.Jobs) {
     if (!isEnded(job.State))
       book.Open.insert(job.Spec.Id);
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -4,6 +4,7 @@
 #define JUJUBE_JOBS_JOB_STATE_MACHINE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -79,6 +80,7 @@
 struct JobSnapshot {
   Configuration Config;
   std::vector<Job> Jobs;
+  // Departed workers are included as draining workers without an address.
   std::vector<Worker> Workers;
 };
 
@@ -110,6 +112,9 @@
   const WaitingSteps &waiting() const { return Waiting; }
   const std::map<WorkerId, Worker> &workers() const { return Workers; }
   const Worker *findWorker(const WorkerId &id) const;
+  // True if this incarnation of the worker was draining when it was removed.
+  // Its announcements that still arrive are late and change nothing.
+  bool hasDeparted(const WorkerId &id, Incarnation incarnation) const;
   // Returns an empty load for a worker on which no attempt may be running.
   const Load &loadOf(const WorkerId &id) const;
   // Resources requested by the team's tasks that may be running.
@@ -176,7 +181,14 @@
   std::set<JobId> Open;
   WaitingSteps Waiting;
   std::map<QueueId, uint64_t> Pending;
+  // Records that an incarnation of a worker has departed; forgets the oldest
+  // records beyond a limit.
+  void recordDeparture(const WorkerId &id, Incarnation incarnation);
+
   std::map<WorkerId, Worker> Workers;
+  std::map<WorkerId, Incarnation> Departed;
+  // The keys of Departed, the oldest first.
+  std::deque<WorkerId> DepartureOrder;
   std::map<WorkerId, Load> Loads;
   std::map<TeamId, Resources> Used;
 };
--- a/jujube/jobs/job_state_machine_test.cc
+++ b/jujube/jobs/job_state_machine_test.cc
@@ -194,6 +194,32 @@
   BOOST_TEST(!book.findWorker(WorkerId("w1"))->IsDraining);
 }
 
+// An announcement that was delayed on its way must not bring back a worker that
+// has left, also not after a restart from a snapshot.
+BOOST_AUTO_TEST_CASE(LateAnnouncementDoesNotBringBackADepartedWorker) {
+  Worker draining = sampleWorker("w1");
+  draining.IsDraining = true;
+  JobStateMachine before = sampleBook({draining}, {});
+  before.apply(WorkerGone{draining.Id, draining.WorkerIncarnation});
+  JobStateMachine book = JobStateMachine::restore(before.capture());
+  BOOST_TEST(book.hasDeparted(draining.Id, draining.WorkerIncarnation));
+  book.apply(WorkerChanged{sampleWorker("w1")});
+  BOOST_TEST((book.findWorker(draining.Id) == nullptr));
+  Worker restarted = sampleWorker("w1");
+  restarted.WorkerIncarnation = Incarnation{2};
+  book.apply(WorkerChanged{restarted});
+  BOOST_REQUIRE((book.findWorker(draining.Id) != nullptr));
+  BOOST_TEST(!book.findWorker(draining.Id)->IsDraining);
+}
+
+// A worker that was silent for so long that it was removed may come back.
+BOOST_AUTO_TEST_CASE(SilentWorkerThatWasRemovedMayComeBack) {
+  JobStateMachine book = sampleBook({sampleWorker("w1")}, {});
+  book.apply(WorkerGone{WorkerId("w1"), Incarnation{1}});
+  book.apply(WorkerChanged{sampleWorker("w1")});
+  BOOST_TEST((book.findWorker(WorkerId("w1")) != nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(HighestConfigurationIsInForce) {
   JobStateMachine book = sampleBook({}, {});
   book.apply(ConfigurationPut{testing::sampleConfiguration(9)});
