dispatch: wide steps are approved by several queries at a time

Cause: a step had one approval query in flight, of at most 48 workers, so that a gang of more than some 30 tasks was never approved in full. Queries for non-gangs renewed 30 expired tickets before they named a worker that was not asked yet. The search for unknown workers walked the whole fleet for each waiting gang in each plan, which used up the plan's budget. Change: queries in flight are tracked by worker; a step sends as many as it needs, each sized by the terms of the service. Candidates are ordered by the tasks that they are expected to take. Unknown workers are searched from the freest on. A job may have 4,096 tasks in each occurrence, not in all together.

--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -157,7 +157,7 @@
             .with("after_ms", Loop.now() - now);
         TaskMetrics.add("approvals_unanswered", {});
         Helpers.markBusyUntil(helper, Loop.now() + Duration::seconds(1));
-        Approved.abandon(query.Step);
+        Approved.abandon(query);
       });
 }
 
--- a/jujube/dispatch/approvals.cc
+++ b/jujube/dispatch/approvals.cc
@@ -1,51 +1,54 @@
 #include "jujube/dispatch/approvals.h"
 
 namespace jujube::dispatch {
-namespace {
-
-// Tickets are not used this shortly before they expire: the start has to be
-// replicated and to reach the worker first.
-constexpr Duration TicketMargin = Duration::millis(150);
-
-} // namespace
 
 void Approvals::begin(const jobs::ApprovalQuery &query,
                       const jobs::QueueId &queue) {
   Step &step = Steps[query.Step];
   step.Queue = queue;
-  step.IsQueryPending = true;
+  step.Pending.insert(query.Workers.begin(), query.Workers.end());
 }
 
 void Approvals::finish(const jobs::ApprovalQuery &query,
                        const jobs::ApprovalAnswer &answer, Instant issuedAt) {
+  abandon(query);
   const auto it = Steps.find(query.Step);
   if (it == Steps.end())
     return;
   Step &step = it->second;
-  step.IsQueryPending = false;
   Rate &rate = Rates[step.Queue];
-  for (const WorkerId &worker : query.Workers)
-    if (!step.Workers[worker].IsApproved)
-      rate.Asked += 1;
+  absl::flat_hash_set<WorkerId> denied(query.Workers.begin(),
+                                       query.Workers.end());
   for (const jobs::Approval &approval : answer.Approved) {
-    const auto [known, isNew] = step.Workers.try_emplace(approval.Worker);
-    Verdict &verdict = known->second;
-    if (!isNew && !verdict.IsApproved)
-      rate.Approved += 1;
-    verdict = {true, approval.Ticket,
-               issuedAt + answer.Validity - TicketMargin};
+    denied.erase(approval.Worker);
+    const Instant end = issuedAt + answer.Validity - TicketMargin;
+    const bool isNew =
+        step.Approved
+            .insert_or_assign(approval.Worker, Ticket{approval.Ticket, end})
+            .second;
+    if (!isNew)
+      continue;
+    step.Denied.erase(approval.Worker);
+    rate.Asked += 1;
+    rate.Approved += 1;
   }
+  for (const WorkerId &worker : denied)
+    if (step.Approved.erase(worker) == 0)
+      rate.Asked += 1;
+  step.Denied.merge(denied);
 }
 
-void Approvals::abandon(const jobs::StepKey &step) {
-  const auto it = Steps.find(step);
-  if (it != Steps.end())
-    it->second.IsQueryPending = false;
+void Approvals::abandon(const jobs::ApprovalQuery &query) {
+  const auto it = Steps.find(query.Step);
+  if (it == Steps.end())
+    return;
+  for (const WorkerId &worker : query.Workers)
+    it->second.Pending.erase(worker);
 }
 
 bool Approvals::isQueryPending(const jobs::StepKey &step) const {
   const Step *found = find(step);
-  return found != nullptr && found->IsQueryPending;
+  return found != nullptr && !found->Pending.empty();
 }
 
 const Approvals::Step *Approvals::find(const jobs::StepKey &step) const {
@@ -55,13 +58,11 @@
 
 ApprovalState Approvals::Step::stateOf(const WorkerId &worker,
                                        Instant now) const {
-  const auto it = Workers.find(worker);
-  if (it == Workers.end())
-    return ApprovalState::Unknown;
-  if (!it->second.IsApproved)
-    return ApprovalState::Denied;
-  return now < it->second.ValidUntil ? ApprovalState::Valid
-                                     : ApprovalState::Expired;
+  if (const auto it = Approved.find(worker); it != Approved.end())
+    return now < it->second.ValidUntil ? ApprovalState::Valid
+                                       : ApprovalState::Expired;
+  return Denied.contains(worker) ? ApprovalState::Denied
+                                 : ApprovalState::Unknown;
 }
 
 ApprovalState Approvals::stateOf(const jobs::StepKey &step,
@@ -77,28 +78,28 @@
   const Step *found = find(step);
   if (found == nullptr || found->stateOf(worker, now) != ApprovalState::Valid)
     return std::nullopt;
-  return found->Workers.at(worker).Ticket;
+  return found->Approved.at(worker).Value;
 }
 
 void Approvals::expire(const jobs::StepKey &step, const WorkerId &worker) {
-  const auto it = Steps.find(step);
-  if (it == Steps.end())
-    return;
-  const auto known = it->second.Workers.find(worker);
-  if (known != it->second.Workers.end())
-    known->second.ValidUntil = Instant();
+  if (const auto it = Steps.find(step); it != Steps.end())
+    expire(it->second, worker);
 }
 
 void Approvals::expireWorker(const WorkerId &worker) {
   for (auto &[key, step] : Steps)
-    if (const auto it = step.Workers.find(worker); it != step.Workers.end())
-      it->second.ValidUntil = Instant();
+    expire(step, worker);
+}
+
+void Approvals::expire(Step &step, const WorkerId &worker) {
+  if (const auto it = step.Approved.find(worker); it != step.Approved.end())
+    it->second.ValidUntil = Instant();
 }
 
 void Approvals::retain(
     const std::function<bool(const jobs::StepKey &)> &isWanted) {
   absl::erase_if(Steps, [&](const auto &it) {
-    return !it.second.IsQueryPending && !isWanted(it.first);
+    return it.second.Pending.empty() && !isWanted(it.first);
   });
 }
 
--- a/jujube/dispatch/approvals.h
+++ b/jujube/dispatch/approvals.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "jujube/base/clock.h"
 #include "jujube/jobs/commands.h"
 #include "jujube/jobs/types.h"
@@ -25,6 +26,10 @@
   Valid,
 };
 
+// Tickets are not used this shortly before they expire: the start has to be
+// replicated and to reach the worker first.
+inline constexpr Duration TicketMargin = Duration::millis(150);
+
 inline constexpr NameTable<ApprovalState, 4> ApprovalStateNames = {{
     {ApprovalState::Unknown, "unknown"},
     {ApprovalState::Denied, "denied"},
@@ -35,33 +40,36 @@
 
 // Answers of the approval services, by step and worker, with the tickets that
 // prove the approvals. Owned by the leader and never replicated: a new leader
-// starts empty and sends its queries again. At most one query per step is in
-// flight.
+// starts empty and sends its queries again. Several queries of a step may be in
+// flight, but a worker is named by one of them at most.
 class Approvals {
 public:
-  // The service's latest answer for one worker and one step.
-  struct Verdict {
-    bool IsApproved = false;
-    std::string Ticket;
+  // The proof that a worker may run a step.
+  struct Ticket {
+    std::string Value;
     Instant ValidUntil;
   };
   struct Step {
     jobs::QueueId Queue;
-    bool IsQueryPending = false;
-    absl::flat_hash_map<WorkerId, Verdict> Workers;
+    // The approved workers; a worker stays approved when its ticket expires.
+    absl::flat_hash_map<WorkerId, Ticket> Approved;
+    absl::flat_hash_set<WorkerId> Denied;
+    // Workers that queries in flight name.
+    absl::flat_hash_set<WorkerId> Pending;
 
     ApprovalState stateOf(const WorkerId &worker, Instant now) const;
   };
 
-  // Records that `query` was sent. No other query may be sent for its step
-  // until finish() or abandon().
+  // Records that `query` was sent. No other query for its step may name one of
+  // its workers until finish() or abandon().
   void begin(const jobs::ApprovalQuery &query, const jobs::QueueId &queue);
   // Records the answer to a query. `issuedAt` is the earliest time at which the
   // tickets can have been issued; their validity counts from it.
   void finish(const jobs::ApprovalQuery &query,
               const jobs::ApprovalAnswer &answer, Instant issuedAt);
-  // Records that the step's query ended without an answer.
-  void abandon(const jobs::StepKey &step);
+  // Records that a query ended without an answer.
+  void abandon(const jobs::ApprovalQuery &query);
+  // True while a query of the step is in flight.
   bool isQueryPending(const jobs::StepKey &step) const;
 
   // Returns null if no query has been sent for the step.
@@ -93,6 +101,8 @@
     double Approved = 1;
   };
 
+  static void expire(Step &step, const WorkerId &worker);
+
   absl::flat_hash_map<jobs::StepKey, Step> Steps;
   std::map<jobs::QueueId, Rate> Rates;
 };
--- a/jujube/dispatch/fleet.cc
+++ b/jujube/dispatch/fleet.cc
@@ -58,6 +58,12 @@
                            : std::span(it->second.Members);
 }
 
+std::span<const NodeIndex> Fleet::byFreeCpu(const jobs::PoolId &pool) const {
+  const auto it = Pools.find(pool);
+  return it == Pools.end() ? std::span<const NodeIndex>()
+                           : std::span(it->second.ByFree);
+}
+
 std::span<const NodeIndex> Fleet::withFreeCpu(const jobs::PoolId &pool,
                                               int64_t milliCpu) const {
   const auto it = Pools.find(pool);
--- a/jujube/dispatch/fleet.h
+++ b/jujube/dispatch/fleet.h
@@ -49,6 +49,9 @@
 
   // The pool's workers, ordered by id.
   std::span<const NodeIndex> members(const jobs::PoolId &pool) const;
+  // The pool's unreserved workers, those with the fewest free processors first.
+  // Valid until the next allocate() or reserve().
+  std::span<const NodeIndex> byFreeCpu(const jobs::PoolId &pool) const;
   // The pool's unreserved workers with at least `milliCpu` free, best fit
   // first. Valid until the next allocate() or reserve().
   std::span<const NodeIndex> withFreeCpu(const jobs::PoolId &pool,
--- a/jujube/dispatch/pass.cc
+++ b/jujube/dispatch/pass.cc
@@ -91,6 +91,7 @@
 
 void Pass::planStep(const ReadyStep &step) {
   ++Plan.Steps;
+  ApprovedNodes.reset();
   countTasks(step);
   const int64_t waiting = step.waitingTasks();
   const int64_t most = teamTaskLimit(step);
@@ -153,7 +154,7 @@
   Plan.Starts.push_back(
       {{task, attempt, worker.Worker->Id},
        step.Queue->Approval
-           ? step.Approval->Workers.at(worker.Worker->Id).Ticket
+           ? step.Approval->Approved.at(worker.Worker->Id).Value
            : std::string(),
        worker.Free.MilliCpu,
        isDataRemote(step, *worker.Worker),
--- a/jujube/dispatch/pass.h
+++ b/jujube/dispatch/pass.h
@@ -75,6 +75,8 @@
     // Orders workers with equal Fit.
     std::size_t TieBreak = 0;
     NodeIndex Node = 0;
+    // Number of tasks that a query of it is expected to place.
+    double ExpectedTasks = 0;
   };
   // Cached search results for one demand. They stay valid, since free capacity
   // only shrinks during a pass.
@@ -128,7 +130,7 @@
   // free processors first. For filler tasks the order is unspecified.
   std::vector<NodeIndex> candidateNodes(const ReadyStep &step);
   // Workers with a valid ticket, those with fewer free processors first.
-  std::vector<NodeIndex> approvedNodes(const ReadyStep &step);
+  std::vector<NodeIndex> nodesWithTicket(const ReadyStep &step);
   // The pick functions choose workers out of `nodes` for up to `wanted` tasks.
   // They return nothing for a gang that does not fit whole. This one keeps all
   // tasks on one rack.
@@ -187,39 +189,40 @@
   static int64_t fitCount(const ReadyStep &step, const Resources &free);
 
   // ---- Approvals (pass_approvals.cc) ----
-  // Queries approval of workers for `tasks` more tasks, unless a query of the
-  // step is in flight or the plan has used up its queries. Short queries name
-  // workers with free capacity; the answer arrives before that capacity is
-  // taken. Other queries are sent ahead, so that a ticket is valid by the time
-  // capacity becomes free.
+  // Queries approval of workers for `tasks` more tasks, as far as the plan may
+  // add queries. Short queries name workers with free capacity; the answer
+  // arrives before that capacity is taken. Other queries are sent ahead, so
+  // that a ticket is valid by the time capacity becomes free.
   void queryApproval(const ReadyStep &step, int64_t tasks);
-  // A short or medium query. Names as many workers as are expected to be enough
-  // for `tasks`; none if a gang is unlikely to fit on them.
-  jobs::ApprovalQuery sizedQuery(const ReadyStep &step, int64_t tasks);
-  // A long query. Renews the tickets if one of them expires before a later
-  // query could be answered, and names all unknown workers unless enough are
-  // approved.
-  jobs::ApprovalQuery longQuery(const ReadyStep &step);
+  // The workers of a short or medium query: as many as are expected to be
+  // enough for `tasks`; none if a gang is unlikely to fit on them.
+  std::vector<NodeIndex> nodesForQuery(const ReadyStep &step, int64_t tasks);
+  // The workers of long queries. Renews the tickets if one of them expires
+  // before a later query could be answered, and names unknown workers unless
+  // enough are approved. May be more than one query names.
+  std::vector<NodeIndex> nodesForLongQueries(const ReadyStep &step);
+  // The approved workers, if one of their tickets has to be renewed now.
+  std::vector<NodeIndex> nodesToRenew(const ReadyStep &step);
+  // Number of tasks that a candidate is expected to take once it is approved.
+  static double expectedTasks(const Candidate &it);
   // True if the worker may be named in a query of the step.
   bool isQueryable(const ReadyStep &step, NodeIndex index) const;
-  // The workers in this state that may be named in a query, those with the most
-  // free capacity first. Only the first MaxLongQueryWorkers are sorted.
-  std::vector<Candidate> candidates(const ReadyStep &step, ApprovalState state);
-  // Unknown workers that have the capacity for as many tasks of the step as one
-  // worker may run. candidates() uses them if there are MaxLongQueryWorkers of
-  // them, instead of examining every worker.
-  std::vector<Candidate> fullFitCandidates(const ReadyStep &step);
-  // The workers to search for a query: a superset of those that may be named.
+  // The approved workers whose tickets have expired and that may be named in a
+  // query.
+  std::vector<Candidate> expiredCandidates(const ReadyStep &step);
+  // Workers of unknown approval that may be named in a query, those with the
+  // most free capacity first, at most `most`.
+  std::vector<Candidate> unknownCandidates(const ReadyStep &step,
+                                           std::size_t most);
+  // The workers among which a query searches first.
   NodeSpan nodesToQuery(const ReadyStep &step) const;
-  // True if the worker is in this state and may be named in a query.
+  Candidate candidate(const ReadyStep &step, NodeIndex index);
+  // True if the worker is in this state and no query in flight names it.
   bool isCandidate(const ReadyStep &step, NodeIndex index, ApprovalState state);
-  // The workers that were approved or denied for the step.
-  std::vector<NodeIndex> nodesWithVerdict(const ReadyStep &step);
-  // Adds workers in this state to `query` until `needed` tasks are covered or
-  // the query is full. `rate` is the fraction of them expected to be approved;
-  // reduces `needed` by the tasks that they are expected to run.
-  void addToQuery(const ReadyStep &step, ApprovalState state, double rate,
-                  double &needed, jobs::ApprovalQuery &query);
+  // The workers that are approved for the step, with or without a valid ticket.
+  const std::vector<NodeIndex> &approvedNodes(const ReadyStep &step);
+  // Number of tasks of the step that the worker could run if it were idle.
+  int64_t fitIdle(const ReadyStep &step, NodeIndex index) const;
   // A hash that orders equal workers differently for each step, so that
   // concurrent queries name different workers.
   static std::size_t tieBreakHash(const jobs::StepKey &step,
@@ -233,6 +236,8 @@
   // Running tasks of the current step by worker; filled only if the step has a
   // bound per worker.
   absl::flat_hash_map<NodeIndex, int64_t> TasksOn;
+  // The result of approvedNodes() for the current step.
+  std::optional<std::vector<NodeIndex>> ApprovedNodes;
   std::vector<Reservation> Reservations;
   absl::flat_hash_set<jobs::StepKey> PlannedGangs;
   // Short and medium queries.
--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
 #include <functional>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -13,87 +14,149 @@
 // Most workers that a short or medium query names; the objective allows for one
 // call about 30 workers for each step.
 constexpr std::size_t MaxQueryWorkers = 30;
-// Fewest workers that such a query names, as far as there are candidates, so
-// that one denial does not cost another call.
+// Most workers that the approval service takes in one query, and that the short
+// or medium queries of a step name together.
+constexpr std::size_t MaxServiceWorkers = 100;
+// Candidates are chosen among this many times as many workers, so that the
+// queries of concurrent steps name different ones.
+constexpr std::size_t SearchedMultiple = 3;
+// Fewest workers that a short or medium query names, as far as there are
+// candidates, so that one denial does not cost another call.
 constexpr std::size_t MinQueryWorkers = 4;
-// Most workers that a long query names. If a quarter of them are approved,
-// these twelve can run a wide gang.
-constexpr std::size_t MaxLongQueryWorkers = 48;
-// A long query names no unknown workers once the approved ones, if idle, could
-// run this many times the step. A full fleet has about a fifth of its capacity
-// free, and the free part of a worker is seldom large enough for a task.
+// Long queries find workers until the approved ones, if idle, could run this
+// many times the step: the free part of a worker on a full fleet is seldom
+// large enough for a task.
 constexpr int64_t SufficientApprovedMultiple = 8;
 // Time for the messages between the leader and the host that makes the call.
 constexpr Duration QueryOverhead = Duration::millis(100);
 // Tasks that a worker without free capacity is expected to take when a query is
 // sent ahead: capacity becomes free while the query is in flight.
 constexpr double ExpectedTasksOnFullWorker = 0.5;
-// Exceeds the capacity of any worker.
-constexpr Resources Unbounded = {INT64_MAX, INT64_MAX, INT64_MAX};
+
+// Number of workers of a query whose names take as long as `span`.
+std::size_t workersNamedIn(const jobs::ApprovalTerms &terms, Duration span) {
+  const double count =
+      static_cast<double>(span.millis()) / std::max(terms.PerWorkerMs, 0.001);
+  return static_cast<std::size_t>(
+      std::clamp(count, static_cast<double>(MinQueryWorkers),
+                 static_cast<double>(MaxServiceWorkers)));
+}
+
+// Most workers that one query names. A long query names as many as take as long
+// as its fixed part, unless their tickets could not be renewed before they
+// expire.
+std::size_t maxWorkersOf(const jobs::ApprovalTerms &terms) {
+  if (lengthOf(terms) != QueryLength::Long)
+    return MaxQueryWorkers;
+  const Duration renewal =
+      terms.Validity - TicketMargin - QueryOverhead - terms.Base;
+  return std::min(workersNamedIn(terms, terms.Base),
+                  workersNamedIn(terms, renewal));
+}
 
 } // namespace
 
 void Pass::queryApproval(const ReadyStep &step, int64_t tasks) {
-  if (!step.Queue->Approval ||
-      (step.Approval != nullptr && step.Approval->IsQueryPending))
+  if (!step.Queue->Approval)
     return;
   const QueryLength length = lengthOf(*step.Queue->Approval);
   const bool isLong = length == QueryLength::Long;
+  const bool isPending =
+      step.Approval != nullptr && !step.Approval->Pending.empty();
+  if (isPending && !isLong)
+    return;
   std::size_t &used = isLong ? LongQueries : ShortQueries;
-  if (used >= (isLong ? Input.MaxLongQueries : Input.MaxShortQueries))
+  const std::size_t most =
+      isLong ? Input.MaxLongQueries : Input.MaxShortQueries;
+  if (used >= most)
     return;
   if (length == QueryLength::Short && !hasCapacityAnywhere(step))
     return;
-  jobs::ApprovalQuery query =
-      isLong ? longQuery(step) : sizedQuery(step, tasks);
-  if (query.Workers.empty())
-    return;
-  ++used;
-  Plan.Queries.push_back(std::move(query));
+  const std::vector<NodeIndex> named =
+      isLong ? nodesForLongQueries(step) : nodesForQuery(step, tasks);
+  const std::size_t size = maxWorkersOf(*step.Queue->Approval);
+  for (std::size_t i = 0; i < named.size() && used < most; i += size, ++used) {
+    jobs::ApprovalQuery query{step.Key};
+    for (std::size_t k = i; k < std::min(i + size, named.size()); ++k)
+      query.Workers.push_back(Workers[named[k]].Worker->Id);
+    Plan.Queries.push_back(std::move(query));
+  }
 }
 
-jobs::ApprovalQuery Pass::sizedQuery(const ReadyStep &step, int64_t tasks) {
-  auto needed = static_cast<double>(tasks);
-  jobs::ApprovalQuery query{step.Key};
-  // Renewals are always approved; unknown workers may be denied.
-  addToQuery(step, ApprovalState::Expired, 1.0, needed, query);
+std::vector<NodeIndex> Pass::nodesForQuery(const ReadyStep &step,
+                                           int64_t tasks) {
   const double rate = Input.Approved.approvalRate(step.Queue->Id);
-  addToQuery(step, ApprovalState::Unknown, rate, needed, query);
+  // Renewals are always approved; unknown workers may be denied.
+  std::vector<Candidate> found = expiredCandidates(step);
+  for (Candidate &it : found)
+    it.ExpectedTasks = expectedTasks(it);
+  for (Candidate &it : unknownCandidates(step, MaxServiceWorkers)) {
+    it.ExpectedTasks = rate * expectedTasks(it);
+    found.push_back(it);
+  }
+  std::ranges::stable_sort(found, std::greater<>(), [](const Candidate &it) {
+    return std::pair(it.Fit > 0, it.ExpectedTasks);
+  });
+  auto needed = static_cast<double>(tasks);
+  std::vector<NodeIndex> nodes;
+  for (const Candidate &it : found) {
+    if (nodes.size() >= MaxServiceWorkers ||
+        (needed <= 0 && nodes.size() >= MinQueryWorkers))
+      break;
+    nodes.push_back(it.Node);
+    needed -= it.ExpectedTasks;
+  }
   const bool isGangUnlikelyToFit =
       step.Spec->IsGang &&
       lengthOf(*step.Queue->Approval) == QueryLength::Short &&
       needed > 0.5 * static_cast<double>(tasks);
-  if (isGangUnlikelyToFit)
-    query.Workers.clear();
-  return query;
-}
-
-jobs::ApprovalQuery Pass::longQuery(const ReadyStep &step) {
-  const Duration lead =
-      queryTime(*step.Queue->Approval, MaxQueryWorkers) + QueryOverhead;
-  jobs::ApprovalQuery query{step.Key};
-  bool isDue = false;
-  int64_t approvedTasks = 0;
-  for (const ApprovalState state :
-       {ApprovalState::Expired, ApprovalState::Valid})
-    for (const Candidate &it : candidates(step, state)) {
-      const jobs::Worker &worker = *Workers[it.Node].Worker;
-      query.Workers.push_back(worker.Id);
-      approvedTasks += fitCount(step, worker.Capacity);
-      isDue |=
-          step.Approval->Workers.at(worker.Id).ValidUntil < Input.Now + lead;
-    }
-  if (approvedTasks < SufficientApprovedMultiple *
-                          static_cast<int64_t>(step.State->Tasks.size()))
-    for (const Candidate &it : candidates(step, ApprovalState::Unknown)) {
-      query.Workers.push_back(Workers[it.Node].Worker->Id);
-      isDue = true;
-    }
-  if (!isDue)
-    return {step.Key};
-  if (query.Workers.size() > MaxLongQueryWorkers)
-    query.Workers.resize(MaxLongQueryWorkers);
-  return query;
+  return isGangUnlikelyToFit ? std::vector<NodeIndex>() : nodes;
+}
+
+double Pass::expectedTasks(const Candidate &it) {
+  return std::max(static_cast<double>(it.Fit), ExpectedTasksOnFullWorker);
+}
+
+std::vector<NodeIndex> Pass::nodesForLongQueries(const ReadyStep &step) {
+  std::vector<NodeIndex> nodes = nodesToRenew(step);
+  const double rate = Input.Approved.approvalRate(step.Queue->Id);
+  double missing = static_cast<double>(SufficientApprovedMultiple *
+                                       step.State->Tasks.size());
+  if (step.Approval != nullptr) {
+    for (const NodeIndex it : approvedNodes(step))
+      missing -= static_cast<double>(fitIdle(step, it));
+    for (const WorkerId &it : step.Approval->Pending)
+      if (const auto node = Workers.find(it);
+          node && !step.Approval->Approved.contains(it))
+        missing -= rate * static_cast<double>(fitIdle(step, *node));
+  }
+  if (missing <= 0)
+    return nodes;
+  const auto most = static_cast<std::size_t>(std::min(missing / rate, 1e6)) + 1;
+  for (const Candidate &it : unknownCandidates(step, most)) {
+    if (missing <= 0)
+      break;
+    nodes.push_back(it.Node);
+    missing -= rate * static_cast<double>(fitIdle(step, it.Node));
+  }
+  return nodes;
+}
+
+std::vector<NodeIndex> Pass::nodesToRenew(const ReadyStep &step) {
+  if (step.Approval == nullptr)
+    return {};
+  const jobs::ApprovalTerms &terms = *step.Queue->Approval;
+  const Instant due =
+      Input.Now + queryTime(terms, maxWorkersOf(terms)) + QueryOverhead;
+  std::vector<NodeIndex> nodes = approvedNodes(step);
+  std::erase_if(nodes, [&](NodeIndex it) {
+    return step.Approval->Pending.contains(Workers[it].Worker->Id) ||
+           !isQueryable(step, it);
+  });
+  const bool isDue = std::ranges::any_of(nodes, [&](NodeIndex it) {
+    return step.Approval->Approved.at(Workers[it].Worker->Id).ValidUntil < due;
+  });
+  return isDue ? nodes : std::vector<NodeIndex>();
 }
 
 bool Pass::isQueryable(const ReadyStep &step, NodeIndex index) const {
@@ -105,95 +168,86 @@
              : isEligible(step, *node.Worker);
 }
 
-std::vector<NodeIndex> Pass::nodesWithVerdict(const ReadyStep &step) {
-  std::vector<NodeIndex> nodes;
+const std::vector<NodeIndex> &Pass::approvedNodes(const ReadyStep &step) {
+  if (ApprovedNodes)
+    return *ApprovedNodes;
+  ApprovedNodes.emplace();
   if (step.Approval == nullptr)
-    return nodes;
-  for (const auto &[id, verdict] : step.Approval->Workers) {
+    return *ApprovedNodes;
+  for (const auto &[id, ticket] : step.Approval->Approved) {
     ++Plan.Examined;
     if (const auto node = Workers.find(id))
-      nodes.push_back(*node);
+      ApprovedNodes->push_back(*node);
   }
-  return nodes;
+  return *ApprovedNodes;
 }
 
-std::vector<Pass::Candidate> Pass::candidates(const ReadyStep &step,
-                                              ApprovalState state) {
-  if (state == ApprovalState::Unknown) {
-    std::vector<Candidate> fitting = fullFitCandidates(step);
-    if (fitting.size() == MaxLongQueryWorkers)
-      return fitting;
-  }
-  std::vector<NodeIndex> nodes;
-  if (state == ApprovalState::Unknown) {
-    const NodeSpan all = nodesToQuery(step);
-    nodes.assign(all.begin(), all.end());
-  } else {
-    nodes = nodesWithVerdict(step);
-  }
+std::vector<Pass::Candidate> Pass::expiredCandidates(const ReadyStep &step) {
   std::vector<Candidate> found;
-  for (const NodeIndex it : nodes)
-    if (isCandidate(step, it, state))
-      found.push_back({fitCount(step, Workers[it].Free),
-                       tieBreakHash(step.Key, Workers[it].Worker->Id), it});
-  const auto most = std::min(found.size(), MaxLongQueryWorkers);
-  std::ranges::partial_sort(found,
-                            found.begin() + static_cast<std::ptrdiff_t>(most),
-                            std::greater<>(), [](const Candidate &it) {
-                              return std::tuple(it.Fit, it.TieBreak, it.Node);
-                            });
+  for (const NodeIndex it : approvedNodes(step))
+    if (isCandidate(step, it, ApprovalState::Expired))
+      found.push_back(candidate(step, it));
   return found;
 }
 
-std::vector<Pass::Candidate> Pass::fullFitCandidates(const ReadyStep &step) {
-  const int64_t most = fitCount(step, Unbounded);
-  const NodeSpan fitting =
-      step.Spec->IsFiller
-          ? NodeSpan()
-          : Workers.withFreeCpu(step.Queue->Pool,
-                                demandOf(*step.Spec).MilliCpu * most);
+std::vector<Pass::Candidate> Pass::unknownCandidates(const ReadyStep &step,
+                                                     std::size_t most) {
+  const NodeSpan members = Workers.members(step.Queue->Pool);
+  const std::size_t known =
+      step.Approval == nullptr
+          ? 0
+          : step.Approval->Approved.size() + step.Approval->Denied.size();
   std::vector<Candidate> found;
-  if (fitting.size() < MaxLongQueryWorkers)
+  if (known >= members.size())
     return found;
-  const std::size_t begin = tieBreakHash(step.Key, WorkerId()) % fitting.size();
-  for (std::size_t i = 0;
-       i < fitting.size() && found.size() < MaxLongQueryWorkers; ++i) {
-    const NodeIndex it = fitting[(begin + i) % fitting.size()];
-    if (isCandidate(step, it, ApprovalState::Unknown) &&
-        fitCount(step, Workers[it].Free) == most)
-      found.push_back({most, i, it});
+  for (const NodeIndex it : nodesToQuery(step) | std::views::reverse) {
+    if (found.size() >= SearchedMultiple * most)
+      break;
+    if (isCandidate(step, it, ApprovalState::Unknown))
+      found.push_back(candidate(step, it));
   }
+  // Reserved workers may become free for this step later.
+  if (lengthOf(*step.Queue->Approval) == QueryLength::Long &&
+      found.size() < most)
+    for (const NodeIndex it : members)
+      if (Workers[it].IsReserved &&
+          isCandidate(step, it, ApprovalState::Unknown))
+        found.push_back(candidate(step, it));
+  const auto kept = std::min(found.size(), most);
+  std::ranges::partial_sort(found,
+                            found.begin() + static_cast<std::ptrdiff_t>(kept),
+                            std::greater<>(), [](const Candidate &it) {
+                              return std::tuple(it.Fit, it.TieBreak, it.Node);
+                            });
+  found.resize(kept);
   return found;
 }
 
 Pass::NodeSpan Pass::nodesToQuery(const ReadyStep &step) const {
   return lengthOf(*step.Queue->Approval) == QueryLength::Short
              ? nodesToSearch(step)
-             : Workers.members(step.Queue->Pool);
+             : Workers.byFreeCpu(step.Queue->Pool);
+}
+
+Pass::Candidate Pass::candidate(const ReadyStep &step, NodeIndex index) {
+  return {fitCount(step, Workers[index].Free),
+          tieBreakHash(step.Key, Workers[index].Worker->Id), index};
 }
 
 bool Pass::isCandidate(const ReadyStep &step, NodeIndex index,
                        ApprovalState state) {
   ++Plan.Examined;
-  const ApprovalState current =
-      step.Approval == nullptr
-          ? ApprovalState::Unknown
-          : step.Approval->stateOf(Workers[index].Worker->Id, Input.Now);
-  return current == state && isQueryable(step, index);
-}
-
-void Pass::addToQuery(const ReadyStep &step, ApprovalState state, double rate,
-                      double &needed, jobs::ApprovalQuery &query) {
-  for (const Candidate &it : candidates(step, state)) {
-    const bool isEnough =
-        needed <= 0 && (state == ApprovalState::Expired ||
-                        query.Workers.size() >= MinQueryWorkers);
-    if (isEnough || query.Workers.size() >= MaxQueryWorkers)
-      return;
-    query.Workers.push_back(Workers[it.Node].Worker->Id);
-    needed -=
-        rate * std::max(static_cast<double>(it.Fit), ExpectedTasksOnFullWorker);
-  }
+  const WorkerId &worker = Workers[index].Worker->Id;
+  const ApprovalState current = step.Approval == nullptr
+                                    ? ApprovalState::Unknown
+                                    : step.Approval->stateOf(worker, Input.Now);
+  const bool isPending =
+      step.Approval != nullptr && step.Approval->Pending.contains(worker);
+  return current == state && !isPending && isQueryable(step, index);
+}
+
+int64_t Pass::fitIdle(const ReadyStep &step, NodeIndex index) const {
+  return fitCount(step, Workers[index].Worker->Capacity);
 }
 
 std::size_t Pass::tieBreakHash(const jobs::StepKey &step,
--- a/jujube/dispatch/pass_capacity.cc
+++ b/jujube/dispatch/pass_capacity.cc
@@ -68,9 +68,7 @@
 std::vector<NodeIndex> Pass::reservableNodes(const ReadyStep &step) {
   std::vector<NodeIndex> nodes;
   if (step.Queue->Approval) {
-    for (const NodeIndex it : nodesWithVerdict(step))
-      if (step.Approval->Workers.at(Workers[it].Worker->Id).IsApproved)
-        nodes.push_back(it);
+    nodes = approvedNodes(step);
   } else {
     const NodeSpan all = Workers.members(step.Queue->Pool);
     Plan.Examined += all.size();
--- a/jujube/dispatch/pass_picks.cc
+++ b/jujube/dispatch/pass_picks.cc
@@ -17,8 +17,8 @@
     return {searched.begin(), searched.end()};
   if (step.Approval == nullptr)
     return {};
-  if (step.Approval->Workers.size() < searched.size())
-    return approvedNodes(step);
+  if (step.Approval->Approved.size() < searched.size())
+    return nodesWithTicket(step);
   std::vector<NodeIndex> nodes;
   Plan.Examined += searched.size();
   std::ranges::copy_if(searched, std::back_inserter(nodes), [&](NodeIndex it) {
@@ -28,12 +28,12 @@
   return nodes;
 }
 
-std::vector<NodeIndex> Pass::approvedNodes(const ReadyStep &step) {
-  std::vector<NodeIndex> nodes;
-  for (const NodeIndex it : nodesWithVerdict(step))
-    if (step.Approval->stateOf(Workers[it].Worker->Id, Input.Now) ==
-        ApprovalState::Valid)
-      nodes.push_back(it);
+std::vector<NodeIndex> Pass::nodesWithTicket(const ReadyStep &step) {
+  std::vector<NodeIndex> nodes = approvedNodes(step);
+  std::erase_if(nodes, [&](NodeIndex it) {
+    return step.Approval->stateOf(Workers[it].Worker->Id, Input.Now) !=
+           ApprovalState::Valid;
+  });
   std::ranges::sort(nodes, {}, [this](NodeIndex it) {
     return std::pair(Workers[it].Free.MilliCpu, it);
   });
--- a/jujube/dispatch/servable.cc
+++ b/jujube/dispatch/servable.cc
@@ -8,9 +8,11 @@
 namespace jujube::dispatch {
 namespace {
 
-// Size limits of a job: a snapshot has to hold thousands of jobs.
+// Size limits of a job: a snapshot has to hold thousands of jobs. A job may use
+// a task on each worker of the largest fleet in each occurrence.
 constexpr std::size_t MaxSteps = 64;
-constexpr uint32_t MaxTasks = 4096;
+constexpr uint64_t MaxTasksPerOccurrence = 4096;
+constexpr uint64_t MaxTasks = 65'536;
 
 } // namespace
 
@@ -35,8 +37,11 @@
       return impossible(absl::StrCat("step ", i, " waits for a later step"),
                         "let steps wait for earlier steps only");
   }
-  if (tasks * std::max<uint32_t>(spec.Occurrences, 1) > MaxTasks)
+  if (tasks > MaxTasksPerOccurrence)
     return impossible("the job has more than 4096 tasks", "split the job");
+  if (tasks * std::max<uint32_t>(spec.Occurrences, 1) > MaxTasks)
+    return impossible("the job has more than 65536 tasks in all occurrences",
+                      "submit it with fewer occurrences");
   return Ok{};
 }
 
--- a/testing/dispatch_load.cc
+++ b/testing/dispatch_load.cc
@@ -1,6 +1,8 @@
 #include "testing/dispatch_load.h"
 
 #include <algorithm>
+#include <functional>
+#include <span>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -14,15 +16,14 @@
 // The same as on the leader.
 constexpr Duration ShortPatience = Duration::millis(100);
 constexpr Duration LongPatience = Duration::millis(150);
-constexpr int Helpers = 9;
 // Time to transfer and store the report of a task's end.
 constexpr Duration EndDelay = Duration::millis(20);
 constexpr Duration TicketValidity = Duration::millis(1500);
 
 class LoadWorld {
 public:
-  LoadWorld(const std::vector<LoadKind> &kinds, int workers, int64_t milliCpu)
-      : Kinds(kinds) {
+  LoadWorld(const std::vector<LoadKind> &kinds, const LoadFleet &fleet)
+      : Kinds(kinds), Fleet(fleet) {
     jobs::Configuration config;
     config.Version = 1;
     config.Pools = {{SamplePool}};
@@ -38,14 +39,14 @@
       config.Queues.push_back(queue);
     }
     Book.apply(jobs::ConfigurationPut{config});
-    for (int i = 0; i < workers; ++i)
-      Book.apply(
-          jobs::WorkerChanged{sampleWorker(absl::StrCat("w", i), milliCpu)});
+    for (int i = 0; i < Fleet.Workers; ++i)
+      Book.apply(jobs::WorkerChanged{
+          sampleWorker(absl::StrCat("w", i), Fleet.MilliCpu)});
   }
 
   void run(Duration span) {
     for (; Now < Instant() + span; Now = Now + Turn) {
-      for (int i = 0; i < Helpers; ++i)
+      for (int i = 0; i < Fleet.Helpers; ++i)
         Roster.recordReport(HostId(absl::StrCat("h", i)), {"10.1.0.1", 1}, Now);
       submitDue();
       endDue();
@@ -55,28 +56,13 @@
   }
 
   std::map<std::string, LoadResult> results(Instant counted) const {
+    std::map<std::string, std::vector<const Entry *>> jobs;
+    for (const auto &[id, entry] : Entries)
+      if (entry.SubmittedAt < counted)
+        jobs[entry.Kind->Queue].push_back(&entry);
     std::map<std::string, LoadResult> results;
-    std::map<std::string, Duration> waits;
-    for (const auto &[id, entry] : Entries) {
-      if (entry.SubmittedAt >= counted)
-        continue;
-      LoadResult &result = results[entry.Kind->Queue];
-      ++result.Jobs;
-      if (entry.StartedTasks < entry.Tasks)
-        continue;
-      ++result.Started;
-      waits[entry.Kind->Queue] =
-          waits[entry.Kind->Queue] + (entry.LastStart - entry.SubmittedAt);
-      const auto run = static_cast<double>(entry.Kind->RunTime.millis());
-      const auto objective = Duration::millis(static_cast<int64_t>(
-                                 run * entry.Kind->SlackFactor)) +
-                             entry.Kind->LatencyTarget;
-      const Instant end = entry.LastStart + entry.Kind->RunTime + EndDelay;
-      result.WithinObjective += end - entry.SubmittedAt <= objective ? 1 : 0;
-    }
-    for (auto &[queue, result] : results)
-      if (result.Started > 0)
-        result.MeanWait = waits[queue] / result.Started;
+    for (auto &[queue, entries] : jobs)
+      results[queue] = resultOf(entries);
     return results;
   }
 
@@ -88,6 +74,40 @@
     uint32_t StartedTasks = 0;
     Instant LastStart;
   };
+  static bool isWithinObjective(const Entry &entry) {
+    if (entry.StartedTasks < entry.Tasks)
+      return false;
+    const auto run = static_cast<double>(entry.Kind->RunTime.millis());
+    const auto objective =
+        Duration::millis(static_cast<int64_t>(run * entry.Kind->SlackFactor)) +
+        entry.Kind->LatencyTarget;
+    const Instant end = entry.LastStart + entry.Kind->RunTime + EndDelay;
+    return end - entry.SubmittedAt <= objective;
+  }
+
+  static LoadShare shareOf(std::span<const Entry *const> entries) {
+    return {
+        static_cast<int>(entries.size()),
+        static_cast<int>(std::ranges::count_if(
+            entries, [](const Entry *it) { return isWithinObjective(*it); }))};
+  }
+
+  static LoadResult resultOf(std::vector<const Entry *> &entries) {
+    LoadResult result{shareOf(entries)};
+    Duration waits;
+    for (const Entry *it : entries)
+      if (it->StartedTasks == it->Tasks) {
+        ++result.Started;
+        waits = waits + (it->LastStart - it->SubmittedAt);
+      }
+    if (result.Started > 0)
+      result.MeanWait = waits / result.Started;
+    std::ranges::stable_sort(entries, std::greater<>(), &Entry::Tasks);
+    result.Widest =
+        shareOf(std::span(entries).first((entries.size() + 9) / 10));
+    return result;
+  }
+
   struct PendingQuery {
     jobs::ApprovalQuery Query;
     Instant Begun;
@@ -182,6 +202,7 @@
   }
 
   const std::vector<LoadKind> &Kinds;
+  LoadFleet Fleet;
   Instant Now;
   jobs::JobStateMachine Book;
   dispatch::Approvals Approved;
@@ -196,9 +217,9 @@
 } // namespace
 
 std::map<std::string, LoadResult>
-simulateLoad(const std::vector<LoadKind> &kinds, int workers, int64_t milliCpu,
+simulateLoad(const std::vector<LoadKind> &kinds, const LoadFleet &fleet,
              Duration span, Duration drain) {
-  LoadWorld world(kinds, workers, milliCpu);
+  LoadWorld world(kinds, fleet);
   world.run(span);
   return world.results(Instant() + (span - drain));
 }
--- a/testing/dispatch_load.h
+++ b/testing/dispatch_load.h
@@ -32,11 +32,24 @@
   uint64_t ApprovedPercent = 100;
 };
 
-struct LoadResult {
+// The simulated workers, all alike, and the hosts that send approval queries.
+struct LoadFleet {
+  int Workers = 48;
+  int64_t MilliCpu = 16'000;
+  int Helpers = 9;
+};
+
+// Jobs of one queue, or its widest tenth.
+struct LoadShare {
   int Jobs = 0;
-  int Started = 0;
   // Jobs that ended within their objective.
   int WithinObjective = 0;
+};
+
+struct LoadResult : LoadShare {
+  int Started = 0;
+  // The tenth of the jobs with the most tasks.
+  LoadShare Widest;
   // From the submission to the start of the last task, over started jobs.
   Duration MeanWait;
 };
@@ -44,7 +57,7 @@
 // Simulates the load for `span` and returns the result of each queue. Jobs that
 // were submitted in the last `drain` are not counted.
 std::map<std::string, LoadResult>
-simulateLoad(const std::vector<LoadKind> &kinds, int workers, int64_t milliCpu,
+simulateLoad(const std::vector<LoadKind> &kinds, const LoadFleet &fleet,
              Duration span, Duration drain);
 
 } // namespace jujube::testing
