--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -38,8 +38,7 @@
   const double count =
       static_cast<double>(span.millis()) / std::max(terms.PerWorkerMs, 0.001);
   return static_cast<std::size_t>(
-      std::clamp(count, static_cast<double>(MinQueryWorkers),
-                 static_cast<double>(MaxServiceWorkers)));
+      std::clamp(count, 0.0, static_cast<double>(MaxServiceWorkers)));
 }
 
 // Most workers that one query names. A long query names as many as take as long
@@ -50,8 +49,8 @@
     return MaxQueryWorkers;
   const Duration renewal =
       terms.Validity - TicketMargin - QueryOverhead - terms.Base;
-  return std::min(workersNamedIn(terms, terms.Base),
-                  workersNamedIn(terms, renewal));
+  return std::max(MaxQueryWorkers, std::min(workersNamedIn(terms, terms.Base),
+                                            workersNamedIn(terms, renewal)));
 }
 
 } // namespace
--- a/jujube/dispatch/servable.cc
+++ b/jujube/dispatch/servable.cc
@@ -12,7 +12,7 @@
 // a task on each worker of the largest fleet in each occurrence.
 constexpr std::size_t MaxSteps = 64;
 constexpr uint64_t MaxTasksPerOccurrence = 4096;
-constexpr uint64_t MaxTasks = 65'536;
+constexpr uint64_t MaxTasks = 16'384;
 
 } // namespace
 
@@ -40,7 +40,7 @@
   if (tasks > MaxTasksPerOccurrence)
     return impossible("the job has more than 4096 tasks", "split the job");
   if (tasks * std::max<uint32_t>(spec.Occurrences, 1) > MaxTasks)
-    return impossible("the job has more than 65536 tasks in all occurrences",
+    return impossible("the job has more than 16384 tasks in all occurrences",
                       "submit it with fewer occurrences");
   return Ok{};
 }
