--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -337,6 +337,7 @@
 // queries at the same time, so that their tickets are valid together.
 BOOST_AUTO_TEST_CASE(WideGangSendsSeveralLongQueriesAtOnce) {
   std::vector<jobs::Worker> workers;
+  workers.reserve(300);
   for (int i = 0; i < 300; ++i)
     workers.push_back(sampleWorker("w" + std::to_string(i)));
   jobs::StepSpec gang = sampleStep(80);
--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
 #include <functional>
-#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -199,11 +198,12 @@
   std::vector<Candidate> found;
   if (known >= members.size())
     return found;
-  for (const NodeIndex it : nodesToQuery(step) | std::views::reverse) {
+  const NodeSpan searched = nodesToQuery(step);
+  for (auto it = searched.rbegin(); it != searched.rend(); ++it) {
     if (found.size() >= SearchedMultiple * most)
       break;
-    if (isCandidate(step, it, ApprovalState::Unknown))
-      found.push_back(candidate(step, it));
+    if (isCandidate(step, *it, ApprovalState::Unknown))
+      found.push_back(candidate(step, *it));
   }
   // Reserved workers may become free for this step later.
   if (lengthOf(*step.Queue->Approval) == QueryLength::Long &&
--- a/jujube/http/caller_test.cc
+++ b/jujube/http/caller_test.cc
@@ -137,6 +137,7 @@
 // for its disk and its peers.
 BOOST_AUTO_TEST_CASE(ConnectionsOfAllAddressesAreBounded) {
   std::vector<std::unique_ptr<Server>> servers;
+  servers.reserve(6);
   for (int i = 0; i < 6; ++i)
     servers.push_back(std::make_unique<Server>([](const RawRequest &exchange) {
       return RawResponse{200, exchange.Body};
