--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -199,12 +199,10 @@
   if (known >= members.size())
     return found;
   const NodeSpan searched = nodesToQuery(step);
-  for (auto it = searched.rbegin(); it != searched.rend(); ++it) {
-    if (found.size() >= SearchedMultiple * most)
-      break;
-    if (isCandidate(step, *it, ApprovalState::Unknown))
-      found.push_back(candidate(step, *it));
-  }
+  for (std::size_t i = searched.size();
+       i > 0 && found.size() < SearchedMultiple * most; --i)
+    if (isCandidate(step, searched[i - 1], ApprovalState::Unknown))
+      found.push_back(candidate(step, searched[i - 1]));
   // Reserved workers may become free for this step later.
   if (lengthOf(*step.Queue->Approval) == QueryLength::Long &&
       found.size() < most)
