--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -52,6 +52,12 @@
                                             workersNamedIn(terms, renewal)));
 }
 
+// Most short or medium queries of one step in a plan, if the plan may add
+// `free`: where few hosts send queries, one step must not occupy them all.
+std::size_t maxQueriesOfStep(std::size_t free) {
+  return std::max<std::size_t>(1, free / 4);
+}
+
 } // namespace
 
 void Pass::queryApproval(const ReadyStep &step, int64_t tasks) {
@@ -70,9 +76,11 @@
     return;
   if (length == QueryLength::Short && !hasCapacityAnywhere(step))
     return;
-  const std::vector<NodeIndex> named =
+  std::vector<NodeIndex> named =
       isLong ? nodesForLongQueries(step) : nodesForQuery(step, tasks);
   const std::size_t size = maxWorkersOf(*step.Queue->Approval);
+  if (!isLong)
+    named.resize(std::min(named.size(), size * maxQueriesOfStep(most)));
   for (std::size_t i = 0; i < named.size() && used < most; i += size, ++used) {
     jobs::ApprovalQuery query{step.Key};
     for (std::size_t k = i; k < std::min(i + size, named.size()); ++k)
