--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -73,6 +73,8 @@
         self.popen = None
 
     def start(self):
+        if self.cell.has_ended:
+            return
         log = open(os.path.join(self.cell.folder, self.name + ".log"), "ab")
         environment = {name: os.environ[name] for name in
                        ("PATH", "HOME", "LANG") if name in os.environ}
@@ -106,18 +108,24 @@
         self.runners = []
         self.version = 0
         self._shown = {}
+        self.has_ended = False
         # A network of its own, so that addresses are free.
         self.network = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
         self._ports = self._free_ports(5)
 
     def _free_ports(self, count):
-        """Ports that are free on all addresses."""
+        """Ports that are free on the loopback addresses of the processes."""
         sockets = []
+        ports = []
         for _ in range(count):
-            it = socket.socket()
-            it.bind(("0.0.0.0", 0))
-            sockets.append(it)
-        ports = [it.getsockname()[1] for it in sockets]
+            first = socket.socket()
+            first.bind((f"{self.network}.1", 0))
+            ports.append(first.getsockname()[1])
+            sockets.append(first)
+            for number in (2, 3, 11):
+                it = socket.socket()
+                it.bind((f"{self.network}.{number}", ports[-1]))
+                sockets.append(it)
         for it in sockets:
             it.close()
         return ports
@@ -170,6 +178,7 @@
             process.start()
 
     def end(self):
+        self.has_ended = True
         for process in [*self.cores.values(), *self.fronts.values()]:
             process.end()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -224,6 +233,8 @@
         while self.record.now() < deadline:
             node = self.controls[k % len(self.controls)]
             k += 1
+            self.record.note(f"operator: PUT /config to {node}: "
+                             f"{json.dumps(config)}")
             answer = await call(node, "PUT", "/config", config)
             if answer and answer.status == 200:
                 names = [it["name"] for it in config["routes"]]
@@ -246,10 +257,10 @@
     async def submit(self, spec, steps, prefix=PREFIX):
         """Hands in a job; returns its id once it is accepted."""
         job = f"{random.getrandbits(64):016x}"
+        body = {"spec": json.dumps(spec), "phases": steps}
         for _ in range(5):
-            answer = await self.client_call(
-                "POST", prefix + job,
-                {"spec": json.dumps(spec), "phases": steps})
+            self.record.note(f"client: POST {prefix}{job}: {json.dumps(body)}")
+            answer = await self.client_call("POST", prefix + job, body)
             status = answer.status if answer else None
             self.record.note(f"client: POST {job} answered {status}")
             if status == 200:
@@ -308,7 +319,10 @@
     rule was broken, and exits with the code that the script promises."""
     cell = Cell(folder_of_case)
 
+    lock = threading.Lock()
+
     def finish(code, verdict):
+        lock.acquire()
         cell.record.note(verdict)
         print(verdict, flush=True)
         cell.end()
--- a/review/lib/ledger.py
+++ b/review/lib/ledger.py
@@ -9,6 +9,7 @@
         self.live = {}       # task -> {(runner, attempt)}
         self.starts = []     # (time, runner, task, attempt)
         self.done = {}       # task -> (time, runner, born, number)
+        self.failures = {}   # task -> number of runs that ended failed
         self.cursors = {}    # (runner, born) -> highest ackCursor
         self.overlaps = []   # (time, task, runs)
 
@@ -26,6 +27,8 @@
         self.live.get(task, set()).discard((runner, attempt))
         self._record.note(f"run of {task} attempt {attempt} ends on {runner}: "
                           f"{how} (end {number})")
+        if how == "failed":
+            self.failures[task] = self.failures.get(task, 0) + 1
         if how == "done":
             self.done.setdefault(task, (self._record.now(), runner, born,
                                         number))
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -16,6 +16,7 @@
 TERMINATION_S = 0.05
 LISTED_ENDS = 500
 BEAT_S = 1.5
+BACKOFF_S = 0.2
 
 
 class Run:
@@ -138,10 +139,10 @@
 
     async def leave(self, nodes):
         """Sends its DELETE to the nodes in turn, and ends."""
-        for node in nodes:
+        for k, node in enumerate(nodes):
+            await asyncio.sleep(k * BACKOFF_S)
             self._log(f"sends DELETE to {node}")
-            answer = await call(node, "DELETE", f"/instances/{self.name}",
-                                {"born": self.born})
+            answer = await call(node, "DELETE", f"/instances/{self.name}")
             self._log(f"DELETE answered: {answer.status if answer else None}")
             if answer and answer.status == 200:
                 break
@@ -189,10 +190,12 @@
         if body.get("fencingToken", 0) < self.fence:
             return self._refuse("fence")
         self.fence = body.get("fencingToken", 0)
-        if request.path == "/run-start":
-            return self._start_run(body)
-        if request.path == "/run-stop":
-            return self._stop_run(body)
+        if request.path in ("/run-start", "/run-stop"):
+            result = self._start_run(body) if request.path == "/run-start" \
+                else self._stop_run(body)
+            self._log(f"gets {request.path} {json.dumps(body)}, answers "
+                      f"{result[0]} {json.dumps(result[1])}")
+            return result
         if request.path == "/hold":
             return await self._hold(body)
         if request.path == "/pace":
