review: case 1 says no more than was seen

Cause: the claim said that the runner gets no work any more, which was not measured. Change: the claim and the premises of the script.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-from cell import CAPACITY, is_trouble, main, step  # noqa: E402
+from cell import CAPACITY, CannotRun, is_trouble, main, step  # noqa: E402
 from wire import call  # noqa: E402
 
 RUNNERS = 8
@@ -28,15 +28,20 @@
     cell.record.zero()
     job = await cell.submit({"ms": TASK_MS}, [step(TASKS)])
     await asyncio.sleep(1.0)
-    busy = next(it for it in cell.runners if it.runs)
+    busy = next((it for it in cell.runners if it.runs), None)
+    if busy is None:
+        raise CannotRun("no runner has begun a task")
     if is_trouble():
         answer = await call(cell.controls[0], "PUT", "/instances/x-another",
                             foreign_beat(busy.address, busy.zone))
+        if answer is None:
+            raise CannotRun("the heartbeat got no answer")
         cell.record.note(f"another writer: heartbeat of x-another at "
                          f"{busy.address}, the address of {busy.name}, answered "
-                         f"{answer.status if answer else None}")
-    await cell.wait_state(job, "completed", 30)
-    # Whether the runner that was not concerned gets work again.
+                         f"{answer.status}")
+    if not await cell.wait_state(job, "completed", 30):
+        raise CannotRun("the job is not completed")
+    # For the record: whether the runner that the heartbeat named is used.
     later = await cell.submit({"ms": 500},
                               [step(RUNNERS, cpu=9000)])
     await cell.wait_state(later, "completed", 10)
