--- a/testing/control_cell.cc
+++ b/testing/control_cell.cc
@@ -109,11 +109,20 @@
 void ControlCell::serveCalls() {
   for (auto &[number, member] : Members) {
     const http::CallResults results = member.Boxes.Results;
-    for (const http::CallRequest &request : member.Boxes.Calls->drain())
-      Workers.handle(request.What,
-                     [results, id = request.Id](http::OutboundResult outcome) {
-                       (void)results->post({id, std::move(outcome)});
-                     });
+    for (const http::CallRequest &request : member.Boxes.Calls->drain()) {
+      const PlatformWorkers::Reply reply =
+          [results, id = request.Id](http::OutboundResult outcome) {
+            (void)results->post({id, std::move(outcome)});
+          };
+      const auto isCut = [&, from = number](const auto &cut) {
+        return cut.first == from &&
+               Workers.addressOf(cut.second) == request.What.To;
+      };
+      if (std::ranges::any_of(CutWorkers, isCut))
+        Workers.lose(request.What, reply);
+      else
+        Workers.handle(request.What, reply);
+    }
   }
   Workers.tick();
 }
--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -6,7 +6,9 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jujube/control/control_task.h"
@@ -77,6 +79,12 @@
   // Starts a member again; with an empty disk if `isWiped`.
   void restart(int member, bool isWiped = false);
   void cutOff(int member);
+  // Loses all calls of a member to a worker.
+  void cutWorker(int member, const std::string &worker) {
+    CutWorkers.emplace(member, worker);
+  }
+  // Loses no calls to workers any more.
+  void healWorkers() { CutWorkers.clear(); }
   // From now on, members are busy for as long as their work costs.
   void setCosts(const WorkCosts &costs) { Costs = costs; }
 
@@ -100,6 +108,7 @@
   FakeWire Wire;
   PlatformWorkers Workers;
   std::map<int, Member> Members;
+  std::set<std::pair<int, std::string>> CutWorkers;
   WorkCosts Costs = {};
 };
 
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -13,8 +13,6 @@
 
 using Json = nlohmann::json;
 
-// Workers' clocks have a different origin from the test's clock.
-constexpr int64_t ClockOffset = 400'000;
 constexpr int64_t LongestLease = 10'000;
 // Resources that one task of the tests' jobs needs.
 constexpr Resources TaskAsk{1000, 100, 0};
@@ -36,6 +34,7 @@
 
 void PlatformWorkers::add(const std::string &id, Resources capacity) {
   Workers[id].Capacity = capacity;
+  Workers[id].Name = id;
 }
 
 Address PlatformWorkers::addressOf(const std::string &id) const {
@@ -43,21 +42,26 @@
   return {absl::StrCat(Network, ".", number / 256, ".", number % 256), Port};
 }
 
-int64_t PlatformWorkers::clockOf(const Worker &) const {
-  return Time.now().millis() + ClockOffset;
+int64_t PlatformWorkers::clockOf(const Worker &worker) const {
+  return worker.ClockBase +
+         (Time.now() - worker.RateSince).millis() * worker.ClockRate / 1000;
+}
+
+int64_t PlatformWorkers::shownClockOf(const Worker &worker) const {
+  return clockOf(worker) - worker.AnswerAge.millis();
 }
 
 jobs::Announcement PlatformWorkers::announcement(const std::string &id) {
   Worker &worker = Workers.at(id);
   jobs::Announcement what;
-  what.AnnouncedWorker.Id = WorkerId(id);
+  what.AnnouncedWorker.Id = WorkerId(worker.Name);
   what.AnnouncedWorker.WorkerIncarnation = Incarnation{worker.Born};
   what.AnnouncedWorker.Pool = jobs::PoolId("desk");
   what.AnnouncedWorker.At = addressOf(id);
   what.AnnouncedWorker.Capacity = worker.Capacity;
   what.AnnouncedWorker.IsDraining = worker.IsDraining;
   what.Sequence = ++worker.Sequence;
-  what.WorkerClock = Instant::fromMillis(clockOf(worker));
+  what.WorkerClock = Instant::fromMillis(shownClockOf(worker));
   return what;
 }
 
@@ -68,10 +72,7 @@
   if (worker.IsSilent || (isOrder && worker.Delay > Duration())) {
     if (!worker.IsSilent)
       worker.Orders.push_back({Time.now() + worker.Delay, call});
-    worker.Holds.push_back(
-        {Time.now() + call.Timeout, [reply](auto) {
-           reply(Error{ErrorKind::OutcomeUnknown, "no answer", "none"});
-         }});
+    lose(call, reply);
     return;
   }
   const http::OutboundResponse answer = execute(worker, call);
@@ -82,8 +83,21 @@
     reply(answer);
 }
 
+void PlatformWorkers::lose(const http::OutboundCall &call, const Reply &reply) {
+  Workers.at(idAt(call.To))
+      .Holds.push_back(
+          {Time.now() + call.Timeout, [reply](auto) {
+             reply(Error{ErrorKind::OutcomeUnknown, "no answer", "none"});
+           }});
+}
+
 http::OutboundResponse
 PlatformWorkers::execute(Worker &worker, const http::OutboundCall &call) {
+  const auto expected =
+      std::ranges::find(call.Headers, "Jujubedyke-Expected-Instance",
+                        &std::pair<std::string, std::string>::first);
+  if (expected != call.Headers.end() && expected->second != worker.Name)
+    return {421, Json{{"clockMs", shownClockOf(worker)}}.dump()};
   const Json body = Json::parse(call.Body);
   const uint64_t fence = body.value("fencingToken", uint64_t{0});
   if (fence < worker.Fence)
@@ -102,7 +116,7 @@
     const auto it = worker.Tasks.find(body["task"]);
     if (it != worker.Tasks.end())
       it->second.Percent = body["percent"];
-    return {200, Json{{"clockMs", clockOf(worker)}}.dump()};
+    return {200, Json{{"clockMs", shownClockOf(worker)}}.dump()};
   }
   acknowledge(worker, body.value("ackCursor", uint64_t{0}));
   return {200, lists(worker)};
@@ -114,7 +128,8 @@
   const std::string task = body["task"];
   const uint32_t attempt = body["attempt"];
   const std::string spec = body["spec"];
-  http::OutboundResponse done{200, Json{{"clockMs", clockOf(worker)}}.dump()};
+  http::OutboundResponse done{200,
+                              Json{{"clockMs", shownClockOf(worker)}}.dump()};
   if (body["expiresMs"].get<int64_t>() <= clockOf(worker))
     return refused("late");
   const auto running = worker.Tasks.find(task);
@@ -150,7 +165,7 @@
   const auto it = worker.Tasks.find(task);
   if (it != worker.Tasks.end() && it->second.Attempt == attempt)
     end(worker, task, "stopped");
-  return {200, Json{{"clockMs", clockOf(worker)}}.dump()};
+  return {200, Json{{"clockMs", shownClockOf(worker)}}.dump()};
 }
 
 int64_t PlatformWorkers::tailOn(const Worker &worker) const {
@@ -167,7 +182,7 @@
   Json finished = Json::array();
   for (const Ended &it : worker.Ends)
     finished.push_back({it.Number, it.Task, it.Attempt, it.How, ""});
-  return Json{{"clockMs", clockOf(worker)},
+  return Json{{"clockMs", shownClockOf(worker)},
               {"born", worker.Born},
               {"running", running},
               {"finished", finished}}
@@ -227,10 +242,23 @@
   worker.LastEnd = 0;
   worker.Fence = 0;
   worker.Sequence = 0;
+  worker.IsDraining = false;
   worker.Expires = Instant();
   ++worker.Born;
 }
 
+void PlatformWorkers::setClockRate(const std::string &id, int64_t perMille) {
+  Worker &worker = Workers.at(id);
+  worker.ClockBase = clockOf(worker);
+  worker.RateSince = Time.now();
+  worker.ClockRate = perMille;
+}
+
+void PlatformWorkers::replace(const std::string &id, const std::string &name) {
+  restart(id);
+  Workers.at(id).Name = name;
+}
+
 int PlatformWorkers::shareOf(const std::string &task) const {
   for (const auto &[id, worker] : Workers)
     if (const auto it = worker.Tasks.find(task); it != worker.Tasks.end())
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -34,6 +34,8 @@
 
   // Handles a call; `reply` is called at once or from a later tick().
   void handle(const http::OutboundCall &call, const Reply &reply);
+  // Loses a call on its way: the caller waits for its timeout.
+  void lose(const http::OutboundCall &call, const Reply &reply);
   // Ends due tasks, expires leases and answers waiting calls.
   void tick();
 
@@ -44,6 +46,15 @@
   void delayOrders(const std::string &id, Duration span);
   // Ends all running tasks and restarts the worker under the same id.
   void restart(const std::string &id);
+  // Ends all running tasks; a worker with another name starts at the address.
+  void replace(const std::string &id, const std::string &name);
+  // From now on, the worker's clock advances by this many thousandths of real
+  // time.
+  void setClockRate(const std::string &id, int64_t perMille);
+  // From now on, what the worker says of its clock is this old on arrival.
+  void setAnswerAge(const std::string &id, Duration age) {
+    Workers.at(id).AnswerAge = age;
+  }
   void setDraining(const std::string &id) { Workers.at(id).IsDraining = true; }
 
   // Every task that starts on the worker from now on fails after 50 ms.
@@ -52,6 +63,10 @@
   // Number of executed starts, by task.
   const std::map<std::string, int> &starts() const { return Starts; }
   std::size_t running() const;
+  // Number of tasks that run on one worker.
+  std::size_t runningOn(const std::string &id) const {
+    return Workers.at(id).Tasks.size();
+  }
   // The share of full speed that a running task was last assigned; -1 if the
   // task does not run.
   int shareOf(const std::string &task) const;
@@ -60,6 +75,8 @@
   const std::vector<std::string> &violations() const { return Violations; }
 
 private:
+  static constexpr int64_t ClockOffset = 400'000;
+
   struct RunningTask {
     uint32_t Attempt = 0;
     Instant Began;
@@ -83,7 +100,15 @@
     http::OutboundCall Call;
   };
   struct Worker {
+    // The id that it announces, and that callers must expect.
+    std::string Name;
     Resources Capacity;
+    // The worker's clock showed ClockBase at RateSince, and has since advanced
+    // by ClockRate thousandths of real time. Its origin is not the test's.
+    int64_t ClockBase = ClockOffset;
+    Instant RateSince;
+    int64_t ClockRate = 1000;
+    Duration AnswerAge;
     uint64_t Born = 1;
     uint64_t Sequence = 0;
     uint64_t Fence = 0;
@@ -114,6 +139,7 @@
   void end(Worker &worker, const std::string &task, const std::string &how);
   void acknowledge(Worker &worker, uint64_t upTo);
   int64_t clockOf(const Worker &worker) const;
+  int64_t shownClockOf(const Worker &worker) const;
 
   Clock Time;
   std::string Network;
