control: an announcement does not end runs of other workers

Cause: AnnounceWorker took the claim of an address for proof that the older worker there had ended, and stored WorkerGone. Now an announcement ends nothing. One for an unconfigured pool, or one that moves a running incarnation, is ignored; workers that claim the same address get no leases and no tasks until they answer an order. A 421 from the address still ends the attempts of the worker that has left it.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -177,26 +177,13 @@
     done(reply());
     return;
   }
-  const bool hasDeparted = Book.hasDeparted(
-      what.AnnouncedWorker.Id, what.AnnouncedWorker.WorkerIncarnation);
-  const bool isOld =
-      held != nullptr &&
-      (what.AnnouncedWorker.WorkerIncarnation < held->WorkerIncarnation ||
-       Sessions->isStale(what));
-  // An address belongs to the worker that started last. Remove older workers at
-  // this address, and ignore the announcement if a newer worker has the
-  // address.
-  std::vector<jobs::Event> events;
-  bool isReplaced = false;
-  for (const auto &[id, other] : Book.workers()) {
-    if (id == what.AnnouncedWorker.Id || other.At != what.AnnouncedWorker.At)
-      continue;
-    if (other.WorkerIncarnation < what.AnnouncedWorker.WorkerIncarnation)
-      events.emplace_back(jobs::WorkerGone{id, other.WorkerIncarnation});
-    else
-      isReplaced = true;
-  }
-  if (hasDeparted || isOld || isReplaced) {
+  if (const auto cause = reasonToIgnore(what, held)) {
+    Line(Event::AnnouncementIgnored)
+        .with("worker", what.AnnouncedWorker.Id)
+        .with("life", what.AnnouncedWorker.WorkerIncarnation)
+        .with("pool", what.AnnouncedWorker.Pool)
+        .with("at", what.AnnouncedWorker.At)
+        .with("cause", nameIn(IgnoredAnnouncementNames, *cause));
     done(reply());
     return;
   }
@@ -206,12 +193,53 @@
       .with("pool", what.AnnouncedWorker.Pool)
       .with("draining", what.AnnouncedWorker.IsDraining)
       .with("known", held != nullptr);
-  events.emplace_back(jobs::WorkerChanged{what.AnnouncedWorker});
-  storeAndReply(std::move(events), done, [this, what, reply] {
-    if (Sessions != nullptr)
-      Sessions->noteAnnouncement(what);
-    return reply();
-  });
+  storeAndReply({jobs::WorkerChanged{what.AnnouncedWorker}}, done,
+                [this, what, reply] {
+                  if (Sessions != nullptr) {
+                    Sessions->noteAnnouncement(what);
+                    verifyWorkersAt(what.AnnouncedWorker.At);
+                  }
+                  return reply();
+                });
+}
+
+std::optional<IgnoredAnnouncement>
+ControlTask::reasonToIgnore(const jobs::Announcement &what,
+                            const jobs::Worker *held) const {
+  const jobs::Worker &worker = what.AnnouncedWorker;
+  if (Book.hasDeparted(worker.Id, worker.WorkerIncarnation))
+    return IgnoredAnnouncement::Departed;
+  if (held != nullptr && (worker.WorkerIncarnation < held->WorkerIncarnation ||
+                          Sessions->isStale(what)))
+    return IgnoredAnnouncement::Stale;
+  const bool isSameLife =
+      held != nullptr && worker.WorkerIncarnation == held->WorkerIncarnation;
+  if (isSameLife && (worker.At != held->At || worker.Pool != held->Pool))
+    return IgnoredAnnouncement::OtherIdentity;
+  // A pool may leave the configuration while its workers still drain.
+  if (!isSameLife &&
+      jobs::findPool(Book.configuration(), worker.Pool) == nullptr)
+    return IgnoredAnnouncement::UnknownPool;
+  // A late announcement of a worker whose address a newer one has.
+  if (held == nullptr &&
+      std::ranges::any_of(Book.workers(), [&](const auto &it) {
+        return it.second.At == worker.At &&
+               it.second.WorkerIncarnation > worker.WorkerIncarnation;
+      }))
+    return IgnoredAnnouncement::AddressTaken;
+  return std::nullopt;
+}
+
+// An announcement does not tell which of several workers has the address. They
+// get no tasks until they answer.
+void ControlTask::verifyWorkersAt(const Address &at) {
+  std::vector<WorkerId> claimants;
+  for (const auto &[id, worker] : Book.workers())
+    if (worker.At == at)
+      claimants.push_back(id);
+  if (claimants.size() > 1)
+    for (const WorkerId &id : claimants)
+      Sessions->verify(id);
 }
 
 void ControlTask::run(const jobs::WithdrawWorker &command, const Answer &done) {
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -46,6 +46,30 @@
       std::make_shared<runtime::SignalEvent>();
 };
 
+// Why an announcement changes nothing.
+enum class IgnoredAnnouncement {
+  // The worker has drained and was removed.
+  Departed,
+  // A later announcement or a later incarnation is known.
+  Stale,
+  // The incarnation is registered with another address or pool, which it keeps
+  // for as long as it runs.
+  OtherIdentity,
+  // The configuration has no such pool.
+  UnknownPool,
+  // A newer worker is registered at the address.
+  AddressTaken,
+};
+
+inline constexpr NameTable<IgnoredAnnouncement, 5> IgnoredAnnouncementNames = {{
+    {IgnoredAnnouncement::Departed, "departed"},
+    {IgnoredAnnouncement::Stale, "stale"},
+    {IgnoredAnnouncement::OtherIdentity, "other_identity"},
+    {IgnoredAnnouncement::UnknownPool, "unknown_pool"},
+    {IgnoredAnnouncement::AddressTaken, "address_taken"},
+}};
+static_assert(isComplete(IgnoredAnnouncementNames));
+
 // The state of the control task. Used only on the thread of that task.
 class ControlTask {
 public:
@@ -108,6 +132,12 @@
   Result<Admitted> admit(const jobs::Caller &caller) const;
   Result<const jobs::Job *> findJob(const jobs::Caller &caller,
                                     const jobs::JobId &id) const;
+  // Returns why an announcement is acknowledged and otherwise ignored; nullopt
+  // if it is to be stored. `held` is the registered worker of this id, or null.
+  std::optional<IgnoredAnnouncement>
+  reasonToIgnore(const jobs::Announcement &what,
+                 const jobs::Worker *held) const;
+  void verifyWorkersAt(const Address &at);
 
   // Adds events to the batch of this turn; `done` is told whether they were
   // stored.
--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -94,6 +94,12 @@
   session.Clock.recordSample(announcement.WorkerClock, Callbacks.Now());
 }
 
+void WorkerSessions::verify(const WorkerId &worker) {
+  Session &session = sessionOf(worker);
+  session.IsUnverified = true;
+  session.NextLeaseOrder = Callbacks.Now();
+}
+
 void WorkerSessions::noteWorkerChanged(const WorkerId &worker) {
   const jobs::Worker *held = Book.findWorker(worker);
   const auto it = Sessions.find(worker);
@@ -230,8 +236,10 @@
   case OrderVerdict::Unhealthy:
     session.AvoidUntil = now + UnhealthyPause;
     break;
-  case OrderVerdict::TooLate:
   case OrderVerdict::OtherIncarnation:
+    session.IsUnverified = true;
+    break;
+  case OrderVerdict::TooLate:
   case OrderVerdict::Invalid:
     break;
   }
@@ -374,10 +382,10 @@
   }
   const bool hasUnconfirmedEnds =
       session.AckedEnds > session.ConfirmedAckedEnds;
-  // A worker that did not answer a lease order is not used until it answers
-  // one.
-  const bool isUnconfirmed =
-      session.Misses > 0 && now - session.LastHeard <= MaxSilence;
+  // A worker that did not answer a lease order, or has to be verified, is not
+  // used until it answers one.
+  const bool isUnconfirmed = (session.Misses > 0 || session.IsUnverified) &&
+                             now - session.LastHeard <= MaxSilence;
   const bool isNeeded =
       !session.Runs.empty() || hasUnconfirmedEnds || isUnconfirmed;
   if (isNeeded && !session.IsLeaseOrderPending && !session.IsStoring &&
@@ -406,8 +414,9 @@
                               Instant now) {
   return !held.IsDraining &&
          held.WorkerIncarnation == session.WorkerIncarnation &&
-         session.Misses == 0 && session.Clock.isKnown() &&
-         now >= session.AvoidUntil && now - session.LastHeard <= MaxSilence;
+         session.Misses == 0 && !session.IsUnverified &&
+         session.Clock.isKnown() && now >= session.AvoidUntil &&
+         now - session.LastHeard <= MaxSilence;
 }
 
 void WorkerSessions::noteSilent(const WorkerId &worker, Session &session) {
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -83,6 +83,9 @@
   bool isStale(const jobs::Announcement &announcement) const;
   // Handles an announcement of a worker that is already in the job state.
   void noteAnnouncement(const jobs::Announcement &announcement);
+  // Withholds leases and new tasks from a registered worker until it answers an
+  // order. Its attempts are kept: only their own evidence ends them.
+  void verify(const WorkerId &worker);
   // Handles the change or removal of a worker in the job state.
   void noteWorkerChanged(const WorkerId &worker);
 
@@ -166,6 +169,8 @@
     // was noticed.
     int Misses = 0;
     Instant SilentSince;
+    // Set by verify(), and when another worker answered at its address.
+    bool IsUnverified = false;
     uint64_t AckedEnds = 0;
     // The last value of AckedEnds that the worker has received.
     uint64_t ConfirmedAckedEnds = 0;
--- a/jujube/control/worker_sessions_lists.cc
+++ b/jujube/control/worker_sessions_lists.cc
@@ -44,9 +44,10 @@
     return;
   const Instant now = Callbacks.Now();
   dispatch::LeaseOrder order;
-  // A worker that did not answer only gets a query without a lease: renewing
-  // its leases would delay the restart of its tasks elsewhere.
-  if (session.Misses == 0)
+  // A worker that did not answer, or has to be verified, only gets a query
+  // without a lease: renewing its leases would delay the restart of its tasks
+  // elsewhere.
+  if (session.Misses == 0 && !session.IsUnverified)
     order.Expires = session.Clock.grant(now);
   order.Fence = Fence;
   order.AckedEnds = session.AckedEnds;
@@ -81,6 +82,7 @@
     const std::map<jobs::TaskKey, RunState> runs = session.Runs;
     for (const auto &[task, run] : runs)
       storeLost(task, run);
+    session.IsUnverified = true;
     session.NextLeaseOrder = now + LeaseOrderRetryPause;
     return;
   }
@@ -92,6 +94,7 @@
     return;
   }
   noteHeard(worker, session);
+  session.IsUnverified = false;
   const bool mayWait = hasWaited || WaitingOrders < MaxWaitingOrders;
   session.NextLeaseOrder = mayWait ? now : now + ShortOrderPeriod;
   if (session.WorkerIncarnation == before)
--- a/jujube/jobs/configuration.cc
+++ b/jujube/jobs/configuration.cc
@@ -18,9 +18,7 @@
   std::set<std::pair<std::string, std::string>> routes;
   std::set<QueueId> names;
   for (const Queue &queue : config.Queues) {
-    const bool hasPool = std::ranges::any_of(
-        config.Pools, [&](const Pool &it) { return it.Id == queue.Pool; });
-    if (!hasPool)
+    if (findPool(config, queue.Pool) == nullptr)
       return invalid(
           absl::StrCat("queue ", queue.Id.str(), " refers to an unknown pool"),
           "add the pool, or refer to a configured one");
@@ -91,6 +89,11 @@
   return it == config.Teams.end() ? nullptr : &*it;
 }
 
+const Pool *findPool(const Configuration &config, const PoolId &id) {
+  const auto it = std::ranges::find(config.Pools, id, &Pool::Id);
+  return it == config.Pools.end() ? nullptr : &*it;
+}
+
 const Team *teamOfKey(const Configuration &config, absl::string_view key) {
   const auto it = std::ranges::find_if(config.Teams, [&](const Team &team) {
     return std::ranges::find(team.Keys, key) != team.Keys.end();
--- a/jujube/jobs/configuration.h
+++ b/jujube/jobs/configuration.h
@@ -100,6 +100,7 @@
 // The lookups below return null for unknown ids and keys.
 const Queue *findQueue(const Configuration &config, const QueueId &id);
 const Team *findTeam(const Configuration &config, const TeamId &id);
+const Pool *findPool(const Configuration &config, const PoolId &id);
 
 // Returns the team that a key belongs to.
 const Team *teamOfKey(const Configuration &config, absl::string_view key);
--- a/jujube/logging/event.h
+++ b/jujube/logging/event.h
@@ -40,6 +40,7 @@
   ConfigurationRefused,
   // ---- Workers ----
   WorkerChanged,
+  AnnouncementIgnored,
   WorkerRestarted,
   WorkerUnreachable,
   WorkerReachable,
@@ -68,7 +69,7 @@
   FaultApplied,
 };
 
-inline constexpr NameTable<Event, 51> EventNames = {{
+inline constexpr NameTable<Event, 52> EventNames = {{
     {Event::Started, "started"},
     {Event::Stopped, "stopped"},
     {Event::TreeFailed, "gave_up"},
@@ -96,6 +97,7 @@
     {Event::ConfigurationStored, "configuration_stored"},
     {Event::ConfigurationRefused, "configuration_refused"},
     {Event::WorkerChanged, "worker_changed"},
+    {Event::AnnouncementIgnored, "announcement_ignored"},
     {Event::WorkerRestarted, "worker_restarted"},
     {Event::WorkerUnreachable, "worker_silent"},
     {Event::WorkerReachable, "worker_heard"},
@@ -144,6 +146,7 @@
 constexpr Weight weightOf(Event event) {
   switch (event) {
   case Event::WorkerChanged:
+  case Event::AnnouncementIgnored:
   case Event::InvalidReportRow:
   case Event::ApprovalAsked:
   case Event::ApprovalAnswered:
--- /dev/null
+++ b/testing/run_evidence_test.cc
@@ -0,0 +1,108 @@
+// Tests that an attempt ends only on evidence of its own: messages about a
+// worker that another writer sent, or that arrive late, do not end the attempts
+// on it.
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "testing/control_cell.h"
+#include "testing/job_samples.h"
+
+namespace jujube::testing {
+namespace {
+
+// The period in which workers announce themselves.
+constexpr Duration AnnouncePeriod = Duration::millis(1500);
+
+void checkGuarantees(ControlCell &cell) {
+  for (const std::string &violation : cell.workers().violations())
+    BOOST_TEST(false, violation);
+}
+
+int startsOf(ControlCell &cell) {
+  int n = 0;
+  for (const auto &[task, starts] : cell.workers().starts())
+    n += starts;
+  return n;
+}
+
+// An announcement of a worker that does not exist, at the address of `id`.
+jobs::AnnounceWorker foreignAnnouncement(ControlCell &cell,
+                                         const std::string &id,
+                                         const std::string &pool) {
+  jobs::Announcement what;
+  what.AnnouncedWorker = sampleWorker("x1");
+  what.AnnouncedWorker.WorkerIncarnation = Incarnation{1000};
+  what.AnnouncedWorker.Pool = jobs::PoolId(pool);
+  what.AnnouncedWorker.At = cell.workers().addressOf(id);
+  what.Sequence = 1;
+  what.WorkerClock = cell.wire().now();
+  return {what};
+}
+
+// Checks that the tasks on w1 go on and that w1 is given tasks afterwards.
+void checkAnnouncementChangesNothing(const std::string &pool) {
+  ControlCell cell({});
+  BOOST_REQUIRE(isOk(cell.submit("a", 6, 3000)));
+  cell.wire().run(Duration::millis(500));
+  BOOST_REQUIRE(cell.workers().runningOn("w1") == 2U);
+  BOOST_TEST(isOk(cell.execute(foreignAnnouncement(cell, "w1", pool))));
+  BOOST_TEST(cell.awaitState("a", "completed"));
+  BOOST_TEST(startsOf(cell) == 6);
+  BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
+  cell.wire().run(Duration::seconds(1));
+  BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+  checkGuarantees(cell);
+}
+
+BOOST_AUTO_TEST_SUITE(RunEvidenceTest)
+
+// Guards against a heartbeat of another environment that ends the runs on the
+// worker whose address it names (review/1).
+BOOST_AUTO_TEST_CASE(AnnouncementForAnUnknownPoolEndsNoRun) {
+  checkAnnouncementChangesNothing("another-pool");
+}
+
+// Guards against the same for an announcement that names a known pool.
+BOOST_AUTO_TEST_CASE(AnnouncementWithTheAddressOfASoundWorkerEndsNoRun) {
+  checkAnnouncementChangesNothing("desk");
+}
+
+// Guards against an announcement that moves a running worker to an address at
+// which another worker answers.
+BOOST_AUTO_TEST_CASE(AnnouncementThatMovesAWorkerEndsNoRun) {
+  for (Duration offset; offset < AnnouncePeriod;
+       offset = offset + Duration::millis(100)) {
+    ControlCell cell({});
+    BOOST_REQUIRE(isOk(cell.submit("a", 4, 3000)));
+    cell.wire().run(Duration::millis(300) + offset);
+    BOOST_REQUIRE(cell.workers().runningOn("w1") > 0U);
+    // Runs, but has not announced itself.
+    cell.workers().add("w4", {});
+    jobs::Announcement what = cell.workers().announcement("w1");
+    what.AnnouncedWorker.At = cell.workers().addressOf("w4");
+    BOOST_TEST(isOk(cell.execute(jobs::AnnounceWorker{what})));
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    BOOST_TEST(startsOf(cell) == 4);
+    checkGuarantees(cell);
+  }
+}
+
+// Guards against waiting for leases although another worker has answered at the
+// address, which proves that the first one has ended.
+BOOST_AUTO_TEST_CASE(WorkerAtTheAddressOfALostOneTakesItsPlace) {
+  ControlCell cell({});
+  BOOST_REQUIRE(isOk(cell.submit("a", 6, 1000)));
+  cell.wire().run(Duration::millis(300));
+  cell.workers().replace("w1", "x1");
+  BOOST_TEST(cell.awaitState("a", "completed", Duration::seconds(4)));
+  BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
+  cell.wire().run(Duration::seconds(1));
+  BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+  checkGuarantees(cell);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::testing
