control: a withdrawal ends no runs and drains no worker

Cause: the call names no incarnation, and a short silence was taken for its confirmation. Now a withdrawn worker gets neither leases nor tasks until it answers; it leaves the register only while it is idle, and its attempts end by their own evidence. WorkerGone is proposed in one place, for idle workers only.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -14,7 +14,7 @@
 using logging::Event;
 using logging::Line;
 
-// How long after its withdrawal a silent worker is removed.
+// How long after its withdrawal a silent worker is removed if it is idle.
 constexpr Duration LeavingSpan = Duration::millis(400);
 
 // The client retries at the new leader, since the proposal may still be
@@ -242,23 +242,19 @@
       Sessions->verify(id);
 }
 
+// The call does not name an incarnation and may have been delayed, so it says
+// nothing about the attempts on the worker.
 void ControlTask::run(const jobs::WithdrawWorker &command, const Answer &done) {
+  done(jobs::Reply(jobs::Stored{}));
   const jobs::Worker *held = Book.findWorker(command.Worker);
-  if (held == nullptr) {
-    done(jobs::Reply(jobs::Stored{}));
+  if (held == nullptr)
     return;
-  }
-  jobs::Worker leaving = *held;
-  leaving.IsDraining = true;
+  Sessions->verify(command.Worker);
   const Incarnation life = held->WorkerIncarnation;
-  storeAndReply({jobs::WorkerChanged{std::move(leaving)}}, done,
-                [] { return jobs::Stored{}; });
-  // A worker that still answers is not removed here; the expiry of its leases
-  // decides.
   const Instant saidAt = Loop.now();
   Loop.callAt(saidAt + LeavingSpan, [this, id = command.Worker, life, saidAt] {
-    if (Sessions != nullptr && Sessions->lastHeard(id) <= saidAt)
-      store({jobs::WorkerGone{id, life}}, [](bool) {});
+    if (isServing() && Sessions->lastHeard(id) <= saidAt)
+      removeIdleWorker(id, life);
   });
 }
 
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -189,10 +189,15 @@
 void ControlTask::dropSilentWorkers() {
   for (const auto &[id, worker] : Book.workers()) {
     const std::optional<Instant> heard = Sessions->lastHeard(id);
-    if (Book.loadOf(id).Tasks.empty() && heard &&
-        Loop.now() - *heard > DropSilentAfter)
-      store({jobs::WorkerGone{id, worker.WorkerIncarnation}}, [](bool) {});
+    if (heard && Loop.now() - *heard > DropSilentAfter)
+      removeIdleWorker(id, worker.WorkerIncarnation);
   }
 }
 
+void ControlTask::removeIdleWorker(const WorkerId &id, Incarnation life) {
+  // A start that is being stored is not part of the load yet.
+  if (!IsPlanStoring && Book.loadOf(id).Tasks.empty())
+    store({jobs::WorkerGone{id, life}}, [](bool) {});
+}
+
 } // namespace jujube::control
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -196,6 +196,9 @@
   void sweep();
   void forgetEnded();
   void dropSilentWorkers();
+  // Removes a worker from the register, unless an attempt may be running on it:
+  // its removal would end the attempt without evidence.
+  void removeIdleWorker(const WorkerId &id, Incarnation life);
 
   ControlOptions Settings;
   runtime::PollLoop &Loop;
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -42,8 +42,9 @@
 struct WorkerChanged {
   Worker Now;
 };
-// A worker is gone and runs no attempts any more. Does nothing if a later
-// incarnation has registered.
+// A worker is removed from the register. Proposed only for workers without
+// attempts; logs of earlier versions also have it for others, whose attempts it
+// ends. Does nothing if a later incarnation has registered.
 struct WorkerGone {
   WorkerId Worker;
   Incarnation WorkerIncarnation;
--- a/testing/run_evidence_test.cc
+++ b/testing/run_evidence_test.cc
@@ -13,6 +13,10 @@
 
 // The period in which workers announce themselves.
 constexpr Duration AnnouncePeriod = Duration::millis(1500);
+// Longer than a worker may delay the answer to a lease order.
+constexpr Duration LongestAnswerDelay = Duration::millis(800);
+// Longer than the leases of a cell, on the slowest clock.
+constexpr Duration LeasesOver = Duration::seconds(8);
 
 void checkGuarantees(ControlCell &cell) {
   for (const std::string &violation : cell.workers().violations())
@@ -102,6 +106,47 @@
   checkGuarantees(cell);
 }
 
+// Guards against a withdrawal of an earlier life that is carried out late and
+// ends the runs of the next life (review/2).
+BOOST_AUTO_TEST_CASE(LateWithdrawalOfAnEarlierLifeEndsNoRun) {
+  for (Duration offset; offset < LongestAnswerDelay;
+       offset = offset + Duration::millis(100)) {
+    ControlCell cell({});
+    cell.workers().setDraining("w1");
+    cell.wire().run(Duration::seconds(2));
+    BOOST_TEST(isOk(cell.execute(jobs::WithdrawWorker{WorkerId("w1")})));
+    cell.workers().restart("w1");
+    cell.wire().run(Duration::seconds(2));
+    BOOST_REQUIRE(isOk(cell.submit("a", 6, 3000)));
+    cell.wire().run(Duration::millis(300) + offset);
+    BOOST_REQUIRE(cell.workers().runningOn("w1") == 2U);
+    BOOST_TEST(isOk(cell.execute(jobs::WithdrawWorker{WorkerId("w1")})));
+    BOOST_TEST(cell.awaitState("a", "completed"));
+    BOOST_TEST(startsOf(cell) == 6);
+    // The life that runs has not said that it leaves.
+    BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
+    cell.wire().run(Duration::seconds(1));
+    BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+    checkGuarantees(cell);
+  }
+}
+
+// Guards against a withdrawal that is taken for the end of the runs of a worker
+// that is only cut off.
+BOOST_AUTO_TEST_CASE(WithdrawnWorkerThatIsCutOffKeepsItsRunsUntilLeasesEnd) {
+  ControlCell cell({});
+  BOOST_REQUIRE(isOk(cell.submit("a", 4, 60'000)));
+  cell.wire().run(Duration::millis(500));
+  BOOST_REQUIRE(cell.workers().runningOn("w1") > 0U);
+  cell.workers().setDraining("w1");
+  cell.wire().run(Duration::seconds(2));
+  cell.workers().setSilent("w1", true);
+  BOOST_TEST(isOk(cell.execute(jobs::WithdrawWorker{WorkerId("w1")})));
+  cell.wire().run(LeasesOver * 2);
+  BOOST_TEST(startsOf(cell) > 4);
+  checkGuarantees(cell);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
