jobs: a job keeps the number of attempts that it was accepted with

Cause: the limit was read from the configuration in force at the failure, and 1 was assumed for an unknown queue. Now the job keeps the limit of its queue at the acceptance.

--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -107,8 +107,10 @@
     return;
   Config = event.Value;
   Waiting.clear();
-  for (const JobId &id : Open)
+  for (const JobId &id : Open) {
+    adoptTerms(*findMutable(id));
     updateAllWaiting(*find(id));
+  }
 }
 
 void JobStateMachine::handle(const JobAccepted &event) {
@@ -119,6 +121,7 @@
   for (const StepSpec &step : event.Spec.Steps)
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
   job.Occurrences.assign(std::max<uint32_t>(event.Spec.Occurrences, 1), round);
+  adoptTerms(job);
   Open.insert(event.Spec.Id);
   ++Pending[event.Spec.Queue];
   updateAllWaiting(Jobs.emplace(event.Spec.Id, std::move(job)).first->second);
@@ -189,10 +192,14 @@
   step.DoneTasks = static_cast<uint32_t>(step.Tasks.size());
 }
 
+void JobStateMachine::adoptTerms(Job &job) const {
+  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  if (job.MaxAttempts == 0 && queue != nullptr)
+    job.MaxAttempts = queue->MaxAttempts;
+}
+
 void JobStateMachine::countFailure(Job &job, StepState &step,
                                    const TaskKey &key, uint32_t attempt) {
-  const Queue *queue = findQueue(Config, job.Spec.Queue);
-  const uint32_t most = queue != nullptr ? queue->MaxAttempts : 1;
   uint32_t failures = ++step.Tasks[key.Index].Failures;
   if (specOf(job, key).IsGang) {
     if (step.LastFailedAttempt < attempt) {
@@ -201,7 +208,7 @@
     }
     failures = step.GangFailures;
   }
-  if (failures >= most)
+  if (job.MaxAttempts != 0 && failures >= job.MaxAttempts)
     end(job, JobState::Failed);
 }
 
@@ -401,6 +408,8 @@
   for (Job &job : state.Jobs) {
     if (!isEnded(job.State))
       book.Open.insert(job.Spec.Id);
+    // Snapshots of earlier versions do not have the terms.
+    book.adoptTerms(job);
     const JobId id = job.Spec.Id;
     const Job &restored = book.Jobs.emplace(id, std::move(job)).first->second;
     if (restored.State == JobState::Queued)
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -72,6 +72,10 @@
   JobState State = JobState::Queued;
   std::vector<Occurrence> Occurrences;
   uint32_t LiveTasks = 0;
+  // Queue::MaxAttempts at the acceptance, since the queue may change or leave
+  // the configuration afterwards. 0 if it was not configured even then; the
+  // next configuration that has the queue sets it.
+  uint32_t MaxAttempts = 0;
 
   bool operator==(const Job &) const = default;
 };
@@ -164,7 +168,9 @@
   // Marks the task done; the first member of a gang that is done completes the
   // whole gang.
   void countDone(const Job &job, StepState &step, const TaskKey &key);
-  // Counts a failed attempt; fails the job after Queue::MaxAttempts.
+  // Sets Job::MaxAttempts from the configuration, unless it is set.
+  void adoptTerms(Job &job) const;
+  // Counts a failed attempt; fails the job after Job::MaxAttempts.
   void countFailure(Job &job, StepState &step, const TaskKey &key,
                     uint32_t attempt);
   void addLoad(const Job &job, const TaskKey &key, const WorkerId &worker);
--- a/jujube/jobs/job_state_machine_test.cc
+++ b/jujube/jobs/job_state_machine_test.cc
@@ -38,6 +38,64 @@
   BOOST_TEST(book.find(JobId("a"))->Spec.Steps.front().Tasks == 1U);
 }
 
+// Guards against a job that its first failed attempt ends because its queue is
+// not in the configuration at that moment (review/5).
+BOOST_AUTO_TEST_CASE(AttemptsAllowedAreThoseOfTheAcceptance) {
+  JobStateMachine book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  start(book, taskOf("a", 0), 1);
+  Configuration without = testing::sampleConfiguration(2);
+  without.Queues.clear();
+  book.apply(ConfigurationPut{without});
+  end(book, taskOf("a", 0), 1, EndKind::Failed);
+  BOOST_TEST((stateOf(book, "a") == JobState::Running));
+  BOOST_TEST(book.waiting().empty());
+  const JobSnapshot saved = book.capture();
+  for (JobStateMachine held : {book, JobStateMachine::restore(saved)}) {
+    held.apply(ConfigurationPut{testing::sampleConfiguration(3)});
+    BOOST_TEST(!held.waiting().empty());
+    start(held, taskOf("a", 0), 2);
+    held.apply(ConfigurationPut{[&] {
+      Configuration later = without;
+      later.Version = 4;
+      return later;
+    }()});
+    end(held, taskOf("a", 0), 2, EndKind::Failed);
+    BOOST_TEST((stateOf(held, "a") == JobState::Failed));
+  }
+}
+
+// Guards against a change of the configuration that fails a job by a limit
+// which it was not accepted with.
+BOOST_AUTO_TEST_CASE(LowerLimitOfALaterConfigurationDoesNotEndAnAcceptedJob) {
+  JobStateMachine book =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  Configuration later = testing::sampleConfiguration(2);
+  later.Queues[0].MaxAttempts = 1;
+  book.apply(ConfigurationPut{later});
+  start(book, taskOf("a", 0), 1);
+  end(book, taskOf("a", 0), 1, EndKind::Failed);
+  BOOST_TEST((stateOf(book, "a") == JobState::Running));
+  start(book, taskOf("a", 0), 2);
+  end(book, taskOf("a", 0), 2, EndKind::Failed);
+  BOOST_TEST((stateOf(book, "a") == JobState::Failed));
+}
+
+// Guards against a job that never ends because its queue was taken out between
+// its admission and its storage: the limit is read once the queue is back.
+BOOST_AUTO_TEST_CASE(JobStoredWithoutItsQueueTakesTheLimitOnceTheQueueIsBack) {
+  JobStateMachine book;
+  book.apply(WorkerChanged{sampleWorker("w1")});
+  book.apply(JobAccepted{sampleJob("a", {sampleStep(1)}), Instant()});
+  book.apply(ConfigurationPut{testing::sampleConfiguration()});
+  for (uint32_t attempt = 1; attempt <= 2; ++attempt) {
+    BOOST_TEST((stateOf(book, "a") != JobState::Failed));
+    start(book, taskOf("a", 0), attempt);
+    end(book, taskOf("a", 0), attempt, EndKind::Failed);
+  }
+  BOOST_TEST((stateOf(book, "a") == JobState::Failed));
+}
+
 BOOST_AUTO_TEST_CASE(StepsWaitForEarlierSteps) {
   StepSpec second = sampleStep(1);
   second.After = {0};
--- a/jujube/wire/archive.h
+++ b/jujube/wire/archive.h
@@ -116,13 +116,17 @@
   return out;
 }
 
-// Decodes a value that spans the whole input. Returns CorruptData for trailing
-// bytes, truncated input and unknown variant alternatives.
-template <typename T> Result<T> decode(absl::string_view in) {
+// Decodes a value that spans the whole input, possibly followed by values that
+// earlier versions did not write; those that are missing stay as they are.
+// Returns CorruptData for trailing bytes, truncated input and unknown variant
+// alternatives.
+template <typename T, typename... Later>
+Result<T> decodeExtended(absl::string_view in, Later &...later) {
   try {
     T value;
     BoundedReader reader(in);
     reader(value);
+    ((reader.isAtEnd() ? void() : void(reader(later))), ...);
     if (reader.isAtEnd())
       return value;
   } catch (const std::exception &e) {
@@ -135,6 +139,11 @@
                "run the same version on all hosts"};
 }
 
+// Decodes a value that spans the whole input.
+template <typename T> Result<T> decode(absl::string_view in) {
+  return decodeExtended<T>(in);
+}
+
 } // namespace jujube::wire
 
 CEREAL_REGISTER_ARCHIVE(jujube::wire::StringWriter)
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -143,6 +143,8 @@
 template <typename Archive> void serialize(Archive &ar, Job &v) {
   ar(v.Spec, v.AcceptedAt, v.State, v.Occurrences, v.LiveTasks);
 }
+// The part of a snapshot that all versions write. encodeJobSnapshot() appends
+// what later versions have added.
 template <typename Archive> void serialize(Archive &ar, JobSnapshot &v) {
   ar(v.Config, v.Jobs, v.Workers);
 }
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -1,5 +1,8 @@
 #include "jujube/wire/messages.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "jujube/wire/consensus_encoding.h"
 #include "jujube/wire/jobs_encoding.h"
 #include "jujube/wire/packed_archive.h"
@@ -167,11 +170,27 @@
   return decode<std::vector<jobs::Event>>(bytes);
 }
 
+// A snapshot is followed by the terms of its jobs, in the same order, which
+// snapshots of earlier versions lack.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
-  return encode(state);
+  std::vector<uint32_t> terms;
+  std::ranges::transform(state.Jobs, std::back_inserter(terms),
+                         &jobs::Job::MaxAttempts);
+  return encode(state) + encode(terms);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
-  return decode<jobs::JobSnapshot>(bytes);
+  std::vector<uint32_t> terms;
+  auto state = decodeExtended<jobs::JobSnapshot>(bytes, terms);
+  if (!isOk(state) || terms.empty())
+    return state;
+  std::vector<jobs::Job> &held = std::get<jobs::JobSnapshot>(state).Jobs;
+  if (terms.size() != held.size())
+    return Error{ErrorKind::CorruptData,
+                 "snapshot can't be decoded: terms and jobs differ in number",
+                 "run the same version on all hosts"};
+  for (std::size_t i = 0; i < held.size(); ++i)
+    held[i].MaxAttempts = terms[i];
+  return state;
 }
 
 } // namespace jujube::wire
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -4,6 +4,7 @@
 #include "jujube/wire/messages.h"
 #include "jujube/wire/routing_encoding.h"
 #include "jujube/wire/state_encoding.h"
+#include "testing/job_samples.h"
 
 namespace jujube::wire {
 namespace {
@@ -111,6 +112,27 @@
                                     true});
 }
 
+// Guards against a member that can't start from the snapshot on its disk, which
+// an earlier version wrote without the terms of the jobs.
+BOOST_AUTO_TEST_CASE(SnapshotOfAnEarlierVersionIsRead) {
+  const jobs::JobSnapshot state =
+      testing::sampleBook({testing::sampleWorker("w1")},
+                          {testing::sampleJob("a", {testing::sampleStep(1)})})
+          .capture();
+  const std::string now = encodeJobSnapshot(state);
+  // The terms: their number, and one number for each job.
+  const std::size_t added = sizeof(uint32_t) * (1 + state.Jobs.size());
+  const auto read = decodeJobSnapshot(now);
+  const auto earlier = decodeJobSnapshot(now.substr(0, now.size() - added));
+  BOOST_REQUIRE(isOk(read));
+  BOOST_REQUIRE(isOk(earlier));
+  BOOST_TEST((valueOf(read).Jobs == state.Jobs));
+  BOOST_TEST(valueOf(earlier).Jobs.at(0).MaxAttempts == 0U);
+  BOOST_TEST((jobs::JobStateMachine::restore(valueOf(earlier)).jobs() ==
+              jobs::JobStateMachine::restore(valueOf(read)).jobs()));
+  BOOST_TEST(!isOk(decodeJobSnapshot(now.substr(0, now.size() - 1))));
+}
+
 BOOST_AUTO_TEST_CASE(BoolThatIsNeitherZeroNorOneIsRefused) {
   BOOST_TEST(!isOk(decode<bool>("\x02")));
   BOOST_TEST(valueOf(decode<bool>("\x01")));
