control: a leader that may be deposed grants no leases

The users' record has two runs of a task, ordered by two leaders: the first had been cut off and went on renewing leases until it was deposed, 365 ms after its successor had taken over. The successor waits for leases granted before it began.

Cause: the timer of the worker sessions asked whether the member leads, not whether another leader may have been elected. Now no lease is granted and no start is sent unless the leader's own lease holds.

--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -220,6 +220,7 @@
           });
   };
   hooks.Now = [this] { return Loop.now(); };
+  hooks.MayGrant = [this] { return Group.log().mayServe(); };
   hooks.ExpireTicket = [this](const jobs::StepKey &step,
                               const WorkerId &worker) {
     Approved.expire(step, worker);
--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -166,6 +166,10 @@
                                const jobs::TaskKey &task) {
   Session &session = sessionOf(worker);
   RunState &run = session.Runs.at(task);
+  if (!Callbacks.MayGrant()) {
+    run.NextSend = Callbacks.Now();
+    return;
+  }
   const std::optional<Address> at = addressOf(worker);
   const std::optional<Instant> expires = session.Clock.grant(Callbacks.Now());
   if (!at || !expires) {
@@ -355,6 +359,8 @@
 }
 
 void WorkerSessions::tick() {
+  if (!Callbacks.MayGrant())
+    return;
   for (auto &[worker, session] : Sessions)
     tickSession(worker, session);
 }
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -62,6 +62,9 @@
                        std::function<void(bool)> done)>
         Store;
     std::function<Instant()> Now;
+    // True while no other leader can have been elected. Without it, a lease
+    // could be granted that the next leader does not wait for.
+    std::function<bool()> MayGrant = [] { return true; };
     // Called when a worker refused the ticket of a step.
     std::function<void(const jobs::StepKey &, const WorkerId &)> ExpireTicket;
     // Computes the next share of filler tasks, in percent.
@@ -96,7 +99,8 @@
   // Forgets an attempt that was removed from the job state.
   void noteEnded(const jobs::TaskKey &task, const WorkerId &worker);
 
-  // Sends the orders that are due. Called periodically.
+  // Sends the orders that are due, unless MayGrant() is false. Called
+  // periodically.
   void tick();
 
   // The workers that may be given tasks now.
--- a/testing/run_evidence_test.cc
+++ b/testing/run_evidence_test.cc
@@ -11,12 +11,15 @@
 namespace jujube::testing {
 namespace {
 
+constexpr uint64_t Seeds = 4;
 // The period in which workers announce themselves.
 constexpr Duration AnnouncePeriod = Duration::millis(1500);
 // Longer than a worker may delay the answer to a lease order.
 constexpr Duration LongestAnswerDelay = Duration::millis(800);
 // Longer than the leases of a cell, on the slowest clock.
 constexpr Duration LeasesOver = Duration::seconds(8);
+// A worker's clock may be 2 % slow.
+constexpr int64_t SlowestRate = 980;
 
 void checkGuarantees(ControlCell &cell) {
   for (const std::string &violation : cell.workers().violations())
@@ -59,6 +62,51 @@
   checkGuarantees(cell);
 }
 
+// A worker, and the leader that alone reaches it and is cut off from the other
+// members.
+struct IsolatedPair {
+  ControlCell Cell;
+  std::string Worker;
+
+  // Runs a task on the worker, whose clock has this rate, for `before`.
+  IsolatedPair(uint64_t seed, int64_t clockRate, Duration before)
+      : Cell([seed] {
+          ControlCellOptions options;
+          options.Seed = seed;
+          return options;
+        }()) {
+    for (const std::string id : {"w1", "w2", "w3"})
+      Cell.workers().setClockRate(id, clockRate);
+    Cell.wire().run(Duration::seconds(3));
+    BOOST_REQUIRE(isOk(Cell.submit("a", 1, 120'000)));
+    Cell.wire().run(before);
+    for (const std::string id : {"w1", "w2", "w3"})
+      if (Cell.workers().runningOn(id) > 0)
+        Worker = id;
+    BOOST_REQUIRE(!Worker.empty());
+  }
+
+  void isolate() {
+    const int leader = Cell.leader();
+    for (int member = 1; member <= 3; ++member)
+      if (member != leader)
+        Cell.cutWorker(member, Worker);
+    Cell.cutOff(leader);
+  }
+
+  // Checks that the task is started elsewhere, and not while it still runs.
+  void checkTaskMovesOnce() {
+    Cell.wire().run(LeasesOver + Duration::seconds(4));
+    BOOST_TEST(startsOf(Cell) == 2);
+    Cell.wire().heal();
+    Cell.healWorkers();
+    Cell.wire().run(Duration::seconds(3));
+    BOOST_TEST(startsOf(Cell) == 2);
+    BOOST_TEST(Cell.workers().running() == 1U);
+    checkGuarantees(Cell);
+  }
+};
+
 BOOST_AUTO_TEST_SUITE(RunEvidenceTest)
 
 // Guards against a heartbeat of another environment that ends the runs on the
@@ -147,6 +195,18 @@
   checkGuarantees(cell);
 }
 
+// Guards against a leader that grants leases after it has lost its quorum: its
+// successor does not wait for them.
+BOOST_AUTO_TEST_CASE(LeaderWithoutAQuorumGrantsNoLeases) {
+  for (uint64_t seed = 1; seed <= Seeds; ++seed)
+    for (Duration offset; offset < LongestAnswerDelay;
+         offset = offset + Duration::millis(100)) {
+      IsolatedPair pair(seed, SlowestRate, Duration::millis(500) + offset);
+      pair.isolate();
+      pair.checkTaskMovesOnce();
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
