dispatch: leases do not grow with the age of a clock sample

The other cause of two runs after a change of leader: a lease was counted from the last clock sample at full speed. On a worker whose clock is 2 % slow, samples that take longer on their way are not newer than the first one, which grows old; after 45 s leases were 0.9 s longer than a successor waits. Now they are counted from the earliest time that the worker's clock can show.

--- a/jujube/dispatch/lease_clock.h
+++ b/jujube/dispatch/lease_clock.h
@@ -34,21 +34,21 @@
 
   // Records that the worker's clock showed `workerClock` at `now` or earlier.
   void recordSample(Instant workerClock, Instant now) {
-    if (Sample &&
-        Sample->Worker + (now - Sample->At) * minRatePerMille() / 1000 >
-            workerClock)
+    if (Sample && earliestShown(now) > workerClock)
       return; // The sample is older than the recorded one.
     Sample = ClockSample{now, workerClock};
   }
   // True once a clock sample has been recorded.
   bool isKnown() const { return Sample.has_value(); }
 
-  // Grants a lease and returns its end on the worker's clock. Returns empty,
-  // and grants nothing, while no clock sample is known.
+  // Grants a lease and returns its end on the worker's clock. The lease is not
+  // longer than LeasePolicy::Lease on any clock within the bounds, since a
+  // successor waits for that long. Returns empty, and grants nothing, while no
+  // clock sample is known.
   std::optional<Instant> grant(Instant now) {
     if (!Sample)
       return std::nullopt;
-    const Instant end = Sample->Worker + (now - Sample->At) + Policy.Lease;
+    const Instant end = earliestShown(now) + Policy.Lease;
     LatestGrantedEnd = std::max(LatestGrantedEnd, end);
     return end;
   }
@@ -60,9 +60,7 @@
       return false;
     if (LatestGrantedEnd == Instant())
       return true;
-    const Instant earliestShown =
-        Sample->Worker + (now - Sample->At) * minRatePerMille() / 1000;
-    return earliestShown > LatestGrantedEnd + Policy.Margin;
+    return earliestShown(now) > LatestGrantedEnd + Policy.Margin;
   }
 
 private:
@@ -73,6 +71,10 @@
     Instant Worker;
   };
 
+  // The least that the worker's clock can show. Precondition: isKnown().
+  Instant earliestShown(Instant now) const {
+    return Sample->Worker + (now - Sample->At) * minRatePerMille() / 1000;
+  }
   // Least progress of the worker's clock, in thousandths of real time.
   int64_t minRatePerMille() const { return 1000 - Policy.MaxSlowPerMille; }
   // Longest real time in which the worker's clock advances by `span`, plus the
--- a/testing/run_evidence_test.cc
+++ b/testing/run_evidence_test.cc
@@ -207,6 +207,20 @@
     }
 }
 
+// Guards against leases that grow with the age of a clock sample: a successor
+// waits for leases of the configured length only.
+BOOST_AUTO_TEST_CASE(LeasesFromAnOldClockSampleEndBeforeASuccessorActs) {
+  for (Duration offset; offset < LongestAnswerDelay;
+       offset = offset + Duration::millis(100)) {
+    IsolatedPair pair(1, SlowestRate, Duration::millis(500));
+    // On a slow clock, samples that took longer are not newer than the first.
+    pair.Cell.workers().setAnswerAge(pair.Worker, Duration::millis(100));
+    pair.Cell.wire().run(Duration::seconds(60) + offset);
+    pair.isolate();
+    pair.checkTaskMovesOnce();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
