control: attempts absent from a full page of ends are not taken for lost

Callers saw tasks run again after they had ended done: a worker with more than 500 unread ends lists them in pages, and a page was read as the whole list.

Now an answer tells whether its list of ends is whole, and attempts are stopped or given up for being absent only if both lists are whole.

--- a/jujube/control/worker_sessions_lists.cc
+++ b/jujube/control/worker_sessions_lists.cc
@@ -129,9 +129,11 @@
     listed.insert(row.Task);
     run->Checkpoint = row.Checkpoint.empty() ? run->Checkpoint : row.Checkpoint;
   }
+  const bool areListsComplete =
+      answer.IsRunningComplete && answer.IsEndedComplete;
   for (auto &[task, run] : session.Runs) {
-    const bool isDue = answer.IsRunningComplete && run.Since < askedAt &&
-                       !listed.contains(task);
+    const bool isDue =
+        areListsComplete && run.Since < askedAt && !listed.contains(task);
     if (isDue && run.State == Phase::Stopped)
       events.emplace_back(
           jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint});
--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -263,6 +263,25 @@
   BOOST_TEST(fixture.take<StopOrder>().has_value());
 }
 
+// Guards against attempts that have ended `done` and are run again, because
+// their ends come with a later page of the list.
+BOOST_AUTO_TEST_CASE(AttemptsAreNotStoppedWhileMoreEndsMayBeListed) {
+  RunningFixture fixture;
+  fixture.Time.advance(Duration::millis(300));
+  fixture.Sessions->tick();
+  auto sent = fixture.take<LeaseOrder>();
+  BOOST_REQUIRE(sent.has_value());
+  OrderAnswer reply;
+  reply.Verdict = OrderVerdict::Accepted;
+  reply.Ended = {{3, taskOf("b", 0), 1, jobs::EndKind::Done, ""}};
+  reply.IsEndedComplete = false;
+  sent->Done(reply);
+  BOOST_TEST(!fixture.take<StopOrder>().has_value());
+  fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Done)});
+  fixture.storeAll();
+  BOOST_TEST((fixture.jobState() == jobs::JobState::Completed));
+}
+
 // Repeated lease orders to a silent worker must not extend its leases.
 BOOST_AUTO_TEST_CASE(SilentWorkerIsLostOnlyWhenItsLeasesAreOver) {
   RunningFixture fixture;
--- a/jujube/dispatch/orders.h
+++ b/jujube/dispatch/orders.h
@@ -136,6 +136,9 @@
   bool IsRunningComplete = true;
   // Attempts that have ended; only in answers to a LeaseOrder.
   std::vector<ReportedEnd> Ended;
+  // False if the worker may hold more ends than it lists, or some rows could
+  // not be read: attempts that are in neither list may have ended.
+  bool IsEndedComplete = true;
 };
 
 } // namespace jujube::dispatch
