control: an answer counts only for the incarnation that the order was sent to

A late answer of an earlier incarnation acknowledged ends that the next one had not reported yet, set its clock, and could end its attempts: a task that is done could run again, and a lease could outlast what a successor waits for.

Orders go through one function that keeps the incarnation; an answer that is not surely of the current one counts as no answer.

Measured before: WorkerSessionsTest showed 57 ends acknowledged of a worker with none, a lease of 8,500 s, and attempts ended by a refusal.

--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -162,6 +162,21 @@
   sendStart(what.Worker, what.Task);
 }
 
+void WorkerSessions::send(const WorkerId &worker, const Address &at,
+                          decltype(dispatch::Order::What) what,
+                          Duration timeout, AnswerHook done) {
+  const Incarnation life = sessionOf(worker).WorkerIncarnation;
+  Callbacks.Send({worker, at, std::move(what)}, timeout,
+                 [this, worker, life,
+                  done = std::move(done)](const dispatch::OrderAnswer &answer) {
+                   const Incarnation now = sessionOf(worker).WorkerIncarnation;
+                   const bool isOfNow =
+                       now == life &&
+                       answer.WorkerIncarnation.value_or(now) >= now;
+                   done(isOfNow ? answer : dispatch::OrderAnswer());
+                 });
+}
+
 void WorkerSessions::sendStart(const WorkerId &worker,
                                const jobs::TaskKey &task) {
   Session &session = sessionOf(worker);
@@ -196,11 +211,10 @@
       .with("heard_ms", Callbacks.Now() - session.LastHeard)
       .with("term", Fence);
   const uint32_t attempt = run.Attempt;
-  Callbacks.Send(
-      {worker, *at, *run.Order}, OrderTimeout,
-      [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
-        onStartAnswer(worker, task, attempt, answer);
-      });
+  send(worker, *at, *run.Order, OrderTimeout,
+       [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
+         onStartAnswer(worker, task, attempt, answer);
+       });
 }
 
 void WorkerSessions::onStartAnswer(const WorkerId &worker,
@@ -300,11 +314,10 @@
     return;
   run.IsStopPending = true;
   const uint32_t attempt = run.Attempt;
-  Callbacks.Send(
-      {worker, *at, dispatch::StopOrder{task, attempt, Fence}}, OrderTimeout,
-      [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
-        onStopAnswer(worker, task, attempt, answer);
-      });
+  send(worker, *at, dispatch::StopOrder{task, attempt, Fence}, OrderTimeout,
+       [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
+         onStopAnswer(worker, task, attempt, answer);
+       });
 }
 
 void WorkerSessions::onStopAnswer(const WorkerId &worker,
--- a/jujube/control/worker_sessions_lists.cc
+++ b/jujube/control/worker_sessions_lists.cc
@@ -63,11 +63,10 @@
   session.IsOrderWaiting = order.Wait > Duration();
   WaitingOrders += session.IsOrderWaiting ? 1 : 0;
   const uint64_t sentAckedEnds = session.AckedEnds;
-  Callbacks.Send(
-      {worker, *at, order}, LeaseOrderTimeout,
-      [this, worker, now, sentAckedEnds](const dispatch::OrderAnswer &answer) {
-        onLeaseAnswer(worker, now, sentAckedEnds, answer);
-      });
+  send(worker, *at, order, LeaseOrderTimeout,
+       [this, worker, now, sentAckedEnds](const dispatch::OrderAnswer &answer) {
+         onLeaseAnswer(worker, now, sentAckedEnds, answer);
+       });
 }
 
 void WorkerSessions::onLeaseAnswer(const WorkerId &worker, Instant askedAt,
@@ -170,9 +169,8 @@
       .with("worker", worker)
       .with("term", Fence);
   if (at)
-    Callbacks.Send(
-        {worker, *at, dispatch::StopOrder{row.Task, row.Attempt, Fence}},
-        OrderTimeout, [](const dispatch::OrderAnswer &) {});
+    send(worker, *at, dispatch::StopOrder{row.Task, row.Attempt, Fence},
+         OrderTimeout, [](const dispatch::OrderAnswer &) {});
 }
 
 void WorkerSessions::noteOutcome(Session &session, const jobs::TaskKey &task,
--- a/jujube/control/worker_sessions_pacing.cc
+++ b/jujube/control/worker_sessions_pacing.cc
@@ -61,18 +61,17 @@
       .with("worker", worker)
       .with("percent", share);
   const uint32_t attempt = run.Attempt;
-  Callbacks.Send(
-      {worker, *at, dispatch::ThrottleOrder{task, attempt, share, Fence}},
-      OrderTimeout,
-      [this, worker, task, attempt,
-       share](const dispatch::OrderAnswer &answer) {
-        (void)noteAnswer(worker, sessionOf(worker), answer);
-        RunState *held = findRun(worker, task, attempt);
-        if (held != nullptr)
-          held->Share = answer.Verdict == dispatch::OrderVerdict::Accepted
-                            ? std::optional(share)
-                            : std::nullopt;
-      });
+  send(worker, *at, dispatch::ThrottleOrder{task, attempt, share, Fence},
+       OrderTimeout,
+       [this, worker, task, attempt,
+        share](const dispatch::OrderAnswer &answer) {
+         (void)noteAnswer(worker, sessionOf(worker), answer);
+         RunState *held = findRun(worker, task, attempt);
+         if (held != nullptr)
+           held->Share = answer.Verdict == dispatch::OrderVerdict::Accepted
+                             ? std::optional(share)
+                             : std::nullopt;
+       });
 }
 
 } // namespace jujube::control
--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -317,6 +317,51 @@
   BOOST_TEST(std::get<LeaseOrder>(sent->What.What).AckedEnds == 1U);
 }
 
+// Guards against ends of the next incarnation that are acknowledged before they
+// were read, and against leases counted on the clock of the earlier one.
+BOOST_AUTO_TEST_CASE(LateAnswerOfAnEarlierIncarnationIsNotThatOfTheNext) {
+  for (const std::optional<Incarnation> life :
+       {std::optional(Incarnation{1}), std::optional<Incarnation>()}) {
+    RunningFixture fixture;
+    fixture.Time.advance(Duration::millis(300));
+    fixture.Sessions->tick();
+    auto late = fixture.take<LeaseOrder>();
+    BOOST_REQUIRE(late.has_value());
+    fixture.announce(2);
+    OrderAnswer reply;
+    reply.Verdict = OrderVerdict::Accepted;
+    reply.WorkerIncarnation = life;
+    reply.WorkerClock = Instant::fromMillis(9'000'000);
+    reply.Ended = {{57, taskOf("b", 0), 1, jobs::EndKind::Done, ""}};
+    late->Done(reply);
+    fixture.storeAll();
+    // A query without a lease, since the last order has no answer.
+    fixture.answerLeaseOrder({runningRow()}, {}, 2);
+    fixture.Sessions->tick();
+    const auto sent = fixture.take<LeaseOrder>();
+    BOOST_REQUIRE(sent.has_value());
+    const auto &order = std::get<LeaseOrder>(sent->What.What);
+    BOOST_TEST(order.AckedEnds == 0U);
+    BOOST_REQUIRE(order.Expires.has_value());
+    BOOST_TEST((*order.Expires <= Instant::fromMillis(506'000)));
+  }
+}
+
+// Guards against a refusal addressed to an earlier incarnation that ends the
+// attempts on the next one.
+BOOST_AUTO_TEST_CASE(LateRefusalOfAnEarlierIncarnationEndsNoAttempt) {
+  RunningFixture fixture;
+  fixture.Time.advance(Duration::millis(300));
+  fixture.Sessions->tick();
+  auto late = fixture.take<LeaseOrder>();
+  BOOST_REQUIRE(late.has_value());
+  fixture.announce(2);
+  OrderAnswer reply;
+  reply.Verdict = OrderVerdict::OtherIncarnation;
+  late->Done(reply);
+  BOOST_TEST(fixture.Writes.empty());
+}
+
 BOOST_AUTO_TEST_CASE(AnswerOfAnotherIncarnationEndsTheAttempts) {
   RunningFixture fixture;
   fixture.Time.advance(Duration::millis(300));
