--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -1,9 +1,9 @@
 #include "jujube/control/worker_sessions.h"
 
 #include <boost/test/unit_test.hpp>
-#include <deque>
 
 #include "testing/job_samples.h"
+#include "testing/sessions_fixture.h"
 
 namespace jujube::control {
 namespace {
@@ -11,131 +11,18 @@
 using dispatch::LeaseOrder;
 using dispatch::OrderAnswer;
 using dispatch::OrderVerdict;
-using dispatch::ReportedAttempt;
-using dispatch::ReportedEnd;
 using dispatch::StartOrder;
 using dispatch::StopOrder;
+using testing::endedRow;
+using testing::Fence;
+using testing::RunningFixture;
 using testing::sampleBook;
 using testing::sampleJob;
 using testing::sampleStep;
 using testing::sampleWorker;
+using testing::SessionsFixture;
 using testing::taskOf;
-
-const WorkerId W1("w1");
-constexpr uint64_t Fence = 7;
-
-// Sessions whose orders and events wait until the test answers or stores them.
-struct Fixture {
-  struct Sent {
-    dispatch::Order What;
-    std::function<void(OrderAnswer)> Done;
-  };
-  struct PendingWrite {
-    std::vector<jobs::Event> Events;
-    std::function<void(bool)> Done;
-  };
-
-  ManualClock Time;
-  jobs::JobStateMachine Book;
-  std::deque<Sent> Orders;
-  std::deque<PendingWrite> Writes;
-  std::unique_ptr<WorkerSessions> Sessions;
-
-  Fixture(const Fixture &) = delete;
-  Fixture &operator=(const Fixture &) = delete;
-  explicit Fixture(jobs::JobStateMachine book,
-                   std::size_t maxWaitingOrders = 10)
-      : Book(std::move(book)) {
-    Time.advance(Duration::seconds(100));
-    WorkerSessions::Hooks hooks;
-    hooks.Send = [this](dispatch::Order order, Duration,
-                        std::function<void(OrderAnswer)> done) {
-      Orders.push_back({std::move(order), std::move(done)});
-    };
-    hooks.Store = [this](std::vector<jobs::Event> events,
-                         std::function<void(bool)> done) {
-      Writes.push_back({std::move(events), std::move(done)});
-    };
-    hooks.Now = [this] { return Time.now(); };
-    hooks.ExpireTicket = [](const jobs::StepKey &, const WorkerId &) {};
-    dispatch::LeasePolicy leases;
-    leases.Lease = Duration::seconds(5);
-    Sessions = std::make_unique<WorkerSessions>(std::move(hooks), Book, leases,
-                                                Fence, maxWaitingOrders);
-  }
-
-  void announce(uint64_t life = 1) {
-    jobs::Announcement what;
-    what.AnnouncedWorker = sampleWorker("w1");
-    what.AnnouncedWorker.WorkerIncarnation = Incarnation{life};
-    what.WorkerClock = Instant::fromMillis(500'000);
-    Book.apply(jobs::WorkerChanged{what.AnnouncedWorker});
-    Sessions->noteAnnouncement(what);
-  }
-  // Starts task 0 of job a with the given attempt number.
-  void start(uint32_t attempt = 1) {
-    const jobs::AttemptStarted event{taskOf("a", 0), attempt, W1};
-    Book.apply(event);
-    Sessions->start({event, "ticket"});
-  }
-  template <typename Order> std::optional<Sent> take() {
-    const auto it = std::ranges::find_if(Orders, [](const Sent &sent) {
-      return std::holds_alternative<Order>(sent.What.What);
-    });
-    if (it == Orders.end())
-      return std::nullopt;
-    Sent sent = std::move(*it);
-    Orders.erase(it);
-    return sent;
-  }
-  template <typename Order> void answer(OrderVerdict verdict) {
-    auto sent = take<Order>();
-    BOOST_REQUIRE(sent.has_value());
-    OrderAnswer reply;
-    reply.Verdict = verdict;
-    sent->Done(reply);
-  }
-  // Waits for the next lease order and answers it with these lists.
-  void answerLeaseOrder(std::vector<ReportedAttempt> running,
-                        std::vector<ReportedEnd> ended,
-                        std::optional<uint64_t> life = std::nullopt) {
-    Time.advance(Duration::millis(300));
-    Sessions->tick();
-    auto sent = take<LeaseOrder>();
-    BOOST_REQUIRE(sent.has_value());
-    OrderAnswer reply;
-    reply.Verdict = OrderVerdict::Accepted;
-    reply.Running = std::move(running);
-    reply.Ended = std::move(ended);
-    if (life)
-      reply.WorkerIncarnation = Incarnation{*life};
-    sent->Done(reply);
-  }
-  void storeAll() {
-    while (!Writes.empty()) {
-      const PendingWrite write = std::move(Writes.front());
-      Writes.pop_front();
-      for (const jobs::Event &event : write.Events) {
-        Book.apply(event);
-        if (const auto *end = std::get_if<jobs::AttemptEnded>(&event))
-          Sessions->noteEnded(end->Task, W1);
-      }
-      write.Done(true);
-    }
-  }
-  jobs::JobState jobState() const { return Book.find(jobs::JobId("a"))->State; }
-  const jobs::Task &task() const { return *Book.findTask(taskOf("a", 0)); }
-};
-
-// A fixture in which task 0 of job a is running.
-struct RunningFixture : Fixture {
-  RunningFixture()
-      : Fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})})) {
-    announce();
-    start();
-    answer<StartOrder>(OrderVerdict::Accepted);
-  }
-};
+using testing::W1;
 
 // Returns jobs j0, j1, ... with one task each.
 std::vector<jobs::JobSpec> numberedJobs(std::size_t n) {
@@ -145,15 +32,10 @@
   return specs;
 }
 
-ReportedAttempt runningRow() { return {taskOf("a", 0), 1, "", 10}; }
-ReportedEnd endedRow(jobs::EndKind how) {
-  return {4, taskOf("a", 0), 1, how, ""};
-}
-
 BOOST_AUTO_TEST_SUITE(WorkerSessionsTest)
 
 BOOST_AUTO_TEST_CASE(StartCarriesLeaseFenceAndTicket) {
-  Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
   fixture.announce();
   fixture.start();
   const auto sent = fixture.take<StartOrder>();
@@ -165,31 +47,8 @@
   BOOST_TEST(order.Expires.millis() == 505'000);
 }
 
-BOOST_AUTO_TEST_CASE(EndIsAcknowledgedOnlyOnceItIsStored) {
-  RunningFixture fixture;
-  fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Done)});
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  BOOST_TEST(!fixture.take<LeaseOrder>().has_value());
-  fixture.storeAll();
-  BOOST_TEST((fixture.jobState() == jobs::JobState::Completed));
-  fixture.Sessions->tick();
-  const auto sent = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(sent.has_value());
-  BOOST_TEST(std::get<LeaseOrder>(sent->What.What).AckedEnds == 4U);
-}
-
-BOOST_AUTO_TEST_CASE(RepeatedEndIsAcknowledgedAndCountsOnce) {
-  RunningFixture fixture;
-  fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Failed)});
-  fixture.storeAll();
-  fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Failed)});
-  fixture.storeAll();
-  BOOST_TEST(fixture.task().Failures == 1U);
-}
-
 BOOST_AUTO_TEST_CASE(StartWithoutAnswerIsSentAgainUnderTheSameAttempt) {
-  Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
   fixture.announce();
   fixture.start();
   fixture.answer<StartOrder>(OrderVerdict::NoAnswer);
@@ -200,7 +59,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UnansweredAttemptStaysLiveUntilAStopIsConfirmed) {
-  Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
   fixture.announce();
   fixture.start();
   for (int i = 0; i < 3; ++i)
@@ -214,8 +73,27 @@
   BOOST_TEST(fixture.task().Failures == 0U);
 }
 
+// Guards against leases and starts of a leader that has lost its quorum.
+BOOST_AUTO_TEST_CASE(NothingIsGrantedWhileAnotherLeaderMayAct) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  fixture.announce();
+  fixture.MayGrant = false;
+  fixture.start();
+  fixture.Time.advance(Duration::millis(300));
+  fixture.Sessions->tick();
+  BOOST_TEST(fixture.Orders.empty());
+  fixture.MayGrant = true;
+  fixture.Sessions->tick();
+  fixture.answer<StartOrder>(OrderVerdict::Accepted);
+  fixture.answer<LeaseOrder>(OrderVerdict::Accepted);
+  fixture.MayGrant = false;
+  fixture.Time.advance(Duration::millis(300));
+  fixture.Sessions->tick();
+  BOOST_TEST(fixture.Orders.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RefusalAfterAnUnansweredStartStopsTheAttempt) {
-  Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
   fixture.announce();
   fixture.start();
   fixture.answer<StartOrder>(OrderVerdict::NoAnswer);
@@ -229,7 +107,7 @@
        {OrderVerdict::InsufficientCapacity, OrderVerdict::BadTicket,
         OrderVerdict::TooLate, OrderVerdict::Unhealthy,
         OrderVerdict::OtherIncarnation}) {
-    Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+    SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
     fixture.announce();
     fixture.start();
     fixture.answer<StartOrder>(verdict);
@@ -238,50 +116,6 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(AttemptThatIsNotListedIsStoppedBeforeItIsLost) {
-  RunningFixture fixture;
-  fixture.answerLeaseOrder({}, {});
-  BOOST_TEST(fixture.Writes.empty());
-  fixture.answer<StopOrder>(OrderVerdict::Accepted);
-  fixture.answerLeaseOrder({}, {});
-  fixture.storeAll();
-  BOOST_TEST(!fixture.task().Live.has_value());
-}
-
-BOOST_AUTO_TEST_CASE(IncompleteListDoesNotStopAttempts) {
-  RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  auto sent = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(sent.has_value());
-  OrderAnswer reply;
-  reply.Verdict = OrderVerdict::Accepted;
-  reply.IsRunningComplete = false;
-  sent->Done(reply);
-  BOOST_TEST(!fixture.take<StopOrder>().has_value());
-  fixture.answerLeaseOrder({}, {});
-  BOOST_TEST(fixture.take<StopOrder>().has_value());
-}
-
-// Guards against attempts that have ended `done` and are run again, because
-// their ends come with a later page of the list.
-BOOST_AUTO_TEST_CASE(AttemptsAreNotStoppedWhileMoreEndsMayBeListed) {
-  RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  auto sent = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(sent.has_value());
-  OrderAnswer reply;
-  reply.Verdict = OrderVerdict::Accepted;
-  reply.Ended = {{3, taskOf("b", 0), 1, jobs::EndKind::Done, ""}};
-  reply.IsEndedComplete = false;
-  sent->Done(reply);
-  BOOST_TEST(!fixture.take<StopOrder>().has_value());
-  fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Done)});
-  fixture.storeAll();
-  BOOST_TEST((fixture.jobState() == jobs::JobState::Completed));
-}
-
 // Repeated lease orders to a silent worker must not extend its leases.
 BOOST_AUTO_TEST_CASE(SilentWorkerIsLostOnlyWhenItsLeasesAreOver) {
   RunningFixture fixture;
@@ -301,81 +135,11 @@
   BOOST_TEST(!fixture.task().Live.has_value());
 }
 
-BOOST_AUTO_TEST_CASE(NewIncarnationHasNoAttemptsAndResetsAckedEnds) {
-  RunningFixture fixture;
-  fixture.answerLeaseOrder({runningRow()}, {});
-  fixture.announce(2);
-  fixture.answerLeaseOrder({}, {}, 2);
-  fixture.answer<StopOrder>(OrderVerdict::Accepted);
-  fixture.answerLeaseOrder(
-      {}, {{1, taskOf("b", 0), 1, jobs::EndKind::Done, ""}}, 2);
-  fixture.storeAll();
-  BOOST_TEST(!fixture.task().Live.has_value());
-  fixture.Sessions->tick();
-  const auto sent = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(sent.has_value());
-  BOOST_TEST(std::get<LeaseOrder>(sent->What.What).AckedEnds == 1U);
-}
-
-// Guards against ends of the next incarnation that are acknowledged before they
-// were read, and against leases counted on the clock of the earlier one.
-BOOST_AUTO_TEST_CASE(LateAnswerOfAnEarlierIncarnationIsNotThatOfTheNext) {
-  for (const std::optional<Incarnation> life :
-       {std::optional(Incarnation{1}), std::optional<Incarnation>()}) {
-    RunningFixture fixture;
-    fixture.Time.advance(Duration::millis(300));
-    fixture.Sessions->tick();
-    auto late = fixture.take<LeaseOrder>();
-    BOOST_REQUIRE(late.has_value());
-    fixture.announce(2);
-    OrderAnswer reply;
-    reply.Verdict = OrderVerdict::Accepted;
-    reply.WorkerIncarnation = life;
-    reply.WorkerClock = Instant::fromMillis(9'000'000);
-    reply.Ended = {{57, taskOf("b", 0), 1, jobs::EndKind::Done, ""}};
-    late->Done(reply);
-    fixture.storeAll();
-    // A query without a lease, since the last order has no answer.
-    fixture.answerLeaseOrder({runningRow()}, {}, 2);
-    fixture.Sessions->tick();
-    const auto sent = fixture.take<LeaseOrder>();
-    BOOST_REQUIRE(sent.has_value());
-    const auto &order = std::get<LeaseOrder>(sent->What.What);
-    BOOST_TEST(order.AckedEnds == 0U);
-    BOOST_REQUIRE(order.Expires.has_value());
-    BOOST_TEST((*order.Expires <= Instant::fromMillis(506'000)));
-  }
-}
-
-// Guards against a refusal addressed to an earlier incarnation that ends the
-// attempts on the next one.
-BOOST_AUTO_TEST_CASE(LateRefusalOfAnEarlierIncarnationEndsNoAttempt) {
-  RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  auto late = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(late.has_value());
-  fixture.announce(2);
-  OrderAnswer reply;
-  reply.Verdict = OrderVerdict::OtherIncarnation;
-  late->Done(reply);
-  BOOST_TEST(fixture.Writes.empty());
-}
-
-BOOST_AUTO_TEST_CASE(AnswerOfAnotherIncarnationEndsTheAttempts) {
-  RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  fixture.answer<LeaseOrder>(OrderVerdict::OtherIncarnation);
-  fixture.storeAll();
-  BOOST_TEST(!fixture.task().Live.has_value());
-}
-
 BOOST_AUTO_TEST_CASE(NewLeaderTakesOverFromTheJobStateAlone) {
   jobs::JobStateMachine book =
       sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
   book.apply(jobs::AttemptStarted{taskOf("a", 0), 1, W1});
-  Fixture fixture(std::move(book));
+  SessionsFixture fixture(std::move(book));
   fixture.Sessions->takeOver();
   fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Done)});
   fixture.storeAll();
@@ -386,7 +150,7 @@
   jobs::JobStateMachine book =
       sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
   book.apply(jobs::AttemptStarted{taskOf("a", 0), 1, W1});
-  Fixture fixture(std::move(book));
+  SessionsFixture fixture(std::move(book));
   fixture.Sessions->takeOver();
   fixture.answerLeaseOrder({}, {});
   BOOST_TEST(fixture.Writes.empty());
@@ -396,7 +160,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(WorkerThatKeepsFailingIsSuspectForLonger) {
-  Fixture fixture(sampleBook({}, numberedJobs(5)));
+  SessionsFixture fixture(sampleBook({}, numberedJobs(5)));
   fixture.announce();
   uint64_t number = 0;
   const auto fail = [&](int job) {
@@ -433,7 +197,7 @@
 
 // The worker fails every second task.
 BOOST_AUTO_TEST_CASE(WorkerThatFailsOftenIsSuspectDespiteSuccesses) {
-  Fixture fixture(sampleBook({}, numberedJobs(8)));
+  SessionsFixture fixture(sampleBook({}, numberedJobs(8)));
   fixture.announce();
   for (int i = 0; i < 8; ++i) {
     const jobs::TaskKey task = taskOf("j" + std::to_string(i), 0);
@@ -452,8 +216,8 @@
 }
 
 // Job a has a serving task and job b a filler task; both run on w1.
-struct FillerFixture : Fixture {
-  FillerFixture() : Fixture(bookOf()) {
+struct FillerFixture : SessionsFixture {
+  FillerFixture() : SessionsFixture(bookOf()) {
     announce();
     for (const char *job : {"a", "b"}) {
       const jobs::AttemptStarted event{taskOf(job, 0), 1, W1};
@@ -510,7 +274,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(NewLeaderSetsAShareThatItDoesNotKnow, FillerFixture) {
-  Fixture next(Book);
+  SessionsFixture next(Book);
   next.Sessions->takeOver();
   next.announce();
   next.answerLeaseOrder({{taskOf("a", 0), 1, "", 100, Duration::millis(50)},
@@ -527,7 +291,7 @@
   jobs::StepSpec longRunning = sampleStep(1);
   longRunning.IsLongRunning = true;
   longRunning.MaxUnavailable = 0;
-  Fixture fixture(sampleBook({}, {sampleJob("a", {longRunning})}));
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {longRunning})}));
   fixture.announce();
   fixture.start();
   for (int i = 0; i < 3; ++i)
@@ -540,14 +304,6 @@
   BOOST_TEST(std::get<StartOrder>(again->What.What).Attempt == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(StrayAttemptIsStopped) {
-  RunningFixture fixture;
-  fixture.answerLeaseOrder({runningRow(), {taskOf("gone", 0), 3, "", 50}}, {});
-  const auto sent = fixture.take<StopOrder>();
-  BOOST_REQUIRE(sent.has_value());
-  BOOST_TEST(std::get<StopOrder>(sent->What.What).Task.Job.str() == "gone");
-}
-
 BOOST_AUTO_TEST_CASE(DrainingAndSilentWorkersGetNoTasks) {
   RunningFixture fixture;
   BOOST_TEST(fixture.Sessions->usable().size() == 1U);
@@ -561,28 +317,6 @@
   BOOST_TEST(fixture.Sessions->usable().empty());
 }
 
-// Each lease order that waits at a worker occupies a connection of the leader.
-BOOST_AUTO_TEST_CASE(LeaseOrdersBeyondTheLimitDoNotWait) {
-  Fixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}), 0);
-  fixture.announce();
-  fixture.start();
-  fixture.answer<StartOrder>(OrderVerdict::Accepted);
-  for (int i = 0; i < 3; ++i) {
-    fixture.Time.advance(Duration::millis(300));
-    fixture.Sessions->tick();
-    const auto sent = fixture.take<LeaseOrder>();
-    BOOST_REQUIRE(sent.has_value());
-    BOOST_TEST((std::get<LeaseOrder>(sent->What.What).Wait == Duration()));
-    OrderAnswer reply;
-    reply.Verdict = OrderVerdict::Accepted;
-    reply.Running = {runningRow()};
-    sent->Done(reply);
-    // The next order is not sent at once.
-    fixture.Sessions->tick();
-    BOOST_TEST(!fixture.take<LeaseOrder>().has_value());
-  }
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
