--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -195,9 +195,8 @@
   using AnswerHook = std::function<void(const dispatch::OrderAnswer &)>;
   // Sends an order to the current incarnation of a worker. An answer that is
   // not surely from this incarnation counts as no answer.
-  void send(const WorkerId &worker, const Address &at,
-            decltype(dispatch::Order::What) what, Duration timeout,
-            AnswerHook done);
+  void send(const WorkerId &worker, const Address &at, dispatch::OrderBody what,
+            Duration timeout, AnswerHook done);
   static bool isUsable(const Session &session, const jobs::Worker &held,
                        Instant now);
   Session &sessionOf(const WorkerId &worker);
--- a/jujube/control/worker_sessions_lists_test.cc
+++ b/jujube/control/worker_sessions_lists_test.cc
@@ -58,14 +58,11 @@
 
 BOOST_AUTO_TEST_CASE(IncompleteListDoesNotStopAttempts) {
   RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  auto sent = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(sent.has_value());
+  const auto sent = fixture.awaitLeaseOrder();
   OrderAnswer reply;
   reply.Verdict = OrderVerdict::Accepted;
   reply.IsRunningComplete = false;
-  sent->Done(reply);
+  sent.Done(reply);
   BOOST_TEST(!fixture.take<StopOrder>().has_value());
   fixture.answerLeaseOrder({}, {});
   BOOST_TEST(fixture.take<StopOrder>().has_value());
@@ -75,15 +72,12 @@
 // their ends come with a later page of the list.
 BOOST_AUTO_TEST_CASE(AttemptsAreNotStoppedWhileMoreEndsMayBeListed) {
   RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  auto sent = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(sent.has_value());
+  const auto sent = fixture.awaitLeaseOrder();
   OrderAnswer reply;
   reply.Verdict = OrderVerdict::Accepted;
   reply.Ended = {{3, taskOf("b", 0), 1, jobs::EndKind::Done, ""}};
   reply.IsEndedComplete = false;
-  sent->Done(reply);
+  sent.Done(reply);
   BOOST_TEST(!fixture.take<StopOrder>().has_value());
   fixture.answerLeaseOrder({}, {endedRow(jobs::EndKind::Done)});
   fixture.storeAll();
@@ -112,17 +106,14 @@
   for (const std::optional<Incarnation> life :
        {std::optional(Incarnation{1}), std::optional<Incarnation>()}) {
     RunningFixture fixture;
-    fixture.Time.advance(Duration::millis(300));
-    fixture.Sessions->tick();
-    auto late = fixture.take<LeaseOrder>();
-    BOOST_REQUIRE(late.has_value());
+    const auto late = fixture.awaitLeaseOrder();
     fixture.announce(2);
     OrderAnswer reply;
     reply.Verdict = OrderVerdict::Accepted;
     reply.WorkerIncarnation = life;
     reply.WorkerClock = Instant::fromMillis(9'000'000);
     reply.Ended = {{57, taskOf("b", 0), 1, jobs::EndKind::Done, ""}};
-    late->Done(reply);
+    late.Done(reply);
     fixture.storeAll();
     // A query without a lease, since the last order has no answer.
     fixture.answerLeaseOrder({runningRow()}, {}, 2);
@@ -140,14 +131,11 @@
 // attempts on the next one.
 BOOST_AUTO_TEST_CASE(LateRefusalOfAnEarlierIncarnationEndsNoAttempt) {
   RunningFixture fixture;
-  fixture.Time.advance(Duration::millis(300));
-  fixture.Sessions->tick();
-  auto late = fixture.take<LeaseOrder>();
-  BOOST_REQUIRE(late.has_value());
+  const auto late = fixture.awaitLeaseOrder();
   fixture.announce(2);
   OrderAnswer reply;
   reply.Verdict = OrderVerdict::OtherIncarnation;
-  late->Done(reply);
+  late.Done(reply);
   BOOST_TEST(fixture.Writes.empty());
 }
 
@@ -175,15 +163,12 @@
   fixture.start();
   fixture.answer<StartOrder>(OrderVerdict::Accepted);
   for (int i = 0; i < 3; ++i) {
-    fixture.Time.advance(Duration::millis(300));
-    fixture.Sessions->tick();
-    const auto sent = fixture.take<LeaseOrder>();
-    BOOST_REQUIRE(sent.has_value());
-    BOOST_TEST((std::get<LeaseOrder>(sent->What.What).Wait == Duration()));
+    const auto sent = fixture.awaitLeaseOrder();
+    BOOST_TEST((std::get<LeaseOrder>(sent.What.What).Wait == Duration()));
     OrderAnswer reply;
     reply.Verdict = OrderVerdict::Accepted;
     reply.Running = {runningRow()};
-    sent->Done(reply);
+    sent.Done(reply);
     // The next order is not sent at once.
     fixture.Sessions->tick();
     BOOST_TEST(!fixture.take<LeaseOrder>().has_value());
--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -48,17 +48,18 @@
 }
 
 void WorkerSessions::send(const WorkerId &worker, const Address &at,
-                          decltype(dispatch::Order::What) what,
-                          Duration timeout, AnswerHook done) {
-  const Incarnation life = sessionOf(worker).WorkerIncarnation;
+                          dispatch::OrderBody what, Duration timeout,
+                          AnswerHook done) {
+  const Incarnation sentTo = sessionOf(worker).WorkerIncarnation;
   Callbacks.Send({worker, at, std::move(what)}, timeout,
-                 [this, worker, life,
+                 [this, worker, sentTo,
                   done = std::move(done)](const dispatch::OrderAnswer &answer) {
-                   const Incarnation now = sessionOf(worker).WorkerIncarnation;
-                   const bool isOfNow =
-                       now == life &&
-                       answer.WorkerIncarnation.value_or(now) >= now;
-                   done(isOfNow ? answer : dispatch::OrderAnswer());
+                   const Incarnation current =
+                       sessionOf(worker).WorkerIncarnation;
+                   const bool isCurrent =
+                       current == sentTo &&
+                       answer.WorkerIncarnation.value_or(current) >= current;
+                   done(isCurrent ? answer : dispatch::OrderAnswer());
                  });
 }
 
--- a/jujube/dispatch/orders.h
+++ b/jujube/dispatch/orders.h
@@ -57,11 +57,14 @@
   uint64_t Fence = 0;
 };
 
+using OrderBody =
+    std::variant<StartOrder, StopOrder, LeaseOrder, ThrottleOrder>;
+
 // An order and the worker that it is sent to.
 struct Order {
   WorkerId To;
   Address At;
-  std::variant<StartOrder, StopOrder, LeaseOrder, ThrottleOrder> What;
+  OrderBody What;
 };
 
 // The outcome of an order.
--- a/testing/run_evidence_test.cc
+++ b/testing/run_evidence_test.cc
@@ -47,6 +47,13 @@
   return {what};
 }
 
+// Checks that w1 is given tasks.
+void checkW1IsUsed(ControlCell &cell) {
+  BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
+  cell.wire().run(Duration::seconds(1));
+  BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+}
+
 // Checks that the tasks on w1 go on and that w1 is given tasks afterwards.
 void checkAnnouncementChangesNothing(const std::string &pool) {
   ControlCell cell({});
@@ -56,9 +63,7 @@
   BOOST_TEST(isOk(cell.execute(foreignAnnouncement(cell, "w1", pool))));
   BOOST_TEST(cell.awaitState("a", "completed"));
   BOOST_TEST(startsOf(cell) == 6);
-  BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
-  cell.wire().run(Duration::seconds(1));
-  BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+  checkW1IsUsed(cell);
   checkGuarantees(cell);
 }
 
@@ -148,9 +153,7 @@
   cell.wire().run(Duration::millis(300));
   cell.workers().replace("w1", "x1");
   BOOST_TEST(cell.awaitState("a", "completed", Duration::seconds(4)));
-  BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
-  cell.wire().run(Duration::seconds(1));
-  BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+  checkW1IsUsed(cell);
   checkGuarantees(cell);
 }
 
@@ -172,9 +175,7 @@
     BOOST_TEST(cell.awaitState("a", "completed"));
     BOOST_TEST(startsOf(cell) == 6);
     // The life that runs has not said that it leaves.
-    BOOST_REQUIRE(isOk(cell.submit("b", 6, 3000)));
-    cell.wire().run(Duration::seconds(1));
-    BOOST_TEST(cell.workers().runningOn("w1") == 2U);
+    checkW1IsUsed(cell);
     checkGuarantees(cell);
   }
 }
--- a/testing/sessions_fixture.h
+++ b/testing/sessions_fixture.h
@@ -96,21 +96,26 @@
     reply.Verdict = verdict;
     sent->Done(reply);
   }
-  // Waits for the next lease order and answers it with these lists.
-  void answerLeaseOrder(std::vector<dispatch::ReportedAttempt> running,
-                        std::vector<dispatch::ReportedEnd> ended,
-                        std::optional<uint64_t> life = std::nullopt) {
+  // Waits for the next lease order.
+  Sent awaitLeaseOrder() {
     Time.advance(Duration::millis(300));
     Sessions->tick();
     auto sent = take<dispatch::LeaseOrder>();
     BOOST_REQUIRE(sent.has_value());
+    return *std::move(sent);
+  }
+  // Waits for the next lease order and answers it with these lists.
+  void answerLeaseOrder(std::vector<dispatch::ReportedAttempt> running,
+                        std::vector<dispatch::ReportedEnd> ended,
+                        std::optional<uint64_t> life = std::nullopt) {
+    const Sent sent = awaitLeaseOrder();
     dispatch::OrderAnswer reply;
     reply.Verdict = dispatch::OrderVerdict::Accepted;
     reply.Running = std::move(running);
     reply.Ended = std::move(ended);
     if (life)
       reply.WorkerIncarnation = Incarnation{*life};
-    sent->Done(reply);
+    sent.Done(reply);
   }
   void storeAll() {
     while (!Writes.empty()) {
