control: the answer to an order is passed on without a copy

Cause, from reading: since orders go through one function, each answer was copied, with its lists of some fifty attempts.

--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -59,7 +59,11 @@
                    const bool isCurrent =
                        current == sentTo &&
                        answer.WorkerIncarnation.value_or(current) >= current;
-                   done(isCurrent ? answer : dispatch::OrderAnswer());
+                   // Lists are long: the answer is not copied.
+        if (isCurrent)
+          done(answer);
+        else
+          done(dispatch::OrderAnswer());
                  });
 }
 
