--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -60,10 +60,10 @@
                        current == sentTo &&
                        answer.WorkerIncarnation.value_or(current) >= current;
                    // Lists are long: the answer is not copied.
-        if (isCurrent)
-          done(answer);
-        else
-          done(dispatch::OrderAnswer());
+                   if (isCurrent)
+                     done(answer);
+                   else
+                     done(dispatch::OrderAnswer());
                  });
 }
 
