--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,7 +5,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
-from standins import LASTS, TROUBLE, Client, Runner, configuration, run_case  # noqa: E402
+from standins import (LASTS, TROUBLE, Client, Runner, configuration,  # noqa: E402
+                      run_case, wait_until_known)
 
 RUNNERS = 8
 REPLICAS = 6
@@ -20,7 +21,7 @@
 def case(cell, record):
     cell.configure(configuration(1))
     runners = [Runner(cell, record, f"i-{n}", n) for n in range(1, RUNNERS + 1)]
-    time.sleep(2.5)
+    wait_until_known(runners)
     client = Client(cell, record)
     if TROUBLE:
         runners[0].crash()
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -267,6 +267,8 @@
         self.durations = durations
         self.began = time.monotonic() - 100
         self.sequence = 0
+        # Heartbeats that were acknowledged.
+        self.beats = 0
         self.state = "ready"
         self.drain_acked = None
         self.fence = 0
@@ -275,6 +277,7 @@
         self.highest = {}
         self.ended = []
         self.ends = 0
+        self.acked = 0
         self.lock = threading.Condition()
         self.is_dead = False
         # Leaves every call without an answer and does nothing, but sends its
@@ -420,6 +423,9 @@
         return 200, {}
 
     def _hold(self, body):
+        if body["ackCursor"] > self.acked:
+            self.acked = body["ackCursor"]
+            self.record(f"{self.name} ackCursor {self.acked}")
         self.ended = [row for row in self.ended if row[0] > body["ackCursor"]]
         if "expiresMs" in body:
             self._extend(body["expiresMs"])
@@ -469,6 +475,7 @@
             if self.is_dead:
                 return False
             if status == 200:
+                self.beats += 1
                 if state == "draining" and self.drain_acked is None:
                     self.drain_acked = self.record.now()
                     self.record(f"{self.name} draining acknowledged")
@@ -496,6 +503,15 @@
                 pass
 
 
+def wait_until_known(runners, within=15):
+    """Waits until two heartbeats of each runner were acknowledged."""
+    until = time.monotonic() + within
+    while any(runner.beats < 2 for runner in runners):
+        if time.monotonic() > until:
+            raise CannotRun("the runners are not known")
+        time.sleep(0.05)
+
+
 def run_case(folder, case):
     """Runs a case and exits with 0 (held), 1 (broken) or 2 (could not run)."""
     record = Record(os.path.join(folder, "record.txt"))
