--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -249,6 +249,11 @@
             time.sleep(0.2)
         raise CannotRun("a job was not accepted")
 
+    def pending(self):
+        """The number that the queue gives; None without an answer."""
+        status, answer = self.ask("GET", "")
+        return answer["pending"] if status == 200 else None
+
     def state(self, job):
         status, answer = self.ask("GET", job)
         return answer["state"] if status == 200 else str(status)
