review/6: another machine is frozen only after the catch-up time

Cause: the pause was counted from the start of the freeze, 0.2 to 0.25 s short of the 4 s after a machine is back. Change: it is counted from the end of the freeze.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -53,7 +53,7 @@
         name = frozen["name"]
         cell.signal(name, signal.SIGSTOP)
         frozen["count"] += 1
-        frozen["until"] = record.now() + CATCH_UP_S
+        frozen["until"] = record.now() + FREEZE_S[1] + CATCH_UP_S
         threading.Timer(random.uniform(*FREEZE_S), cell.signal,
                         (name, signal.SIGCONT)).start()
 
