review: an error in a script is not a broken rule

Change: codes of their own, which run.sh translates, so that anything else is 2; a limit of 115 s; premises that fail exit with 2.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
-from standins import (TROUBLE, Client, Runner, configuration,  # noqa: E402
+from standins import (TROUBLE, CannotRun, Client, Runner, configuration,  # noqa: E402
                       run_case, wait_until_known)
 
 RUNNERS = 12
@@ -18,7 +18,7 @@
 CATCH_UP_S = 4.2
 # A runner that refused a start is not used for a second.
 PAUSE_S = 1.2
-LAST_FREEZE_S = 80
+LAST_FREEZE_S = 75
 # `finish_s`, and some time to spare.
 WATCHED_S = 18
 
@@ -78,6 +78,8 @@
             time.sleep(0.05)
         sick.is_sick = False
         stuck = not has_begun(job)
+    if TROUBLE and frozen["count"] == 0:
+        raise CannotRun("no leader was frozen")
     until = record.now() + WATCHED_S
     state = client.state(job)
     while stuck and state != "completed" and record.now() < until:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-2"))
-from standins import (TROUBLE, Client, Runner, configuration, route,  # noqa: E402
+from standins import (TROUBLE, CannotRun, Client, Runner, configuration, route,  # noqa: E402
                       run_case, wait_until_known)
 
 RUNNERS = 4
@@ -25,6 +25,8 @@
     common = {"count": TASKS, "cpu": 1000, "memMb": 512, "estimatedMs": 4000}
     job = client.submit([common, {**common, "dependencies": [0]}], spec="4.0")
     time.sleep(1)
+    if sum(len(runner.starts) for runner in runners) != TASKS:
+        raise CannotRun("the first step has not begun")
     first = route("r-three" if TROUBLE else "r-one", "/one/")
     cell.configure(configuration(2, [{**first, "timeoutMs": 2900}, route("r-two", "/two/")]))
     applied = record.now()
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -517,20 +517,36 @@
         time.sleep(0.05)
 
 
+# Exit codes of a case. run.sh translates them; any other one, such as that of an
+# error in a script, means that the case could not run.
+HELD, BROKEN, COULD_NOT_RUN = 10, 11, 12
+# run.sh may take 120 s, with the time for ending the processes.
+LIMIT_S = 115
+
+
+def give_up(number, _):
+    raise CannotRun(f"ended by {signal.Signals(number).name}")
+
+
 def run_case(folder, case):
-    """Runs a case and exits with 0 (held), 1 (broken) or 2 (could not run)."""
+    """Runs a case and exits with one of the codes above."""
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, give_up)
+    signal.alarm(LIMIT_S)
     record = Record(os.path.join(folder, "record.txt"))
     record(f"TROUBLE={int(TROUBLE)}")
     cell = None
-    code = 2
+    code = COULD_NOT_RUN
     try:
         cell = Cell(record)
         cell.start_all()
-        code = 1 if case(cell, record) else 0
-    except CannotRun as error:
-        record(f"could not run: {error}")
+        code = BROKEN if case(cell, record) else HELD
+    except Exception as error:  # An error of the script says nothing of the rule.
+        record(f"could not run: {error!r}")
     finally:
+        signal.alarm(0)
         if cell is not None:
             cell.close()
-    record(["the rule held", "the rule was broken", "the case could not run"][code])
+    record({HELD: "the rule held", BROKEN: "the rule was broken",
+            COULD_NOT_RUN: "the case could not run"}[code])
     raise SystemExit(code)
