control: an end that was refused is stored again

Cause: storeLost() ignored that the event was refused. On waking, the leader handles the worker's refusal before its followers have renewed its lease of 0.4 s, so that the group's log refuses proposals. The attempt stayed live without anything left to do for it. Now it stays in Phase::Ended, and each tick stores its end until the job state has it; this holds for refused starts, answers of another worker and expired leases.

--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -151,17 +151,19 @@
         .with("attempts", session.Runs.size())
         .with("silent_ms", now - session.LastHeard);
     for (auto &[task, run] : session.Runs)
-      storeLost(task, run);
+      storeLost(worker, task, run);
     return;
   }
   for (auto &[task, run] : session.Runs) {
     const bool isDue = run.NextSend != Instant() && now >= run.NextSend;
     if (run.State == Phase::Stopping && !run.IsStopPending &&
-        now >= run.NextSend)
+        now >= run.NextSend) {
       sendStop(worker, task);
-    else if (run.State == Phase::Starting && isDue) {
+    } else if (run.State == Phase::Starting && isDue) {
       run.NextSend = Instant();
       sendStart(worker, task);
+    } else if (run.State == Phase::Ended) {
+      storeLost(worker, task, run);
     }
   }
   const bool hasUnconfirmedEnds =
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -136,6 +136,9 @@
     Stopping,
     // The worker has confirmed the stop.
     Stopped,
+    // It has ended, but the job state does not say so yet. The event is being
+    // stored, or was refused and has to be stored again.
+    Ended,
   };
 
   struct RunState {
@@ -149,6 +152,8 @@
     // A start got no answer and may still arrive at the worker.
     bool MayArrive = false;
     bool IsStopPending = false;
+    // In Phase::Ended: the event is being stored.
+    bool IsEndPending = false;
     Instant NextSend;
     // Inputs of the placement decision, for the log.
     int64_t FreeMilliCpu = 0;
@@ -228,7 +233,10 @@
                   const dispatch::OrderAnswer &answer);
   void beginIncarnation(const WorkerId &worker, Session &session,
                         Incarnation life);
-  void storeLost(const jobs::TaskKey &task, const RunState &run);
+  // Stores that the attempt has ended. tick() repeats this until the job state
+  // has the end.
+  void storeLost(const WorkerId &worker, const jobs::TaskKey &task,
+                 RunState &run);
   void noteSilent(const WorkerId &worker, Session &session);
   void noteHeard(const WorkerId &worker, Session &session);
   void tickSession(const WorkerId &worker, Session &session);
--- a/jujube/control/worker_sessions_lists.cc
+++ b/jujube/control/worker_sessions_lists.cc
@@ -78,9 +78,8 @@
   WaitingOrders -= hasWaited ? 1 : 0;
   const Instant now = Callbacks.Now();
   if (answer.Verdict == OrderVerdict::OtherIncarnation) {
-    const std::map<jobs::TaskKey, RunState> runs = session.Runs;
-    for (const auto &[task, run] : runs)
-      storeLost(task, run);
+    for (auto &[task, run] : session.Runs)
+      storeLost(worker, task, run);
     session.IsUnverified = true;
     session.NextLeaseOrder = now + LeaseOrderRetryPause;
     return;
--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -81,7 +81,7 @@
     if (run.MayArrive)
       stop(task, StopReason::StartUnanswered);
     else
-      storeLost(task, run);
+      storeLost(worker, task, run);
     return;
   }
   run.Order->Expires = *expires;
@@ -164,7 +164,7 @@
   if (run->MayArrive && isSameLife)
     stop(task, StopReason::StartUnanswered);
   else
-    storeLost(task, *run);
+    storeLost(worker, task, *run);
 }
 
 // True if the number of unavailable tasks of the step is limited. Such a task
@@ -181,7 +181,7 @@
     return;
   RunState *run = findRun(held->Live->Worker, task, held->Live->Attempt);
   if (run == nullptr || run->State == Phase::Stopping ||
-      run->State == Phase::Stopped)
+      run->State == Phase::Stopped || run->State == Phase::Ended)
     return;
   run->State = Phase::Stopping;
   Line(Event::StopSent)
@@ -221,7 +221,7 @@
   run->IsStopPending = false;
   const Instant now = Callbacks.Now();
   if (!isSameLife) {
-    storeLost(task, *run);
+    storeLost(worker, task, *run);
     return;
   }
   if (answer.Verdict != OrderVerdict::Accepted) {
@@ -248,10 +248,19 @@
   return true;
 }
 
-void WorkerSessions::storeLost(const jobs::TaskKey &task, const RunState &run) {
+void WorkerSessions::storeLost(const WorkerId &worker,
+                               const jobs::TaskKey &task, RunState &run) {
+  if (run.IsEndPending)
+    return;
+  run.State = Phase::Ended;
+  run.IsEndPending = true;
+  const uint32_t attempt = run.Attempt;
   Callbacks.Store(
-      {jobs::AttemptEnded{task, run.Attempt, EndKind::Lost, run.Checkpoint}},
-      [](bool) {});
+      {jobs::AttemptEnded{task, attempt, EndKind::Lost, run.Checkpoint}},
+      [this, worker, task, attempt](bool) {
+        if (RunState *refused = findRun(worker, task, attempt))
+          refused->IsEndPending = false;
+      });
 }
 
 } // namespace jujube::control
--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -116,6 +116,38 @@
   }
 }
 
+// Guards against a task that is never started again because the end of its
+// attempt was refused while the leader's lease had expired (review/6).
+BOOST_AUTO_TEST_CASE(EndThatWasRefusedIsStoredAgain) {
+  for (const OrderVerdict verdict :
+       {OrderVerdict::Unhealthy, OrderVerdict::OtherIncarnation}) {
+    SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+    fixture.announce();
+    fixture.start();
+    fixture.answer<StartOrder>(verdict);
+    fixture.refuseAll();
+    BOOST_TEST(fixture.task().Live.has_value());
+    fixture.Time.advance(Duration::millis(50));
+    fixture.Sessions->tick();
+    fixture.storeAll();
+    BOOST_TEST(!fixture.task().Live.has_value());
+  }
+}
+
+// Guards against an end that is stored once more on each tick until it is part
+// of the job state.
+BOOST_AUTO_TEST_CASE(EndIsStoredOnceAtATime) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  fixture.announce();
+  fixture.start();
+  fixture.answer<StartOrder>(OrderVerdict::Unhealthy);
+  for (int i = 0; i < 3; ++i) {
+    fixture.Time.advance(Duration::millis(50));
+    fixture.Sessions->tick();
+  }
+  BOOST_TEST(fixture.Writes.size() == 1U);
+}
+
 // Repeated lease orders to a silent worker must not extend its leases.
 BOOST_AUTO_TEST_CASE(SilentWorkerIsLostOnlyWhenItsLeasesAreOver) {
   RunningFixture fixture;
--- a/testing/sessions_fixture.h
+++ b/testing/sessions_fixture.h
@@ -129,6 +129,11 @@
       write.Done(true);
     }
   }
+  // Refuses the events that wait, as while the leader's lease has expired.
+  void refuseAll() {
+    for (const PendingWrite &write : std::exchange(Writes, {}))
+      write.Done(false);
+  }
   jobs::JobState jobState() const { return Book.find(jobs::JobId("a"))->State; }
   const jobs::Task &task() const { return *Book.findTask(taskOf("a", 0)); }
 };
