jobs: a job belongs to the place where it was handed in

Jobs of a removed route stood still.

Cause: a job was bound to the name of its queue, which callers do not know. Now it is bound to host and prefix, which JobAcceptedAt stores with the acceptance; a queue that leaves the configuration keeps its properties for its open jobs. Related: a job was also bound to the name of its team, and to whether its queue asks for keys. A team that is replaced by one with one of its keys takes its jobs along.

--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -303,7 +303,8 @@
           jobs::AttemptEnded{task, 1, jobs::EndKind::Failed, "saved"},
           jobs::JobCancelled{jobs::JobId("j")},
           jobs::WorkerGone{Worker, Incarnation{4}},
-          jobs::JobsForgotten{{jobs::JobId("j")}}};
+          jobs::JobsForgotten{{jobs::JobId("j")}},
+          jobs::JobAcceptedAt{{job(), Now}, {"a.example", "/plans/"}}};
 }
 
 std::vector<fate::Event> zoneEvents() {
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -72,8 +72,13 @@
   if (!isOk(admitted))
     return errorOf(admitted);
   const jobs::Job *job = Book.find(id);
-  if (job == nullptr || job->Spec.Queue != valueOf(admitted).Queue->Id ||
-      job->Spec.Team != valueOf(admitted).Team)
+  const Admitted &by = valueOf(admitted);
+  // An open queue takes calls without a key, so that a caller without a team
+  // may ask for any of its jobs, and any caller for a job without one.
+  const bool isOwner =
+      job != nullptr && (job->Spec.Team == by.Team || by.Team == TeamId() ||
+                         job->Spec.Team == TeamId());
+  if (!isOwner || job->Place != jobs::placeOf(*by.Queue))
     return Error{ErrorKind::Gone, "no such job", "check the id"};
   return job;
 }
@@ -96,8 +101,9 @@
   jobs::JobSpec spec = command.Job;
   spec.Queue = valueOf(admitted).Queue->Id;
   spec.Team = valueOf(admitted).Team;
-  storeAndReply({jobs::JobAccepted{std::move(spec), WallClock.now()}}, done,
-                [] { return jobs::Stored{}; });
+  storeAndReply({jobs::JobAcceptedAt{{std::move(spec), WallClock.now()},
+                                     jobs::placeOf(*valueOf(admitted).Queue)}},
+                done, [] { return jobs::Stored{}; });
 }
 
 void ControlTask::run(const jobs::CancelJob &command, const Answer &done) {
--- a/jujube/control/control_metrics.cc
+++ b/jujube/control/control_metrics.cc
@@ -70,8 +70,7 @@
 }
 
 std::optional<Duration> ControlTask::objectiveSpan(const jobs::Job &job) const {
-  const jobs::Queue *queue =
-      jobs::findQueue(Book.configuration(), job.Spec.Queue);
+  const jobs::Queue *queue = Book.queueOf(job);
   if (queue == nullptr || job.Spec.FirstDue)
     return std::nullopt;
   return dispatch::objectiveOf(job, *queue, 0) - job.AcceptedAt;
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -110,8 +110,7 @@
 
 void ControlTask::sendApprovalQuery(const jobs::ApprovalQuery &query) {
   const jobs::Job *job = Book.find(query.Step.Job);
-  const jobs::Queue *queue =
-      jobs::findQueue(Book.configuration(), job->Spec.Queue);
+  const jobs::Queue *queue = Book.queueOf(*job);
   const Instant now = Loop.now();
   const bool isLong =
       dispatch::lengthOf(*queue->Approval) == dispatch::QueryLength::Long;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -299,6 +299,8 @@
     Book.apply(event);
     if (const auto *accepted = std::get_if<jobs::JobAccepted>(&event))
       noteAccepted(accepted->Spec);
+    else if (const auto *placed = std::get_if<jobs::JobAcceptedAt>(&event))
+      noteAccepted(placed->What.Spec);
     else if (const auto *changed = std::get_if<jobs::WorkerChanged>(&event))
       Sessions->noteWorkerChanged(changed->Now.Id);
   }
--- a/jujube/control/event_batch.cc
+++ b/jujube/control/event_batch.cc
@@ -20,6 +20,10 @@
     return ShortEvent * (1 + event.Spec.Steps.size()) +
            event.Spec.Payload.size();
   }
+  std::size_t operator()(const jobs::JobAcceptedAt &event) const {
+    return (*this)(event.What) + event.Place.HostName.size() +
+           event.Place.PathPrefix.size();
+  }
   std::size_t operator()(const jobs::ConfigurationPut &event) const {
     // The parsed values are stored along with the document.
     return ShortEvent + 2 * event.Value.Document.size();
--- a/jujube/dispatch/pass.cc
+++ b/jujube/dispatch/pass.cc
@@ -58,7 +58,7 @@
           job,
           &job->Spec.Steps[key.Step],
           &job->Occurrences[key.Occurrence].Steps[key.Step],
-          jobs::findQueue(Input.Book.configuration(), job->Spec.Queue),
+          Input.Book.queueOf(*job),
           waiting.DueBy,
           Input.Approved.find(key)};
 }
--- a/jujube/dispatch/plan_work_test.cc
+++ b/jujube/dispatch/plan_work_test.cc
@@ -104,6 +104,7 @@
   config.Queues.push_back(config.Queues[0]);
   config.Queues[0].Priority = 1;
   config.Queues[1].Id = jobs::QueueId("urgent");
+  config.Queues[1].PathPrefix = "/urgent/";
   config.Queues[1].Approval.reset();
   book.apply(jobs::ConfigurationPut{config});
   jobs::JobSpec urgent = sampleJob("z", {sampleStep(1, 500)});
--- a/jujube/jobs/configuration.cc
+++ b/jujube/jobs/configuration.cc
@@ -79,6 +79,18 @@
   return best;
 }
 
+QueuePlace placeOf(const Queue &queue) {
+  return {queue.HostName, queue.PathPrefix};
+}
+
+const Queue *findQueue(const Configuration &config, const QueuePlace &place) {
+  const auto it = std::ranges::find_if(config.Queues, [&](const Queue &queue) {
+    return queue.PathPrefix == place.PathPrefix &&
+           queue.HostName == place.HostName;
+  });
+  return it == config.Queues.end() ? nullptr : &*it;
+}
+
 const Queue *findQueue(const Configuration &config, const QueueId &id) {
   const auto it = std::ranges::find(config.Queues, id, &Queue::Id);
   return it == config.Queues.end() ? nullptr : &*it;
--- a/jujube/jobs/configuration.h
+++ b/jujube/jobs/configuration.h
@@ -2,6 +2,7 @@
 #ifndef JUJUBE_JOBS_CONFIGURATION_H_
 #define JUJUBE_JOBS_CONFIGURATION_H_
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,16 @@
   bool operator==(const ApprovalTerms &) const = default;
 };
 
+// Where callers reach a queue. Callers know a queue by its place only; its id
+// is the operators' name for it, and another version of the configuration may
+// give the place another id.
+struct QueuePlace {
+  std::string HostName;
+  std::string PathPrefix;
+
+  auto operator<=>(const QueuePlace &) const = default;
+};
+
 // A destination for jobs, with the rules that apply to them.
 struct Queue {
   QueueId Id;
@@ -97,7 +108,9 @@
 // Returns the queue that a call belongs to, or null if there is none.
 const Queue *findQueue(const Configuration &config, absl::string_view hostName,
                        absl::string_view path);
-// The lookups below return null for unknown ids and keys.
+QueuePlace placeOf(const Queue &queue);
+// The lookups below return null for unknown places, ids and keys.
+const Queue *findQueue(const Configuration &config, const QueuePlace &place);
 const Queue *findQueue(const Configuration &config, const QueueId &id);
 const Team *findTeam(const Configuration &config, const TeamId &id);
 const Pool *findPool(const Configuration &config, const PoolId &id);
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -21,6 +21,12 @@
   // Wall time of the leader; used only to order waiting jobs.
   Instant AcceptedAt;
 };
+// A job that was accepted at this place. Logs of earlier versions have
+// JobAccepted alone, which names the queue only.
+struct JobAcceptedAt {
+  JobAccepted What;
+  QueuePlace Place;
+};
 struct JobCancelled {
   JobId Job;
 };
@@ -54,9 +60,9 @@
   std::vector<JobId> Jobs;
 };
 
-using Event =
-    std::variant<ConfigurationPut, JobAccepted, JobCancelled, AttemptStarted,
-                 AttemptEnded, WorkerChanged, WorkerGone, JobsForgotten>;
+using Event = std::variant<ConfigurationPut, JobAccepted, JobCancelled,
+                           AttemptStarted, AttemptEnded, WorkerChanged,
+                           WorkerGone, JobsForgotten, JobAcceptedAt>;
 
 } // namespace jujube::jobs
 
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -28,6 +28,38 @@
   return job.Occurrences[key.Occurrence].Steps[key.Step];
 }
 
+// Where queues have moved to that keep their id and pool.
+std::map<QueuePlace, QueuePlace> movedQueues(const Configuration &before,
+                                             const Configuration &now) {
+  std::map<QueuePlace, QueuePlace> moved;
+  for (const Queue &queue : before.Queues) {
+    if (findQueue(now, placeOf(queue)) != nullptr)
+      continue;
+    const Queue *same = findQueue(now, queue.Id);
+    if (same != nullptr && same->Pool == queue.Pool &&
+        findQueue(before, placeOf(*same)) == nullptr)
+      moved.emplace(placeOf(queue), placeOf(*same));
+  }
+  return moved;
+}
+
+// The new ids of teams that keep a key: callers know their team by its keys
+// only.
+std::map<TeamId, TeamId> renamedTeams(const Configuration &before,
+                                      const Configuration &now) {
+  std::map<TeamId, TeamId> renamed;
+  for (const Team &team : before.Teams) {
+    if (findTeam(now, team.Id) != nullptr)
+      continue;
+    for (const std::string &key : team.Keys) {
+      const Team *same = teamOfKey(now, key);
+      if (same != nullptr && findTeam(before, same->Id) == nullptr)
+        renamed.emplace(team.Id, same->Id);
+    }
+  }
+  return renamed;
+}
+
 } // namespace
 
 void JobStateMachine::apply(const Event &event) {
@@ -90,10 +122,19 @@
 }
 
 uint64_t JobStateMachine::pending(const QueueId &queue) const {
-  const auto it = Pending.find(queue);
+  const Queue *held = findQueue(Config, queue);
+  const auto it =
+      held != nullptr ? Pending.find(placeOf(*held)) : Pending.end();
   return it == Pending.end() ? 0 : it->second;
 }
 
+const Queue *JobStateMachine::queueOf(const Job &job) const {
+  if (const Queue *queue = findQueue(Config, job.Place))
+    return queue;
+  const auto it = Retired.find(job.Place);
+  return it == Retired.end() ? nullptr : &it->second;
+}
+
 bool JobStateMachine::isReady(const Job &job, uint32_t occurrence,
                               uint32_t step) {
   const Occurrence &round = job.Occurrences[occurrence];
@@ -105,25 +146,69 @@
 void JobStateMachine::handle(const ConfigurationPut &event) {
   if (event.Value.Version <= Config.Version)
     return;
-  Config = event.Value;
+  const Configuration before = std::exchange(Config, event.Value);
+  followRenames(before);
+  retireQueues(before);
   Waiting.clear();
+  Pending.clear();
   for (const JobId &id : Open) {
-    adoptTerms(*findMutable(id));
-    updateAllWaiting(*find(id));
+    Job &job = *findMutable(id);
+    adoptTerms(job);
+    if (job.State == JobState::Queued)
+      ++Pending[job.Place];
+    updateAllWaiting(job);
   }
 }
 
-void JobStateMachine::handle(const JobAccepted &event) {
+void JobStateMachine::followRenames(const Configuration &before) {
+  const auto places = movedQueues(before, Config);
+  const auto teams = renamedTeams(before, Config);
+  if (places.empty() && teams.empty())
+    return;
+  for (auto &[id, job] : Jobs) {
+    if (const auto it = places.find(job.Place); it != places.end())
+      job.Place = it->second;
+    if (const auto it = teams.find(job.Spec.Team); it != teams.end())
+      job.Spec.Team = it->second;
+  }
+  for (const auto &[from, to] : teams)
+    if (const auto node = Used.extract(from); !node.empty())
+      Used[to] += node.mapped();
+}
+
+void JobStateMachine::retireQueues(const Configuration &before) {
+  std::set<QueuePlace> used;
+  for (const JobId &id : Open)
+    used.insert(find(id)->Place);
+  std::erase_if(Retired, [&](const auto &it) {
+    return !used.contains(it.first) || findQueue(Config, it.first) != nullptr;
+  });
+  // Also the queues without jobs: a job that was accepted at the same time may
+  // come next in the log.
+  for (const Queue &queue : before.Queues)
+    if (findQueue(Config, placeOf(queue)) == nullptr)
+      Retired.insert_or_assign(placeOf(queue), queue);
+}
+
+void JobStateMachine::handle(const JobAccepted &event) { accept(event, {}); }
+
+void JobStateMachine::handle(const JobAcceptedAt &event) {
+  accept(event.What, event.Place);
+}
+
+void JobStateMachine::accept(const JobAccepted &event,
+                             const QueuePlace &place) {
   if (Jobs.contains(event.Spec.Id))
     return;
   Job job{event.Spec, event.AcceptedAt};
+  job.Place = place;
   Occurrence round;
   for (const StepSpec &step : event.Spec.Steps)
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
   job.Occurrences.assign(std::max<uint32_t>(event.Spec.Occurrences, 1), round);
   adoptTerms(job);
   Open.insert(event.Spec.Id);
-  ++Pending[event.Spec.Queue];
+  ++Pending[job.Place];
   updateAllWaiting(Jobs.emplace(event.Spec.Id, std::move(job)).first->second);
 }
 
@@ -193,7 +278,10 @@
 }
 
 void JobStateMachine::adoptTerms(Job &job) const {
-  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  if (job.Place == QueuePlace())
+    if (const Queue *queue = findQueue(Config, job.Spec.Queue))
+      job.Place = placeOf(*queue);
+  const Queue *queue = queueOf(job);
   if (job.MaxAttempts == 0 && queue != nullptr)
     job.MaxAttempts = queue->MaxAttempts;
 }
@@ -278,8 +366,8 @@
 
 void JobStateMachine::setState(Job &job, JobState state) {
   if (job.State == JobState::Queued && state != JobState::Queued &&
-      --Pending[job.Spec.Queue] == 0)
-    Pending.erase(job.Spec.Queue);
+      --Pending[job.Place] == 0)
+    Pending.erase(job.Place);
   job.State = state;
 }
 
@@ -309,7 +397,7 @@
 
 void JobStateMachine::updateWaitingFrom(const Job &job, uint32_t occurrence,
                                         uint32_t step) {
-  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  const Queue *queue = queueOf(job);
   if (queue == nullptr)
     return;
   updateWaiting(job, *queue, occurrence, step);
@@ -320,7 +408,7 @@
 }
 
 void JobStateMachine::updateAllWaiting(const Job &job) {
-  const Queue *queue = findQueue(Config, job.Spec.Queue);
+  const Queue *queue = queueOf(job);
   if (queue == nullptr)
     return;
   for (uint32_t k = 0; k < job.Occurrences.size(); ++k)
@@ -393,12 +481,16 @@
     departed.IsDraining = true;
     state.Workers.push_back(std::move(departed));
   }
+  for (const auto &[place, queue] : Retired)
+    state.Retired.push_back(queue);
   return state;
 }
 
 JobStateMachine JobStateMachine::restore(JobSnapshot state) {
   JobStateMachine book;
   book.Config = std::move(state.Config);
+  for (Queue &queue : state.Retired)
+    book.Retired.emplace(placeOf(queue), std::move(queue));
   for (Worker &worker : state.Workers) {
     if (worker.At == Address{})
       book.recordDeparture(worker.Id, worker.WorkerIncarnation);
@@ -413,7 +505,7 @@
     const JobId id = job.Spec.Id;
     const Job &restored = book.Jobs.emplace(id, std::move(job)).first->second;
     if (restored.State == JobState::Queued)
-      ++book.Pending[restored.Spec.Queue];
+      ++book.Pending[restored.Place];
     if (!isEnded(restored.State))
       book.updateAllWaiting(restored);
     for (uint32_t k = 0; k < restored.Occurrences.size(); ++k)
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -76,6 +76,10 @@
   // the configuration afterwards. 0 if it was not configured even then; the
   // next configuration that has the queue sets it.
   uint32_t MaxAttempts = 0;
+  // Where the job was handed in; follows a queue that moves. Default if its
+  // queue was unknown at the acceptance; the next configuration that has a
+  // queue of that id sets it.
+  QueuePlace Place;
 
   bool operator==(const Job &) const = default;
 };
@@ -86,6 +90,8 @@
   std::vector<Job> Jobs;
   // Departed workers are included as draining workers without an address.
   std::vector<Worker> Workers;
+  // Queues that have left the configuration while jobs of theirs were open.
+  std::vector<Queue> Retired;
 };
 
 // Resources and tasks of the attempts that may be running on one worker.
@@ -130,8 +136,12 @@
   const Task *findTask(const TaskKey &key) const;
   const StepSpec *findStep(const StepKey &key) const;
   const StepState *findStepState(const StepKey &key) const;
-  // Number of open jobs of the queue of which no task has started.
+  // Number of open jobs of a configured queue of which no task has started.
   uint64_t pending(const QueueId &queue) const;
+  // The queue at the job's place, with the properties that it had last if it
+  // has left the configuration: accepted jobs go on. Null only for a job whose
+  // queue was unknown at the acceptance.
+  const Queue *queueOf(const Job &job) const;
 
   // True if all steps that this step waits for are done.
   static bool isReady(const Job &job, uint32_t occurrence, uint32_t step);
@@ -150,8 +160,15 @@
   void handle(const WorkerChanged &event);
   void handle(const WorkerGone &event);
   void handle(const JobsForgotten &event);
+  void handle(const JobAcceptedAt &event);
 
   Job *findMutable(const JobId &id);
+  void accept(const JobAccepted &event, const QueuePlace &place);
+  // Lets jobs follow queues that have moved and teams that have another id
+  // since `before`.
+  void followRenames(const Configuration &before);
+  // Keeps the queues of `before` that have left the configuration.
+  void retireQueues(const Configuration &before);
   // Ends the job; its live attempts remain until they end themselves.
   void end(Job &job, JobState state);
   // True if the step belongs in Waiting.
@@ -168,7 +185,7 @@
   // Marks the task done; the first member of a gang that is done completes the
   // whole gang.
   void countDone(const Job &job, StepState &step, const TaskKey &key);
-  // Sets Job::MaxAttempts from the configuration, unless it is set.
+  // Sets Job::Place and Job::MaxAttempts, unless they are set.
   void adoptTerms(Job &job) const;
   // Counts a failed attempt; fails the job after Job::MaxAttempts.
   void countFailure(Job &job, StepState &step, const TaskKey &key,
@@ -182,11 +199,12 @@
   static void releaseDetails(Job &job);
 
   Configuration Config;
+  std::map<QueuePlace, Queue> Retired;
   std::map<JobId, Job> Jobs;
-  // The members below, except Workers, are derived from Config and Jobs.
+  // The members below, except Workers, are derived from those above.
   std::set<JobId> Open;
   WaitingSteps Waiting;
-  std::map<QueueId, uint64_t> Pending;
+  std::map<QueuePlace, uint64_t> Pending;
   // Records that an incarnation of a worker has departed; forgets the oldest
   // records beyond a limit.
   void recordDeparture(const WorkerId &id, Incarnation incarnation);
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -39,6 +39,9 @@
   ar(v.Id, v.HostName, v.PathPrefix, v.Pool, v.Timeout, v.Priority,
      v.MaxAttempts, v.SlackFactor, v.LatencyTarget, v.Approval, v.IsOpen);
 }
+template <typename Archive> void serialize(Archive &ar, QueuePlace &v) {
+  ar(v.HostName, v.PathPrefix);
+}
 template <typename Archive> void serialize(Archive &ar, Pool &v) {
   ar(v.Id, v.EnforcesCapacity, v.IsStandby);
 }
@@ -109,6 +112,9 @@
 template <typename Archive> void serialize(Archive &ar, JobAccepted &v) {
   ar(v.Spec, v.AcceptedAt);
 }
+template <typename Archive> void serialize(Archive &ar, JobAcceptedAt &v) {
+  ar(v.What, v.Place);
+}
 template <typename Archive> void serialize(Archive &ar, JobCancelled &v) {
   ar(v.Job);
 }
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -170,26 +170,38 @@
   return decode<std::vector<jobs::Event>>(bytes);
 }
 
-// A snapshot is followed by the terms of its jobs, in the same order, which
-// snapshots of earlier versions lack.
+// A snapshot is followed by the terms and the places of its jobs, in the same
+// order, and the retired queues. Snapshots of earlier versions lack the last of
+// these parts or all of them.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
   std::vector<uint32_t> terms;
   std::ranges::transform(state.Jobs, std::back_inserter(terms),
                          &jobs::Job::MaxAttempts);
-  return encode(state) + encode(terms);
+  std::vector<jobs::QueuePlace> places;
+  std::ranges::transform(state.Jobs, std::back_inserter(places),
+                         &jobs::Job::Place);
+  return encode(state) + encode(terms) + encode(places) + encode(state.Retired);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
   std::vector<uint32_t> terms;
-  auto state = decodeExtended<jobs::JobSnapshot>(bytes, terms);
-  if (!isOk(state) || terms.empty())
-    return state;
-  std::vector<jobs::Job> &held = std::get<jobs::JobSnapshot>(state).Jobs;
-  if (terms.size() != held.size())
+  std::vector<jobs::QueuePlace> places;
+  std::vector<jobs::Queue> retired;
+  auto decoded =
+      decodeExtended<jobs::JobSnapshot>(bytes, terms, places, retired);
+  if (!isOk(decoded))
+    return decoded;
+  jobs::JobSnapshot state = valueOf(std::move(decoded));
+  const std::size_t n = state.Jobs.size();
+  if ((!terms.empty() && terms.size() != n) ||
+      (!places.empty() && places.size() != n))
     return Error{ErrorKind::CorruptData,
                  "snapshot can't be decoded: terms and jobs differ in number",
                  "run the same version on all hosts"};
-  for (std::size_t i = 0; i < held.size(); ++i)
-    held[i].MaxAttempts = terms[i];
+  for (std::size_t i = 0; i < terms.size(); ++i)
+    state.Jobs[i].MaxAttempts = terms[i];
+  for (std::size_t i = 0; i < places.size(); ++i)
+    state.Jobs[i].Place = std::move(places[i]);
+  state.Retired = std::move(retired);
   return state;
 }
 
--- a/testing/control_path_test.cc
+++ b/testing/control_path_test.cc
@@ -28,6 +28,17 @@
   return n;
 }
 
+// Submits job a, and waits until the two tasks of its first step run. Those of
+// the second step wait for them.
+void submitTwoSteps(ControlCell &cell) {
+  jobs::StepSpec second = sampleStep(2);
+  second.After = {0};
+  jobs::JobSpec job = sampleJob("a", {sampleStep(2), second});
+  job.Payload = "1000";
+  requireOk(cell.submit(job));
+  cell.wire().run(Duration::millis(500));
+}
+
 BOOST_AUTO_TEST_SUITE(ControlPathTest)
 
 BOOST_AUTO_TEST_CASE(JobRunsStepByStepAndIsShownCompleted) {
@@ -356,6 +367,57 @@
              "unauthenticated");
 }
 
+// Guards against accepted jobs that are answered as gone, and do not go on,
+// once the operator has given their queue or their team another name
+// (review/7).
+BOOST_AUTO_TEST_CASE(AcceptedJobGoesOnWhenItsQueueAndTeamAreRenamed) {
+  ControlCell cell({});
+  submitTwoSteps(cell);
+  jobs::Configuration next = sampleConfiguration(2);
+  next.Queues[0].Id = jobs::QueueId("other");
+  next.Teams[0].Id = TeamId("other");
+  BOOST_REQUIRE(isOk(cell.execute(jobs::PutConfiguration{next})));
+  BOOST_TEST(cell.stateOf("a") == "running");
+  BOOST_TEST(cell.awaitState("a", "completed"));
+  BOOST_TEST(startsOf(cell, cell.workers()) == 4);
+  checkGuarantees(cell, cell.workers());
+}
+
+// Guards against accepted jobs that stand still while their queue is out of the
+// configuration.
+BOOST_AUTO_TEST_CASE(AcceptedJobGoesOnWhenItsQueueIsRemoved) {
+  ControlCell cell({});
+  submitTwoSteps(cell);
+  jobs::Configuration next = sampleConfiguration(2);
+  next.Queues.clear();
+  BOOST_REQUIRE(isOk(cell.execute(jobs::PutConfiguration{next})));
+  cell.wire().run(Duration::seconds(4));
+  BOOST_TEST(startsOf(cell, cell.workers()) == 4);
+  BOOST_TEST(cell.stateOf("a") == "not_found");
+  checkGuarantees(cell, cell.workers());
+}
+
+// Guards against a job that its caller no longer finds because its queue takes
+// calls without a key since, or no longer does.
+BOOST_AUTO_TEST_CASE(JobIsFoundWhenItsQueueOpensOrCloses) {
+  for (const bool isOpenFirst : {false, true}) {
+    ControlCell cell({});
+    jobs::Configuration config = sampleConfiguration(2);
+    config.Queues[0].IsOpen = isOpenFirst;
+    BOOST_REQUIRE(isOk(cell.execute(jobs::PutConfiguration{config})));
+    const auto callerIn = [](bool isOpen) {
+      return jobs::Caller{"a.example", "/plans/", isOpen ? "" : "key-a"};
+    };
+    BOOST_REQUIRE(isOk(cell.execute(jobs::SubmitJob{
+        callerIn(isOpenFirst), sampleJob("a", {sampleStep(1)})})));
+    config.Version = 3;
+    config.Queues[0].IsOpen = !isOpenFirst;
+    BOOST_REQUIRE(isOk(cell.execute(jobs::PutConfiguration{config})));
+    BOOST_TEST(isOk(
+        cell.execute(jobs::ReadJob{callerIn(!isOpenFirst), jobs::JobId("a")})));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OlderAndInvalidConfigurationsChangeNothing) {
   ControlCell cell({});
   jobs::Configuration newer = sampleConfiguration(5);
--- a/testing/dispatch_load.cc
+++ b/testing/dispatch_load.cc
@@ -36,6 +36,7 @@
       queue.SlackFactor = kind.SlackFactor;
       queue.LatencyTarget = kind.LatencyTarget;
       queue.Approval = kind.Approval;
+      queue.PathPrefix = "/" + queue.Id.str() + "/";
       config.Queues.push_back(queue);
     }
     Book.apply(jobs::ConfigurationPut{config});
