control: the next incarnation of a worker obeys no orders to the one before

Cause: an order names no incarnation. A start that waits while the worker is down, or is carried out late, states the end of its lease on a clock that is gone; on the next one it is far ahead, and the worker shortens it to its longest lease of 10 s. The leader counted 8 s. Now fences also count restarts, so that a worker refuses orders to its earlier incarnation once it has seen the present fence; it is asked at once and used once it has answered. Leases that such an order may have granted are counted as the longest, by a new leader, too, and for attempts that the known incarnation has not listed. What one incarnation said (confirmed stops, shares of filler tasks) is asked of the next.

Without the single parts (trials), the tests named after them fail: fence, stop, share, attempts that were not listed. Measured after: control_test (54 cases) and RunEvidenceTest pass.

--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -19,9 +19,9 @@
 } // namespace
 
 WorkerSessions::WorkerSessions(Hooks hooks, const jobs::JobStateMachine &book,
-                               dispatch::LeasePolicy leases, uint64_t fence,
+                               dispatch::LeasePolicy leases, uint64_t term,
                                std::size_t maxWaitingOrders)
-    : Callbacks(std::move(hooks)), Book(book), Leases(leases), Fence(fence),
+    : Callbacks(std::move(hooks)), Book(book), Leases(leases), Term(term),
       MaxWaitingOrders(maxWaitingOrders) {}
 
 WorkerSessions::Session &WorkerSessions::sessionOf(const WorkerId &worker) {
@@ -33,6 +33,7 @@
   Session session{dispatch::LeaseClock(Leases, now)};
   session.WorkerIncarnation =
       held != nullptr ? held->WorkerIncarnation : Incarnation{};
+  session.FenceNumber = ++LastFenceNumber;
   session.LastHeard = now;
   session.NextLeaseOrder = now;
   return Sessions.emplace(worker, std::move(session)).first->second;
@@ -52,7 +53,7 @@
       RunState run;
       run.Attempt = Book.findTask(key)->Live->Attempt;
       run.Since = Callbacks.Now();
-      run.MayArrive = true;
+      noteMayArrive(run);
       session.Runs.emplace(key, std::move(run));
       const jobs::Job *job = Book.find(key.Job);
       if (isEnded(job->State) || Book.findTask(key)->IsDone)
@@ -109,12 +110,62 @@
       .with("life", life)
       .with("life_before", session.WorkerIncarnation)
       .with("attempts", session.Runs.size());
+  const Instant now = Callbacks.Now();
   session.WorkerIncarnation = life;
+  session.FenceNumber = ++LastFenceNumber;
+  session.IsFenceConfirmed = false;
+  session.IsUnverified = true;
+  session.NextLeaseOrder = now;
   session.Sequence = 0;
   session.AckedEnds = 0;
   session.ConfirmedAckedEnds = 0;
   session.Outcomes.clear();
-  session.Clock = dispatch::LeaseClock(Leases, Callbacks.Now());
+  session.Clock = dispatch::LeaseClock(Leases, now);
+  // What the incarnation before said of its attempts does not hold for this
+  // one, which may have taken their starts.
+  for (auto &[task, run] : session.Runs) {
+    run.Since = now;
+    run.IsListed = false;
+    run.Share.reset();
+    noteMayArrive(run);
+    if (run.State == Phase::Stopped) {
+      run.State = Phase::Stopping;
+      run.NextSend = now;
+    }
+  }
+}
+
+void WorkerSessions::noteMayArrive(RunState &run) {
+  run.MayArrive = true;
+  run.LatestArrival = Callbacks.Now() + MaxOrderDelay;
+}
+
+bool WorkerSessions::hasExpired(const Session &session, const RunState &run,
+                                Instant now) {
+  if (!session.Clock.areLeasesOver(now))
+    return false;
+  const bool isOnThisIncarnation = run.IsListed && now >= run.LatestArrival;
+  return isOnThisIncarnation || session.Clock.areLeasesOverAfterRestart(now);
+}
+
+bool WorkerSessions::endExpired(const WorkerId &worker, Session &session) {
+  const Instant now = Callbacks.Now();
+  std::size_t ended = 0;
+  std::size_t left = 0;
+  for (auto &[task, run] : session.Runs) {
+    if (run.State != Phase::Ended && !hasExpired(session, run, now)) {
+      ++left;
+      continue;
+    }
+    ended += run.State != Phase::Ended ? 1 : 0;
+    storeLost(worker, task, run);
+  }
+  if (ended > 0)
+    Line(Event::LeasesExpired, Level::Warning)
+        .with("worker", worker)
+        .with("attempts", ended)
+        .with("silent_ms", now - session.LastHeard);
+  return left == 0;
 }
 
 WorkerSessions::RunState *WorkerSessions::findRun(const WorkerId &worker,
@@ -145,15 +196,8 @@
 
 void WorkerSessions::tickSession(const WorkerId &worker, Session &session) {
   const Instant now = Callbacks.Now();
-  if (!session.Runs.empty() && session.Clock.areLeasesOver(now)) {
-    Line(Event::LeasesExpired, Level::Warning)
-        .with("worker", worker)
-        .with("attempts", session.Runs.size())
-        .with("silent_ms", now - session.LastHeard);
-    for (auto &[task, run] : session.Runs)
-      storeLost(worker, task, run);
+  if (endExpired(worker, session) && !session.Runs.empty())
     return;
-  }
   for (auto &[task, run] : session.Runs) {
     const bool isDue = run.NextSend != Instant() && now >= run.NextSend;
     if (run.State == Phase::Stopping && !run.IsStopPending &&
@@ -162,8 +206,6 @@
     } else if (run.State == Phase::Starting && isDue) {
       run.NextSend = Instant();
       sendStart(worker, task);
-    } else if (run.State == Phase::Ended) {
-      storeLost(worker, task, run);
     }
   }
   const bool hasUnconfirmedEnds =
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -2,10 +2,12 @@
 // recovery of orders without an answer. A new leader builds the sessions from
 // the replicated job state alone.
 //
-// An attempt occupies its resources until the worker lists its end; the worker
-// has confirmed a stop and no longer lists the attempt; the worker has
-// restarted; or every lease that may have reached the worker has expired on the
-// worker's clock.
+// An attempt occupies its resources until the worker lists its end; the present
+// incarnation of the worker has confirmed a stop and no longer lists the
+// attempt; another worker answers in its place; or every lease that may have
+// reached the worker has expired. That a worker has restarted does not end its
+// attempts: the next incarnation takes orders that were meant for the one
+// before, since neither names an incarnation.
 #ifndef JUJUBE_CONTROL_WORKER_SESSIONS_H_
 #define JUJUBE_CONTROL_WORKER_SESSIONS_H_
 
@@ -72,11 +74,10 @@
         NextShare = dispatch::nextShare;
   };
 
-  // `fence` is the fencing token, which increases with each leader. At most
-  // `maxWaitingOrders` lease orders wait at workers at the same time, since
-  // each occupies a connection.
+  // `term` is that of the leader. At most `maxWaitingOrders` lease orders wait
+  // at workers at the same time, since each occupies a connection.
   WorkerSessions(Hooks hooks, const jobs::JobStateMachine &book,
-                 dispatch::LeasePolicy leases, uint64_t fence,
+                 dispatch::LeasePolicy leases, uint64_t term,
                  std::size_t maxWaitingOrders = SIZE_MAX);
 
   // Takes over the attempts that may be running according to the job state.
@@ -121,6 +122,9 @@
   // between zones.
   static constexpr Duration OrderTimeout = Duration::millis(250);
 
+  // How late a worker may carry out an order that it did not answer.
+  static constexpr Duration MaxOrderDelay = Duration::seconds(12);
+
   // How long a worker whose tasks fail is used only if no other worker fits.
   // The span doubles each time, from the time of ten short tasks to as long as
   // such a worker stays in the fleet.
@@ -149,8 +153,12 @@
     // Kept while the start may have to be resent.
     std::optional<dispatch::StartOrder> Order;
     int Sends = 0;
-    // A start got no answer and may still arrive at the worker.
+    // A start got no answer, and may still arrive at the worker until
+    // LatestArrival.
     bool MayArrive = false;
+    Instant LatestArrival;
+    // The incarnation that the session knows has listed it as running.
+    bool IsListed = false;
     bool IsStopPending = false;
     // In Phase::Ended: the event is being stored.
     bool IsEndPending = false;
@@ -167,6 +175,11 @@
   struct Session {
     dispatch::LeaseClock Clock;
     Incarnation WorkerIncarnation;
+    // Part of the fence of all orders to this incarnation.
+    uint64_t FenceNumber = 0;
+    // The worker has carried out an order with the present fence, and refuses
+    // those with earlier ones.
+    bool IsFenceConfirmed = false;
     uint64_t Sequence = 0;
     Instant LastHeard;
     std::map<jobs::TaskKey, RunState> Runs;
@@ -178,7 +191,8 @@
     // was noticed.
     int Misses = 0;
     Instant SilentSince;
-    // Set by verify(), and when another worker answered at its address.
+    // Set by verify(), by a restart, and when another worker answered at its
+    // address.
     bool IsUnverified = false;
     uint64_t AckedEnds = 0;
     // The last value of AckedEnds that the worker has received.
@@ -198,8 +212,9 @@
   };
 
   using AnswerHook = std::function<void(const dispatch::OrderAnswer &)>;
-  // Sends an order to the current incarnation of a worker. An answer that is
-  // not surely from this incarnation counts as no answer.
+  // Sends an order with the present fence to the current incarnation of a
+  // worker. An answer that is not surely from this incarnation counts as no
+  // answer.
   void send(const WorkerId &worker, const Address &at, dispatch::OrderBody what,
             Duration timeout, AnswerHook done);
   static bool isUsable(const Session &session, const jobs::Worker &held,
@@ -233,6 +248,13 @@
                   const dispatch::OrderAnswer &answer);
   void beginIncarnation(const WorkerId &worker, Session &session,
                         Incarnation life);
+  // Notes that a start of the attempt may be carried out late.
+  void noteMayArrive(RunState &run);
+  // True once no lease can keep the attempt running, on any incarnation.
+  static bool hasExpired(const Session &session, const RunState &run,
+                         Instant now);
+  // Ends the attempts that have expired. Returns false if any is left.
+  bool endExpired(const WorkerId &worker, Session &session);
   // Stores that the attempt has ended. tick() repeats this until the job state
   // has the end.
   void storeLost(const WorkerId &worker, const jobs::TaskKey &task,
@@ -246,9 +268,12 @@
   Hooks Callbacks;
   const jobs::JobStateMachine &Book;
   dispatch::LeasePolicy Leases;
-  uint64_t Fence;
+  uint64_t Term;
   std::size_t MaxWaitingOrders;
   std::size_t WaitingOrders = 0;
+  // The highest FenceNumber of any session, also of those that are gone: a
+  // worker may come back with the same incarnation.
+  uint64_t LastFenceNumber = 0;
   std::map<WorkerId, Session> Sessions;
 };
 
--- a/jujube/control/worker_sessions_lists.cc
+++ b/jujube/control/worker_sessions_lists.cc
@@ -49,7 +49,6 @@
   // elsewhere.
   if (session.Misses == 0 && !session.IsUnverified)
     order.Expires = session.Clock.grant(now);
-  order.Fence = Fence;
   order.AckedEnds = session.AckedEnds;
   const bool mayDelayAnswer =
       session.Misses == 0 && order.Expires &&
@@ -92,7 +91,10 @@
     return;
   }
   noteHeard(worker, session);
-  session.IsUnverified = false;
+  // An incarnation that answered an order to the one before has not seen the
+  // present fence yet.
+  if (session.WorkerIncarnation == before)
+    session.IsUnverified = false;
   const bool mayWait = hasWaited || WaitingOrders < MaxWaitingOrders;
   session.NextLeaseOrder = mayWait ? now : now + ShortOrderPeriod;
   if (session.WorkerIncarnation == before)
@@ -125,6 +127,7 @@
       continue;
     }
     listed.insert(row.Task);
+    run->IsListed |= answer.WorkerIncarnation == session.WorkerIncarnation;
     run->Checkpoint = row.Checkpoint.empty() ? run->Checkpoint : row.Checkpoint;
   }
   const bool areListsComplete =
@@ -166,10 +169,10 @@
       .with("index", row.Task.Index)
       .with("attempt", row.Attempt)
       .with("worker", worker)
-      .with("term", Fence);
+      .with("term", Term);
   if (at)
-    send(worker, *at, dispatch::StopOrder{row.Task, row.Attempt, Fence},
-         OrderTimeout, [](const dispatch::OrderAnswer &) {});
+    send(worker, *at, dispatch::StopOrder{row.Task, row.Attempt}, OrderTimeout,
+         [](const dispatch::OrderAnswer &) {});
 }
 
 void WorkerSessions::noteOutcome(Session &session, const jobs::TaskKey &task,
--- a/jujube/control/worker_sessions_lists_test.cc
+++ b/jujube/control/worker_sessions_lists_test.cc
@@ -139,6 +139,125 @@
   BOOST_TEST(fixture.Writes.empty());
 }
 
+// Guards against orders to an earlier incarnation that arrive late and that the
+// next one carries out.
+BOOST_AUTO_TEST_CASE(OrdersAfterARestartHaveAHigherFence) {
+  RunningFixture fixture;
+  const auto fence = [&fixture] {
+    const auto sent = fixture.awaitLeaseOrder();
+    sent.Done(OrderAnswer());
+    return std::get<LeaseOrder>(sent.What.What).Fence;
+  };
+  const uint64_t before = fence();
+  fixture.announce(2);
+  const uint64_t after = fence();
+  BOOST_TEST(after > before);
+  BOOST_TEST(after < dispatch::fenceOf(testing::LeaderTerm + 1, 0));
+  fixture.announce(2);
+  BOOST_TEST(fence() == after);
+}
+
+// Guards against orders that a worker refuses because it had left the register
+// and came back without a restart.
+BOOST_AUTO_TEST_CASE(WorkerThatReturnsToTheRegisterIsSentNoLowerFence) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  fixture.announce();
+  fixture.announce(2);
+  const auto before = fixture.awaitLeaseOrder();
+  before.Done(OrderAnswer());
+  fixture.Book.apply(jobs::WorkerGone{testing::W1, Incarnation{2}});
+  fixture.Sessions->noteWorkerChanged(testing::W1);
+  fixture.announce(2);
+  fixture.start();
+  const auto after = fixture.take<StartOrder>();
+  BOOST_REQUIRE(after.has_value());
+  BOOST_TEST(std::get<StartOrder>(after->What.What).Fence >=
+             std::get<LeaseOrder>(before.What.What).Fence);
+}
+
+// Guards against an attempt that is taken for ended because an earlier
+// incarnation confirmed its stop, while a late start reaches the next one.
+BOOST_AUTO_TEST_CASE(StopIsConfirmedByTheIncarnationThatMayRunTheAttempt) {
+  RunningFixture fixture;
+  fixture.answerLeaseOrder({}, {}, 1);
+  fixture.answer<StopOrder>(OrderVerdict::Accepted);
+  fixture.announce(2);
+  fixture.answerLeaseOrder({}, {}, 2);
+  BOOST_TEST(fixture.Writes.empty());
+  fixture.answer<StopOrder>(OrderVerdict::Accepted);
+  fixture.answerLeaseOrder({}, {}, 2);
+  fixture.storeAll();
+  BOOST_TEST(!fixture.task().Live.has_value());
+}
+
+// Guards against a worker that is used before it has seen the fence that makes
+// it refuse orders to the incarnation before.
+BOOST_AUTO_TEST_CASE(RestartedWorkerIsUsedOnceItHasAnswered) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  fixture.announce();
+  BOOST_TEST(fixture.Sessions->usable().size() == 1U);
+  fixture.announce(2);
+  BOOST_TEST(fixture.Sessions->usable().empty());
+  fixture.answerLeaseOrder({}, {}, 2);
+  BOOST_TEST(fixture.Sessions->usable().size() == 1U);
+}
+
+// Lets this much time pass while no order is answered.
+void passUnanswered(SessionsFixture &fixture, Duration span) {
+  for (Duration passed; passed < span;
+       passed = passed + Duration::millis(100)) {
+    fixture.Time.advance(Duration::millis(100));
+    fixture.Sessions->tick();
+    for (auto &sent : std::exchange(fixture.Orders, {}))
+      sent.Done(OrderAnswer());
+  }
+}
+
+constexpr Duration MaxLease = Duration::seconds(10);
+
+// Guards against an attempt that is started elsewhere while it runs on: the
+// next incarnation of its worker took orders to the one before, whose leases
+// are counted on another clock.
+BOOST_AUTO_TEST_CASE(RestartedWorkerMayHoldTheLongestLease) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}), 10,
+                          MaxLease);
+  fixture.announce();
+  fixture.start();
+  fixture.answer<StartOrder>(OrderVerdict::Accepted);
+  fixture.announce(2);
+  fixture.answerLeaseOrder({runningRow()}, {}, 2);
+  passUnanswered(fixture, Duration::millis(10'300));
+  BOOST_TEST(fixture.Writes.empty());
+  passUnanswered(fixture, Duration::millis(300));
+  fixture.storeAll();
+  BOOST_TEST(!fixture.task().Live.has_value());
+}
+
+// Guards against the same for a restart of which the leader does not know. Only
+// an attempt that the worker has listed is known to run on the incarnation that
+// the leader knows.
+BOOST_AUTO_TEST_CASE(AttemptThatWasNotListedMayRunOnALaterIncarnation) {
+  for (const bool isListed : {false, true}) {
+    SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}),
+                            10, MaxLease);
+    fixture.announce();
+    fixture.Sessions->verify(testing::W1);
+    fixture.answerLeaseOrder({}, {}, 1);
+    // Leases that an earlier leader has granted are over by then.
+    passUnanswered(fixture, Duration::seconds(20));
+    fixture.announce();
+    fixture.start();
+    fixture.answer<StartOrder>(OrderVerdict::Accepted);
+    fixture.answerLeaseOrder({runningRow()}, {},
+                             isListed ? std::optional(uint64_t{1})
+                                      : std::optional<uint64_t>());
+    passUnanswered(fixture, Duration::seconds(6));
+    BOOST_TEST(fixture.Writes.empty() != isListed);
+    passUnanswered(fixture, Duration::seconds(5));
+    BOOST_TEST(!fixture.Writes.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnswerOfAnotherIncarnationEndsTheAttempts) {
   RunningFixture fixture;
   fixture.Time.advance(Duration::millis(300));
--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -34,7 +34,6 @@
   order.Task = what.Task;
   order.Attempt = what.Attempt;
   order.Payload = Book.find(what.Task.Job)->Spec.Payload;
-  order.Fence = Fence;
   order.Checkpoint = Book.findTask(what.Task)->Checkpoint;
   order.Ticket = planned.Ticket;
   run.Order = std::move(order);
@@ -50,15 +49,21 @@
 void WorkerSessions::send(const WorkerId &worker, const Address &at,
                           dispatch::OrderBody what, Duration timeout,
                           AnswerHook done) {
-  const Incarnation sentTo = sessionOf(worker).WorkerIncarnation;
+  const Session &target = sessionOf(worker);
+  const Incarnation sentTo = target.WorkerIncarnation;
+  const uint64_t fence = dispatch::fenceOf(Term, target.FenceNumber);
+  std::visit([fence](auto &order) { order.Fence = fence; }, what);
   Callbacks.Send({worker, at, std::move(what)}, timeout,
                  [this, worker, sentTo,
                   done = std::move(done)](const dispatch::OrderAnswer &answer) {
-                   const Incarnation current =
-                       sessionOf(worker).WorkerIncarnation;
+                   Session &session = sessionOf(worker);
+                   const Incarnation current = session.WorkerIncarnation;
                    const bool isCurrent =
                        current == sentTo &&
                        answer.WorkerIncarnation.value_or(current) >= current;
+                   if (isCurrent && answer.Verdict == OrderVerdict::Accepted &&
+                       !std::exchange(session.IsFenceConfirmed, true))
+                     session.Clock.noteFenceConfirmed(Callbacks.Now());
                    // Lists are long: the answer is not copied.
                    if (isCurrent)
                      done(answer);
@@ -99,7 +104,7 @@
       .with("slack_ms", run.Slack)
       .with("saved", !run.Checkpoint.empty())
       .with("heard_ms", Callbacks.Now() - session.LastHeard)
-      .with("term", Fence);
+      .with("term", Term);
   const uint32_t attempt = run.Attempt;
   send(worker, *at, *run.Order, OrderTimeout,
        [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
@@ -127,7 +132,7 @@
     return;
   case OrderVerdict::NoAnswer:
   case OrderVerdict::StaleFence:
-    run->MayArrive = true;
+    noteMayArrive(*run);
     if (run->Sends < MaxStartSends)
       sendStart(worker, task);
     else if (hasUnavailabilityLimit(task))
@@ -160,7 +165,7 @@
       .with("worker", worker)
       .with("verdict", nameIn(dispatch::OrderVerdictNames, answer.Verdict))
       .with("unanswered_before", run->MayArrive)
-      .with("term", Fence);
+      .with("term", Term);
   if (run->MayArrive && isSameLife)
     stop(task, StopReason::StartUnanswered);
   else
@@ -192,7 +197,7 @@
       .with("attempt", run->Attempt)
       .with("worker", held->Live->Worker)
       .with("cause", nameIn(StopReasonNames, why))
-      .with("term", Fence);
+      .with("term", Term);
   sendStop(held->Live->Worker, task);
 }
 
@@ -204,7 +209,7 @@
     return;
   run.IsStopPending = true;
   const uint32_t attempt = run.Attempt;
-  send(worker, *at, dispatch::StopOrder{task, attempt, Fence}, OrderTimeout,
+  send(worker, *at, dispatch::StopOrder{task, attempt}, OrderTimeout,
        [this, worker, task, attempt](const dispatch::OrderAnswer &answer) {
          onStopAnswer(worker, task, attempt, answer);
        });
--- a/jujube/control/worker_sessions_pacing.cc
+++ b/jujube/control/worker_sessions_pacing.cc
@@ -61,8 +61,7 @@
       .with("worker", worker)
       .with("percent", share);
   const uint32_t attempt = run.Attempt;
-  send(worker, *at, dispatch::ThrottleOrder{task, attempt, share, Fence},
-       OrderTimeout,
+  send(worker, *at, dispatch::ThrottleOrder{task, attempt, share}, OrderTimeout,
        [this, worker, task, attempt,
         share](const dispatch::OrderAnswer &answer) {
          (void)noteAnswer(worker, sessionOf(worker), answer);
--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -317,6 +317,20 @@
   BOOST_TEST(std::get<dispatch::ThrottleOrder>(sent->What.What).Percent == 60);
 }
 
+// Guards against a filler task that works at full speed after a restart of its
+// worker, because the incarnation before was told its share.
+BOOST_FIXTURE_TEST_CASE(ShareIsSetAgainAfterARestart, FillerFixture) {
+  answerWithTail(150);
+  BOOST_TEST(takePace(OrderVerdict::Accepted).value_or(-1) == 50);
+  answerWithTail(90);
+  BOOST_TEST(!takePace(OrderVerdict::Accepted).has_value());
+  announce(2);
+  answerWithTail(90);
+  auto sent = take<dispatch::ThrottleOrder>();
+  BOOST_REQUIRE(sent.has_value());
+  BOOST_TEST(std::get<dispatch::ThrottleOrder>(sent->What.What).Percent == 50);
+}
+
 // A long-running task with an unavailability limit may be running although no
 // start was answered. The start must be resent rather than stopped.
 BOOST_AUTO_TEST_CASE(LastingTaskWithABoundIsNotStoppedForWantOfAnAnswer) {
--- a/jujube/dispatch/lease_clock_test.cc
+++ b/jujube/dispatch/lease_clock_test.cc
@@ -10,6 +10,7 @@
 LeasePolicy policy() {
   LeasePolicy policy;
   policy.Lease = Duration::seconds(5);
+  policy.MaxLease = Duration::seconds(5);
   return policy;
 }
 
@@ -27,6 +28,37 @@
   BOOST_TEST(clock.areLeasesOver(at(1000 + 5000 * 1000 / 980 + 250)));
 }
 
+// Guards against an order to an earlier incarnation that the next one takes: on
+// its clock, the lease may last for as long as the worker allows.
+BOOST_AUTO_TEST_CASE(OrdersToAnEarlierIncarnationMayGrantTheLongestLease) {
+  LeasePolicy longer = policy();
+  longer.MaxLease = Duration::seconds(10);
+  constexpr int64_t Longest = 10'000 * 1000 / 980 + 250;
+  LeaseClock clock(longer, at(1000));
+  clock.recordSample(at(500'000), at(1000));
+  (void)clock.grant(at(1000));
+  BOOST_TEST(!clock.areLeasesOver(at(1000 + Longest - 1)));
+  BOOST_TEST(clock.areLeasesOver(at(1000 + Longest)));
+  // Until then, an earlier order could still arrive.
+  clock.noteFenceConfirmed(at(3000));
+  BOOST_TEST(!clock.areLeasesOver(at(3000 + Longest - 1)));
+  BOOST_TEST(clock.areLeasesOver(at(3000 + Longest)));
+}
+
+// Guards against the same for orders to this incarnation that a later one
+// takes.
+BOOST_AUTO_TEST_CASE(LaterIncarnationMayHoldTheLongestLease) {
+  LeasePolicy longer = policy();
+  longer.MaxLease = Duration::seconds(10);
+  constexpr int64_t Longest = 10'000 * 1000 / 980 + 250;
+  LeaseClock clock(longer, at(0));
+  clock.recordSample(at(500'000), at(20'000));
+  (void)clock.grant(at(20'000));
+  BOOST_TEST(clock.areLeasesOver(at(25'400)));
+  BOOST_TEST(!clock.areLeasesOverAfterRestart(at(20'000 + Longest - 1)));
+  BOOST_TEST(clock.areLeasesOverAfterRestart(at(20'000 + Longest)));
+}
+
 BOOST_AUTO_TEST_CASE(LeaseIsOverOnceASlowClockShowsItsEnd) {
   LeaseClock clock(policy(), at(0));
   clock.recordSample(at(500'000), at(10'000));
--- a/jujube/dispatch/orders.h
+++ b/jujube/dispatch/orders.h
@@ -14,9 +14,18 @@
 
 namespace jujube::dispatch {
 
-// Starts a task. The fence of an order is the term of the leader that sends it;
-// workers refuse orders with a fence lower than the highest that they have
-// seen.
+// The number of bits of a fence that are not part of the term.
+inline constexpr int FenceNumberBits = 24;
+
+// The fence of an order: workers refuse orders with a fence lower than the
+// highest that they have seen. It increases with the term of the leader and,
+// within a term, with each incarnation of the worker: an order to an earlier
+// incarnation that arrives late would otherwise be carried out by the next one.
+constexpr uint64_t fenceOf(uint64_t term, uint64_t number) {
+  return (term << FenceNumberBits) + number;
+}
+
+// Starts a task.
 struct StartOrder {
   jobs::TaskKey Task;
   uint32_t Attempt = 0;
--- a/testing/control_cell.cc
+++ b/testing/control_cell.cc
@@ -33,6 +33,7 @@
   std::filesystem::create_directories(Folder);
   for (int i = 1; i <= Options.Members; ++i)
     start(i, true);
+  Workers.setMaxLease(Options.MaxLease);
   for (int i = 1; i <= Options.Workers; ++i)
     Workers.add(absl::StrCat("w", i),
                 {1000 * Options.TasksPerWorker, 1 << 20, 0});
@@ -72,6 +73,7 @@
   options.ElectionSeed = Options.Seed * 10 + static_cast<uint64_t>(member);
   options.WallClock = Wire.clock();
   options.Leases.Lease = Duration::seconds(5);
+  options.Leases.MaxLease = Options.MaxLease;
   options.Workers = platform::workerProtocol();
   Member &held = Members[member];
   held.Boxes.Clients =
@@ -129,8 +131,10 @@
 
 void ControlCell::announceAll() {
   for (int i = 1; i <= Options.Workers; ++i) {
-    const jobs::AnnounceWorker command{
-        Workers.announcement(absl::StrCat("w", i))};
+    const std::string id = absl::StrCat("w", i);
+    if (!Workers.isUp(id))
+      continue;
+    const jobs::AnnounceWorker command{Workers.announcement(id)};
     for (auto &[number, member] : Members)
       if (member.Task)
         (void)member.Boxes.Clients->post(
--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -27,6 +27,8 @@
   int64_t TasksPerWorker = 2;
   uint64_t Seed = 1;
   std::size_t Voters = 3;
+  // The longest lease that workers grant.
+  Duration MaxLease = Duration::seconds(5);
 };
 
 // Members are numbered from 1.
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -13,7 +13,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int64_t LongestLease = 10'000;
 // Resources that one task of the tests' jobs needs.
 constexpr Resources TaskAsk{1000, 100, 0};
 
@@ -68,6 +67,14 @@
 void PlatformWorkers::handle(const http::OutboundCall &call,
                              const Reply &reply) {
   Worker &worker = Workers.at(idAt(call.To));
+  if (worker.IsGone)
+    worker.Undelivered.push_back({Time.now() + call.Timeout, call, reply});
+  else
+    deliver(worker, call, reply);
+}
+
+void PlatformWorkers::deliver(Worker &worker, const http::OutboundCall &call,
+                              const Reply &reply) {
   const bool isOrder = call.Target != "/hold";
   if (worker.IsSilent || (isOrder && worker.Delay > Duration())) {
     if (!worker.IsSilent)
@@ -104,10 +111,10 @@
     return refused("fence");
   worker.Fence = fence;
   if (body.contains("expiresMs"))
-    worker.Expires =
-        std::max(worker.Expires,
-                 Instant::fromMillis(std::min(body["expiresMs"].get<int64_t>(),
-                                              clockOf(worker) + LongestLease)));
+    worker.Expires = std::max(
+        worker.Expires,
+        Instant::fromMillis(std::min(body["expiresMs"].get<int64_t>(),
+                                     clockOf(worker) + MaxLease.millis())));
   if (call.Target == "/run-start")
     return start(worker, call.Body);
   if (call.Target == "/run-stop")
@@ -212,6 +219,11 @@
         (void)execute(worker, late.Call);
       else
         worker.Orders.push_back(std::move(late));
+    for (UndeliveredCall &it : std::exchange(worker.Undelivered, {}))
+      if (it.Until <= now)
+        it.Answer(Error{ErrorKind::OutcomeUnknown, "no answer", "none"});
+      else
+        worker.Undelivered.push_back(std::move(it));
     std::map<std::string, RunningTask> tasks = worker.Tasks;
     for (const auto &[task, run] : tasks)
       if (worker.Expires.millis() <= clockOf(worker))
@@ -234,8 +246,15 @@
   Workers.at(id).Delay = span;
 }
 
+void PlatformWorkers::crash(const std::string &id) {
+  Worker &worker = Workers.at(id);
+  worker.Tasks.clear();
+  worker.IsGone = true;
+}
+
 void PlatformWorkers::restart(const std::string &id) {
   Worker &worker = Workers.at(id);
+  worker.IsGone = false;
   worker.Tasks.clear();
   worker.Ends.clear();
   worker.LastAttempts.clear();
@@ -244,7 +263,11 @@
   worker.Sequence = 0;
   worker.IsDraining = false;
   worker.Expires = Instant();
+  worker.ClockBase = ClockOffset;
+  worker.RateSince = Time.now();
   ++worker.Born;
+  for (const UndeliveredCall &it : std::exchange(worker.Undelivered, {}))
+    deliver(worker, it.Call, it.Answer);
 }
 
 void PlatformWorkers::setClockRate(const std::string &id, int64_t perMille) {
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -32,6 +32,9 @@
   // The worker's current announcement.
   jobs::Announcement announcement(const std::string &id);
 
+  // False while the worker is gone.
+  bool isUp(const std::string &id) const { return !Workers.at(id).IsGone; }
+
   // Handles a call; `reply` is called at once or from a later tick().
   void handle(const http::OutboundCall &call, const Reply &reply);
   // Loses a call on its way: the caller waits for its timeout.
@@ -44,6 +47,10 @@
   void setSilent(const std::string &id, bool isSilent);
   // Orders get no answer and are executed after this span.
   void delayOrders(const std::string &id, Duration span);
+  // Ends all running tasks; the worker is gone until restart(). Calls that
+  // arrive meanwhile wait, for as long as their callers do, for whoever is at
+  // the address next.
+  void crash(const std::string &id);
   // Ends all running tasks and restarts the worker under the same id.
   void restart(const std::string &id);
   // Ends all running tasks; a worker with another name starts at the address.
@@ -60,6 +67,9 @@
   // Every task that starts on the worker from now on fails after 50 ms.
   void setFailing(const std::string &id) { Workers.at(id).IsFailing = true; }
 
+  // From now on, longer leases are shortened to this.
+  void setMaxLease(Duration span) { MaxLease = span; }
+
   // Number of executed starts, by task.
   const std::map<std::string, int> &starts() const { return Starts; }
   std::size_t running() const;
@@ -99,6 +109,11 @@
     Instant At;
     http::OutboundCall Call;
   };
+  struct UndeliveredCall {
+    Instant Until;
+    http::OutboundCall Call;
+    Reply Answer;
+  };
   struct Worker {
     // The id that it announces, and that callers must expect.
     std::string Name;
@@ -115,6 +130,7 @@
     Instant Expires;
     uint64_t LastEnd = 0;
     bool IsSilent = false;
+    bool IsGone = false;
     bool IsDraining = false;
     bool IsFailing = false;
     Duration Delay;
@@ -123,11 +139,14 @@
     std::vector<Ended> Ends;
     std::vector<Waiting> Holds;
     std::vector<DelayedOrder> Orders;
+    std::vector<UndeliveredCall> Undelivered;
   };
 
   // A task's contribution to the tail latency at full speed.
   static constexpr Duration TailAtFullSpeed = Duration::millis(80);
 
+  void deliver(Worker &worker, const http::OutboundCall &call,
+               const Reply &reply);
   http::OutboundResponse execute(Worker &worker,
                                  const http::OutboundCall &call);
   http::OutboundResponse start(Worker &worker, const std::string &body);
@@ -143,6 +162,7 @@
 
   Clock Time;
   std::string Network;
+  Duration MaxLease = Duration::seconds(10);
   std::map<std::string, Worker> Workers;
   std::map<std::string, int> Starts;
   std::set<std::string> Done;
--- a/testing/run_evidence_test.cc
+++ b/testing/run_evidence_test.cc
@@ -112,6 +112,15 @@
   }
 };
 
+// Workers may grant twice the lease that the leader asks for, and have room for
+// the tasks of one that is lost.
+ControlCellOptions withLongLeases() {
+  ControlCellOptions options;
+  options.TasksPerWorker = 6;
+  options.MaxLease = Duration::seconds(10);
+  return options;
+}
+
 BOOST_AUTO_TEST_SUITE(RunEvidenceTest)
 
 // Guards against a heartbeat of another environment that ends the runs on the
@@ -222,6 +231,52 @@
   }
 }
 
+// Guards against tasks that run twice because their worker restarts under its
+// id, takes starts that were meant for its earlier life, and is cut off: such
+// an order grants a lease that is counted on another clock.
+BOOST_AUTO_TEST_CASE(RestartedWorkerThatIsCutOffRunsNothingTwice) {
+  for (const bool isLeaderLost : {false, true})
+    for (Duration offset; offset < AnnouncePeriod * 2;
+         offset = offset + Duration::millis(300)) {
+      ControlCell cell(withLongLeases());
+      cell.workers().setClockRate("w1", SlowestRate);
+      cell.workers().crash("w1");
+      BOOST_REQUIRE(isOk(cell.submit("a", 6, 60'000)));
+      cell.wire().run(Duration::millis(600));
+      cell.workers().restart("w1");
+      cell.wire().run(offset);
+      BOOST_REQUIRE(cell.workers().runningOn("w1") > 0U);
+      if (isLeaderLost)
+        cell.kill(cell.leader());
+      cell.workers().setSilent("w1", true);
+      cell.wire().run(LeasesOver * 2);
+      cell.workers().setSilent("w1", false);
+      cell.wire().run(Duration::seconds(3));
+      checkGuarantees(cell);
+    }
+}
+
+// Guards against orders that a worker carries out late, after it has restarted:
+// they lengthen the leases of what its next life runs.
+BOOST_AUTO_TEST_CASE(LateOrdersOfAnEarlierLifeGrantNoLeases) {
+  for (Duration delay = Duration::seconds(3); delay < Duration::seconds(6);
+       delay = delay + Duration::millis(300)) {
+    ControlCell cell(withLongLeases());
+    cell.workers().delayOrders("w1", delay);
+    BOOST_REQUIRE(isOk(cell.submit("a", 6, 1000)));
+    cell.wire().run(Duration::millis(1200));
+    cell.workers().delayOrders("w1", Duration());
+    cell.workers().restart("w1");
+    cell.wire().run(delay - Duration::millis(1500));
+    BOOST_REQUIRE(isOk(cell.submit("b", 6, 60'000)));
+    cell.wire().run(Duration::millis(500));
+    BOOST_REQUIRE(cell.workers().runningOn("w1") > 0U);
+    cell.workers().setSilent("w1", true);
+    cell.wire().run(LeasesOver * 2);
+    checkGuarantees(cell);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/testing/sessions_fixture.h
+++ b/testing/sessions_fixture.h
@@ -19,8 +19,9 @@
 namespace jujube::testing {
 
 inline const WorkerId W1("w1");
-// Fence of the orders.
-inline constexpr uint64_t Fence = 7;
+inline constexpr uint64_t LeaderTerm = 7;
+// Fence of the orders to the only worker, as long as it has not restarted.
+inline constexpr uint64_t Fence = dispatch::fenceOf(LeaderTerm, 1);
 
 // Sessions whose orders and events wait until the test answers or stores them.
 struct SessionsFixture {
@@ -44,7 +45,8 @@
   SessionsFixture(const SessionsFixture &) = delete;
   SessionsFixture &operator=(const SessionsFixture &) = delete;
   explicit SessionsFixture(jobs::JobStateMachine book,
-                           std::size_t maxWaitingOrders = 10)
+                           std::size_t maxWaitingOrders = 10,
+                           Duration maxLease = Duration::seconds(5))
       : Book(std::move(book)) {
     Time.advance(Duration::seconds(100));
     control::WorkerSessions::Hooks hooks;
@@ -61,8 +63,9 @@
     hooks.ExpireTicket = [](const jobs::StepKey &, const WorkerId &) {};
     dispatch::LeasePolicy leases;
     leases.Lease = Duration::seconds(5);
+    leases.MaxLease = maxLease;
     Sessions = std::make_unique<control::WorkerSessions>(
-        std::move(hooks), Book, leases, Fence, maxWaitingOrders);
+        std::move(hooks), Book, leases, LeaderTerm, maxWaitingOrders);
   }
 
   void announce(uint64_t life = 1) {
