zone: events that the log refuses are proposed again

An offer, a worker's report or a lost entry host that was decided in a turn in which the leader's lease expired, or while too many bytes waited for replication, was never stored. Found by reading; no run of a cell has shown it.

--- a/jujube/zone/zone_task.cc
+++ b/jujube/zone/zone_task.cc
@@ -1,7 +1,6 @@
 #include "jujube/zone/zone_task.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -75,7 +74,10 @@
   Group.log().onTurnEnd([this] {
     if (isServing() && ActiveScheduler->needsPlan())
       ActiveScheduler->plan(moment());
-    proposePendingEvents();
+    Outbox.flush([this](const std::vector<fate::Event> &events,
+                        replica::ProposalHook done) {
+      propose(events, std::move(done));
+    });
     if (!isServing())
       return;
     for (const WorkerId &worker : std::exchange(WorkersToAnswer, {}))
@@ -126,16 +128,16 @@
     return;
   }
   ActiveScheduler.reset();
-  PendingEvents.clear();
+  Outbox.clear();
   Runners.reset();
   refuseParkedRequests();
 }
 
 void ZoneTask::startLeading(Term term) {
-  PendingEvents.clear();
+  Outbox.clear();
   SchedulerHooks hooks;
   hooks.Propose = [this](std::vector<fate::Event> events) {
-    std::ranges::move(events, std::back_inserter(PendingEvents));
+    Outbox.add(std::move(events));
   };
   hooks.WakeWorker = [this](const WorkerId &worker) {
     WorkersToAnswer.insert(worker);
@@ -175,11 +177,6 @@
   Group.log().propose(wire::encodeZoneEvents(events), std::move(done));
 }
 
-void ZoneTask::proposePendingEvents() {
-  if (!PendingEvents.empty())
-    propose(std::exchange(PendingEvents, {}), [](const Status &) {});
-}
-
 TeamId ZoneTask::actingTeam(const RequestId &id,
                             const TeamId &presented) const {
   const fate::RequestRecord *record = Book.findRequest(id);
@@ -385,13 +382,9 @@
     return;
   Runners->expectEntryHosts(Catalogue.hosts());
   Runners->tick(Loop.now());
-  std::vector<fate::Event> lost;
   for (const HostId &host :
        Runners->takeSilentHosts(EntryHostTimeout, Loop.now()))
-    std::ranges::move(Book.entryHostLost(host, Settings.WallClock.now()),
-                      std::back_inserter(lost));
-  if (!lost.empty())
-    propose(lost, [](const Status &) {});
+    Outbox.add(Book.entryHostLost(host, Settings.WallClock.now()));
   Keepers.callOnce(wire::ReportSlices{ActiveScheduler->reportSlices(moment())},
                    SliceTimeout, [this](const Result<wire::Message> &reply) {
                      const auto *news =
--- a/jujube/zone/zone_task.h
+++ b/jujube/zone/zone_task.h
@@ -17,6 +17,7 @@
 #include "jujube/wire/catalogue_poller.h"
 #include "jujube/wire/leader_client.h"
 #include "jujube/wire/messenger.h"
+#include "jujube/zone/event_outbox.h"
 #include "jujube/zone/runner_registry.h"
 #include "jujube/zone/scheduler.h"
 #include "jujube/zone/zone_options.h"
@@ -94,8 +95,6 @@
   // the request's own team if no key was presented and its entry is open.
   TeamId actingTeam(const RequestId &id, const TeamId &presented) const;
   bool isVisibleTo(const RequestId &id, const TeamId &presented) const;
-  // Proposes the scheduler's events of this loop turn as one record.
-  void proposePendingEvents();
   void answerSync(const WorkerId &worker);
   void answerFateQueries(const RequestId &id);
   void answerDueRequests();
@@ -115,8 +114,9 @@
   // Set only while this process is the leader.
   std::unique_ptr<Scheduler> ActiveScheduler;
   std::unique_ptr<RunnerRegistry> Runners;
-  // Events to propose at the end of this loop turn.
-  std::vector<fate::Event> PendingEvents;
+  // Events of the scheduler and of lost entry hosts, proposed at the end of
+  // each loop turn.
+  EventOutbox Outbox;
   // Workers whose parked syncs are checked at the end of this loop turn.
   std::set<WorkerId> WorkersToAnswer;
 };
