--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -285,13 +285,16 @@
           jobs::ReadConfiguration{},
           jobs::AnnounceWorker{announcement},
           jobs::WithdrawWorker{Worker},
-          jobs::RegisterHelper{Host, At}};
+          jobs::RegisterHelper{Host, At},
+          jobs::EvacuateZone{Zone},
+          jobs::RestoreZone{Zone},
+          jobs::ReadEvacuations{}};
 }
 
 std::vector<jobs::Reply> controlReplies() {
   return {jobs::Stored{}, jobs::JobStatusReply{jobs::JobState::Failed},
           jobs::PendingCount{3}, jobs::ConfigurationReply{"document"},
-          jobs::WorkerRegistered{At}};
+          jobs::WorkerRegistered{At}, jobs::EvacuatedZones{{Zone}}};
 }
 
 std::vector<jobs::Event> controlEvents() {
@@ -304,7 +307,9 @@
           jobs::JobCancelled{jobs::JobId("j")},
           jobs::WorkerGone{Worker, Incarnation{4}},
           jobs::JobsForgotten{{jobs::JobId("j")}},
-          jobs::JobAcceptedAt{{job(), Now}, {"a.example", "/plans/"}}};
+          jobs::JobAcceptedAt{{job(), Now}, {"a.example", "/plans/"}},
+          jobs::ZoneEvacuated{Zone},
+          jobs::ZoneRestored{ZoneId("y")}};
 }
 
 std::vector<fate::Event> zoneEvents() {
--- a/jujube/control/control_admission.cc
+++ b/jujube/control/control_admission.cc
@@ -20,6 +20,9 @@
   case jobs::CommandKind::PutConfiguration:
   case jobs::CommandKind::ReadConfiguration:
   case jobs::CommandKind::CancelJob:
+  case jobs::CommandKind::EvacuateZone:
+  case jobs::CommandKind::RestoreZone:
+  case jobs::CommandKind::ReadEvacuations:
     return true;
   case jobs::CommandKind::SubmitJob:
   case jobs::CommandKind::ReadJob:
--- a/jujube/control/control_client.cc
+++ b/jujube/control/control_client.cc
@@ -46,12 +46,15 @@
   case jobs::CommandKind::CountPending:
   case jobs::CommandKind::ReadConfiguration:
   case jobs::CommandKind::RegisterHelper:
+  case jobs::CommandKind::ReadEvacuations:
     return true;
   case jobs::CommandKind::SubmitJob:
   case jobs::CommandKind::CancelJob:
   case jobs::CommandKind::PutConfiguration:
   case jobs::CommandKind::AnnounceWorker:
   case jobs::CommandKind::WithdrawWorker:
+  case jobs::CommandKind::EvacuateZone:
+  case jobs::CommandKind::RestoreZone:
     return false;
   }
   return false;
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -14,6 +14,9 @@
 using logging::Event;
 using logging::Line;
 
+// Most zones that are evacuated at a time: several times those of the largest
+// cell.
+constexpr std::size_t MaxEvacuatedZones = 256;
 // How long after its withdrawal a silent worker is removed if it is idle.
 constexpr Duration LeavingSpan = Duration::millis(400);
 
@@ -264,6 +267,40 @@
   });
 }
 
+// The reply follows the event in the log, so that no start can be stored for
+// the zone once it has been sent. Starts that are under way are not resent. The
+// event is stored even if the zone is evacuated already, because a withdrawal
+// may be on its way to the log.
+void ControlTask::run(const jobs::EvacuateZone &command, const Answer &done) {
+  const std::set<ZoneId> &zones = Book.evacuatedZones();
+  const bool isNew = !zones.contains(command.Zone);
+  if (isNew && zones.size() >= MaxEvacuatedZones) {
+    done(Error{ErrorKind::LimitExceeded, "too many zones are evacuated",
+               "restore zones that are not needed"});
+    return;
+  }
+  Line(Event::ZoneEvacuated)
+      .with("zone", command.Zone)
+      .with("is_new", isNew)
+      .with("term", Group.log().term());
+  storeAndReply({jobs::ZoneEvacuated{command.Zone}}, done,
+                [] { return jobs::Stored{}; });
+}
+
+void ControlTask::run(const jobs::RestoreZone &command, const Answer &done) {
+  Line(Event::ZoneRestored)
+      .with("zone", command.Zone)
+      .with("was_evacuated", Book.evacuatedZones().contains(command.Zone))
+      .with("term", Group.log().term());
+  storeAndReply({jobs::ZoneRestored{command.Zone}}, done,
+                [] { return jobs::Stored{}; });
+}
+
+void ControlTask::run(const jobs::ReadEvacuations &, const Answer &done) {
+  const std::set<ZoneId> &zones = Book.evacuatedZones();
+  done(jobs::Reply(jobs::EvacuatedZones{{zones.begin(), zones.end()}}));
+}
+
 void ControlTask::run(const jobs::RegisterHelper &command, const Answer &done) {
   Helpers.recordReport(command.Host, command.At, Loop.now());
   jobs::Members members;
--- a/jujube/control/control_metrics.cc
+++ b/jujube/control/control_metrics.cc
@@ -192,6 +192,7 @@
   for (const jobs::Team &team : Book.configuration().Teams)
     gauge("team_milli_cpu", Book.usedBy(team.Id).MilliCpu, {team.Id.str()});
   gauge("workers", Book.workers().size());
+  gauge("zones_evacuated", Book.evacuatedZones().size());
   std::size_t attempts = 0;
   for (const auto &[worker, load] : Book.loads())
     attempts += load.Tasks.size();
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -122,6 +122,9 @@
   void run(const jobs::ReadConfiguration &command, const Answer &done);
   void run(const jobs::AnnounceWorker &command, const Answer &done);
   void run(const jobs::WithdrawWorker &command, const Answer &done);
+  void run(const jobs::EvacuateZone &command, const Answer &done);
+  void run(const jobs::RestoreZone &command, const Answer &done);
+  void run(const jobs::ReadEvacuations &command, const Answer &done);
   void run(const jobs::RegisterHelper &command, const Answer &done);
 
   // The queue and the team of a caller.
--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -83,6 +83,7 @@
     return;
   session.Sequence = announcement.Sequence;
   session.LastHeard = Callbacks.Now();
+  session.ColdUntil = Callbacks.Now() + announcement.ColdRemaining;
   session.Clock.recordSample(announcement.WorkerClock, Callbacks.Now());
 }
 
@@ -232,8 +233,10 @@
       ++it;
     if (it == Sessions.end())
       break;
-    if (it->first == id && isUsable(it->second, held, now))
-      views.push_back({&held, now < it->second.SuspectUntil});
+    if (it->first == id && !Book.isEvacuated(held) &&
+        isUsable(it->second, held, now))
+      views.push_back({&held, now < it->second.SuspectUntil,
+                       now < it->second.ColdUntil});
   }
   return views;
 }
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -207,6 +207,8 @@
     // empty id if it succeeded.
     std::deque<jobs::JobId> Outcomes;
     Instant SuspectUntil;
+    // The worker is slow until then, as it said.
+    Instant ColdUntil;
     // The length of the next span in which it is suspect.
     Duration NextSuspectSpan = FirstSuspectSpan;
   };
--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -82,7 +82,9 @@
   }
   const std::optional<Address> at = addressOf(worker);
   const std::optional<Instant> expires = session.Clock.grant(Callbacks.Now());
-  if (!at || !expires) {
+  const jobs::Worker *held = Book.findWorker(worker);
+  const bool isEvacuated = held != nullptr && Book.isEvacuated(*held);
+  if (!at || !expires || isEvacuated) {
     if (run.MayArrive)
       stop(task, StopReason::StartUnanswered);
     else
--- a/jujube/control/worker_sessions_test.cc
+++ b/jujube/control/worker_sessions_test.cc
@@ -73,6 +73,47 @@
   BOOST_TEST(fixture.task().Failures == 0U);
 }
 
+// Guards against a start that is resent after the evacuation was acknowledged.
+BOOST_AUTO_TEST_CASE(UnansweredStartInAnEvacuatedZoneIsStopped) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  fixture.announce();
+  fixture.start();
+  fixture.Book.apply(jobs::ZoneEvacuated{sampleWorker("w1").Zone});
+  BOOST_TEST(fixture.Sessions->usable().empty());
+  fixture.answer<StartOrder>(OrderVerdict::NoAnswer);
+  BOOST_TEST(!fixture.take<StartOrder>().has_value());
+  BOOST_TEST(fixture.Writes.empty());
+  BOOST_TEST(fixture.take<StopOrder>().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StartThatHasNotLeftIsGivenUpInAnEvacuatedZone) {
+  SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
+  fixture.announce();
+  fixture.MayGrant = false;
+  fixture.start();
+  fixture.Book.apply(jobs::ZoneEvacuated{sampleWorker("w1").Zone});
+  fixture.MayGrant = true;
+  fixture.Time.advance(Duration::millis(300));
+  fixture.Sessions->tick();
+  BOOST_TEST(!fixture.take<StartOrder>().has_value());
+  fixture.storeAll();
+  BOOST_TEST(!fixture.task().Live.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WorkerIsColdForAsLongAsItSays) {
+  SessionsFixture fixture(sampleBook({}, {}));
+  fixture.announce();
+  BOOST_TEST(!fixture.Sessions->usable().at(0).IsCold);
+  jobs::Announcement what;
+  what.AnnouncedWorker = sampleWorker("w1");
+  what.Sequence = 2;
+  what.ColdRemaining = Duration::millis(700);
+  fixture.Sessions->noteAnnouncement(what);
+  BOOST_TEST(fixture.Sessions->usable().at(0).IsCold);
+  fixture.Time.advance(Duration::millis(700));
+  BOOST_TEST(!fixture.Sessions->usable().at(0).IsCold);
+}
+
 // Guards against leases and starts of a leader that has lost its quorum.
 BOOST_AUTO_TEST_CASE(NothingIsGrantedWhileAnotherLeaderMayAct) {
   SessionsFixture fixture(sampleBook({}, {sampleJob("a", {sampleStep(1)})}));
--- a/jujube/ctl/app.h
+++ b/jujube/ctl/app.h
@@ -32,11 +32,14 @@
   Fate,
   Status,
   Histogram,
+  ZoneEvacuate,
+  ZoneRestore,
+  ZoneList,
   Explain,
   Lateness,
 };
 
-inline constexpr NameTable<Action, 19> ActionNames = {{
+inline constexpr NameTable<Action, 22> ActionNames = {{
     {Action::CatalogueApply, "catalogue apply"},
     {Action::CatalogueGet, "catalogue get"},
     {Action::CatalogueList, "catalogue list"},
@@ -54,6 +57,9 @@
     {Action::Fate, "fate"},
     {Action::Status, "status"},
     {Action::Histogram, "histogram"},
+    {Action::ZoneEvacuate, "zone evacuate"},
+    {Action::ZoneRestore, "zone restore"},
+    {Action::ZoneList, "zone list"},
     {Action::Explain, "explain"},
     {Action::Lateness, "lateness"},
 }};
--- a/jujube/ctl/commands.h
+++ b/jujube/ctl/commands.h
@@ -32,6 +32,11 @@
 Result<Verdict> showStatus(Session &session, const Arguments &args);
 Result<Verdict> showHistograms(Session &session, const Arguments &args);
 
+// ---- Evacuation of zones ----
+Result<Verdict> evacuateZone(Session &session, const Arguments &args);
+Result<Verdict> restoreZone(Session &session, const Arguments &args);
+Result<Verdict> listZones(Session &session, const Arguments &args);
+
 // ---- Logs ----
 Result<Verdict> explain(Session &session, const Arguments &args);
 Result<Verdict> showLateness(Session &session, const Arguments &args);
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -27,6 +27,11 @@
   // Set, for example, after failures: the worker gets tasks only if no other
   // worker can take them.
   bool IsSuspect = false;
+  // The worker has started recently and is still slow.
+  bool IsCold = false;
+  // Speed relative to the mean of the fleet; a task takes its expected duration
+  // divided by this.
+  double Speed = 1;
 };
 
 // The sort key of steps in a plan; lower positions are planned first.
@@ -74,13 +79,16 @@
   Approval,
   // No usable worker could run a task of the step, even if it were idle.
   NoWorker,
+  // The same, and workers of evacuated zones could.
+  Evacuated,
 };
 
-inline constexpr NameTable<WaitCause, 4> WaitCauseNames = {{
+inline constexpr NameTable<WaitCause, 5> WaitCauseNames = {{
     {WaitCause::Capacity, "room"},
     {WaitCause::TeamMaximum, "team_maximum"},
     {WaitCause::Approval, "approval"},
     {WaitCause::NoWorker, "no_worker"},
+    {WaitCause::Evacuated, "evacuated"},
 }};
 static_assert(isComplete(WaitCauseNames));
 
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -79,6 +79,46 @@
   BOOST_TEST(planOf(book).Starts.empty());
 }
 
+// Load: a zone is emptied, and a job fits only there.
+BOOST_AUTO_TEST_CASE(WaitForAnEvacuatedZoneIsNamed) {
+  jobs::Worker large = sampleWorker("w1", 8000);
+  large.Zone = ZoneId("north");
+  jobs::JobStateMachine book =
+      sampleBook({large, sampleWorker("w2", 2000)},
+                 {sampleJob("a", {sampleStep(1, 4000)}),
+                  sampleJob("b", {sampleStep(1, 16000)})});
+  book.apply(jobs::ZoneEvacuated{ZoneId("north")});
+  const Approvals none;
+  const DispatchPlan plan =
+      planStarts({book, {{book.findWorker(WorkerId("w2"))}}, none, Now, Now},
+                 defaultHooks());
+  BOOST_TEST(plan.Starts.empty());
+  BOOST_REQUIRE(plan.Waits.size() == 2U);
+  for (const StepWait &wait : plan.Waits)
+    BOOST_TEST((wait.Cause == (wait.Step.Job.str() == "a"
+                                   ? WaitCause::Evacuated
+                                   : WaitCause::NoWorker)));
+}
+
+// Load: workers come back cold while urgent and less urgent work waits.
+BOOST_AUTO_TEST_CASE(ColdWorkersAreLastForUrgentStepsOnly) {
+  const jobs::JobStateMachine book =
+      sampleBook({sampleWorker("w1", 1000), sampleWorker("w2", 2000)},
+                 {sampleJob("a", {sampleStep(1)})});
+  const Approvals none;
+  // The objective of the job is 3 s after its acceptance, its estimate 1 s.
+  const Instant accepted = book.find(jobs::JobId("a"))->AcceptedAt;
+  for (const auto &[waited, chosen] :
+       {std::pair(Duration(), "w1"), {Duration::millis(500), "w2"}}) {
+    std::vector<WorkerView> views = viewsOf(book);
+    views.at(0).IsCold = true;
+    const DispatchPlan plan =
+        planStarts({book, views, none, Now, accepted + waited}, defaultHooks());
+    BOOST_TEST(workersOf(plan) == std::set<std::string>{chosen},
+               boost::test_tools::per_element());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StepStartsOnlyAfterThoseThatItWaitsFor) {
   jobs::StepSpec second = sampleStep(1);
   second.After = {0};
--- a/jujube/dispatch/fleet.cc
+++ b/jujube/dispatch/fleet.cc
@@ -31,7 +31,7 @@
     const bool isLoaded = load != end && load->first == worker.Id;
     Pools[worker.Pool].Members.push_back(static_cast<NodeIndex>(Nodes.size()));
     Nodes.push_back(
-        {&worker, view.IsSuspect, false,
+        {&worker, view.IsSuspect, view.IsCold, false,
          isLoaded ? worker.Capacity - load->second.Used : worker.Capacity,
          isLoaded ? load->second.FillerMilliCpu : 0});
   }
--- a/jujube/dispatch/fleet.h
+++ b/jujube/dispatch/fleet.h
@@ -24,6 +24,7 @@
   struct Node {
     const jobs::Worker *Worker = nullptr;
     bool IsSuspect = false;
+    bool IsCold = false;
     // The free capacity is reserved for a gang.
     bool IsReserved = false;
     // Capacity less the demand of the tasks that run there.
--- a/jujube/dispatch/pass.h
+++ b/jujube/dispatch/pass.h
@@ -85,6 +85,8 @@
     bool HasNoCapacity = false;
     // Some worker could run a task if it were idle; unset if not computed yet.
     std::optional<bool> IsServable;
+    // Some worker of an evacuated zone could; unset if not computed yet.
+    std::optional<bool> IsServableElsewhere;
   };
   // A team and its usage, including the starts of this plan.
   struct TeamState {
@@ -142,9 +144,12 @@
                                   int64_t wanted);
   // Preference of a worker for the step; lower tiers are used first. In
   // order of weight: the worker is not suspect, no waiting task of the step
-  // failed there last, and it is on the rack that holds the data.
+  // failed there last, it is not cold if the step is urgent, and it is on the
+  // rack that holds the data.
   int tierOf(const ReadyStep &step, const Fleet::Node &node,
              const std::vector<const WorkerId *> &failedOn) const;
+  // True if a slow start would make the step late.
+  bool isUrgent(const ReadyStep &step) const;
   // The workers on which waiting tasks of the step failed last.
   static std::vector<const WorkerId *> failedOn(const ReadyStep &step);
 
@@ -169,6 +174,8 @@
   bool hasCapacityAnywhere(const ReadyStep &step);
   // True if some worker could run a task of the step if it were idle.
   bool isServable(const ReadyStep &step);
+  // True if some worker of an evacuated zone could.
+  bool isServableInEvacuatedZone(const ReadyStep &step);
   // The workers to search for capacity: a superset of those that have the free
   // capacity for a task.
   NodeSpan nodesToSearch(const ReadyStep &step) const;
--- a/jujube/dispatch/pass_capacity.cc
+++ b/jujube/dispatch/pass_capacity.cc
@@ -86,7 +86,8 @@
 
 WaitCause Pass::waitCause(const ReadyStep &step, int64_t tasks) {
   if (!isServable(step))
-    return WaitCause::NoWorker;
+    return isServableInEvacuatedZone(step) ? WaitCause::Evacuated
+                                           : WaitCause::NoWorker;
   if (!hasCapacityAnywhere(step))
     return WaitCause::Capacity;
   const int64_t needed = step.Spec->IsGang ? tasks : 1;
@@ -131,6 +132,20 @@
   return *state.IsServable;
 }
 
+bool Pass::isServableInEvacuatedZone(const ReadyStep &step) {
+  if (Input.Book.evacuatedZones().empty())
+    return false;
+  DemandState &state = demandState(step);
+  if (!state.IsServableElsewhere)
+    state.IsServableElsewhere =
+        std::ranges::any_of(Input.Book.workers(), [&](const auto &it) {
+          ++Plan.Examined;
+          return Input.Book.isEvacuated(it.second) &&
+                 isEligible(step, it.second);
+        });
+  return *state.IsServableElsewhere;
+}
+
 Pass::NodeSpan Pass::nodesToSearch(const ReadyStep &step) const {
   return step.Spec->IsFiller
              ? Workers.members(step.Queue->Pool)
--- a/jujube/dispatch/pass_picks.cc
+++ b/jujube/dispatch/pass_picks.cc
@@ -10,6 +10,12 @@
 #include "jujube/dispatch/pass.h"
 
 namespace jujube::dispatch::internal {
+namespace {
+
+// A cold worker may take this many times as long as the estimate.
+constexpr int64_t ColdDurationFactor = 3;
+
+} // namespace
 
 std::vector<NodeIndex> Pass::candidateNodes(const ReadyStep &step) {
   const NodeSpan searched = nodesToSearch(step);
@@ -113,10 +119,15 @@
                  const std::vector<const WorkerId *> &failedOn) const {
   const bool hasFailed = std::ranges::any_of(
       failedOn, [&node](const WorkerId *it) { return *it == node.Worker->Id; });
-  return (node.IsSuspect ? 4 : 0) + (hasFailed ? 2 : 0) +
+  return (node.IsSuspect ? 8 : 0) + (hasFailed ? 4 : 0) +
+         (node.IsCold && isUrgent(step) ? 2 : 0) +
          (isDataRemote(step, *node.Worker) ? 1 : 0);
 }
 
+bool Pass::isUrgent(const ReadyStep &step) const {
+  return step.DueBy - Input.WallNow < step.Spec->Estimate * ColdDurationFactor;
+}
+
 std::vector<const WorkerId *> Pass::failedOn(const ReadyStep &step) {
   std::vector<const WorkerId *> workers;
   for (const jobs::Task &task : step.State->Tasks)
--- a/jujube/dispatch/step_walk.cc
+++ b/jujube/dispatch/step_walk.cc
@@ -16,7 +16,7 @@
 
 StepWalk::Order::const_iterator StepWalk::firstFrom(int32_t priority,
                                                     Instant dueBy) const {
-  return Steps.lower_bound(jobs::WaitingStep{priority, dueBy, {}, {}, {}});
+  return Steps.lower_bound(jobs::WaitingStep{priority, dueBy, {}, {}, {}, {}, {}});
 }
 
 void StepWalk::beginGroup(Order::const_iterator first) {
@@ -41,7 +41,7 @@
     return;
   const bool resumesInOverdue = After->DueBy < WallNow;
   if (resumesInOverdue == isOverdue)
-    It = Steps.upper_bound({Priority, After->DueBy, After->Key, {}, {}});
+    It = Steps.upper_bound({Priority, After->DueBy, After->Key, {}, {}, {}, {}});
   else if (isOverdue)
     It = PhaseEnd;
 }
--- a/jujube/http/bodies.h
+++ b/jujube/http/bodies.h
@@ -63,6 +63,14 @@
   bool operator==(const ErrorBody &) const = default;
 };
 
+// GET /v1/zones of the control group.
+struct ZoneList {
+  // Zones whose workers take no further tasks.
+  std::vector<ZoneId> Evacuated;
+
+  bool operator==(const ZoneList &) const = default;
+};
+
 // The response to a command that returns no data.
 struct DoneBody {
   bool IsDone = true;
--- a/jujube/http/descriptions.h
+++ b/jujube/http/descriptions.h
@@ -233,6 +233,10 @@
   v.required("error", x.Problem);
 }
 
+template <typename V> void fields(V &v, ZoneList &x) {
+  v.required("evacuated", x.Evacuated);
+}
+
 template <typename V> void fields(V &v, DoneBody &x) {
   v.required("is_done", x.IsDone);
 }
--- a/jujube/jobs/commands.h
+++ b/jujube/jobs/commands.h
@@ -71,9 +71,21 @@
   Address At;
 };
 
-using Command = std::variant<SubmitJob, CancelJob, ReadJob, CountPending,
-                             PutConfiguration, ReadConfiguration,
-                             AnnounceWorker, WithdrawWorker, RegisterHelper>;
+// Starts no further task on the workers of a zone.
+struct EvacuateZone {
+  ZoneId Zone;
+};
+// Withdraws the evacuation of a zone; does nothing if there is none.
+struct RestoreZone {
+  ZoneId Zone;
+};
+// Lists the evacuated zones; answered by EvacuatedZones.
+struct ReadEvacuations {};
+
+using Command =
+    std::variant<SubmitJob, CancelJob, ReadJob, CountPending, PutConfiguration,
+                 ReadConfiguration, AnnounceWorker, WithdrawWorker,
+                 RegisterHelper, EvacuateZone, RestoreZone, ReadEvacuations>;
 
 // The kinds of commands, in the order of Command.
 enum class CommandKind {
@@ -86,6 +98,9 @@
   AnnounceWorker,
   WithdrawWorker,
   RegisterHelper,
+  EvacuateZone,
+  RestoreZone,
+  ReadEvacuations,
 };
 
 inline constexpr NameTable<CommandKind, std::variant_size_v<Command>>
@@ -99,6 +114,9 @@
         {CommandKind::AnnounceWorker, "announce_worker"},
         {CommandKind::WithdrawWorker, "withdraw_worker"},
         {CommandKind::RegisterHelper, "offer_help"},
+        {CommandKind::EvacuateZone, "evacuate_zone"},
+        {CommandKind::RestoreZone, "restore_zone"},
+        {CommandKind::ReadEvacuations, "read_evacuations"},
     }};
 static_assert(isComplete(CommandKindNames));
 
@@ -142,8 +160,14 @@
   std::vector<Address> Addresses;
 };
 
-using Reply = std::variant<Stored, JobStatusReply, PendingCount,
-                           ConfigurationReply, WorkerRegistered, Members>;
+// Answer to ReadEvacuations.
+struct EvacuatedZones {
+  std::vector<ZoneId> Zones;
+};
+
+using Reply =
+    std::variant<Stored, JobStatusReply, PendingCount, ConfigurationReply,
+                 WorkerRegistered, Members, EvacuatedZones>;
 
 // Asks an approval service which of the workers may run a step. A helper host
 // makes the call for the leader.
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -59,10 +59,19 @@
 struct JobsForgotten {
   std::vector<JobId> Jobs;
 };
+// No further task starts on the zone's workers. Tasks that run there go on.
+struct ZoneEvacuated {
+  ZoneId Zone;
+};
+// The zone's workers take tasks again.
+struct ZoneRestored {
+  ZoneId Zone;
+};
 
 using Event = std::variant<ConfigurationPut, JobAccepted, JobCancelled,
                            AttemptStarted, AttemptEnded, WorkerChanged,
-                           WorkerGone, JobsForgotten, JobAcceptedAt>;
+                           WorkerGone, JobsForgotten, JobAcceptedAt, ZoneEvacuated,
+                           ZoneRestored>;
 
 } // namespace jujube::jobs
 
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -221,7 +221,7 @@
 void JobStateMachine::handle(const AttemptStarted &event) {
   Job *job = findMutable(event.Task.Job);
   if (job == nullptr || isEnded(job->State) || !contains(*job, event.Task) ||
-      !Workers.contains(event.Worker))
+      !mayStartOn(event.Worker))
     return;
   StepState &step = stepStateOf(*job, event.Task);
   Task &task = step.Tasks[event.Task.Index];
@@ -349,6 +349,20 @@
   DepartureOrder.pop_front();
 }
 
+// A start that was proposed before the evacuation may come after it in the log.
+bool JobStateMachine::mayStartOn(const WorkerId &id) const {
+  const Worker *worker = findWorker(id);
+  return worker != nullptr && !isEvacuated(*worker);
+}
+
+void JobStateMachine::handle(const ZoneEvacuated &event) {
+  Evacuated.insert(event.Zone);
+}
+
+void JobStateMachine::handle(const ZoneRestored &event) {
+  Evacuated.erase(event.Zone);
+}
+
 void JobStateMachine::handle(const JobsForgotten &event) {
   for (const JobId &id : event.Jobs) {
     const Job *job = find(id);
@@ -392,7 +406,7 @@
     Waiting.insertOrReplace(
         {queue.Priority, objectiveOf(job, queue, occurrence), key,
          job.Spec.FirstDue ? dueAt(job, occurrence) : Instant(),
-         job.Spec.Steps[step].Estimate});
+         job.Spec.Steps[step].Estimate, job.Spec.Team, queue.Id});
 }
 
 void JobStateMachine::updateWaitingFrom(const Job &job, uint32_t occurrence,
@@ -483,6 +497,7 @@
   }
   for (const auto &[place, queue] : Retired)
     state.Retired.push_back(queue);
+  state.Evacuated.assign(Evacuated.begin(), Evacuated.end());
   return state;
 }
 
@@ -491,6 +506,7 @@
   book.Config = std::move(state.Config);
   for (Queue &queue : state.Retired)
     book.Retired.emplace(placeOf(queue), std::move(queue));
+  book.Evacuated.insert(state.Evacuated.begin(), state.Evacuated.end());
   for (Worker &worker : state.Workers) {
     if (worker.At == Address{})
       book.recordDeparture(worker.Id, worker.WorkerIncarnation);
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -92,6 +92,8 @@
   std::vector<Worker> Workers;
   // Queues that have left the configuration while jobs of theirs were open.
   std::vector<Queue> Retired;
+  // Evacuated zones.
+  std::vector<ZoneId> Evacuated;
 };
 
 // Resources and tasks of the attempts that may be running on one worker.
@@ -125,6 +127,11 @@
   // True if this incarnation of the worker was draining when it was removed.
   // Its announcements that still arrive are late and change nothing.
   bool hasDeparted(const WorkerId &id, Incarnation incarnation) const;
+  // The zones whose workers take no further tasks.
+  const std::set<ZoneId> &evacuatedZones() const { return Evacuated; }
+  bool isEvacuated(const Worker &worker) const {
+    return Evacuated.contains(worker.Zone);
+  }
   // Returns an empty load for a worker on which no attempt may be running.
   const Load &loadOf(const WorkerId &id) const;
   // Resources requested by the team's tasks that may be running.
@@ -161,7 +168,11 @@
   void handle(const WorkerGone &event);
   void handle(const JobsForgotten &event);
   void handle(const JobAcceptedAt &event);
+  void handle(const ZoneEvacuated &event);
+  void handle(const ZoneRestored &event);
 
+  // True if a task may start on the worker.
+  bool mayStartOn(const WorkerId &id) const;
   Job *findMutable(const JobId &id);
   void accept(const JobAccepted &event, const QueuePlace &place);
   // Lets jobs follow queues that have moved and teams that have another id
@@ -200,6 +211,7 @@
 
   Configuration Config;
   std::map<QueuePlace, Queue> Retired;
+  std::set<ZoneId> Evacuated;
   std::map<JobId, Job> Jobs;
   // The members below, except Workers, are derived from those above.
   std::set<JobId> Open;
--- a/jujube/jobs/job_state_machine_test.cc
+++ b/jujube/jobs/job_state_machine_test.cc
@@ -28,6 +28,29 @@
 
 BOOST_AUTO_TEST_SUITE(JobStateMachineTest)
 
+// Guards against a start that a leader planned before it knew of an evacuation.
+BOOST_AUTO_TEST_CASE(NothingStartsInAnEvacuatedZone) {
+  Worker worker = sampleWorker("w1");
+  worker.Zone = ZoneId("north");
+  JobStateMachine book =
+      sampleBook({worker}, {sampleJob("a", {sampleStep(2)})});
+  start(book, taskOf("a", 0), 1);
+  book.apply(ZoneEvacuated{ZoneId("north")});
+  const JobSnapshot saved = book.capture();
+  for (JobStateMachine held : {book, JobStateMachine::restore(saved)}) {
+    BOOST_TEST(held.isEvacuated(*held.findWorker(WorkerId("w1"))));
+    BOOST_TEST(held.isLive(taskOf("a", 0), 1));
+    start(held, taskOf("a", 1), 1);
+    BOOST_TEST(!held.isLive(taskOf("a", 1), 1));
+    held.apply(ZoneRestored{ZoneId("south")});
+    start(held, taskOf("a", 1), 1);
+    BOOST_TEST(!held.isLive(taskOf("a", 1), 1));
+    held.apply(ZoneRestored{ZoneId("north")});
+    start(held, taskOf("a", 1), 1);
+    BOOST_TEST(held.isLive(taskOf("a", 1), 1));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ResentJobIsTheSameJob) {
   JobStateMachine book =
       sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
--- a/jujube/jobs/types.h
+++ b/jujube/jobs/types.h
@@ -205,6 +205,8 @@
   // Least time for which a draining worker keeps serving; unset if it did not
   // tell.
   std::optional<Duration> Remaining;
+  // How much longer the worker runs tasks slowly after its start.
+  Duration ColdRemaining;
 
   bool operator==(const Announcement &) const = default;
 };
--- a/jujube/jobs/waiting_steps.h
+++ b/jujube/jobs/waiting_steps.h
@@ -26,6 +26,9 @@
   Instant NotBefore;
   // Estimated run time of one task.
   Duration Estimate;
+  // The owner of the job; empty if the call had no known key.
+  TeamId Team;
+  QueueId Queue;
 
   bool operator<(const WaitingStep &rhs) const {
     return std::tie(Priority, DueBy, Key) <
--- a/jujube/logging/event.h
+++ b/jujube/logging/event.h
@@ -47,6 +47,8 @@
   WorkerLost,
   LeasesExpired,
   InvalidReportRow,
+  ZoneEvacuated,
+  ZoneRestored,
   // ---- Single requests ----
   CallForwarded,
   CallAnswered,
@@ -69,7 +71,7 @@
   FaultApplied,
 };
 
-inline constexpr NameTable<Event, 52> EventNames = {{
+inline constexpr NameTable<Event, 54> EventNames = {{
     {Event::Started, "started"},
     {Event::Stopped, "stopped"},
     {Event::TreeFailed, "gave_up"},
@@ -104,6 +106,8 @@
     {Event::WorkerLost, "worker_lost"},
     {Event::LeasesExpired, "leases_over"},
     {Event::InvalidReportRow, "row_unreadable"},
+    {Event::ZoneEvacuated, "zone_evacuated"},
+    {Event::ZoneRestored, "zone_restored"},
     {Event::CallForwarded, "call_forwarded"},
     {Event::CallAnswered, "call_answered"},
     {Event::CallRefused, "call_refused"},
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -30,7 +30,8 @@
      v.Rack, v.IsDraining);
 }
 template <typename Archive> void serialize(Archive &ar, Announcement &v) {
-  ar(v.AnnouncedWorker, v.Sequence, v.WorkerClock, v.Remaining);
+  ar(v.AnnouncedWorker, v.Sequence, v.WorkerClock, v.Remaining,
+     v.ColdRemaining);
 }
 template <typename Archive> void serialize(Archive &ar, ApprovalTerms &v) {
   ar(v.Base, v.PerWorkerMs, v.Validity);
@@ -80,6 +81,13 @@
 template <typename Archive> void serialize(Archive &ar, RegisterHelper &v) {
   ar(v.Host, v.At);
 }
+template <typename Archive> void serialize(Archive &ar, EvacuateZone &v) {
+  ar(v.Zone);
+}
+template <typename Archive> void serialize(Archive &ar, RestoreZone &v) {
+  ar(v.Zone);
+}
+template <typename Archive> void serialize(Archive &, ReadEvacuations &) {}
 template <typename Archive> void serialize(Archive &, Stored &) {}
 template <typename Archive> void serialize(Archive &ar, JobStatusReply &v) {
   ar(v.State);
@@ -96,6 +104,9 @@
 template <typename Archive> void serialize(Archive &ar, Members &v) {
   ar(v.Addresses);
 }
+template <typename Archive> void serialize(Archive &ar, EvacuatedZones &v) {
+  ar(v.Zones);
+}
 template <typename Archive> void serialize(Archive &ar, ApprovalQuery &v) {
   ar(v.Step, v.Workers);
 }
@@ -133,6 +144,12 @@
 template <typename Archive> void serialize(Archive &ar, JobsForgotten &v) {
   ar(v.Jobs);
 }
+template <typename Archive> void serialize(Archive &ar, ZoneEvacuated &v) {
+  ar(v.Zone);
+}
+template <typename Archive> void serialize(Archive &ar, ZoneRestored &v) {
+  ar(v.Zone);
+}
 
 template <typename Archive> void serialize(Archive &ar, Run &v) {
   ar(v.Worker, v.Attempt);
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -171,8 +171,8 @@
 }
 
 // A snapshot is followed by the terms and the places of its jobs, in the same
-// order, and the retired queues. Snapshots of earlier versions lack the last of
-// these parts or all of them.
+// order, the retired queues and the evacuated zones. Snapshots of earlier
+// versions lack the last of these parts or all of them.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
   std::vector<uint32_t> terms;
   std::ranges::transform(state.Jobs, std::back_inserter(terms),
@@ -180,14 +180,16 @@
   std::vector<jobs::QueuePlace> places;
   std::ranges::transform(state.Jobs, std::back_inserter(places),
                          &jobs::Job::Place);
-  return encode(state) + encode(terms) + encode(places) + encode(state.Retired);
+  return encode(state) + encode(terms) + encode(places) +
+         encode(state.Retired) + encode(state.Evacuated);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
   std::vector<uint32_t> terms;
   std::vector<jobs::QueuePlace> places;
   std::vector<jobs::Queue> retired;
-  auto decoded =
-      decodeExtended<jobs::JobSnapshot>(bytes, terms, places, retired);
+  std::vector<ZoneId> evacuated;
+  auto decoded = decodeExtended<jobs::JobSnapshot>(bytes, terms, places,
+                                                   retired, evacuated);
   if (!isOk(decoded))
     return decoded;
   jobs::JobSnapshot state = valueOf(std::move(decoded));
@@ -202,6 +204,7 @@
   for (std::size_t i = 0; i < places.size(); ++i)
     state.Jobs[i].Place = std::move(places[i]);
   state.Retired = std::move(retired);
+  state.Evacuated = std::move(evacuated);
   return state;
 }
 
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -127,15 +127,18 @@
   const jobs::QueuePlace &place = state.Jobs.at(0).Place;
   const std::size_t places =
       sizeof(uint32_t) * 4 + place.HostName.size() + place.PathPrefix.size();
+  // The evacuated zones: their number.
+  const std::size_t zones = sizeof(uint32_t);
   const auto read = decodeJobSnapshot(now);
   BOOST_REQUIRE(isOk(read));
   BOOST_TEST((valueOf(read).Jobs == state.Jobs));
-  for (const std::size_t added : {places, terms + places}) {
+  for (const std::size_t added :
+       {zones, zones + places, zones + places + terms}) {
     const auto earlier = decodeJobSnapshot(now.substr(0, now.size() - added));
     BOOST_REQUIRE(isOk(earlier));
     const jobs::Job &job = valueOf(earlier).Jobs.at(0);
-    BOOST_TEST((job.Place == jobs::QueuePlace()));
-    BOOST_TEST(job.MaxAttempts == (added == places ? 2U : 0U));
+    BOOST_TEST((job.Place == jobs::QueuePlace()) == (added > zones));
+    BOOST_TEST(job.MaxAttempts == (added <= zones + places ? 2U : 0U));
     BOOST_TEST((jobs::JobStateMachine::restore(valueOf(earlier)).jobs() ==
                 jobs::JobStateMachine::restore(valueOf(read)).jobs()));
   }
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -57,6 +57,7 @@
   what.AnnouncedWorker.WorkerIncarnation = Incarnation{worker.Born};
   what.AnnouncedWorker.Pool = jobs::PoolId("desk");
   what.AnnouncedWorker.At = addressOf(id);
+  what.AnnouncedWorker.Zone = worker.Zone;
   what.AnnouncedWorker.Capacity = worker.Capacity;
   what.AnnouncedWorker.IsDraining = worker.IsDraining;
   what.Sequence = ++worker.Sequence;
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -62,6 +62,10 @@
   void setAnswerAge(const std::string &id, Duration age) {
     Workers.at(id).AnswerAge = age;
   }
+  // From now on, the worker announces this zone.
+  void setZone(const std::string &id, const ZoneId &zone) {
+    Workers.at(id).Zone = zone;
+  }
   void setDraining(const std::string &id) { Workers.at(id).IsDraining = true; }
 
   // Every task that starts on the worker from now on fails after 50 ms.
@@ -117,6 +121,7 @@
   struct Worker {
     // The id that it announces, and that callers must expect.
     std::string Name;
+    ZoneId Zone;
     Resources Capacity;
     // The worker's clock showed ClockBase at RateSince, and has since advanced
     // by ClockRate thousandths of real time. Its origin is not the test's.
