http: whole requests only occupy threads, and what connections hold is bounded

Cause: a request held a thread while it arrived, so that 256 held bodies took all threads, and nothing bounded the sum. The library keeps chunked bodies of any size and unpacks compressed ones, and matches paths and ranges by regular expressions that recurse once per character (a long path touched 1.5 MB of stack).

Change: the server's task reads and writes all connections without blocking (server_task, server_transfer, channel); RequestAssembler frames a request and refuses it as soon as a limit is exceeded; threads get whole requests. Heads have 32 KiB, a request 30 s to arrive. Bodies of jobs have at most 16,384 values, of the control plane 131,072, checked before any is kept; the number of steps is checked before they are decoded. Threads share two heaps.

--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "jujube/daemon/daemon.h"
 
+#include <malloc.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -53,6 +54,9 @@
 // After a fatal error the process ends within this time, even if stderr is a
 // full pipe without a reader.
 constexpr unsigned FatalExitSeconds = 2;
+// Threads share this many heaps of the allocator. By default there are eight for
+// each core, and each keeps what its threads have freed.
+constexpr int AllocatorHeaps = 2;
 constexpr int CrashReportTimeoutMs = 200;
 
 // Writes a part of a crash report to stderr. May run in a signal handler. If
@@ -165,6 +169,7 @@
 
 int runDaemon(absl::string_view usage, const std::vector<SettingSpec> &specs,
               const TreeHook &makeTree, int argc, char **argv) {
+  (void)mallopt(M_ARENA_MAX, AllocatorHeaps);
   const std::vector<SettingSpec> all = withLogSettings(specs);
   auto parsed = parseCommandLine(usage, all, argc, argv);
   if (const int *code = std::get_if<int>(&parsed))
--- a/jujube/dispatch/servable.cc
+++ b/jujube/dispatch/servable.cc
@@ -10,19 +10,23 @@
 
 // Size limits of a job: a snapshot has to hold thousands of jobs. A job may use
 // a task on each worker of the largest fleet in each occurrence.
-constexpr std::size_t MaxSteps = 64;
 constexpr uint64_t MaxTasksPerOccurrence = 4096;
 constexpr uint64_t MaxTasks = 16'384;
 
 } // namespace
 
+Error tooManySteps() {
+  return Error{ErrorKind::ImpossibleRequest, "a job must have 1 to 64 steps",
+               "split the job"};
+}
+
 Status checkServable(const jobs::JobSpec &spec) {
   const auto impossible = [](const std::string &message,
                              const std::string &remedy) {
     return Error{ErrorKind::ImpossibleRequest, message, remedy};
   };
   if (spec.Steps.empty() || spec.Steps.size() > MaxSteps)
-    return impossible("a job must have 1 to 64 steps", "split the job");
+    return tooManySteps();
   uint64_t tasks = 0;
   for (std::size_t i = 0; i < spec.Steps.size(); ++i) {
     const jobs::StepSpec &step = spec.Steps[i];
--- a/jujube/http/exchange_processor.cc
+++ b/jujube/http/exchange_processor.cc
@@ -1,5 +1,7 @@
 #include "jujube/http/exchange_processor.h"
 
+#include "jujube/http/memory_stream.h"
+
 #include <string>
 #include <utility>
 
@@ -9,16 +11,14 @@
                                      RawRequestHook answer,
                                      std::function<bool()> isHealthy)
     : Answer(std::move(answer)), IsHealthy(std::move(isHealthy)) {
-  set_payload_max_length(options.MaxBody);
   set_keep_alive_timeout(options.KeepAlive.millis() / 1000);
-  const auto serve = [this](const httplib::Request &request,
-                            httplib::Response &response) {
-    handle(request, response);
-  };
-  Get(".*", serve);
-  Post(".*", serve);
-  Put(".*", serve);
-  Delete(".*", serve);
+  // Before the library matches the path by a regular expression, which recurses
+  // once per character, and before it reads a body.
+  set_pre_routing_handler(
+      [this](const httplib::Request &request, httplib::Response &response) {
+        handle(request, response);
+        return HandlerResponse::Handled;
+      });
   set_exception_handler([](const httplib::Request &,
                            httplib::Response &response,
                            const std::exception_ptr &) {
@@ -27,14 +27,13 @@
   });
 }
 
-Disposition ExchangeProcessor::process(httplib::Stream &stream) {
+Disposition ExchangeProcessor::process(AssembledRequest request,
+                                       std::string &output) {
   const bool closeAfter = !IsHealthy();
   bool isClosed = false;
-  const auto prepare = [](httplib::Request &request) {
-    // Disables the library's range responses and compression, which the
-    // interface does not offer.
-    request.ranges.clear();
-    request.headers.erase("Accept-Encoding");
+  MemoryStream stream(request.Head, output);
+  const auto prepare = [&request](httplib::Request &parsed) {
+    parsed.body = std::move(request.Body);
   };
   const bool isServed = process_request(stream, closeAfter, isClosed, prepare);
   if (!isServed)
--- a/jujube/http/exchange_processor.h
+++ b/jujube/http/exchange_processor.h
@@ -3,9 +3,11 @@
 #define JUJUBE_HTTP_EXCHANGE_PROCESSOR_H_
 
 #include <functional>
+#include <string>
 
 #include "httplib.h"
 #include "jujube/http/exchange_server.h"
+#include "jujube/http/request_assembler.h"
 #include "jujube/http/request_processor.h"
 
 namespace jujube::http {
@@ -16,8 +18,8 @@
   ExchangeProcessor(const ServerOptions &options, RawRequestHook answer,
                     std::function<bool()> isHealthy);
 
-  // Serves one request. Precondition: no byte of the request has been read.
-  Disposition process(httplib::Stream &stream);
+  // Serves one request and appends the response to `output`.
+  Disposition process(AssembledRequest request, std::string &output);
 
 private:
   void handle(const httplib::Request &request, httplib::Response &response);
--- a/jujube/http/metrics_server.cc
+++ b/jujube/http/metrics_server.cc
@@ -8,6 +8,10 @@
 // Collectors send one request every few seconds.
 constexpr std::size_t MaxQuestions = 16;
 constexpr std::size_t MaxRequests = 4;
+constexpr std::size_t MaxConnections = 32;
+constexpr std::size_t MaxBody = std::size_t{4} << 10;
+constexpr std::size_t MaxBufferedBytes = std::size_t{8} << 20;
+constexpr std::size_t MaxWorkBytes = std::size_t{4} << 20;
 // Reply timeout of the task that owns the metrics; shorter than the timeouts of
 // collectors.
 constexpr Duration AnswerTimeout = Duration::millis(500);
@@ -41,6 +45,10 @@
   ServerOptions options;
   options.Listen = listen;
   options.MaxRequests = MaxRequests;
+  options.MaxConnections = MaxConnections;
+  options.MaxBody = MaxBody;
+  options.MaxBufferedBytes = MaxBufferedBytes;
+  options.MaxWorkBytes = MaxWorkBytes;
   return exchangeServerTask("metrics_http", options,
                             answerWithMetrics(std::move(questions)),
                             [] { return true; });
--- a/jujube/http/connection_threads.cc
+++ b/jujube/http/request_threads.cc
@@ -1,4 +1,4 @@
-#include "jujube/http/connection_threads.h"
+#include "jujube/http/request_threads.h"
 
 #include <pthread.h>
 
@@ -12,32 +12,32 @@
 namespace jujube::http {
 namespace {
 
-// The HTTP library's regular expressions recurse once per character of a
-// header, so the stack is large. Only touched pages take memory.
-constexpr std::size_t StackBytes = std::size_t{8} << 20;
+// Decoders of bodies recurse a bounded number of times. Only touched pages take
+// memory.
+constexpr std::size_t StackBytes = std::size_t{1} << 20;
 
 void *runBody(void *argument) {
   const std::unique_ptr<std::function<void()>> body(
       static_cast<std::function<void()> *>(argument));
-  pthread_setname_np(pthread_self(), "http-conn");
+  pthread_setname_np(pthread_self(), "http-request");
   (*body)();
   return nullptr;
 }
 
 } // namespace
 
-struct ConnectionThreads::State {
+struct RequestThreads::State {
   explicit State(Options options) : Settings(std::move(options)) {}
 
   const Options Settings;
   absl::Mutex Mutex;
-  std::deque<ConnectionPtr> Waiting ABSL_GUARDED_BY(Mutex);
+  std::deque<PendingRequestPtr> Waiting ABSL_GUARDED_BY(Mutex);
   std::size_t Threads ABSL_GUARDED_BY(Mutex) = 0;
   std::size_t IdleThreads ABSL_GUARDED_BY(Mutex) = 0;
   bool IsStopping ABSL_GUARDED_BY(Mutex) = false;
 
-  // Blocks until a connection is queued; null if the thread has to end.
-  ConnectionPtr waitForConnection() {
+  // Blocks until a request is queued; null if the thread has to end.
+  PendingRequestPtr waitForRequest() {
     absl::MutexLock lock(&Mutex);
     const auto hasWork = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex) {
       return !Waiting.empty() || IsStopping;
@@ -51,9 +51,9 @@
       reportIfStopped();
       return nullptr;
     }
-    ConnectionPtr connection = std::move(Waiting.front());
+    PendingRequestPtr request = std::move(Waiting.front());
     Waiting.pop_front();
-    return connection;
+    return request;
   }
 
   // Called with the lock held, so that the pool outlives the call.
@@ -63,8 +63,8 @@
   }
 
   void serveUntilIdle() {
-    while (ConnectionPtr connection = waitForConnection())
-      Settings.Serve(std::move(connection));
+    while (PendingRequestPtr request = waitForRequest())
+      Settings.Serve(std::move(request));
   }
 
   // Starts a thread that shares ownership of the state. Returns false if it
@@ -79,10 +79,10 @@
   }
 };
 
-ConnectionThreads::ConnectionThreads(Options options)
+RequestThreads::RequestThreads(Options options)
     : SharedState(std::make_shared<State>(std::move(options))) {}
 
-ConnectionThreads::~ConnectionThreads() {
+RequestThreads::~RequestThreads() {
   stop();
   State &state = *SharedState;
   absl::MutexLock lock(&state.Mutex);
@@ -91,7 +91,7 @@
   state.Mutex.Await(absl::Condition(&areThreadsGone));
 }
 
-bool ConnectionThreads::startDetachedThread(std::function<void()> body) {
+bool RequestThreads::startDetachedThread(std::function<void()> body) {
   pthread_attr_t attributes;
   pthread_attr_init(&attributes);
   pthread_attr_setstacksize(&attributes, StackBytes);
@@ -106,7 +106,7 @@
   return failure == 0;
 }
 
-Status ConnectionThreads::serve(ConnectionPtr &connection) {
+Status RequestThreads::serve(PendingRequestPtr &request) {
   const Error overloaded{ErrorKind::Overloaded,
                          "too many requests are in progress",
                          "retry later or at another entry host"};
@@ -117,15 +117,15 @@
   const bool needsThread = state.IdleThreads <= state.Waiting.size();
   const bool mayGrow = state.Threads < state.Settings.MaxThreads;
   if (needsThread && !(mayGrow && State::startThread(SharedState))) {
-    // The connection has to wait for a busy thread to become free.
+    // The request has to wait for a busy thread to become free.
     if (state.Threads == 0 || state.Waiting.size() >= state.Settings.MaxWaiting)
       return overloaded;
   }
-  state.Waiting.push_back(std::move(connection));
+  state.Waiting.push_back(std::move(request));
   return Ok{};
 }
 
-void ConnectionThreads::stop() {
+void RequestThreads::stop() {
   absl::MutexLock lock(&SharedState->Mutex);
   if (!std::exchange(SharedState->IsStopping, true))
     SharedState->reportIfStopped();
--- a/jujube/http/connection_threads_test.cc
+++ b/jujube/http/request_threads_test.cc
@@ -1,5 +1,5 @@
 // Tests the thread pool when the system can't create more threads.
-#include "jujube/http/connection_threads.h"
+#include "jujube/http/request_threads.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -34,59 +34,56 @@
   std::vector<std::thread> Started;
 };
 
-ConnectionPtr makeConnection() {
-  return std::make_unique<Connection>(runtime::FileDescriptor(), nullptr,
-                                      Duration::seconds(1));
-}
+PendingRequestPtr makeRequest() { return std::make_unique<PendingRequest>(); }
 
-ConnectionThreads::Options optionsFor(LimitedThreadStarter &starter,
+RequestThreads::Options optionsFor(LimitedThreadStarter &starter,
                                       absl::Notification &hasStopped) {
-  ConnectionThreads::Options options;
+  RequestThreads::Options options;
   options.StartThread = [&starter](std::function<void()> body) {
     return starter.start(std::move(body));
   };
-  options.Serve = [](const ConnectionPtr &) {};
+  options.Serve = [](const PendingRequestPtr &) {};
   options.OnStopped = [&hasStopped] { hasStopped.Notify(); };
   return options;
 }
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(ConnectionThreadsTest)
+BOOST_AUTO_TEST_SUITE(RequestThreadsTest)
 
-BOOST_AUTO_TEST_CASE(ConnectionIsReturnedAndStopCompletesWithoutThreads) {
+BOOST_AUTO_TEST_CASE(RequestIsReturnedAndStopCompletesWithoutThreads) {
   LimitedThreadStarter starter(0);
   absl::Notification hasStopped;
-  ConnectionThreads threads(optionsFor(starter, hasStopped));
-  ConnectionPtr connection = makeConnection();
-  const Status status = threads.serve(connection);
+  RequestThreads threads(optionsFor(starter, hasStopped));
+  PendingRequestPtr request = makeRequest();
+  const Status status = threads.serve(request);
   BOOST_REQUIRE(!isOk(status));
   BOOST_TEST((errorOf(status).Kind == ErrorKind::Overloaded));
-  BOOST_TEST(connection.get() != nullptr);
+  BOOST_TEST(request.get() != nullptr);
   threads.stop();
   BOOST_TEST(hasStopped.HasBeenNotified());
 }
 
-BOOST_AUTO_TEST_CASE(ConnectionsQueueWhenNoThreadCanBeStarted) {
+BOOST_AUTO_TEST_CASE(RequestsQueueWhenNoThreadCanBeStarted) {
   LimitedThreadStarter starter(1);
   absl::Notification hasStopped;
   absl::Notification mayServe;
   std::atomic<int> served = 0;
-  ConnectionThreads::Options options = optionsFor(starter, hasStopped);
+  RequestThreads::Options options = optionsFor(starter, hasStopped);
   options.MaxWaiting = 2;
-  options.Serve = [&](const ConnectionPtr &connection) {
+  options.Serve = [&](const PendingRequestPtr &request) {
     mayServe.WaitForNotification();
-    served += connection ? 1 : 0;
+    served += request ? 1 : 0;
   };
-  ConnectionThreads threads(std::move(options));
+  RequestThreads threads(std::move(options));
   int accepted = 0;
-  ConnectionPtr refused;
+  PendingRequestPtr refused;
   while (!refused) {
-    ConnectionPtr connection = makeConnection();
-    if (isOk(threads.serve(connection)))
+    PendingRequestPtr request = makeRequest();
+    if (isOk(threads.serve(request)))
       ++accepted;
     else
-      refused = std::move(connection);
+      refused = std::move(request);
   }
   BOOST_TEST((accepted == 2 || accepted == 3));
   mayServe.Notify();
--- a/jujube/http/server.h
+++ b/jujube/http/server.h
@@ -26,15 +26,29 @@
   // Port 0 selects any free port; see OnListening.
   Address Listen;
   // Maximum number of open connections. At the limit, a new connection replaces
-  // the connection that has been idle longest.
+  // the connection that has been idle longest, or, if none is idle, the one
+  // whose request has been incomplete longest.
   std::size_t MaxConnections = 900;
   // Maximum number of requests in progress, including long polls. Each occupies
   // a thread; threads are started on demand and end when idle.
   std::size_t MaxRequests = 640;
   // Idle connections are closed after this time.
   Duration KeepAlive = Duration::seconds(30);
-  // A request is abandoned if no byte of it arrives for this long.
+  // A request is abandoned if no byte of it arrives for this long, and a
+  // response if the client takes none of it for this long.
   Duration ReadTimeout = Duration::seconds(10);
+  // A request is abandoned if it is not complete after this time.
+  Duration ReceiveTimeout = Duration::seconds(30);
+  // Maximum size of the request line and the header fields.
+  std::size_t MaxHead = std::size_t{32} << 10;
+  // Maximum memory of the incomplete requests and unsent responses of all
+  // connections. Beyond it, the connections are closed whose request or
+  // response has been incomplete longest.
+  std::size_t MaxBufferedBytes = std::size_t{64} << 20;
+  // Maximum memory that the requests on threads may need. Further requests
+  // wait, and are refused after ReadyTimeout.
+  std::size_t MaxWorkBytes = std::size_t{256} << 20;
+  Duration ReadyTimeout = Duration::seconds(2);
   std::size_t MaxBody = std::size_t{1} << 20;
   // Maximum payload of submitted and live requests, in bytes.
   std::size_t MaxPayload = std::size_t{64} << 10;
--- a/jujube/http/tls.h
+++ b/jujube/http/tls.h
@@ -6,7 +6,7 @@
 
 #include "jujube/base/result.h"
 #include "jujube/http/server.h"
-#include "jujube/http/stream.h"
+#include "jujube/http/channel.h"
 
 namespace jujube::http {
 
--- a/jujube/logging/event.h
+++ b/jujube/logging/event.h
@@ -13,6 +13,7 @@
   Stopped,
   TreeFailed,
   Listening,
+  ClientsDropped,
   JournalOpened,
   LinesDropped,
   // Free text of a library or an assertion.
@@ -69,11 +70,12 @@
   FaultApplied,
 };
 
-inline constexpr NameTable<Event, 52> EventNames = {{
+inline constexpr NameTable<Event, 53> EventNames = {{
     {Event::Started, "started"},
     {Event::Stopped, "stopped"},
     {Event::TreeFailed, "gave_up"},
     {Event::Listening, "listening"},
+    {Event::ClientsDropped, "clients_dropped"},
     {Event::JournalOpened, "journal_opened"},
     {Event::LinesDropped, "lines_dropped"},
     {Event::Message, "message"},
