--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -309,7 +309,9 @@
           jobs::JobsForgotten{{jobs::JobId("j")}},
           jobs::JobAcceptedAt{{job(), Now}, {"a.example", "/plans/"}},
           jobs::ZoneEvacuated{Zone},
-          jobs::ZoneRestored{ZoneId("y")}};
+          jobs::ZoneRestored{ZoneId("y")},
+          jobs::AttemptStartedAt{{task, 2, Worker}, Now},
+          jobs::AttemptEndedAt{{task, 2, jobs::EndKind::Done, ""}, Now}};
 }
 
 std::vector<fate::Event> zoneEvents() {
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -101,6 +101,13 @@
     done(errorOf(status));
     return;
   }
+  const jobs::Queue &queue = *valueOf(admitted).Queue;
+  if (const auto retry = refusalOf(command.Job, queue, valueOf(admitted).Team)) {
+    done(Error{ErrorKind::Overloaded,
+               "the team hands in more than its share can carry in time",
+               "hand the job in again later", *retry});
+    return;
+  }
   jobs::JobSpec spec = command.Job;
   spec.Queue = valueOf(admitted).Queue->Id;
   spec.Team = valueOf(admitted).Team;
--- a/jujube/control/control_metrics.cc
+++ b/jujube/control/control_metrics.cc
@@ -191,6 +191,12 @@
     gauge("jobs_pending", Book.pending(queue.Id), {"", queue.Id.str()});
   for (const jobs::Team &team : Book.configuration().Teams)
     gauge("team_milli_cpu", Book.usedBy(team.Id).MilliCpu, {team.Id.str()});
+  for (const auto &[team, share] : Shares.shares()) {
+    gauge("team_share_due", share.Due, {team.str()});
+    gauge("team_share_used", share.Now, {team.str()});
+    gauge("team_past_use_ratio", share.PastRatio, {team.str()});
+  }
+  gauge("teams_remembered", Book.usage().size());
   gauge("workers", Book.workers().size());
   gauge("zones_evacuated", Book.evacuatedZones().size());
   std::size_t attempts = 0;
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -6,6 +6,7 @@
 
 #include "jujube/control/control_task.h"
 #include "jujube/logging/line.h"
+#include "jujube/shares/backlog.h"
 
 namespace jujube::control {
 namespace {
@@ -65,6 +66,7 @@
       Helpers.countFree(now, ShortQueryMaxWait, false),
       Helpers.countFree(now, LongQueryMaxWait, true)};
   input.Resume = std::exchange(PlanResume, std::nullopt);
+  updateShares(input.Workers);
   dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
   startPlanned(plan.Starts);
   noteWaits(plan, !input.Resume && !plan.NextCursor);
@@ -79,6 +81,49 @@
     wakeForPlan(Pacer.next());
 }
 
+dispatch::DispatchHooks ControlTask::dispatchPolicy() {
+  dispatch::DispatchHooks hooks = dispatch::defaultHooks();
+  hooks.IsWithinShare = [this](const jobs::WaitingStep &step) {
+    return !step.IsBeyondRate && Shares.isWithinShare(step.Team);
+  };
+  return hooks;
+}
+
+void ControlTask::updateShares(
+    const std::vector<dispatch::WorkerView> &workers) {
+  ShareCapacity = {};
+  for (const dispatch::WorkerView &view : workers)
+    ShareCapacity += view.Worker->Capacity;
+  std::map<TeamId, Resources> running = Book.usedByTeams();
+  for (const auto &[key, work] : Book.queuedWork())
+    (void)running[key.first];
+  std::vector<shares::Contender> contenders;
+  for (const auto &[id, used] : running)
+    if (const jobs::Team *team = jobs::findTeam(Book.configuration(), id))
+      contenders.push_back({id, team->Weight, used, Book.usage().pastUse(id)});
+  Shares = shares::ShareTable(contenders, ShareCapacity);
+}
+
+std::optional<Duration>
+ControlTask::refusalOf(const jobs::JobSpec &spec, const jobs::Queue &queue,
+                       const TeamId &id) const {
+  const jobs::Team *team = jobs::findTeam(Book.configuration(), id);
+  const auto share = Shares.shares().find(id);
+  if (team == nullptr || share == Shares.shares().end())
+    return std::nullopt;
+  const Instant now = WallClock.now();
+  jobs::Job job{spec, now};
+  const auto queued = Book.queuedWork().find({id, jobs::placeOf(queue)});
+  shares::BacklogInput input;
+  input.QueuedWork = queued == Book.queuedWork().end() ? 0 : queued->second;
+  input.DueMilliCpu = static_cast<int64_t>(
+      share->second.Due * static_cast<double>(ShareCapacity.MilliCpu));
+  input.Objective =
+      dispatch::objectiveOf(job, queue, 0) - dispatch::dueAt(job, 0);
+  input.IsBeyondRate = !Book.usage().hasAllowance(id, team->Weight, now);
+  return shares::refusalOf(input);
+}
+
 void ControlTask::wakeForPlan(Instant at) {
   if (IsPlanWakeSet)
     return;
@@ -94,7 +139,9 @@
   std::vector<jobs::Event> events;
   std::ranges::transform(
       starts, std::back_inserter(events),
-      [](const dispatch::PlannedStart &planned) { return planned.Start; });
+      [now = WallClock.now()](const dispatch::PlannedStart &planned) {
+        return jobs::AttemptStartedAt{planned.Start, now};
+      });
   store(std::move(events),
         [this, starts,
          sessions = std::weak_ptr<WorkerSessions>(Sessions)](bool isStored) {
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -212,6 +212,9 @@
                        std::function<void(bool)> done) {
     // The callback is dropped if this member has lost leadership and the
     // sessions with the workers have been destroyed.
+    for (jobs::Event &event : events)
+      if (auto *end = std::get_if<jobs::AttemptEnded>(&event))
+        event = jobs::AttemptEndedAt{std::move(*end), WallClock.now()};
     store(std::move(events),
           [done = std::move(done),
            sessions = std::weak_ptr<WorkerSessions>(Sessions)](bool isStored) {
@@ -290,7 +293,9 @@
   }
   IsPlanDue = true;
   if (const auto *end = std::get_if<jobs::AttemptEnded>(&event)) {
-    applyAttemptEnded(*end);
+    applyAttemptEnded(*end, event);
+  } else if (const auto *timed = std::get_if<jobs::AttemptEndedAt>(&event)) {
+    applyAttemptEnded(timed->What, event);
   } else if (const auto *gone = std::get_if<jobs::WorkerGone>(&event)) {
     applyWorkerGone(*gone);
   } else if (const auto *cancel = std::get_if<jobs::JobCancelled>(&event)) {
@@ -306,27 +311,28 @@
   }
 }
 
-void ControlTask::applyAttemptEnded(const jobs::AttemptEnded &event) {
-  if (!Book.isLive(event.Task, event.Attempt)) {
+void ControlTask::applyAttemptEnded(const jobs::AttemptEnded &end,
+                                    const jobs::Event &event) {
+  if (!Book.isLive(end.Task, end.Attempt)) {
     Book.apply(event);
     return;
   }
-  const WorkerId worker = Book.findTask(event.Task)->Live->Worker;
-  const jobs::Job &job = *Book.find(event.Task.Job);
+  const WorkerId worker = Book.findTask(end.Task)->Live->Worker;
+  const jobs::Job &job = *Book.find(end.Task.Job);
   const bool wasOpen = !isEnded(job.State);
   const std::optional<Duration> objective =
       wasOpen ? objectiveSpan(job) : std::nullopt;
   Book.apply(event);
-  Sessions->noteEnded(event.Task, worker);
-  noteEnd(event, job, worker);
+  Sessions->noteEnded(end.Task, worker);
+  noteEnd(end, job, worker);
   if (!isEnded(job.State)) {
-    stopRestOfGang(jobs::stepOf(event.Task));
+    stopRestOfGang(jobs::stepOf(end.Task));
     return;
   }
-  EndedAt.emplace(event.Task.Job, Loop.now());
+  EndedAt.emplace(end.Task.Job, Loop.now());
   if (wasOpen)
     noteJobEnded(job, objective);
-  stopLiveTasks(event.Task.Job);
+  stopLiveTasks(end.Task.Job);
 }
 
 void ControlTask::applyWorkerGone(const jobs::WorkerGone &event) {
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -18,6 +18,7 @@
 #include "jujube/control/plan_pacer.h"
 #include "jujube/control/turn_meter.h"
 #include "jujube/control/wait_tracker.h"
+#include "jujube/shares/share_table.h"
 #include "jujube/control/worker_sessions.h"
 #include "jujube/dispatch/approvals.h"
 #include "jujube/dispatch/dispatcher.h"
@@ -152,7 +153,9 @@
   void applyRecord(const std::string &payload);
   void applyEvent(const jobs::Event &event);
   void applyAttemptStarted(const jobs::AttemptStarted &event);
-  void applyAttemptEnded(const jobs::AttemptEnded &event);
+  // `event` is or contains `end`.
+  void applyAttemptEnded(const jobs::AttemptEnded &end,
+                         const jobs::Event &event);
   void applyWorkerGone(const jobs::WorkerGone &event);
   void applyJobCancelled(const jobs::JobCancelled &event);
   void stopLiveTasks(const jobs::JobId &job);
@@ -191,7 +194,16 @@
   void addWork(metrics::Snapshot &all) const;
 
   void endTurn();
+  // Orders steps by the shares of their teams.
+  dispatch::DispatchHooks dispatchPolicy();
   void planIfDue();
+  // Computes the shares of the teams for the next plan.
+  void updateShares(const std::vector<dispatch::WorkerView> &workers);
+  // When to hand the job in again, if the team's share can't carry it in useful
+  // time; nullopt if it is to be accepted.
+  std::optional<Duration> refusalOf(const jobs::JobSpec &spec,
+                                    const jobs::Queue &queue,
+                                    const TeamId &id) const;
   // Wakes the loop at `at`, so that a turn ends and planning is retried.
   void wakeForPlan(Instant at);
   void startPlanned(const std::vector<dispatch::PlannedStart> &starts);
@@ -232,7 +244,10 @@
   std::shared_ptr<WorkerSessions> Sessions;
   dispatch::Approvals Approved;
   ApprovalHelpers Helpers;
-  dispatch::DispatchHooks Policy = dispatch::defaultHooks();
+  shares::ShareTable Shares;
+  // The capacity of the workers at the last plan.
+  Resources ShareCapacity;
+  dispatch::DispatchHooks Policy = dispatchPolicy();
   std::map<jobs::JobId, Instant> EndedAt;
   WaitTracker Waits;
   bool IsPlanDue = false;
--- a/jujube/control/event_batch.cc
+++ b/jujube/control/event_batch.cc
@@ -34,6 +34,9 @@
   std::size_t operator()(const jobs::AttemptEnded &event) const {
     return ShortEvent + event.Checkpoint.size();
   }
+  std::size_t operator()(const jobs::AttemptEndedAt &event) const {
+    return (*this)(event.What);
+  }
   template <typename Event> std::size_t operator()(const Event &) const {
     return ShortEvent;
   }
--- a/jujube/control/zone_calls_test.cc
+++ b/jujube/control/zone_calls_test.cc
@@ -18,7 +18,7 @@
   BOOST_REQUIRE(isOk(*command));
   const auto *what = std::get_if<Command>(&valueOf(*command));
   BOOST_REQUIRE(what != nullptr);
-  BOOST_TEST(what->Zone == zone);
+  BOOST_TEST(what->Zone.str() == zone.str());
 }
 
 BOOST_AUTO_TEST_SUITE(ZoneCallsTest)
--- a/jujube/dispatch/dispatcher.cc
+++ b/jujube/dispatch/dispatcher.cc
@@ -29,6 +29,7 @@
   hooks.CanMeetObjective = [](const jobs::WaitingStep &step, Instant wallNow) {
     return wallNow + step.Estimate <= step.DueBy;
   };
+  hooks.IsWithinShare = [](const jobs::WaitingStep &) { return true; };
   return hooks;
 }
 
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -34,11 +34,32 @@
   double Speed = 1;
 };
 
+// The groups in which the steps of one priority are planned, one after the
+// other.
+enum class StepPhase {
+  // Among the steps of all priorities that have waited longest beyond their
+  // objectives; planned first, so that nothing waits without end.
+  Aged,
+  // Can finish by its objective, and its team is within its share.
+  Timely,
+  // Can finish by its objective, and its team is over its share.
+  OverShare,
+  // Can no longer finish by its objective.
+  Late,
+};
+
+inline constexpr NameTable<StepPhase, 4> StepPhaseNames = {{
+    {StepPhase::Aged, "aged"},
+    {StepPhase::Timely, "timely"},
+    {StepPhase::OverShare, "over_share"},
+    {StepPhase::Late, "late"},
+}};
+static_assert(isComplete(StepPhaseNames));
+
 // The sort key of steps in a plan; lower positions are planned first.
 struct StepPosition {
   int32_t Priority = 0;
-  // The step can no longer finish by its objective.
-  bool IsLate = false;
+  StepPhase Phase = StepPhase::Timely;
   Instant DueBy;
   jobs::StepKey Key;
 
@@ -52,6 +73,10 @@
   // returns true while the step can still finish by its objective.
   std::function<bool(const jobs::WaitingStep &, Instant wallNow)>
       CanMeetObjective;
+  // Returns true for steps that are planned before steps of the same priority
+  // that can finish by their objectives, too. The same for all steps of a team
+  // and rate during a plan. The default returns true.
+  std::function<bool(const jobs::WaitingStep &)> IsWithinShare;
 };
 DispatchHooks defaultHooks();
 
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <rapidcheck/boost_test.h>
 #include <set>
+#include <utility>
 
 #include "jujube/dispatch/servable.h"
 #include "testing/job_samples.h"
@@ -79,6 +80,101 @@
   BOOST_TEST(planOf(book).Starts.empty());
 }
 
+// Load: more timely work than room, of a team over its share and of another.
+BOOST_AUTO_TEST_CASE(StepsOverTheirShareComeAfterTimelyOnesOfOthers) {
+  jobs::JobSpec mine = sampleJob("b", {sampleStep(1)});
+  mine.Team = TeamId("calm");
+  jobs::JobStateMachine book = sampleBook(
+      {sampleWorker("w1", 1000)}, {sampleJob("a", {sampleStep(1)}), mine});
+  const Approvals none;
+  const Instant now = book.find(jobs::JobId("a"))->AcceptedAt;
+  DispatchHooks hooks = defaultHooks();
+  hooks.IsWithinShare = [](const jobs::WaitingStep &step) {
+    return step.Team == TeamId("calm");
+  };
+  const auto firstJob = [&](Instant at, std::size_t budget) {
+    DispatchInput input{book, viewsOf(book), none, at, at};
+    input.Budget = budget;
+    const DispatchPlan plan = planStarts(input, hooks);
+    return plan.Starts.empty() ? "" : plan.Starts[0].Start.Task.Job.str();
+  };
+  BOOST_TEST(firstJob(now, PlanBudget) == "b");
+  // A team over its share gets what nobody else wants.
+  hooks.IsWithinShare = [](const jobs::WaitingStep &) { return false; };
+  BOOST_TEST(firstJob(now, PlanBudget) == "a");
+  // Work that can't be in time any more comes after it.
+  hooks.IsWithinShare = [](const jobs::WaitingStep &step) {
+    return step.Team == TeamId("calm");
+  };
+  BOOST_TEST(firstJob(now + Duration::millis(2500), PlanBudget) == "a");
+}
+
+// Each step is read exactly once by plans that continue one another, whatever
+// the shares are.
+BOOST_AUTO_TEST_CASE(PlansThatContinueReadEachStepOnce) {
+  std::vector<jobs::JobSpec> specs;
+  for (int i = 0; i < 40; ++i) {
+    specs.push_back(sampleJob("j" + std::to_string(i), {sampleStep(1)}));
+    specs.back().Team = TeamId("t" + std::to_string(i % 4));
+    specs.back().Steps[0].Estimate = Duration::millis(500 * (1 + i % 5));
+  }
+  const jobs::JobStateMachine book = sampleBook({}, specs);
+  const Approvals none;
+  DispatchHooks hooks = defaultHooks();
+  hooks.IsWithinShare = [](const jobs::WaitingStep &step) {
+    return step.Team.str() < "t2";
+  };
+  for (const int64_t elapsed : {0, 1500, 4000, 70'000, 100'000}) {
+    const Instant at = book.find(jobs::JobId("j0"))->AcceptedAt +
+                       Duration::millis(elapsed);
+    std::multiset<std::string> read;
+    std::optional<PlanCursor> cursor;
+    for (int plans = 0; plans < 100; ++plans) {
+      DispatchInput input{book, {}, none, at, at};
+      // Half of it goes to the steps before the cursor.
+      input.Budget = 4 * WorkPerStep;
+      input.Resume = std::exchange(cursor, std::nullopt);
+      DispatchPlan plan = planStarts(input, hooks);
+      std::set<std::string> inPlan;
+      for (const StepWait &wait : plan.Waits)
+        BOOST_TEST(inPlan.insert(wait.Step.Job.str()).second);
+      read.insert(inPlan.begin(), inPlan.end());
+      cursor = std::move(plan.NextCursor);
+      if (!cursor)
+        break;
+    }
+    BOOST_TEST(std::set<std::string>(read.begin(), read.end()).size() ==
+               specs.size());
+  }
+}
+
+// Load: urgent work without end, and a job of the lowest priority that has
+// waited for minutes.
+BOOST_AUTO_TEST_CASE(WhatHasWaitedForMinutesBeyondItsObjectiveComesFirst) {
+  jobs::JobSpec old = sampleJob("old", {sampleStep(1)});
+  jobs::JobStateMachine book = sampleBook({sampleWorker("w1", 1000)}, {old});
+  jobs::Configuration config = testing::sampleConfiguration(2);
+  config.Queues.push_back(config.Queues[0]);
+  config.Queues[0].Priority = 5;
+  config.Queues[1].Id = jobs::QueueId("urgent");
+  config.Queues[1].PathPrefix = "/urgent/";
+  book.apply(jobs::ConfigurationPut{config});
+  const Approvals none;
+  for (const auto &[waited, chosen] :
+       {std::pair(Duration::seconds(50), "new"), {Duration::seconds(80), "old"}}) {
+    jobs::JobStateMachine later = book;
+    const Instant at = book.find(jobs::JobId("old"))->AcceptedAt + waited;
+    jobs::JobSpec fresh = sampleJob("new", {sampleStep(1)});
+    fresh.Queue = jobs::QueueId("urgent");
+    later.apply(jobs::JobAcceptedAt{{fresh, at},
+                                    {"a.example", "/urgent/"}});
+    const DispatchPlan plan = planStarts(
+        {later, viewsOf(later), none, at, at}, defaultHooks());
+    BOOST_REQUIRE(plan.Starts.size() == 1U);
+    BOOST_TEST(plan.Starts[0].Start.Task.Job.str() == chosen);
+  }
+}
+
 // Load: a zone is emptied, and a job fits only there.
 BOOST_AUTO_TEST_CASE(WaitForAnEvacuatedZoneIsNamed) {
   jobs::Worker large = sampleWorker("w1", 8000);
--- a/jujube/dispatch/step_walk.h
+++ b/jujube/dispatch/step_walk.h
@@ -3,16 +3,18 @@
 #ifndef JUJUBE_DISPATCH_STEP_WALK_H_
 #define JUJUBE_DISPATCH_STEP_WALK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "jujube/dispatch/dispatcher.h"
 
 namespace jujube::dispatch::internal {
 
-// Iterates in the order of StepPosition: by priority, then steps that can meet
-// their objective before late ones, then by objective. Steps that are not due
-// yet are skipped.
+// Iterates in the order of StepPosition: first the steps that have waited
+// longest beyond their objectives, then by priority, phase and objective. Steps
+// that are not due yet are skipped.
 class StepWalk {
 public:
   // Starts after the position `after`, or at the first step if it is unset. All
@@ -29,8 +31,9 @@
   using Order = jobs::WaitingSteps::Order;
   // The steps of one priority are read in these phases, one after the other.
   enum class Phase {
-    // Steps that can meet their objective.
+    Aged,
     Timely,
+    OverShare,
     // Steps whose objective has passed.
     Overdue,
     // Steps whose objective has not passed but can't be met any more.
@@ -38,12 +41,17 @@
     End,
   };
 
+  static StepPhase stepPhaseOf(Phase phase);
+  // Finds the steps of phase Aged.
+  void findAged();
+  const jobs::WaitingStep *nextAged();
+  bool isAged(const jobs::WaitingStep &step) const;
   // Starts with the priority of the step at `first`.
   void beginGroup(Order::const_iterator first);
   void beginPhase(Phase phase);
   void endPhase();
   // True if the step is due and is read in the current phase.
-  bool belongsToPhase(const jobs::WaitingStep &step) const;
+  bool belongsToPhase(const jobs::WaitingStep &step);
   // The first step that is not ordered before this priority and objective.
   Order::const_iterator firstFrom(int32_t priority, Instant dueBy) const;
 
@@ -52,9 +60,14 @@
   Instant WallNow;
   const std::optional<StepPosition> &After;
 
+  // The oldest first.
+  std::vector<const jobs::WaitingStep *> Aged;
+  std::size_t NextAged = 0;
   // The priority and the phase that are being read.
   Phase Current = Phase::End;
   int32_t Priority = 0;
+  // Some step of the priority may be over its team's share.
+  bool HasOverShare = false;
   Order::const_iterator It;
   Order::const_iterator PhaseEnd;
   const jobs::WaitingStep *Last = nullptr;
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -28,6 +28,17 @@
   return job.Occurrences[key.Occurrence].Steps[key.Step];
 }
 
+// Requested processors times estimated run times of all tasks.
+int64_t workOf(const JobSpec &spec) {
+  constexpr double MostWork = 1e15;
+  double work = 0;
+  for (const StepSpec &step : spec.Steps)
+    work += static_cast<double>(step.Tasks) *
+            static_cast<double>(step.Ask.MilliCpu) *
+            static_cast<double>(step.Estimate.millis());
+  return static_cast<int64_t>(std::min(work * spec.Occurrences, MostWork));
+}
+
 // Where queues have moved to that keep their id and pool.
 std::map<QueuePlace, QueuePlace> movedQueues(const Configuration &before,
                                              const Configuration &now) {
@@ -151,11 +162,12 @@
   retireQueues(before);
   Waiting.clear();
   Pending.clear();
+  QueuedWork.clear();
   for (const JobId &id : Open) {
     Job &job = *findMutable(id);
     adoptTerms(job);
     if (job.State == JobState::Queued)
-      ++Pending[job.Place];
+      countQueued(job);
     updateAllWaiting(job);
   }
 }
@@ -171,9 +183,11 @@
     if (const auto it = teams.find(job.Spec.Team); it != teams.end())
       job.Spec.Team = it->second;
   }
-  for (const auto &[from, to] : teams)
+  for (const auto &[from, to] : teams) {
+    Usage.rename(from, to);
     if (const auto node = Used.extract(from); !node.empty())
       Used[to] += node.mapped();
+  }
 }
 
 void JobStateMachine::retireQueues(const Configuration &before) {
@@ -207,8 +221,11 @@
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
   job.Occurrences.assign(std::max<uint32_t>(event.Spec.Occurrences, 1), round);
   adoptTerms(job);
+  Usage.advance(event.AcceptedAt);
+  if (const Team *team = findTeam(Config, event.Spec.Team))
+    job.IsBeyondRate = !Usage.takeAllowance(team->Id, team->Weight);
   Open.insert(event.Spec.Id);
-  ++Pending[job.Place];
+  countQueued(job);
   updateAllWaiting(Jobs.emplace(event.Spec.Id, std::move(job)).first->second);
 }
 
@@ -233,6 +250,7 @@
   ++job->LiveTasks;
   setState(*job, JobState::Running);
   addLoad(*job, event.Task, event.Worker);
+  Usage.begin(job->Spec.Team, specOf(*job, event.Task).Ask);
   updateWaitingFrom(*job, event.Task.Occurrence, event.Task.Step);
 }
 
@@ -355,6 +373,16 @@
   return worker != nullptr && !isEvacuated(*worker);
 }
 
+void JobStateMachine::handle(const AttemptStartedAt &event) {
+  Usage.advance(event.At);
+  handle(event.What);
+}
+
+void JobStateMachine::handle(const AttemptEndedAt &event) {
+  Usage.advance(event.At);
+  handle(event.What);
+}
+
 void JobStateMachine::handle(const ZoneEvacuated &event) {
   Evacuated.insert(event.Zone);
 }
@@ -379,12 +407,24 @@
 }
 
 void JobStateMachine::setState(Job &job, JobState state) {
-  if (job.State == JobState::Queued && state != JobState::Queued &&
-      --Pending[job.Place] == 0)
-    Pending.erase(job.Place);
+  if (job.State == JobState::Queued && state != JobState::Queued)
+    uncountQueued(job);
   job.State = state;
 }
 
+void JobStateMachine::countQueued(const Job &job) {
+  ++Pending[job.Place];
+  QueuedWork[{job.Spec.Team, job.Place}] += workOf(job.Spec);
+}
+
+void JobStateMachine::uncountQueued(const Job &job) {
+  if (--Pending[job.Place] == 0)
+    Pending.erase(job.Place);
+  const auto it = QueuedWork.find({job.Spec.Team, job.Place});
+  if (it != QueuedWork.end() && (it->second -= workOf(job.Spec)) <= 0)
+    QueuedWork.erase(it);
+}
+
 bool JobStateMachine::isWaiting(const Job &job, uint32_t occurrence,
                                 uint32_t step) {
   const StepState &state = job.Occurrences[occurrence].Steps[step];
@@ -406,7 +446,8 @@
     Waiting.insertOrReplace(
         {queue.Priority, objectiveOf(job, queue, occurrence), key,
          job.Spec.FirstDue ? dueAt(job, occurrence) : Instant(),
-         job.Spec.Steps[step].Estimate, job.Spec.Team, queue.Id});
+         job.Spec.Steps[step].Estimate, job.Spec.Team, queue.Id,
+         job.IsBeyondRate});
 }
 
 void JobStateMachine::updateWaitingFrom(const Job &job, uint32_t occurrence,
@@ -455,6 +496,7 @@
   StepState &step = stepStateOf(job, key);
   Task &task = step.Tasks[key.Index];
   removeLoad(job, key, task.Live->Worker);
+  Usage.end(job.Spec.Team, specOf(job, key).Ask);
   task.Live.reset();
   --step.LiveTasks;
   --job.LiveTasks;
@@ -498,6 +540,7 @@
   for (const auto &[place, queue] : Retired)
     state.Retired.push_back(queue);
   state.Evacuated.assign(Evacuated.begin(), Evacuated.end());
+  state.Usage = Usage.capture();
   return state;
 }
 
@@ -507,6 +550,7 @@
   for (Queue &queue : state.Retired)
     book.Retired.emplace(placeOf(queue), std::move(queue));
   book.Evacuated.insert(state.Evacuated.begin(), state.Evacuated.end());
+  book.Usage = shares::UsageLedger::restore(state.Usage);
   for (Worker &worker : state.Workers) {
     if (worker.At == Address{})
       book.recordDeparture(worker.Id, worker.WorkerIncarnation);
@@ -521,7 +565,7 @@
     const JobId id = job.Spec.Id;
     const Job &restored = book.Jobs.emplace(id, std::move(job)).first->second;
     if (restored.State == JobState::Queued)
-      ++book.Pending[restored.Place];
+      book.countQueued(restored);
     if (!isEnded(restored.State))
       book.updateAllWaiting(restored);
     for (uint32_t k = 0; k < restored.Occurrences.size(); ++k)
@@ -531,6 +575,10 @@
           if (const auto &live = restored.Occurrences[k].Steps[s].Tasks[i].Live)
             book.addLoad(restored, TaskKey{id, k, s, i}, live->Worker);
   }
+  // Snapshots of earlier versions do not have the use of teams.
+  if (state.Usage == shares::LedgerState())
+    for (const auto &[team, used] : book.Used)
+      book.Usage.begin(team, used);
   return book;
 }
 
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -16,6 +17,7 @@
 #include "jujube/jobs/events.h"
 #include "jujube/jobs/types.h"
 #include "jujube/jobs/waiting_steps.h"
+#include "jujube/shares/usage_ledger.h"
 
 namespace jujube::jobs {
 
@@ -80,6 +82,8 @@
   // queue was unknown at the acceptance; the next configuration that has a
   // queue of that id sets it.
   QueuePlace Place;
+  // It was handed in beyond the rate that its team's weight allows.
+  bool IsBeyondRate = false;
 
   bool operator==(const Job &) const = default;
 };
@@ -94,6 +98,8 @@
   std::vector<Queue> Retired;
   // Evacuated zones.
   std::vector<ZoneId> Evacuated;
+  // What the teams have used.
+  shares::LedgerState Usage;
 };
 
 // Resources and tasks of the attempts that may be running on one worker.
@@ -136,6 +142,14 @@
   const Load &loadOf(const WorkerId &id) const;
   // Resources requested by the team's tasks that may be running.
   Resources usedBy(const TeamId &team) const;
+  // What the teams have used until now, and their rates.
+  const shares::UsageLedger &usage() const { return Usage; }
+  // The teams whose tasks may be running, with what these request.
+  const std::map<TeamId, Resources> &usedByTeams() const { return Used; }
+  // Work of the team's jobs of one queue of which no task has started, in
+  // thousandths of a core times milliseconds, by the callers' estimates.
+  using TeamQueue = std::pair<TeamId, QueuePlace>;
+  const std::map<TeamQueue, int64_t> &queuedWork() const { return QueuedWork; }
   // The workers on which an attempt may be running.
   const std::map<WorkerId, Load> &loads() const { return Loads; }
   // True if this attempt of the task may be running.
@@ -170,6 +184,8 @@
   void handle(const JobAcceptedAt &event);
   void handle(const ZoneEvacuated &event);
   void handle(const ZoneRestored &event);
+  void handle(const AttemptStartedAt &event);
+  void handle(const AttemptEndedAt &event);
 
   // True if a task may start on the worker.
   bool mayStartOn(const WorkerId &id) const;
@@ -193,6 +209,9 @@
   void updateAllWaiting(const Job &job);
   void removeWaiting(const Job &job);
   void setState(Job &job, JobState state);
+  // Counts a queued job, or counts it no more.
+  void countQueued(const Job &job);
+  void uncountQueued(const Job &job);
   // Marks the task done; the first member of a gang that is done completes the
   // whole gang.
   void countDone(const Job &job, StepState &step, const TaskKey &key);
@@ -212,11 +231,13 @@
   Configuration Config;
   std::map<QueuePlace, Queue> Retired;
   std::set<ZoneId> Evacuated;
+  shares::UsageLedger Usage;
   std::map<JobId, Job> Jobs;
   // The members below, except Workers, are derived from those above.
   std::set<JobId> Open;
   WaitingSteps Waiting;
   std::map<QueuePlace, uint64_t> Pending;
+  std::map<TeamQueue, int64_t> QueuedWork;
   // Records that an incarnation of a worker has departed; forgets the oldest
   // records beyond a limit.
   void recordDeparture(const WorkerId &id, Incarnation incarnation);
--- a/jujube/jobs/waiting_steps.h
+++ b/jujube/jobs/waiting_steps.h
@@ -29,6 +29,8 @@
   // The owner of the job; empty if the call had no known key.
   TeamId Team;
   QueueId Queue;
+  // See Job::IsBeyondRate.
+  bool IsBeyondRate = false;
 
   bool operator<(const WaitingStep &rhs) const {
     return std::tie(Priority, DueBy, Key) <
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -7,6 +7,17 @@
 #include "jujube/jobs/job_state_machine.h"
 #include "jujube/wire/base_encoding.h"
 
+namespace jujube::shares {
+
+template <typename Archive> void serialize(Archive &ar, TeamUse &v) {
+  ar(v.Team, v.Past, v.Running, v.At, v.Allowance, v.AllowanceAt);
+}
+template <typename Archive> void serialize(Archive &ar, LedgerState &v) {
+  ar(v.Teams, v.Now, v.Wall);
+}
+
+} // namespace jujube::shares
+
 namespace jujube::jobs {
 
 template <typename Archive> void serialize(Archive &ar, TaskKey &v) {
@@ -150,6 +161,12 @@
 template <typename Archive> void serialize(Archive &ar, ZoneRestored &v) {
   ar(v.Zone);
 }
+template <typename Archive> void serialize(Archive &ar, AttemptStartedAt &v) {
+  ar(v.What, v.At);
+}
+template <typename Archive> void serialize(Archive &ar, AttemptEndedAt &v) {
+  ar(v.What, v.At);
+}
 
 template <typename Archive> void serialize(Archive &ar, Run &v) {
   ar(v.Worker, v.Attempt);
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -171,8 +171,9 @@
 }
 
 // A snapshot is followed by the terms and the places of its jobs, in the same
-// order, the retired queues and the evacuated zones. Snapshots of earlier
-// versions lack the last of these parts or all of them.
+// order, the retired queues, the evacuated zones, the use of teams, and which
+// jobs are beyond their team's rate. Snapshots of earlier versions lack the last
+// of these parts or all of them.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
   std::vector<uint32_t> terms;
   std::ranges::transform(state.Jobs, std::back_inserter(terms),
@@ -180,22 +181,30 @@
   std::vector<jobs::QueuePlace> places;
   std::ranges::transform(state.Jobs, std::back_inserter(places),
                          &jobs::Job::Place);
+  std::vector<uint8_t> beyondRate;
+  std::ranges::transform(state.Jobs, std::back_inserter(beyondRate),
+                         &jobs::Job::IsBeyondRate);
   return encode(state) + encode(terms) + encode(places) +
-         encode(state.Retired) + encode(state.Evacuated);
+         encode(state.Retired) + encode(state.Evacuated) +
+         encode(state.Usage) + encode(beyondRate);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
   std::vector<uint32_t> terms;
   std::vector<jobs::QueuePlace> places;
   std::vector<jobs::Queue> retired;
   std::vector<ZoneId> evacuated;
+  shares::LedgerState usage;
+  std::vector<uint8_t> beyondRate;
   auto decoded = decodeExtended<jobs::JobSnapshot>(bytes, terms, places,
-                                                   retired, evacuated);
+                                                   retired, evacuated, usage,
+                                                   beyondRate);
   if (!isOk(decoded))
     return decoded;
   jobs::JobSnapshot state = valueOf(std::move(decoded));
   const std::size_t n = state.Jobs.size();
   if ((!terms.empty() && terms.size() != n) ||
-      (!places.empty() && places.size() != n))
+      (!places.empty() && places.size() != n) ||
+      (!beyondRate.empty() && beyondRate.size() != n))
     return Error{ErrorKind::CorruptData,
                  "snapshot can't be decoded: terms and jobs differ in number",
                  "run the same version on all hosts"};
@@ -203,8 +212,11 @@
     state.Jobs[i].MaxAttempts = terms[i];
   for (std::size_t i = 0; i < places.size(); ++i)
     state.Jobs[i].Place = std::move(places[i]);
+  for (std::size_t i = 0; i < beyondRate.size(); ++i)
+    state.Jobs[i].IsBeyondRate = beyondRate[i] != 0;
   state.Retired = std::move(retired);
   state.Evacuated = std::move(evacuated);
+  state.Usage = std::move(usage);
   return state;
 }
 
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -127,13 +127,19 @@
   const jobs::QueuePlace &place = state.Jobs.at(0).Place;
   const std::size_t places =
       sizeof(uint32_t) * 4 + place.HostName.size() + place.PathPrefix.size();
+  // The use of teams: their number, two instants, and for the only team its id,
+  // two amounts of three resources, two instants and an allowance. Then the
+  // number of jobs, and a byte for each.
+  const std::size_t use =
+      sizeof(uint32_t) * 2 + sizeof(int64_t) * (2 + 2 * 3 + 3) +
+      testing::SampleTeam.str().size() + sizeof(uint32_t) + state.Jobs.size();
   // The evacuated zones: their number.
-  const std::size_t zones = sizeof(uint32_t);
+  const std::size_t zones = use + sizeof(uint32_t);
   const auto read = decodeJobSnapshot(now);
   BOOST_REQUIRE(isOk(read));
   BOOST_TEST((valueOf(read).Jobs == state.Jobs));
   for (const std::size_t added :
-       {zones, zones + places, zones + places + terms}) {
+       {use, zones, zones + places, zones + places + terms}) {
     const auto earlier = decodeJobSnapshot(now.substr(0, now.size() - added));
     BOOST_REQUIRE(isOk(earlier));
     const jobs::Job &job = valueOf(earlier).Jobs.at(0);
