--- a/jujube/control/worker_sessions.cc
+++ b/jujube/control/worker_sessions.cc
@@ -235,8 +235,8 @@
       break;
     if (it->first == id && !Book.isEvacuated(held) &&
         isUsable(it->second, held, now))
-      views.push_back({&held, now < it->second.SuspectUntil,
-                       now < it->second.ColdUntil});
+      views.push_back(
+          {&held, now < it->second.SuspectUntil, now < it->second.ColdUntil});
   }
   return views;
 }
--- a/jujube/control/worker_sessions.h
+++ b/jujube/control/worker_sessions.h
@@ -224,6 +224,9 @@
   Session &sessionOf(const WorkerId &worker);
   std::optional<Address> addressOf(const WorkerId &worker) const;
   void sendStart(const WorkerId &worker, const jobs::TaskKey &task);
+  // Sends the start no more; it may have been carried out.
+  void giveUpStart(const WorkerId &worker, const jobs::TaskKey &task,
+                   RunState &run);
   void onStartAnswer(const WorkerId &worker, const jobs::TaskKey &task,
                      uint32_t attempt, const dispatch::OrderAnswer &answer);
   void sendStop(const WorkerId &worker, const jobs::TaskKey &task);
--- a/jujube/control/worker_sessions_orders.cc
+++ b/jujube/control/worker_sessions_orders.cc
@@ -80,11 +80,14 @@
     run.NextSend = Callbacks.Now();
     return;
   }
+  const jobs::Worker *held = Book.findWorker(worker);
+  if (held != nullptr && Book.isEvacuated(*held)) {
+    giveUpStart(worker, task, run);
+    return;
+  }
   const std::optional<Address> at = addressOf(worker);
   const std::optional<Instant> expires = session.Clock.grant(Callbacks.Now());
-  const jobs::Worker *held = Book.findWorker(worker);
-  const bool isEvacuated = held != nullptr && Book.isEvacuated(*held);
-  if (!at || !expires || isEvacuated) {
+  if (!at || !expires) {
     if (run.MayArrive)
       stop(task, StopReason::StartUnanswered);
     else
@@ -114,6 +117,20 @@
        });
 }
 
+// It may run already, and what runs goes on. The worker's next list tells.
+void WorkerSessions::giveUpStart(const WorkerId &worker,
+                                 const jobs::TaskKey &task, RunState &run) {
+  if (!run.MayArrive) {
+    storeLost(worker, task, run);
+    return;
+  }
+  run.State = Phase::Running;
+  run.Since = Callbacks.Now();
+  run.Order.reset();
+  Session &session = sessionOf(worker);
+  session.NextLeaseOrder = std::min(session.NextLeaseOrder, run.Since);
+}
+
 void WorkerSessions::onStartAnswer(const WorkerId &worker,
                                    const jobs::TaskKey &task, uint32_t attempt,
                                    const dispatch::OrderAnswer &answer) {
--- a/jujube/dispatch/pass_approvals.cc
+++ b/jujube/dispatch/pass_approvals.cc
@@ -199,12 +199,8 @@
 std::vector<Pass::Candidate> Pass::unknownCandidates(const ReadyStep &step,
                                                      std::size_t most) {
   const NodeSpan members = Workers.members(step.Queue->Pool);
-  const std::size_t known =
-      step.Approval == nullptr
-          ? 0
-          : step.Approval->Approved.size() + step.Approval->Denied.size();
   std::vector<Candidate> found;
-  if (known >= members.size())
+  if (knownWorkers(step) >= members.size())
     return found;
   const NodeSpan searched = nodesToQuery(step);
   for (std::size_t i = searched.size();
@@ -228,6 +224,26 @@
   return found;
 }
 
+// Workers that are not part of the pass, such as those of evacuated zones, may
+// have been named before.
+std::size_t Pass::knownWorkers(const ReadyStep &step) {
+  if (step.Approval == nullptr)
+    return 0;
+  const std::size_t all =
+      step.Approval->Approved.size() + step.Approval->Denied.size();
+  if (all < Workers.members(step.Queue->Pool).size())
+    return all;
+  Plan.Examined += all;
+  const auto isPresent = [this](const WorkerId &id) {
+    return Workers.find(id).has_value();
+  };
+  return static_cast<std::size_t>(
+      std::ranges::count_if(
+          step.Approval->Approved,
+          [&](const auto &it) { return isPresent(it.first); }) +
+      std::ranges::count_if(step.Approval->Denied, isPresent));
+}
+
 Pass::NodeSpan Pass::nodesToQuery(const ReadyStep &step) const {
   return lengthOf(*step.Queue->Approval) == QueryLength::Short
              ? nodesToSearch(step)
--- a/testing/client_crowd.cc
+++ b/testing/client_crowd.cc
@@ -118,8 +118,8 @@
   case CrowdKind::Silent:
     break;
   }
-  client.Socket = runtime::FileDescriptor(
-      socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  client.Socket =
+      runtime::FileDescriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   // A client that does not read is noticed by the server only once the buffers
   // between them are full.
   const int buffer = 4096;
--- a/testing/evacuation_test.cc
+++ b/testing/evacuation_test.cc
@@ -32,6 +32,10 @@
   std::size_t runningInNorth() {
     return workers().runningOn("w1") + workers().runningOn("w2");
   }
+  // Start orders that the workers of the zone have received.
+  int startOrders() {
+    return workers().startOrdersTo("w1") + workers().startOrdersTo("w2");
+  }
   std::vector<ZoneId> evacuated() {
     const auto reply = execute(jobs::ReadEvacuations{});
     const auto *zones = isOk(reply)
@@ -116,12 +120,38 @@
     BOOST_REQUIRE(isOk(cell.submit("a", 8, 300)));
     cell.wire().run(Duration::millis(100));
     requireOk(cell.execute(jobs::EvacuateZone{North}));
+    const int before = cell.startOrders();
+    // Resends would leave 250 ms after one another.
     cell.wire().run(Duration::seconds(4));
+    BOOST_TEST(cell.startOrders() == before);
     cell.checkNothingStartsInNorth(Duration::seconds(10));
     BOOST_TEST(cell.awaitState("a", "completed"));
   }
 }
 
+// A plan that is made while an evacuation is on its way to the log may name
+// workers of the zone. What is left of a gang must not wait for them.
+BOOST_AUTO_TEST_CASE(GangIsNotSplitByAnEvacuation) {
+  for (uint64_t seed = 1; seed <= 4 * Seeds; ++seed) {
+    TwoZones cell(seed);
+    jobs::StepSpec step = sampleStep(4);
+    step.IsGang = true;
+    jobs::JobSpec job = sampleJob("a", {step});
+    job.Payload = "300";
+    const auto submitted = cell.post(job);
+    cell.wire().run(Duration::millis(static_cast<int64_t>(seed)));
+    const auto evacuated = cell.post(jobs::EvacuateZone{North});
+    BOOST_TEST(cell.wire().run(Duration::seconds(3), [&] {
+      return ControlCell::isAcknowledged(evacuated) &&
+             ControlCell::isAcknowledged(submitted);
+    }));
+    // Less than the time for which members of a gang wait for one another.
+    BOOST_TEST(cell.awaitState("a", "completed", Duration::millis(2500)));
+    for (const std::string &violation : cell.workers().violations())
+      BOOST_TEST(false, violation);
+  }
+}
+
 // A member that is cut off must not acknowledge what it can't store.
 BOOST_AUTO_TEST_CASE(MemberThatIsCutOffAcknowledgesNoEvacuation) {
   TwoZones cell;
--- a/testing/platform_processes.cc
+++ b/testing/platform_processes.cc
@@ -156,9 +156,9 @@
       Folder + "/front.log");
   if (!eventually([] { return isPut("/config", Configuration); }))
     std::abort();
-  Workers = valueOf(runtime::Task::start("worker", Clock::monotonic(),
-                                         workerBody(),
-                                         [](const runtime::TaskExit &) {}));
+  Workers =
+      valueOf(runtime::Task::start("worker", Clock::monotonic(), workerBody(),
+                                   [](const runtime::TaskExit &) {}));
   if (submit("00000000000000aa", 10) != StatusOk ||
       !awaitCompleted("00000000000000aa"))
     std::abort();
--- a/testing/platform_workers.cc
+++ b/testing/platform_workers.cc
@@ -77,6 +77,7 @@
 void PlatformWorkers::deliver(Worker &worker, const http::OutboundCall &call,
                               const Reply &reply) {
   const bool isOrder = call.Target != "/hold";
+  worker.StartOrders += call.Target == "/run-start" ? 1 : 0;
   if (worker.IsSilent || (isOrder && worker.Delay > Duration())) {
     if (!worker.IsSilent)
       worker.Orders.push_back({Time.now() + worker.Delay, call});
--- a/testing/platform_workers.h
+++ b/testing/platform_workers.h
@@ -77,6 +77,10 @@
   // Number of executed starts, by task.
   const std::map<std::string, int> &starts() const { return Starts; }
   std::size_t running() const;
+  // Number of start orders that one worker has received.
+  int startOrdersTo(const std::string &id) const {
+    return Workers.at(id).StartOrders;
+  }
   // Number of tasks that run on one worker.
   std::size_t runningOn(const std::string &id) const {
     return Workers.at(id).Tasks.size();
@@ -134,6 +138,7 @@
     uint64_t Fence = 0;
     Instant Expires;
     uint64_t LastEnd = 0;
+    int StartOrders = 0;
     bool IsSilent = false;
     bool IsGone = false;
     bool IsDraining = false;
