--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -102,18 +102,28 @@
     return;
   }
   const jobs::Queue &queue = *valueOf(admitted).Queue;
-  if (const auto retry = refusalOf(command.Job, queue, valueOf(admitted).Team)) {
+  const jobs::JobId id = command.Job.Id;
+  const auto retry =
+      Storing.contains(id)
+          ? std::nullopt
+          : retryAfterBacklog(command.Job, queue, valueOf(admitted).Team);
+  if (retry) {
     done(Error{ErrorKind::Overloaded,
                "the team hands in more than its share can carry in time",
                "hand the job in again later", *retry});
     return;
   }
   jobs::JobSpec spec = command.Job;
-  spec.Queue = valueOf(admitted).Queue->Id;
+  spec.Queue = queue.Id;
   spec.Team = valueOf(admitted).Team;
+  Storing.insert(id);
+  const Answer stored = [this, id, done](Result<jobs::Reply> reply) {
+    Storing.erase(Storing.find(id));
+    done(std::move(reply));
+  };
   storeAndReply({jobs::JobAcceptedAt{{std::move(spec), WallClock.now()},
-                                     jobs::placeOf(*valueOf(admitted).Queue)}},
-                done, [] { return jobs::Stored{}; });
+                                     jobs::placeOf(queue)}},
+                stored, [] { return jobs::Stored{}; });
 }
 
 void ControlTask::run(const jobs::CancelJob &command, const Answer &done) {
--- a/jujube/control/control_planning.cc
+++ b/jujube/control/control_planning.cc
@@ -23,6 +23,10 @@
 // of the queues that send such queries.
 constexpr Duration ShortQueryMaxWait = Duration::millis(100);
 constexpr Duration LongQueryMaxWait = Duration::millis(150);
+// A few of the steps that have waited longest are planned first in each period,
+// so that an overload does not make everything late.
+constexpr Duration AgedPeriod = Duration::seconds(1);
+constexpr std::size_t AgedPerPeriod = 8;
 
 } // namespace
 
@@ -53,6 +57,7 @@
   IsPlanDue = false;
   if (Book.waiting().empty()) {
     PlanResume.reset();
+    Shares = {};
     if (Waits.isAnyWaiting())
       noteWaits({}, true);
     return;
@@ -66,6 +71,8 @@
       Helpers.countFree(now, ShortQueryMaxWait, false),
       Helpers.countFree(now, LongQueryMaxWait, true)};
   input.Resume = std::exchange(PlanResume, std::nullopt);
+  if (!input.Resume)
+    input.Aged = nextAgedWindow(now);
   updateShares(input.Workers);
   dispatch::DispatchPlan plan = dispatch::planStarts(input, Policy);
   startPlanned(plan.Starts);
@@ -89,6 +96,14 @@
   return hooks;
 }
 
+dispatch::AgedWindow ControlTask::nextAgedWindow(Instant now) {
+  if (now < NextAged)
+    return {};
+  NextAged = now + AgedPeriod;
+  AgedOffset += AgedPerPeriod;
+  return {AgedPerPeriod, AgedOffset};
+}
+
 void ControlTask::updateShares(
     const std::vector<dispatch::WorkerView> &workers) {
   ShareCapacity = {};
@@ -96,31 +111,35 @@
     ShareCapacity += view.Worker->Capacity;
   std::map<TeamId, Resources> running = Book.usedByTeams();
   for (const auto &[key, work] : Book.queuedWork())
-    (void)running[key.first];
+    running.try_emplace(key.first);
   std::vector<shares::Contender> contenders;
-  for (const auto &[id, used] : running)
-    if (const jobs::Team *team = jobs::findTeam(Book.configuration(), id))
-      contenders.push_back({id, team->Weight, used, Book.usage().pastUse(id)});
+  for (const auto &[id, used] : running) {
+    const jobs::Team *team = jobs::findTeam(Book.configuration(), id);
+    // Callers without a team together are one of the least weight.
+    contenders.push_back({id, team == nullptr ? 1 : team->Weight, used,
+                          Book.usage().pastUse(id)});
+  }
   Shares = shares::ShareTable(contenders, ShareCapacity);
 }
 
 std::optional<Duration>
-ControlTask::refusalOf(const jobs::JobSpec &spec, const jobs::Queue &queue,
-                       const TeamId &id) const {
+ControlTask::retryAfterBacklog(const jobs::JobSpec &spec,
+                               const jobs::Queue &queue,
+                               const TeamId &id) const {
   const jobs::Team *team = jobs::findTeam(Book.configuration(), id);
   const auto share = Shares.shares().find(id);
-  if (team == nullptr || share == Shares.shares().end())
-    return std::nullopt;
   const Instant now = WallClock.now();
-  jobs::Job job{spec, now};
+  if (team == nullptr || share == Shares.shares().end() ||
+      ShareCapacity.MilliCpu == 0 ||
+      Book.usage().hasAllowance(id, team->Weight, now))
+    return std::nullopt;
   const auto queued = Book.queuedWork().find({id, jobs::placeOf(queue)});
   shares::BacklogInput input;
   input.QueuedWork = queued == Book.queuedWork().end() ? 0 : queued->second;
   input.DueMilliCpu = static_cast<int64_t>(
       share->second.Due * static_cast<double>(ShareCapacity.MilliCpu));
-  input.Objective =
-      dispatch::objectiveOf(job, queue, 0) - dispatch::dueAt(job, 0);
-  input.IsBeyondRate = !Book.usage().hasAllowance(id, team->Weight, now);
+  input.Objective = dispatch::objectiveOf(jobs::Job{spec, now}, queue, 0) - now;
+  input.IsBeyondRate = true;
   return shares::refusalOf(input);
 }
 
@@ -150,11 +169,39 @@
           IsPlanStoring = false;
           IsPlanDue = true;
           if (isStored)
-            for (const dispatch::PlannedStart &planned : starts)
-              Sessions->start(planned);
+            sendStarts(starts);
         });
 }
 
+// A start that was planned before a zone was evacuated may have changed
+// nothing. The other members of its gang would wait for it in vain.
+void ControlTask::sendStarts(
+    const std::vector<dispatch::PlannedStart> &starts) {
+  std::set<jobs::StepKey> broken;
+  for (const dispatch::PlannedStart &planned : starts) {
+    const jobs::StepKey step = jobs::stepOf(planned.Start.Task);
+    const jobs::StepSpec *spec = Book.findStep(step);
+    if (spec != nullptr && spec->IsGang &&
+        !Book.isLive(planned.Start.Task, planned.Start.Attempt))
+      broken.insert(step);
+  }
+  for (const dispatch::PlannedStart &planned : starts) {
+    const jobs::AttemptStarted &start = planned.Start;
+    if (!broken.contains(jobs::stepOf(start.Task)))
+      Sessions->start(planned);
+    else if (Book.isLive(start.Task, start.Attempt))
+      store({jobs::AttemptEndedAt{
+                {start.Task, start.Attempt, jobs::EndKind::Lost, {}},
+                WallClock.now()}},
+            [this, planned, sessions = std::weak_ptr<WorkerSessions>(Sessions)](
+                bool isStored) {
+              // Otherwise the attempt would stay live without a session.
+              if (!isStored && sessions.lock() != nullptr)
+                Sessions->start(planned);
+            });
+  }
+}
+
 void ControlTask::sendApprovalQuery(const jobs::ApprovalQuery &query) {
   const jobs::Job *job = Book.find(query.Step.Job);
   const jobs::Queue *queue = Book.queueOf(*job);
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -182,6 +182,7 @@
   Waits = WaitTracker();
   IsPlanStoring = false;
   PlanResume.reset();
+  Shares = {};
   for (const BatchPart &part : Batch.take())
     part.finish(false);
 }
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,6 @@
 #include "jujube/control/plan_pacer.h"
 #include "jujube/control/turn_meter.h"
 #include "jujube/control/wait_tracker.h"
-#include "jujube/shares/share_table.h"
 #include "jujube/control/worker_sessions.h"
 #include "jujube/dispatch/approvals.h"
 #include "jujube/dispatch/dispatcher.h"
@@ -28,6 +28,7 @@
 #include "jujube/metrics/metrics.h"
 #include "jujube/replica/group_member.h"
 #include "jujube/runtime/task.h"
+#include "jujube/shares/share_table.h"
 #include "jujube/storage/store.h"
 #include "jujube/wire/messenger.h"
 
@@ -201,12 +202,16 @@
   void updateShares(const std::vector<dispatch::WorkerView> &workers);
   // When to hand the job in again, if the team's share can't carry it in useful
   // time; nullopt if it is to be accepted.
-  std::optional<Duration> refusalOf(const jobs::JobSpec &spec,
-                                    const jobs::Queue &queue,
-                                    const TeamId &id) const;
+  std::optional<Duration> retryAfterBacklog(const jobs::JobSpec &spec,
+                                            const jobs::Queue &queue,
+                                            const TeamId &id) const;
+  // The aged steps that the next plan may plan first.
+  dispatch::AgedWindow nextAgedWindow(Instant now);
   // Wakes the loop at `at`, so that a turn ends and planning is retried.
   void wakeForPlan(Instant at);
   void startPlanned(const std::vector<dispatch::PlannedStart> &starts);
+  // Sends the orders of starts that are stored.
+  void sendStarts(const std::vector<dispatch::PlannedStart> &starts);
   void sendApprovalQuery(const jobs::ApprovalQuery &query);
   void sweep();
   void forgetEnded();
@@ -247,6 +252,10 @@
   shares::ShareTable Shares;
   // The capacity of the workers at the last plan.
   Resources ShareCapacity;
+  Instant NextAged;
+  std::size_t AgedOffset = 0;
+  // Jobs that are being stored: a resend is the same job.
+  std::multiset<jobs::JobId> Storing;
   dispatch::DispatchHooks Policy = dispatchPolicy();
   std::map<jobs::JobId, Instant> EndedAt;
   WaitTracker Waits;
--- a/jujube/ctl/zone_commands.cc
+++ b/jujube/ctl/zone_commands.cc
@@ -44,15 +44,15 @@
     return Verdict::Done;
   }
   const std::vector<ZoneId> &zones = valueOf(read).Evacuated;
-  session.Print(zones.empty()
-                    ? std::string("no zone is evacuated\n")
-                    : absl::StrCat("evacuated: ",
-                                   absl::StrJoin(zones, ", ",
-                                                 [](std::string *out,
-                                                    const ZoneId &it) {
-                                                   out->append(it.str());
-                                                 }),
-                                   "\n"));
+  session.Print(
+      zones.empty()
+          ? std::string("no zone is evacuated\n")
+          : absl::StrCat("evacuated: ",
+                         absl::StrJoin(zones, ", ",
+                                       [](std::string *out, const ZoneId &it) {
+                                         out->append(it.str());
+                                       }),
+                         "\n"));
   return Verdict::Done;
 }
 
--- a/jujube/ctl/zone_test.cc
+++ b/jujube/ctl/zone_test.cc
@@ -15,9 +15,8 @@
     AppHooks hooks = Terminal.hooks();
     hooks.Connect = [this](const std::string &) {
       return [this](const Address &, const HttpCall &call) -> TransportOutcome {
-        Targets.push_back(
-            absl::StrCat(nameIn(http::MethodNames, call.Verb), " ",
-                         call.Target));
+        Targets.push_back(absl::StrCat(nameIn(http::MethodNames, call.Verb),
+                                       " ", call.Target));
         return http::HttpResult{200, Body};
       };
     };
--- a/jujube/daemon/daemon.cc
+++ b/jujube/daemon/daemon.cc
@@ -54,8 +54,8 @@
 // After a fatal error the process ends within this time, even if stderr is a
 // full pipe without a reader.
 constexpr unsigned FatalExitSeconds = 2;
-// Threads share this many heaps of the allocator. By default there are eight for
-// each core, and each keeps what its threads have freed.
+// Threads share this many heaps of the allocator. By default there are eight
+// for each core, and each keeps what its threads have freed.
 constexpr int AllocatorHeaps = 2;
 constexpr int CrashReportTimeoutMs = 200;
 
--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -145,6 +145,18 @@
 // Work counted for each step, in pairs.
 inline constexpr std::size_t WorkPerStep = 10;
 
+// Which of the steps that have waited longest are planned first.
+struct AgedWindow {
+  // The most steps; 0 for none.
+  std::size_t Steps = 0;
+  // The window begins at this one of them, counted around, so that steps that
+  // can't start do not keep others out for ever.
+  std::size_t Offset = 0;
+};
+
+// Most tasks of an aged step that a plan starts before those of other steps.
+inline constexpr int64_t MaxAgedTasks = 8;
+
 struct DispatchPlan {
   std::vector<PlannedStart> Starts;
   std::vector<jobs::ApprovalQuery> Queries;
@@ -178,6 +190,8 @@
   // the budget still goes to the steps before this position, which are the most
   // urgent ones.
   std::optional<PlanCursor> Resume = {};
+  // Not used if Resume is set.
+  AgedWindow Aged = {};
 };
 
 // How long the fixed part of an approval query takes; decides when queries are
--- a/jujube/dispatch/dispatcher_test.cc
+++ b/jujube/dispatch/dispatcher_test.cc
@@ -125,14 +125,15 @@
     return step.Team.str() < "t2";
   };
   for (const int64_t elapsed : {0, 1500, 4000, 70'000, 100'000}) {
-    const Instant at = book.find(jobs::JobId("j0"))->AcceptedAt +
-                       Duration::millis(elapsed);
+    const Instant at =
+        book.find(jobs::JobId("j0"))->AcceptedAt + Duration::millis(elapsed);
     std::multiset<std::string> read;
     std::optional<PlanCursor> cursor;
     for (int plans = 0; plans < 100; ++plans) {
       DispatchInput input{book, {}, none, at, at};
       // Half of it goes to the steps before the cursor.
       input.Budget = 4 * WorkPerStep;
+      input.Aged = {3, static_cast<std::size_t>(3 * plans)};
       input.Resume = std::exchange(cursor, std::nullopt);
       DispatchPlan plan = planStarts(input, hooks);
       std::set<std::string> inPlan;
@@ -160,16 +161,16 @@
   config.Queues[1].PathPrefix = "/urgent/";
   book.apply(jobs::ConfigurationPut{config});
   const Approvals none;
-  for (const auto &[waited, chosen] :
-       {std::pair(Duration::seconds(50), "new"), {Duration::seconds(80), "old"}}) {
+  for (const auto &[waited, chosen] : {std::pair(Duration::seconds(50), "new"),
+                                       {Duration::seconds(80), "old"}}) {
     jobs::JobStateMachine later = book;
     const Instant at = book.find(jobs::JobId("old"))->AcceptedAt + waited;
     jobs::JobSpec fresh = sampleJob("new", {sampleStep(1)});
     fresh.Queue = jobs::QueueId("urgent");
-    later.apply(jobs::JobAcceptedAt{{fresh, at},
-                                    {"a.example", "/urgent/"}});
-    const DispatchPlan plan = planStarts(
-        {later, viewsOf(later), none, at, at}, defaultHooks());
+    later.apply(jobs::JobAcceptedAt{{fresh, at}, {"a.example", "/urgent/"}});
+    DispatchInput input{later, viewsOf(later), none, at, at};
+    input.Aged = {1, 0};
+    const DispatchPlan plan = planStarts(input, defaultHooks());
     BOOST_REQUIRE(plan.Starts.size() == 1U);
     BOOST_TEST(plan.Starts[0].Start.Task.Job.str() == chosen);
   }
@@ -191,9 +192,35 @@
   BOOST_TEST(plan.Starts.empty());
   BOOST_REQUIRE(plan.Waits.size() == 2U);
   for (const StepWait &wait : plan.Waits)
-    BOOST_TEST((wait.Cause == (wait.Step.Job.str() == "a"
-                                   ? WaitCause::Evacuated
-                                   : WaitCause::NoWorker)));
+    BOOST_TEST(
+        (wait.Cause == (wait.Step.Job.str() == "a" ? WaitCause::Evacuated
+                                                   : WaitCause::NoWorker)));
+}
+
+// Load: a zone with most of the workers that were asked about is emptied.
+BOOST_AUTO_TEST_CASE(OtherWorkersAreAskedAboutWhenAZoneIsEmptied) {
+  std::vector<jobs::Worker> workers;
+  for (int i = 0; i < 6; ++i) {
+    workers.push_back(sampleWorker("w" + std::to_string(i)));
+    workers.back().Zone = ZoneId(i < 4 ? "north" : "south");
+  }
+  jobs::JobStateMachine book =
+      approvedBook(workers, {sampleJob("a", {sampleStep(1)})});
+  Approvals approved;
+  jobs::ApprovalQuery query{{jobs::JobId("a"), 0, 0}, {}};
+  for (int i = 0; i < 4; ++i)
+    query.Workers.emplace_back("w" + std::to_string(i));
+  approved.begin(query, testing::SampleQueue);
+  approved.finish(query, {{}, Duration::seconds(2)}, Now);
+  book.apply(jobs::ZoneEvacuated{ZoneId("north")});
+  std::vector<WorkerView> views;
+  for (const auto &[id, worker] : book.workers())
+    if (!book.isEvacuated(worker))
+      views.push_back({&worker});
+  const DispatchPlan plan =
+      planStarts({book, views, approved, Now, Now, 100, 100}, defaultHooks());
+  BOOST_REQUIRE(plan.Queries.size() == 1U);
+  BOOST_TEST(plan.Queries[0].Workers.size() == 2U);
 }
 
 // Load: workers come back cold while urgent and less urgent work waits.
--- a/jujube/dispatch/pass.cc
+++ b/jujube/dispatch/pass.cc
@@ -32,7 +32,10 @@
 void Pass::planRange(const std::optional<StepPosition> &after,
                      const std::optional<StepPosition> &until,
                      std::size_t budget) {
-  StepWalk walk(Input.Book.waiting(), Hooks, Input.WallNow, after);
+  // A plan that continues another has no window: what it passes over must have
+  // been read before.
+  StepWalk walk(Input.Book.waiting(), Hooks, Input.WallNow, after,
+                Input.Resume ? AgedWindow() : Input.Aged);
   std::optional<StepPosition> last;
   while (const jobs::WaitingStep *step = walk.next()) {
     const StepPosition here = walk.position();
@@ -42,7 +45,8 @@
       Plan.NextCursor = {*last, reservations()};
       return;
     }
-    planStep(readyStep(*step));
+    planStep(readyStep(*step),
+             here.Phase == StepPhase::Aged ? MaxAgedTasks : INT64_MAX);
     last = here;
   }
 }
@@ -89,13 +93,14 @@
   return limit;
 }
 
-void Pass::planStep(const ReadyStep &step) {
+void Pass::planStep(const ReadyStep &step, int64_t maxTasks) {
   ++Plan.Steps;
   ApprovedNodes.reset();
   countTasks(step);
   const int64_t waiting = step.waitingTasks();
-  const int64_t most = teamTaskLimit(step);
+  const int64_t teamMost = teamTaskLimit(step);
   const bool isGang = step.Spec->IsGang;
+  const int64_t most = isGang ? teamMost : std::min(teamMost, maxTasks);
   if (isGang)
     PlannedGangs.insert(step.Key);
   const int64_t wanted = isGang && most < waiting ? 0 : std::min(waiting, most);
@@ -104,7 +109,8 @@
   if (left == 0)
     return;
   if (placed == wanted) {
-    addWait(step, left, WaitCause::TeamMaximum);
+    addWait(step, left,
+            most < teamMost ? WaitCause::Capacity : WaitCause::TeamMaximum);
     return;
   }
   addWait(step, left, waitCause(step, left));
--- a/jujube/dispatch/pass.h
+++ b/jujube/dispatch/pass.h
@@ -113,7 +113,8 @@
   std::size_t work() const;
   ReadyStep readyStep(const jobs::WaitingStep &waiting) const;
   // Places the step's tasks and deals with those that have to wait.
-  void planStep(const ReadyStep &step);
+  // At most `maxTasks`, unless it is a gang.
+  void planStep(const ReadyStep &step, int64_t maxTasks);
   TeamState &teamOf(const ReadyStep &step);
   // Number of further tasks that the team's maximum allows.
   int64_t teamTaskLimit(const ReadyStep &step);
@@ -221,6 +222,8 @@
   // most free capacity first, at most `most`.
   std::vector<Candidate> unknownCandidates(const ReadyStep &step,
                                            std::size_t most);
+  // Number of workers of the pass whose approval is known.
+  std::size_t knownWorkers(const ReadyStep &step);
   // The workers among which a query searches first.
   NodeSpan nodesToQuery(const ReadyStep &step) const;
   Candidate candidate(const ReadyStep &step, NodeIndex index);
--- a/jujube/dispatch/step_walk.cc
+++ b/jujube/dispatch/step_walk.cc
@@ -10,20 +10,20 @@
 constexpr Instant Earliest = Instant::fromMillis(INT64_MIN);
 constexpr Instant Latest = Instant::fromMillis(INT64_MAX);
 
-// Steps that have waited for this long beyond their objectives, and that could
-// start, are planned first, but only a few of them, so that an overload does not
-// make everything late.
+// Steps are aged once they have waited for this long beyond their objectives.
 constexpr Duration AgedAfter = Duration::seconds(60);
-constexpr std::size_t MaxAged = 8;
+// Most aged steps of a priority among which a window is chosen.
+constexpr std::size_t MaxAgedPerPriority = 64;
 // The priority in the position of aged steps: before all others.
 constexpr int32_t AgedPriority = std::numeric_limits<int32_t>::min();
 
 } // namespace
 
 StepWalk::StepWalk(const jobs::WaitingSteps &steps, const DispatchHooks &hooks,
-                   Instant wallNow, const std::optional<StepPosition> &after)
+                   Instant wallNow, const std::optional<StepPosition> &after,
+                   AgedWindow window)
     : Steps(steps.ordered()), Hooks(hooks), WallNow(wallNow), After(after) {
-  findAged();
+  findAged(window);
   if (!After || After->Phase == StepPhase::Aged)
     Current = Phase::Aged;
   else
@@ -31,7 +31,9 @@
 }
 
 // Within a priority, steps are ordered by their objectives.
-void StepWalk::findAged() {
+void StepWalk::findAged(AgedWindow window) {
+  if (window.Steps == 0)
+    return;
   const auto isBefore = [](const jobs::WaitingStep *a,
                            const jobs::WaitingStep *b) {
     return std::tie(a->DueBy, a->Key) < std::tie(b->DueBy, b->Key);
@@ -39,15 +41,20 @@
   for (auto it = Steps.begin(); it != Steps.end();
        it = firstFrom(it->Priority, Latest)) {
     auto step = it;
-    for (std::size_t n = 0; n < MaxAged && step != Steps.end() &&
-                            step->Priority == it->Priority &&
-                            step->DueBy + AgedAfter < WallNow;
+    for (std::size_t n = 0;
+         n < MaxAgedPerPriority && step != Steps.end() &&
+         step->Priority == it->Priority && step->DueBy + AgedAfter < WallNow;
          ++step, ++n)
       if (step->NotBefore <= WallNow)
         Aged.push_back(&*step);
   }
   std::ranges::sort(Aged, isBefore);
-  Aged.resize(std::min(Aged.size(), MaxAged));
+  if (Aged.size() <= window.Steps)
+    return;
+  std::ranges::rotate(Aged, Aged.begin() + static_cast<std::ptrdiff_t>(
+                                               window.Offset % Aged.size()));
+  Aged.resize(window.Steps);
+  std::ranges::sort(Aged, isBefore);
 }
 
 bool StepWalk::isAged(const jobs::WaitingStep &step) const {
--- a/jujube/dispatch/step_walk.h
+++ b/jujube/dispatch/step_walk.h
@@ -20,7 +20,8 @@
   // Starts after the position `after`, or at the first step if it is unset. All
   // arguments must outlive the walk.
   StepWalk(const jobs::WaitingSteps &steps, const DispatchHooks &hooks,
-           Instant wallNow, const std::optional<StepPosition> &after);
+           Instant wallNow, const std::optional<StepPosition> &after,
+           AgedWindow window = {});
 
   // Returns the next step, or null at the end.
   const jobs::WaitingStep *next();
@@ -43,7 +44,7 @@
 
   static StepPhase stepPhaseOf(Phase phase);
   // Finds the steps of phase Aged.
-  void findAged();
+  void findAged(AgedWindow window);
   const jobs::WaitingStep *nextAged();
   bool isAged(const jobs::WaitingStep &step) const;
   // Starts with the priority of the step at `first`.
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -67,9 +67,9 @@
 struct ZoneRestored {
   ZoneId Zone;
 };
-// The same as AttemptStarted and AttemptEnded, with the leader's wall time, from
-// which the use of teams is counted. Logs of earlier versions have the events
-// without a time.
+// The same as AttemptStarted and AttemptEnded, with the leader's wall time,
+// from which the use of teams is counted. Logs of earlier versions have the
+// events without a time.
 struct AttemptStartedAt {
   AttemptStarted What;
   Instant At;
@@ -79,10 +79,11 @@
   Instant At;
 };
 
-using Event = std::variant<ConfigurationPut, JobAccepted, JobCancelled,
-                           AttemptStarted, AttemptEnded, WorkerChanged,
-                           WorkerGone, JobsForgotten, JobAcceptedAt, ZoneEvacuated,
-                           ZoneRestored, AttemptStartedAt, AttemptEndedAt>;
+using Event =
+    std::variant<ConfigurationPut, JobAccepted, JobCancelled, AttemptStarted,
+                 AttemptEnded, WorkerChanged, WorkerGone, JobsForgotten,
+                 JobAcceptedAt, ZoneEvacuated, ZoneRestored, AttemptStartedAt,
+                 AttemptEndedAt>;
 
 } // namespace jujube::jobs
 
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -30,7 +30,11 @@
 
 // Requested processors times estimated run times of all tasks.
 int64_t workOf(const JobSpec &spec) {
-  constexpr double MostWork = 1e15;
+  // The sum over all jobs stays within the range.
+  constexpr double MostWork = 1e12;
+  // Work that is due later does not delay what is due now.
+  if (spec.FirstDue)
+    return 0;
   double work = 0;
   for (const StepSpec &step : spec.Steps)
     work += static_cast<double>(step.Tasks) *
@@ -521,7 +525,10 @@
   load.Tasks.erase(key);
   if (load.Tasks.empty())
     Loads.erase(worker);
-  Used[job.Spec.Team] -= spec.Ask;
+  Resources &used = Used[job.Spec.Team];
+  used -= spec.Ask;
+  if (used == Resources{})
+    Used.erase(job.Spec.Team);
 }
 
 JobSnapshot JobStateMachine::capture() const {
--- a/jujube/shares/share_table.h
+++ b/jujube/shares/share_table.h
@@ -26,7 +26,7 @@
 
 // A team is over its share once it uses this many times what it is due. Below,
 // work is ordered by its objectives, whoever's it is.
-inline constexpr double ShareTolerance = 1.5;
+inline constexpr double ShareTolerance = 1.2;
 
 struct TeamShare {
   // The part of the cluster that the team is due, by weight and past use.
--- a/jujube/shares/share_table_test.cc
+++ b/jujube/shares/share_table_test.cc
@@ -15,18 +15,18 @@
 
 // Load: one team has seven times its usual work, and takes what is free.
 BOOST_AUTO_TEST_CASE(TeamThatUsesMoreThanItsShareIsOver) {
-  const ShareTable table({{Hot, 10, {80'000, 0, 0}, {}},
-                          {Calm, 10, {20'000, 0, 0}, {}}},
-                         Capacity);
+  const ShareTable table(
+      {{Hot, 10, {80'000, 0, 0}, {}}, {Calm, 10, {20'000, 0, 0}, {}}},
+      Capacity);
   BOOST_TEST(!table.isWithinShare(Hot));
   BOOST_TEST(table.isWithinShare(Calm));
   BOOST_TEST(table.isWithinShare(TeamId("unknown")));
 }
 
 BOOST_AUTO_TEST_CASE(WeightsDecideWhatIsDue) {
-  const ShareTable table({{Hot, 30, {70'000, 0, 0}, {}},
-                          {Calm, 10, {30'000, 0, 0}, {}}},
-                         Capacity);
+  const ShareTable table(
+      {{Hot, 30, {70'000, 0, 0}, {}}, {Calm, 10, {30'000, 0, 0}, {}}},
+      Capacity);
   BOOST_TEST(table.isWithinShare(Hot));
   BOOST_TEST(table.shares().at(Hot).Due == 0.75);
 }
--- a/jujube/shares/usage_ledger.cc
+++ b/jujube/shares/usage_ledger.cc
@@ -11,9 +11,10 @@
 // The part that is left after a period, 2^(-1/128), in units of 2^-32.
 constexpr uint64_t PeriodFactor = 4'271'771'996;
 constexpr int FactorBits = 32;
-// After this many half-lives nothing is left.
-constexpr int64_t MaxHalvings = 62;
+// After this many half-lives less than a hundred-thousandth is left.
+constexpr int64_t MaxHalvings = 17;
 constexpr int64_t AllowancePerJob = 1000;
+constexpr int64_t MaxWeight = 1'000'000'000;
 
 int64_t decayedOnce(int64_t amount) {
   const auto wide = static_cast<unsigned __int128>(amount) * PeriodFactor;
@@ -54,14 +55,18 @@
   if (isNew) {
     it->second.Team = team;
     it->second.At = Now;
-    it->second.AllowanceAt = Instant();
     if (Teams.size() > MaxTeams)
-      forgetLeast();
+      forgetLeast(team);
   }
   return Teams.at(team);
 }
 
 void UsageLedger::settle(TeamUse &use) const {
+  // It was counted before the first event with a time.
+  if (use.At == Instant()) {
+    use.At = Now;
+    return;
+  }
   const int64_t period = Period.millis();
   const bool isUsing = use.Running != Resources{};
   int64_t left = Now.millis() / period - use.At.millis() / period;
@@ -72,8 +77,8 @@
     left = most;
   }
   while (isUsing && left > 0) {
-    const Instant end = Instant::fromMillis(
-        (use.At.millis() / period + 1) * period);
+    const Instant end =
+        Instant::fromMillis((use.At.millis() / period + 1) * period);
     use.Past += use.Running * (end - use.At).millis();
     use.Past = decayed(use.Past, 1);
     use.At = end;
@@ -115,14 +120,14 @@
 }
 
 bool UsageLedger::refill(TeamUse &use, int64_t weight, Instant now) {
-  const int64_t most = std::max<int64_t>(weight, 1) * AllowancePerJob;
+  weight = std::clamp<int64_t>(weight, 1, MaxWeight);
+  const int64_t most = weight * AllowancePerJob;
   // Milliseconds times jobs a second are thousandths of jobs.
   const int64_t elapsed =
       use.AllowanceAt == Instant()
           ? AllowancePerJob
           : std::min((now - use.AllowanceAt).millis(), AllowancePerJob);
-  use.Allowance = std::min(
-      use.Allowance + elapsed * std::max<int64_t>(weight, 1), most);
+  use.Allowance = std::min(use.Allowance + elapsed * weight, most);
   use.AllowanceAt = now;
   return use.Allowance >= AllowancePerJob;
 }
@@ -149,13 +154,11 @@
   return use.Past;
 }
 
-void UsageLedger::forgetLeast() {
+void UsageLedger::forgetLeast(const TeamId &kept) {
   auto least = Teams.end();
   for (auto it = Teams.begin(); it != Teams.end(); ++it) {
     settle(it->second);
-    // A team that was just added is kept.
-    const bool isKept = it->second.Running != Resources{} ||
-                        it->second.AllowanceAt == Instant();
+    const bool isKept = it->first == kept || it->second.Running != Resources{};
     if (!isKept && (least == Teams.end() ||
                     it->second.Past.MilliCpu < least->second.Past.MilliCpu))
       least = it;
--- a/jujube/shares/usage_ledger.h
+++ b/jujube/shares/usage_ledger.h
@@ -54,7 +54,8 @@
 
   explicit UsageLedger(Duration halfLife = DefaultHalfLife);
 
-  // Sets the clock. Earlier wall times stop it until it is reached again.
+  // Moves the clock on by what the wall time has moved since the last call; an
+  // earlier wall time does not move it.
   void advance(Instant wall);
   // The team begins, or ends, to use resources at the present time.
   void begin(const TeamId &team, const Resources &used);
@@ -80,7 +81,7 @@
   static bool refill(TeamUse &use, int64_t weight, Instant now);
   // Adds up what the team has used until now.
   void settle(TeamUse &use) const;
-  void forgetLeast();
+  void forgetLeast(const TeamId &kept);
 
   // Decay is applied at the ends of periods of this length, counted from the
   // origin of the clock.
--- a/jujube/shares/usage_ledger_test.cc
+++ b/jujube/shares/usage_ledger_test.cc
@@ -78,7 +78,6 @@
   ledger.begin(A, {1000, 0, 0});
   for (std::size_t i = 0; i < 2 * UsageLedger::MaxTeams; ++i) {
     const TeamId team("t" + std::to_string(i));
-    (void)ledger.takeAllowance(team, 1);
     ledger.begin(team, {1, 0, 0});
     ledger.advance(at(static_cast<int64_t>(i) + 1));
     ledger.end(team, {1, 0, 0});
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -172,8 +172,8 @@
 
 // A snapshot is followed by the terms and the places of its jobs, in the same
 // order, the retired queues, the evacuated zones, the use of teams, and which
-// jobs are beyond their team's rate. Snapshots of earlier versions lack the last
-// of these parts or all of them.
+// jobs are beyond their team's rate. Snapshots of earlier versions lack the
+// last of these parts or all of them.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
   std::vector<uint32_t> terms;
   std::ranges::transform(state.Jobs, std::back_inserter(terms),
@@ -185,8 +185,8 @@
   std::ranges::transform(state.Jobs, std::back_inserter(beyondRate),
                          &jobs::Job::IsBeyondRate);
   return encode(state) + encode(terms) + encode(places) +
-         encode(state.Retired) + encode(state.Evacuated) +
-         encode(state.Usage) + encode(beyondRate);
+         encode(state.Retired) + encode(state.Evacuated) + encode(state.Usage) +
+         encode(beyondRate);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
   std::vector<uint32_t> terms;
@@ -195,9 +195,8 @@
   std::vector<ZoneId> evacuated;
   shares::LedgerState usage;
   std::vector<uint8_t> beyondRate;
-  auto decoded = decodeExtended<jobs::JobSnapshot>(bytes, terms, places,
-                                                   retired, evacuated, usage,
-                                                   beyondRate);
+  auto decoded = decodeExtended<jobs::JobSnapshot>(
+      bytes, terms, places, retired, evacuated, usage, beyondRate);
   if (!isOk(decoded))
     return decoded;
   jobs::JobSnapshot state = valueOf(std::move(decoded));
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "jujube/wire/consensus_encoding.h"
@@ -133,7 +134,7 @@
   const std::size_t use =
       sizeof(uint32_t) * 2 + sizeof(int64_t) * (2 + 2 * 3 + 3) +
       testing::SampleTeam.str().size() + sizeof(uint32_t) + state.Jobs.size();
-  // The evacuated zones: their number.
+  // Also the evacuated zones: their number.
   const std::size_t zones = use + sizeof(uint32_t);
   const auto read = decodeJobSnapshot(now);
   BOOST_REQUIRE(isOk(read));
@@ -151,6 +152,31 @@
   BOOST_TEST(!isOk(decodeJobSnapshot(now.substr(0, now.size() - 1))));
 }
 
+BOOST_AUTO_TEST_CASE(SnapshotKeepsZonesUseAndRates) {
+  jobs::JobStateMachine book =
+      testing::sampleBook({testing::sampleWorker("w1")}, {});
+  for (int i = 0; i < 12; ++i)
+    book.apply(jobs::JobAccepted{
+        testing::sampleJob("j" + std::to_string(i), {testing::sampleStep(1)}),
+        Instant::fromMillis(1000)});
+  book.apply(
+      jobs::AttemptStartedAt{{testing::taskOf("j1", 0), 1, WorkerId("w1")},
+                             Instant::fromMillis(2000)});
+  book.apply(jobs::ZoneEvacuated{ZoneId("north")});
+  book.apply(jobs::ZoneEvacuated{ZoneId("south")});
+  const auto read = decodeJobSnapshot(encodeJobSnapshot(book.capture()));
+  BOOST_REQUIRE(isOk(read));
+  const auto restored = jobs::JobStateMachine::restore(valueOf(read));
+  BOOST_TEST((restored.evacuatedZones() == book.evacuatedZones()));
+  BOOST_TEST((restored.usage().capture() == book.usage().capture()));
+  BOOST_TEST((restored.queuedWork() == book.queuedWork()));
+  BOOST_TEST((restored.jobs() == book.jobs()));
+  // Ten jobs a second are within the rate.
+  BOOST_TEST(std::ranges::count_if(restored.jobs(), [](const auto &it) {
+               return it.second.IsBeyondRate;
+             }) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(BoolThatIsNeitherZeroNorOneIsRefused) {
   BOOST_TEST(!isOk(decode<bool>("\x02")));
   BOOST_TEST(valueOf(decode<bool>("\x01")));
