testing: the backlog of LeaderWithALargeBacklogKeepsLeading is within its team's rate

Cause: the test hands in its whole backlog at once, for a team with a weight of 10 jobs a second. Such a backlog is now refused before it is stored, so the case could not build its load. The backlog, the costs and the checks are as before; the team's weight is what makes it promised work. Lint findings of three files.

--- a/jujube/dispatch/step_walk.cc
+++ b/jujube/dispatch/step_walk.cc
@@ -51,8 +51,10 @@
   std::ranges::sort(Aged, isBefore);
   if (Aged.size() <= window.Steps)
     return;
-  std::ranges::rotate(Aged, Aged.begin() + static_cast<std::ptrdiff_t>(
-                                               window.Offset % Aged.size()));
+  std::rotate(Aged.begin(),
+              Aged.begin() +
+                  static_cast<std::ptrdiff_t>(window.Offset % Aged.size()),
+              Aged.end());
   Aged.resize(window.Steps);
   std::ranges::sort(Aged, isBefore);
 }
--- a/jujube/http/server.cc
+++ b/jujube/http/server.cc
@@ -53,7 +53,7 @@
                                 isHealthy});
   return makeServer(
       "http", std::move(options),
-      [requests](AssembledRequest request, std::string &output) {
+      [requests](const AssembledRequest &request, std::string &output) {
         const std::string whole = absl::StrCat(request.Head, request.Body);
         MemoryStream stream(whole, output);
         return requests->process(stream);
--- a/testing/control_backlog_test.cc
+++ b/testing/control_backlog_test.cc
@@ -51,6 +51,8 @@
   ControlCell Cell{[] {
     ControlCellOptions options;
     options.Workers = Fleet;
+    // The whole backlog is within the team's rate, so that none is refused.
+    options.TeamWeight = 1'000'000;
     return options;
   }()};
 
--- a/testing/control_cell.cc
+++ b/testing/control_cell.cc
@@ -41,7 +41,9 @@
   loop.callEvery(CallDelay, [this] { serveCalls(); });
   loop.callEvery(AnnouncePeriod, [this] { announceAll(); });
   (void)Wire.run(Patience, [this] { return leader() != 0; });
-  (void)execute(jobs::PutConfiguration{sampleConfiguration()});
+  jobs::Configuration config = sampleConfiguration();
+  config.Teams[0].Weight = Options.TeamWeight;
+  (void)execute(jobs::PutConfiguration{std::move(config)});
   Wire.run(AnnouncePeriod * 2);
 }
 
--- a/testing/control_cell.h
+++ b/testing/control_cell.h
@@ -29,6 +29,8 @@
   std::size_t Voters = 3;
   // The longest lease that workers grant.
   Duration MaxLease = Duration::seconds(5);
+  // Weight of the team: jobs a second that are within its rate.
+  int64_t TeamWeight = 10;
 };
 
 // Members are numbered from 1.
