--- a/jujube/dispatch/dispatcher.h
+++ b/jujube/dispatch/dispatcher.h
@@ -29,9 +29,6 @@
   bool IsSuspect = false;
   // The worker has started recently and is still slow.
   bool IsCold = false;
-  // Speed relative to the mean of the fleet; a task takes its expected duration
-  // divided by this.
-  double Speed = 1;
 };
 
 // The groups in which the steps of one priority are planned, one after the
