--- a/testing/share_load_test.cc
+++ b/testing/share_load_test.cc
@@ -17,7 +17,7 @@
 
 const TeamId Hot("hot");
 const TeamId Calm("calm");
-constexpr int Workers = 10;
+constexpr int64_t Workers = 10;
 constexpr int64_t CoresPerWorker = 8;
 
 // A cluster that starts what the planner plans, and ends it when it is due.
@@ -27,7 +27,7 @@
     jobs::Configuration config = sampleConfiguration();
     config.Teams = {{Hot, {"key-hot"}, 10, {}}, {Calm, {"key-calm"}, 10, {}}};
     // Objectives that every job can meet for as long as the test lasts.
-    config.Queues[0].LatencyTarget = Duration::minutes(24 * 60);
+    config.Queues[0].LatencyTarget = Duration::minutes(24L * 60);
     Book.apply(jobs::ConfigurationPut{config});
     for (int i = 0; i < Workers; ++i)
       Book.apply(jobs::WorkerChanged{
@@ -149,7 +149,7 @@
     }
   };
   Cluster cluster(true);
-  fillFor(cluster, Duration::minutes(6 * 60), false);
+  fillFor(cluster, Duration::minutes(6L * 60), false);
   cluster.forgetWaits();
   // A team over its share still gets what nobody else wants.
   BOOST_TEST(cluster.coresOf(Hot) == Workers * CoresPerWorker);
@@ -163,7 +163,7 @@
   // It is not shut out.
   BOOST_TEST(hot >= Workers * CoresPerWorker / 5);
   // Six hours later what was used before has no more weight.
-  fillFor(cluster, Duration::minutes(6 * 60), true);
+  fillFor(cluster, Duration::minutes(6L * 60), true);
   const int64_t later = cluster.coresOf(Hot);
   BOOST_TEST(later >= Workers * CoresPerWorker * 35 / 100);
   BOOST_TEST(later <= Workers * CoresPerWorker * 65 / 100);
