--- a/fuzz/http_fuzz.cc
+++ b/fuzz/http_fuzz.cc
@@ -1,12 +1,16 @@
-// Fuzzes the HTTP server with arbitrary bytes from one connection. Aborts if a
-// submitted payload exceeds its size limit.
+// Fuzzes the HTTP server with arbitrary bytes from one connection: the parser
+// with the bytes as they are, and the assembler with the bytes in pieces. Aborts
+// if a submitted payload exceeds its size limit, or an assembled request its
+// own.
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
 #include <string>
+#include <string_view>
 
+#include "jujube/http/request_assembler.h"
 #include "jujube/http/request_processor.h"
 
 namespace {
@@ -67,9 +71,36 @@
   return *shared;
 }
 
+void assemble(const uint8_t *data, size_t size) {
+  const std::string_view input(reinterpret_cast<const char *>(data), size);
+  constexpr std::size_t MaxHead = 1024;
+  // Pieces of any length, depending on the input.
+  const std::size_t piece = size == 0 ? 1 : 1 + data[size - 1] % 64;
+  jujube::http::RequestAssembler assembler({MaxHead, MaxBody});
+  for (std::size_t at = 0; at < input.size();) {
+    const std::size_t n = assembler.feed(input.substr(at, piece));
+    at += n;
+    if (assembler.state() == jujube::http::AssemblyState::Refused)
+      return;
+    if (assembler.state() != jujube::http::AssemblyState::Complete)
+      continue;
+    const jujube::http::AssembledRequest request = assembler.take();
+    // The length that is added to the head.
+    constexpr std::size_t LengthField = 64;
+    if (request.Body.size() > MaxBody ||
+        request.Head.size() > MaxHead + LengthField)
+      std::abort();
+    const std::string whole = request.Head + request.Body;
+    MemoryStream stream(reinterpret_cast<const uint8_t *>(whole.data()),
+                        whole.size());
+    (void)processor().process(stream);
+  }
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+  assemble(data, size);
   MemoryStream stream(data, size);
   int served = 0;
   while (stream.is_readable() && served < MaxRequests &&
