--- a/fuzz/http_fuzz.cc
+++ b/fuzz/http_fuzz.cc
@@ -1,7 +1,7 @@
 // Fuzzes the HTTP server with arbitrary bytes from one connection: the parser
-// with the bytes as they are, and the assembler with the bytes in pieces. Aborts
-// if a submitted payload exceeds its size limit, or an assembled request its
-// own.
+// with the bytes as they are, and the assembler with the bytes in pieces.
+// Aborts if a submitted payload exceeds its size limit, or an assembled request
+// its own.
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
