--- a/review/lib-3/cell.py
+++ b/review/lib-3/cell.py
@@ -183,6 +183,10 @@
             time.sleep(0.3)
         raise CannotRun("the configuration is not acknowledged")
 
+    def frontend(self, front):
+        """The address at which an entry host takes calls of clients."""
+        return f"{self._ip(11 + front)}:{HTTP}"
+
     def client(self, method, path, body=None, key=None, host="a.example",
                front=0, timeout=3.0):
         """One call of a client to an entry host."""
@@ -190,8 +194,8 @@
                    "Jujubedyke-Deadline-Ms": str(int(timeout * 1000))}
         if key:
             headers["Authorization"] = "Bearer " + key
-        status, text = wire.call(f"{self._ip(11 + front)}:{HTTP}", method, path,
-                                 body, headers, timeout)
+        status, text = wire.call(self.frontend(front), method, path, body,
+                                 headers, timeout)
         self.note("call", method=method, path=path, status=status,
                   answer=text[:200])
         return status, text
