--- a/review/lib-3/cell.py
+++ b/review/lib-3/cell.py
@@ -174,8 +174,7 @@
             for control in self.controls:
                 status, text = wire.call(control, "PUT", "/config", config,
                                          timeout=1.0)
-                self.note("config", version=config["version"], to=control,
-                          status=status)
+                self.note("config", sent=config, to=control, status=status)
                 if status == 200:
                     return
                 if status in (400, 409, 412, 413, 422):
@@ -196,8 +195,8 @@
             headers["Authorization"] = "Bearer " + key
         status, text = wire.call(self.frontend(front), method, path, body,
                                  headers, timeout)
-        self.note("call", method=method, path=path, status=status,
-                  answer=text[:200])
+        self.note("call", method=method, path=path, key=key, sent=body,
+                  status=status, answer=text[:200])
         return status, text
 
     def submit(self, path, body, key=None, for_s=10.0):
@@ -253,26 +252,31 @@
         "tenants": tenants or [tenant]}
 
 
+# Python itself exits with 1 after an error, so that a breach has its own code;
+# run.sh translates it.
+BROKEN, HELD, CANNOT_RUN = 3, 0, 2
+
+
 def main(play, fronts=1):
-    """Runs play(cell, trouble); exits with 1 if it returns a breach, 0 if not.
+    """Runs play(cell, trouble) and exits with one of the codes above.
 
-    The first argument is the folder of the case.
+    `play` returns the breach, or None. The first argument is the folder of the
+    case.
     """
     folder = os.path.abspath(sys.argv[1])
     # So that a case that is ended early ends its processes, too.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     cell = None
     try:
-        cell = Cell(os.path.join(folder, "record.txt"),
-                    fronts=fronts)
+        cell = Cell(os.path.join(folder, "record.txt"), fronts=fronts)
         breach = play(cell, trouble)
         cell.note("verdict", broken=bool(breach), why=breach or "")
         print("broken: " + breach if breach else "held")
-        code = 1 if breach else 0
+        code = BROKEN if breach else HELD
     except CannotRun as error:
         print("cannot run:", error)
-        code = 2
+        code = CANNOT_RUN
     finally:
         if cell is not None:
             cell.close()
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -5,9 +5,6 @@
 
 Options are one JSON object in the first argument:
   id, address, service, zone, labels, capacity, controls, record, max_hold_ms
-  drain_file   path; once the file exists, the runner reports `draining`
-  mute         {"file": path}: while the file exists, starts are left without
-               an answer and are not carried out
 """
 
 import asyncio
@@ -24,8 +21,12 @@
 TICK_S = 0.01
 
 
+STARTED = time.monotonic()
+
+
 def clock_ms():
-    return int(time.monotonic() * 1000)
+    """The runner's clock, which starts anew with each life."""
+    return int((time.monotonic() - STARTED) * 1000)
 
 
 class Runner:
@@ -49,19 +50,15 @@
 
     # Announcements.
 
-    def is_draining(self):
-        path = self.options.get("drain_file")
-        return bool(path) and os.path.exists(path)
-
     def announcement(self):
         self.sequence += 1
-        body = {
+        return {
             "service": self.options["service"],
             "address": self.options["address"],
             "zone": self.options["zone"],
             "version": "v1",
             "slots": 8,
-            "state": "draining" if self.is_draining() else "ready",
+            "state": "ready",
             "coldRemainingMs": 0,
             "capacity": self.options["capacity"],
             "labels": self.options["labels"],
@@ -69,13 +66,9 @@
             "sequence": self.sequence,
             "born": self.born,
         }
-        if body["state"] == "draining":
-            body["remainingMs"] = 20000
-        return body
 
     async def announce(self):
         controls = list(self.options["controls"])
-        was_draining = False
         loop = asyncio.get_running_loop()
         while True:
             body = self.announcement()
@@ -96,11 +89,7 @@
                         controls = [c for c in controls if c != named]
                         controls.insert(0, named)
                     break
-            was_draining = was_draining or body["state"] == "draining"
-            for _ in range(int(HEARTBEAT_S / 0.05)):
-                await asyncio.sleep(0.05)
-                if not was_draining and self.is_draining():
-                    break
+            await asyncio.sleep(HEARTBEAT_S)
 
     # Tasks.
 
@@ -168,7 +157,7 @@
                 await asyncio.wait_for(self.ended.wait(), wait / 1000)
             except asyncio.TimeoutError:
                 pass
-        rows = [[task, run["attempt"], "", 100]
+        rows = [[task, run["attempt"], "", 100, 0]
                 for task, run in self.running.items()]
         return 200, {"running": rows, "finished": self.ends[:500],
                      "born": self.born}
@@ -192,10 +181,6 @@
             return 200, {}
         return 404, {}
 
-    def is_mute(self, path):
-        mute = self.options.get("mute")
-        return (mute and path == "/run-start" and os.path.exists(mute["file"]))
-
     async def serve(self, reader, writer):
         try:
             while True:
@@ -210,16 +195,10 @@
                 size = int(headers.get("content-length", "0"))
                 text = await reader.readexactly(size) if size else b"{}"
                 body = json.loads(text)
-                if path in ("/run-start", "/run-stop"):
-                    self.note("order", path=path, task=body.get("task"),
-                              attempt=body.get("attempt"),
-                              fence=body.get("fencingToken"))
-                if self.is_mute(path):
-                    self.note("left unanswered", path=path,
-                              task=body.get("task"))
-                    await reader.read(1)
-                    return
                 status, out = await self.answer(path, headers, body)
+                if path in ("/run-start", "/run-stop"):
+                    self.note("order", path=path, sent=body, status=status,
+                              reason=out.get("reason"))
                 out["clockMs"] = clock_ms()
                 out["born"] = self.born
                 data = json.dumps(out).encode()
