--- a/review/11/case.py
+++ b/review/11/case.py
@@ -60,4 +60,4 @@
     return None
 
 
-cells.main(play, fronts=9)
+cells.main(play, fronts=10)
