jobs: a job that was cancelled before it arrived is refused

Cause: nothing was kept of the cancellation of an unknown job, so that a submission which arrived afterwards was accepted.

Change: the cancellation of an unknown job is stored in the log as a withdrawal before it is acknowledged, and the submission is refused with 410, also by later leaders and after a loss of power. The order in the log decides. Withdrawals are bounded for each team and in total, and beyond the bounds such cancellations are refused and store nothing.

--- a/fuzz/wire_seeds.cc
+++ b/fuzz/wire_seeds.cc
@@ -308,6 +308,7 @@
           jobs::AttemptStarted{task, 1, Worker},
           jobs::AttemptEnded{task, 1, jobs::EndKind::Failed, "saved"},
           jobs::JobCancelled{jobs::JobId("j")},
+          jobs::JobWithdrawn{jobs::JobId("j"), {TeamId("t"), "key"}},
           jobs::WorkerGone{Worker, Incarnation{4}},
           jobs::JobsForgotten{{jobs::JobId("j")}},
           jobs::JobAcceptedAt{{job(), Now}, {"a.example", "/plans/"}},
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -17,6 +17,8 @@
 // Most zones that are evacuated at a time: several times those of the largest
 // cell.
 constexpr std::size_t MaxEvacuatedZones = 256;
+// When to cancel an unknown job again that can't be recorded.
+constexpr Duration WithdrawalRetry = Duration::seconds(1);
 // How long after its withdrawal a silent worker is removed if it is idle.
 constexpr Duration LeavingSpan = Duration::millis(400);
 
@@ -28,6 +30,21 @@
                "resend it with the same id"};
 }
 
+Error noSuchJob() {
+  return Error{ErrorKind::Gone, "no such job", "check the id"};
+}
+
+Error withdrawnJob() {
+  return Error{ErrorKind::Gone, "the job was cancelled before it arrived",
+               "submit it under another id"};
+}
+
+Error tooManyWithdrawals() {
+  return Error{ErrorKind::Overloaded,
+               "the team has cancelled too many unknown jobs",
+               "cancel the job again later", WithdrawalRetry};
+}
+
 } // namespace
 
 void ControlTask::execute(const jobs::Command &command, const Answer &done) {
@@ -42,7 +59,7 @@
 
 void ControlTask::storeAndReply(std::vector<jobs::Event> events,
                                 const Answer &done,
-                                std::function<jobs::Reply()> reply) {
+                                std::function<Result<jobs::Reply>()> reply) {
   store(std::move(events), [done, reply = std::move(reply)](bool isStored) {
     if (isStored)
       done(reply());
@@ -82,10 +99,15 @@
       job != nullptr && (job->Spec.Team == by.Team || by.Team == TeamId() ||
                          job->Spec.Team == TeamId());
   if (!isOwner || job->Place != jobs::placeOf(*by.Queue))
-    return Error{ErrorKind::Gone, "no such job", "check the id"};
+    return noSuchJob();
   return job;
 }
 
+jobs::Owner ControlTask::ownerOf(const Admitted &by,
+                                 const jobs::Caller &caller) {
+  return {by.Team, by.Team == TeamId() ? std::string() : caller.Key};
+}
+
 void ControlTask::run(const jobs::SubmitJob &command, const Answer &done) {
   const Result<Admitted> admitted = admit(command.By);
   if (!isOk(admitted)) {
@@ -96,6 +118,11 @@
     done(jobs::Reply(jobs::Stored{}));
     return;
   }
+  const jobs::Owner owner = ownerOf(valueOf(admitted), command.By);
+  if (Book.withdrawals().contains(command.Job.Id, owner)) {
+    done(withdrawnJob());
+    return;
+  }
   if (const Status status = dispatch::checkServable(command.Job);
       !isOk(status)) {
     done(errorOf(status));
@@ -123,13 +150,21 @@
   };
   storeAndReply({jobs::JobAcceptedAt{{std::move(spec), WallClock.now()},
                                      jobs::placeOf(queue)}},
-                stored, [] { return jobs::Stored{}; });
+                stored, [this, id]() -> Result<jobs::Reply> {
+                  if (Book.find(id) == nullptr)
+                    return withdrawnJob();
+                  return jobs::Reply(jobs::Stored{});
+                });
 }
 
 void ControlTask::run(const jobs::CancelJob &command, const Answer &done) {
   const Result<const jobs::Job *> job = findJob(command.By, command.Job);
   if (!isOk(job)) {
-    done(errorOf(job));
+    if (errorOf(job).Kind == ErrorKind::Gone &&
+        Book.find(command.Job) == nullptr)
+      withdraw(command, done);
+    else
+      done(errorOf(job));
     return;
   }
   if (isEnded(valueOf(job)->State)) {
@@ -145,6 +180,34 @@
                 [] { return jobs::Stored{}; });
 }
 
+void ControlTask::withdraw(const jobs::CancelJob &command, const Answer &done) {
+  const jobs::JobId id = command.Job;
+  const jobs::Owner by = ownerOf(valueOf(admit(command.By)), command.By);
+  if (Book.withdrawals().contains(id, by)) {
+    done(noSuchJob());
+    return;
+  }
+  if (!Book.withdrawals().hasRoomFor(by.Team)) {
+    done(tooManyWithdrawals());
+    return;
+  }
+  Line(Event::JobCancelled)
+      .with("job", id)
+      .with("state", "unknown")
+      .with("withdrawals", Book.withdrawals().size())
+      .with("term", Group.log().term());
+  storeAndReply({jobs::JobWithdrawn{id, by}}, done,
+                [this, id, by]() -> Result<jobs::Reply> {
+                  if (const jobs::Job *job = Book.find(id);
+                      job != nullptr && isEnded(job->State))
+                    return jobs::Reply(jobs::Stored{});
+                  if (Book.find(id) == nullptr &&
+                      !Book.withdrawals().contains(id, by))
+                    return tooManyWithdrawals();
+                  return noSuchJob();
+                });
+}
+
 void ControlTask::run(const jobs::ReadJob &command, const Answer &done) {
   const Result<const jobs::Job *> job = findJob(command.By, command.Job);
   if (isOk(job))
--- a/jujube/control/control_metrics.cc
+++ b/jujube/control/control_metrics.cc
@@ -197,6 +197,7 @@
     gauge("team_past_use_ratio", share.PastRatio, {team.str()});
   }
   gauge("teams_remembered", Book.usage().size());
+  gauge("withdrawals", Book.withdrawals().size());
   gauge("workers", Book.workers().size());
   gauge("zones_evacuated", Book.evacuatedZones().size());
   std::size_t attempts = 0;
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -197,6 +197,8 @@
       EndedAt.emplace(id, now);
     else
       Waits.begin(id, now);
+  for (const jobs::Withdrawal &withdrawn : Book.withdrawals().capture())
+    EndedAt.emplace(withdrawn.Job, now);
   Sessions->takeOver();
   CurrentLeadership = Leadership{now, now};
   noteLeadershipTaken(Loop.now() - now);
@@ -300,7 +302,9 @@
   } else if (const auto *gone = std::get_if<jobs::WorkerGone>(&event)) {
     applyWorkerGone(*gone);
   } else if (const auto *cancel = std::get_if<jobs::JobCancelled>(&event)) {
-    applyJobCancelled(*cancel);
+    applyJobCancelled(cancel->Job, event);
+  } else if (const auto *withdrawn = std::get_if<jobs::JobWithdrawn>(&event)) {
+    applyJobCancelled(withdrawn->Job, event);
   } else {
     Book.apply(event);
     if (const auto *accepted = std::get_if<jobs::JobAccepted>(&event))
@@ -352,14 +356,20 @@
   Sessions->noteWorkerChanged(event.Worker);
 }
 
-void ControlTask::applyJobCancelled(const jobs::JobCancelled &event) {
-  const jobs::Job *job = Book.find(event.Job);
+void ControlTask::applyJobCancelled(const jobs::JobId &id,
+                                    const jobs::Event &event) {
+  const jobs::Job *job = Book.find(id);
   const bool wasOpen = job != nullptr && !isEnded(job->State);
   const std::optional<Duration> objective =
       wasOpen ? objectiveSpan(*job) : std::nullopt;
   Book.apply(event);
-  stopLiveTasks(event.Job);
-  EndedAt.emplace(event.Job, Loop.now());
+  // The withdrawal may be that of another team, or beyond the bounds.
+  const bool hasEffect =
+      job != nullptr ? isEnded(job->State) : Book.withdrawals().contains(id);
+  if (!hasEffect)
+    return;
+  stopLiveTasks(id);
+  EndedAt.emplace(id, Loop.now());
   if (wasOpen)
     noteJobEnded(*job, objective);
 }
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -137,6 +137,9 @@
   Result<Admitted> admit(const jobs::Caller &caller) const;
   Result<const jobs::Job *> findJob(const jobs::Caller &caller,
                                     const jobs::JobId &id) const;
+  static jobs::Owner ownerOf(const Admitted &by, const jobs::Caller &caller);
+  // Records that an unknown job was cancelled: its submission may still arrive.
+  void withdraw(const jobs::CancelJob &command, const Answer &done);
   // Returns why an announcement is acknowledged and otherwise ignored; nullopt
   // if it is to be stored. `held` is the registered worker of this id, or null.
   std::optional<IgnoredAnnouncement>
@@ -149,7 +152,7 @@
   void store(std::vector<jobs::Event> events, std::function<void(bool)> done);
   // Stores events and replies once they are applied.
   void storeAndReply(std::vector<jobs::Event> events, const Answer &done,
-                     std::function<jobs::Reply()> reply);
+                     std::function<Result<jobs::Reply>()> reply);
   void flushBatch();
   void applyRecord(const std::string &payload);
   void applyEvent(const jobs::Event &event);
@@ -158,7 +161,8 @@
   void applyAttemptEnded(const jobs::AttemptEnded &end,
                          const jobs::Event &event);
   void applyWorkerGone(const jobs::WorkerGone &event);
-  void applyJobCancelled(const jobs::JobCancelled &event);
+  // `event` is a JobCancelled or a JobWithdrawn of the job.
+  void applyJobCancelled(const jobs::JobId &id, const jobs::Event &event);
   void stopLiveTasks(const jobs::JobId &job);
   void stopRestOfGang(const jobs::StepKey &step);
 
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -30,6 +30,13 @@
 struct JobCancelled {
   JobId Job;
 };
+// A caller has cancelled a job that the leader did not know. If its submission
+// precedes this event in the log, the job is cancelled; if not, the submission
+// is refused when it arrives.
+struct JobWithdrawn {
+  JobId Job;
+  Owner By;
+};
 // Replicated before the start order is sent, so that every later leader knows
 // where the task may be running.
 struct AttemptStarted {
@@ -55,7 +62,7 @@
   WorkerId Worker;
   Incarnation WorkerIncarnation;
 };
-// Drops ended jobs whose retention period is over.
+// Drops ended jobs and withdrawals whose retention period is over.
 struct JobsForgotten {
   std::vector<JobId> Jobs;
 };
@@ -83,7 +90,7 @@
     std::variant<ConfigurationPut, JobAccepted, JobCancelled, AttemptStarted,
                  AttemptEnded, WorkerChanged, WorkerGone, JobsForgotten,
                  JobAcceptedAt, ZoneEvacuated, ZoneRestored, AttemptStartedAt,
-                 AttemptEndedAt>;
+                 AttemptEndedAt, JobWithdrawn>;
 
 } // namespace jujube::jobs
 
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -187,6 +187,10 @@
     if (const auto it = teams.find(job.Spec.Team); it != teams.end())
       job.Spec.Team = it->second;
   }
+  Withdrawn.updateOwners([&](Owner &by) {
+    if (const auto it = teams.find(by.Team); it != teams.end())
+      by.Team = it->second;
+  });
   for (const auto &[from, to] : teams) {
     Usage.rename(from, to);
     if (const auto node = Used.extract(from); !node.empty())
@@ -216,7 +220,8 @@
 
 void JobStateMachine::accept(const JobAccepted &event,
                              const QueuePlace &place) {
-  if (Jobs.contains(event.Spec.Id))
+  if (Jobs.contains(event.Spec.Id) ||
+      Withdrawn.contains(event.Spec.Id, {event.Spec.Team, {}}))
     return;
   Job job{event.Spec, event.AcceptedAt};
   job.Place = place;
@@ -239,6 +244,14 @@
     end(*job, JobState::Cancelled);
 }
 
+void JobStateMachine::handle(const JobWithdrawn &event) {
+  Job *job = findMutable(event.Job);
+  if (job == nullptr)
+    Withdrawn.record(event.Job, event.By);
+  else if (!isEnded(job->State) && job->Spec.Team == event.By.Team)
+    end(*job, JobState::Cancelled);
+}
+
 void JobStateMachine::handle(const AttemptStarted &event) {
   Job *job = findMutable(event.Task.Job);
   if (job == nullptr || isEnded(job->State) || !contains(*job, event.Task) ||
@@ -400,6 +413,7 @@
     const Job *job = find(id);
     if (job != nullptr && isEnded(job->State) && job->LiveTasks == 0)
       Jobs.erase(id);
+    Withdrawn.forget(id);
   }
 }
 
@@ -548,6 +562,7 @@
     state.Retired.push_back(queue);
   state.Evacuated.assign(Evacuated.begin(), Evacuated.end());
   state.Usage = Usage.capture();
+  state.Withdrawn = Withdrawn.capture();
   return state;
 }
 
@@ -558,6 +573,7 @@
     book.Retired.emplace(placeOf(queue), std::move(queue));
   book.Evacuated.insert(state.Evacuated.begin(), state.Evacuated.end());
   book.Usage = shares::UsageLedger::restore(state.Usage);
+  book.Withdrawn = Withdrawals::restore(state.Withdrawn);
   for (Worker &worker : state.Workers) {
     if (worker.At == Address{})
       book.recordDeparture(worker.Id, worker.WorkerIncarnation);
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -17,6 +17,7 @@
 #include "jujube/jobs/events.h"
 #include "jujube/jobs/types.h"
 #include "jujube/jobs/waiting_steps.h"
+#include "jujube/jobs/withdrawals.h"
 #include "jujube/shares/usage_ledger.h"
 
 namespace jujube::jobs {
@@ -100,6 +101,7 @@
   std::vector<ZoneId> Evacuated;
   // What the teams have used.
   shares::LedgerState Usage;
+  std::vector<Withdrawal> Withdrawn;
 };
 
 // Resources and tasks of the attempts that may be running on one worker.
@@ -123,6 +125,8 @@
   // The find functions return null for unknown keys.
   const Job *find(const JobId &id) const;
   const std::map<JobId, Job> &jobs() const { return Jobs; }
+  // The jobs that were cancelled before their submission arrived.
+  const Withdrawals &withdrawals() const { return Withdrawn; }
   // Jobs that have not ended.
   const std::set<JobId> &openJobs() const { return Open; }
   // Ready steps of open jobs that have tasks to start, including steps that are
@@ -186,6 +190,7 @@
   void handle(const ZoneRestored &event);
   void handle(const AttemptStartedAt &event);
   void handle(const AttemptEndedAt &event);
+  void handle(const JobWithdrawn &event);
 
   // True if a task may start on the worker.
   bool mayStartOn(const WorkerId &id) const;
@@ -233,6 +238,7 @@
   std::set<ZoneId> Evacuated;
   shares::UsageLedger Usage;
   std::map<JobId, Job> Jobs;
+  Withdrawals Withdrawn;
   // The members below, except Workers, are derived from those above.
   std::set<JobId> Open;
   WaitingSteps Waiting;
--- a/jujube/jobs/job_state_machine_test.cc
+++ b/jujube/jobs/job_state_machine_test.cc
@@ -232,6 +232,46 @@
   BOOST_TEST((stateOf(book, "a") == JobState::Cancelled));
 }
 
+// Guards against a job that runs although it was cancelled, since its
+// submission and its cancellation were stored at the same time (review/11).
+BOOST_AUTO_TEST_CASE(WithdrawnJobDoesNotRunInEitherOrder) {
+  const JobWithdrawn withdrawn{JobId("a"), {testing::SampleTeam, "key-a"}};
+  const JobWithdrawn byOther{JobId("a"), {TeamId("other"), "key-b"}};
+  JobStateMachine later =
+      sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
+  later.apply(byOther);
+  BOOST_TEST((stateOf(later, "a") == JobState::Queued));
+  later.apply(withdrawn);
+  BOOST_TEST((stateOf(later, "a") == JobState::Cancelled));
+  BOOST_TEST(later.waiting().empty());
+  JobStateMachine book = sampleBook({sampleWorker("w1")}, {});
+  book.apply(byOther);
+  book.apply(withdrawn);
+  const JobSnapshot saved = book.capture();
+  for (JobStateMachine earlier : {book, JobStateMachine::restore(saved)}) {
+    earlier.apply(JobAccepted{sampleJob("a", {sampleStep(1)}), Instant()});
+    BOOST_TEST(earlier.find(JobId("a")) == nullptr);
+    BOOST_TEST(earlier.waiting().empty());
+    // After the retention period the id may be used.
+    earlier.apply(JobsForgotten{{JobId("a")}});
+    earlier.apply(JobAccepted{sampleJob("a", {sampleStep(1)}), Instant()});
+    BOOST_TEST(earlier.find(JobId("a")) != nullptr);
+  }
+}
+
+// Guards against a withdrawal that is ignored once its team has another name.
+BOOST_AUTO_TEST_CASE(WithdrawalFollowsATeamThatIsRenamed) {
+  JobStateMachine book = sampleBook({sampleWorker("w1")}, {});
+  book.apply(JobWithdrawn{JobId("a"), {testing::SampleTeam, "key-a"}});
+  Configuration config = testing::sampleConfiguration(2);
+  config.Teams[0].Id = TeamId("renamed");
+  book.apply(ConfigurationPut{config});
+  JobSpec job = sampleJob("a", {sampleStep(1)});
+  job.Team = TeamId("renamed");
+  book.apply(JobAccepted{job, Instant()});
+  BOOST_TEST(book.find(JobId("a")) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(EndedJobStaysAsItEnded) {
   JobStateMachine book =
       sampleBook({sampleWorker("w1")}, {sampleJob("a", {sampleStep(1)})});
--- a/jujube/jobs/types.h
+++ b/jujube/jobs/types.h
@@ -66,6 +66,21 @@
   return {key.Job, key.Occurrence, key.Step};
 }
 
+// Who submitted a job, as far as the key that was sent tells.
+struct Owner {
+  // Empty if the call had no known key, which open queues accept.
+  TeamId Team;
+  // A key of the team; empty if the call had no known key.
+  std::string Key;
+
+  bool operator==(const Owner &) const = default;
+};
+
+// A team may have another id in the next configuration, and a key another team.
+inline bool isSameOwner(const Owner &a, const Owner &b) {
+  return a.Team == b.Team || (!a.Key.empty() && a.Key == b.Key);
+}
+
 // A number of equal tasks that wait for the same earlier steps.
 struct StepSpec {
   uint32_t Tasks = 1;
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -168,6 +168,16 @@
   ar(v.What, v.At);
 }
 
+template <typename Archive> void serialize(Archive &ar, Owner &v) {
+  ar(v.Team, v.Key);
+}
+template <typename Archive> void serialize(Archive &ar, JobWithdrawn &v) {
+  ar(v.Job, v.By);
+}
+template <typename Archive> void serialize(Archive &ar, Withdrawal &v) {
+  ar(v.Job, v.By);
+}
+
 template <typename Archive> void serialize(Archive &ar, Run &v) {
   ar(v.Worker, v.Attempt);
 }
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -171,9 +171,9 @@
 }
 
 // A snapshot is followed by the terms and the places of its jobs, in the same
-// order, the retired queues, the evacuated zones, the use of teams, and which
-// jobs are beyond their team's rate. Snapshots of earlier versions lack the
-// last of these parts or all of them.
+// order, the retired queues, the evacuated zones, the use of teams, which jobs
+// are beyond their team's rate, and the withdrawals. Snapshots of earlier
+// versions lack the last of these parts or all of them.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
   std::vector<uint32_t> terms;
   std::ranges::transform(state.Jobs, std::back_inserter(terms),
@@ -186,7 +186,7 @@
                          &jobs::Job::IsBeyondRate);
   return encode(state) + encode(terms) + encode(places) +
          encode(state.Retired) + encode(state.Evacuated) + encode(state.Usage) +
-         encode(beyondRate);
+         encode(beyondRate) + encode(state.Withdrawn);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
   std::vector<uint32_t> terms;
@@ -195,8 +195,9 @@
   std::vector<ZoneId> evacuated;
   shares::LedgerState usage;
   std::vector<uint8_t> beyondRate;
+  std::vector<jobs::Withdrawal> withdrawn;
   auto decoded = decodeExtended<jobs::JobSnapshot>(
-      bytes, terms, places, retired, evacuated, usage, beyondRate);
+      bytes, terms, places, retired, evacuated, usage, beyondRate, withdrawn);
   if (!isOk(decoded))
     return decoded;
   jobs::JobSnapshot state = valueOf(std::move(decoded));
@@ -216,6 +217,7 @@
   state.Retired = std::move(retired);
   state.Evacuated = std::move(evacuated);
   state.Usage = std::move(usage);
+  state.Withdrawn = std::move(withdrawn);
   return state;
 }
 
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -136,12 +136,15 @@
       testing::SampleTeam.str().size() + sizeof(uint32_t) + state.Jobs.size();
   // Also the evacuated zones: their number.
   const std::size_t zones = use + sizeof(uint32_t);
+  // The withdrawals: their number.
+  const std::size_t withdrawals = sizeof(uint32_t);
   const auto read = decodeJobSnapshot(now);
   BOOST_REQUIRE(isOk(read));
   BOOST_TEST((valueOf(read).Jobs == state.Jobs));
   for (const std::size_t added :
-       {use, zones, zones + places, zones + places + terms}) {
-    const auto earlier = decodeJobSnapshot(now.substr(0, now.size() - added));
+       {std::size_t(), use, zones, zones + places, zones + places + terms}) {
+    const auto earlier =
+        decodeJobSnapshot(now.substr(0, now.size() - withdrawals - added));
     BOOST_REQUIRE(isOk(earlier));
     const jobs::Job &job = valueOf(earlier).Jobs.at(0);
     BOOST_TEST((job.Place == jobs::QueuePlace()) == (added > zones));
