--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -43,38 +43,6 @@
   return static_cast<int64_t>(std::min(work * spec.Occurrences, MostWork));
 }
 
-// Where queues have moved to that keep their id and pool.
-std::map<QueuePlace, QueuePlace> movedQueues(const Configuration &before,
-                                             const Configuration &now) {
-  std::map<QueuePlace, QueuePlace> moved;
-  for (const Queue &queue : before.Queues) {
-    if (findQueue(now, placeOf(queue)) != nullptr)
-      continue;
-    const Queue *same = findQueue(now, queue.Id);
-    if (same != nullptr && same->Pool == queue.Pool &&
-        findQueue(before, placeOf(*same)) == nullptr)
-      moved.emplace(placeOf(queue), placeOf(*same));
-  }
-  return moved;
-}
-
-// The new ids of teams that keep a key: callers know their team by its keys
-// only.
-std::map<TeamId, TeamId> renamedTeams(const Configuration &before,
-                                      const Configuration &now) {
-  std::map<TeamId, TeamId> renamed;
-  for (const Team &team : before.Teams) {
-    if (findTeam(now, team.Id) != nullptr)
-      continue;
-    for (const std::string &key : team.Keys) {
-      const Team *same = teamOfKey(now, key);
-      if (same != nullptr && findTeam(before, same->Id) == nullptr)
-        renamed.emplace(team.Id, same->Id);
-    }
-  }
-  return renamed;
-}
-
 } // namespace
 
 void JobStateMachine::apply(const Event &event) {
@@ -143,13 +111,6 @@
   return it == Pending.end() ? 0 : it->second;
 }
 
-const Queue *JobStateMachine::queueOf(const Job &job) const {
-  if (const Queue *queue = findQueue(Config, job.Place))
-    return queue;
-  const auto it = Retired.find(job.Place);
-  return it == Retired.end() ? nullptr : &it->second;
-}
-
 bool JobStateMachine::isReady(const Job &job, uint32_t occurrence,
                               uint32_t step) {
   const Occurrence &round = job.Occurrences[occurrence];
@@ -158,60 +119,6 @@
   });
 }
 
-void JobStateMachine::handle(const ConfigurationPut &event) {
-  if (event.Value.Version <= Config.Version)
-    return;
-  const Configuration before = std::exchange(Config, event.Value);
-  followRenames(before);
-  retireQueues(before);
-  Waiting.clear();
-  Pending.clear();
-  QueuedWork.clear();
-  for (const JobId &id : Open) {
-    Job &job = *findMutable(id);
-    adoptTerms(job);
-    if (job.State == JobState::Queued)
-      countQueued(job);
-    updateAllWaiting(job);
-  }
-}
-
-void JobStateMachine::followRenames(const Configuration &before) {
-  const auto places = movedQueues(before, Config);
-  const auto teams = renamedTeams(before, Config);
-  if (places.empty() && teams.empty())
-    return;
-  for (auto &[id, job] : Jobs) {
-    if (const auto it = places.find(job.Place); it != places.end())
-      job.Place = it->second;
-    if (const auto it = teams.find(job.Spec.Team); it != teams.end())
-      job.Spec.Team = it->second;
-  }
-  Withdrawn.updateOwners([&](Owner &by) {
-    if (const auto it = teams.find(by.Team); it != teams.end())
-      by.Team = it->second;
-  });
-  for (const auto &[from, to] : teams) {
-    Usage.rename(from, to);
-    if (const auto node = Used.extract(from); !node.empty())
-      Used[to] += node.mapped();
-  }
-}
-
-void JobStateMachine::retireQueues(const Configuration &before) {
-  std::set<QueuePlace> used;
-  for (const JobId &id : Open)
-    used.insert(find(id)->Place);
-  std::erase_if(Retired, [&](const auto &it) {
-    return !used.contains(it.first) || findQueue(Config, it.first) != nullptr;
-  });
-  // Also the queues without jobs: a job that was accepted at the same time may
-  // come next in the log.
-  for (const Queue &queue : before.Queues)
-    if (findQueue(Config, placeOf(queue)) == nullptr)
-      Retired.insert_or_assign(placeOf(queue), queue);
-}
-
 void JobStateMachine::handle(const JobAccepted &event) { accept(event, {}); }
 
 void JobStateMachine::handle(const JobAcceptedAt &event) {
@@ -312,15 +219,6 @@
   step.DoneTasks = static_cast<uint32_t>(step.Tasks.size());
 }
 
-void JobStateMachine::adoptTerms(Job &job) const {
-  if (job.Place == QueuePlace())
-    if (const Queue *queue = findQueue(Config, job.Spec.Queue))
-      job.Place = placeOf(*queue);
-  const Queue *queue = queueOf(job);
-  if (job.MaxAttempts == 0 && queue != nullptr)
-    job.MaxAttempts = queue->MaxAttempts;
-}
-
 void JobStateMachine::countFailure(Job &job, StepState &step,
                                    const TaskKey &key, uint32_t attempt) {
   uint32_t failures = ++step.Tasks[key.Index].Failures;
@@ -545,64 +443,4 @@
     Used.erase(job.Spec.Team);
 }
 
-JobSnapshot JobStateMachine::capture() const {
-  JobSnapshot state{Config};
-  for (const auto &[id, job] : Jobs)
-    state.Jobs.push_back(job);
-  for (const auto &[id, worker] : Workers)
-    state.Workers.push_back(worker);
-  for (const WorkerId &id : DepartureOrder) {
-    Worker departed;
-    departed.Id = id;
-    departed.WorkerIncarnation = Departed.at(id);
-    departed.IsDraining = true;
-    state.Workers.push_back(std::move(departed));
-  }
-  for (const auto &[place, queue] : Retired)
-    state.Retired.push_back(queue);
-  state.Evacuated.assign(Evacuated.begin(), Evacuated.end());
-  state.Usage = Usage.capture();
-  state.Withdrawn = Withdrawn.capture();
-  return state;
-}
-
-JobStateMachine JobStateMachine::restore(JobSnapshot state) {
-  JobStateMachine book;
-  book.Config = std::move(state.Config);
-  for (Queue &queue : state.Retired)
-    book.Retired.emplace(placeOf(queue), std::move(queue));
-  book.Evacuated.insert(state.Evacuated.begin(), state.Evacuated.end());
-  book.Usage = shares::UsageLedger::restore(state.Usage);
-  book.Withdrawn = Withdrawals::restore(state.Withdrawn);
-  for (Worker &worker : state.Workers) {
-    if (worker.At == Address{})
-      book.recordDeparture(worker.Id, worker.WorkerIncarnation);
-    else
-      book.Workers.emplace(worker.Id, std::move(worker));
-  }
-  for (Job &job : state.Jobs) {
-    if (!isEnded(job.State))
-      book.Open.insert(job.Spec.Id);
-    // Snapshots of earlier versions do not have the terms.
-    book.adoptTerms(job);
-    const JobId id = job.Spec.Id;
-    const Job &restored = book.Jobs.emplace(id, std::move(job)).first->second;
-    if (restored.State == JobState::Queued)
-      book.countQueued(restored);
-    if (!isEnded(restored.State))
-      book.updateAllWaiting(restored);
-    for (uint32_t k = 0; k < restored.Occurrences.size(); ++k)
-      for (uint32_t s = 0; s < restored.Occurrences[k].Steps.size(); ++s)
-        for (uint32_t i = 0; i < restored.Occurrences[k].Steps[s].Tasks.size();
-             ++i)
-          if (const auto &live = restored.Occurrences[k].Steps[s].Tasks[i].Live)
-            book.addLoad(restored, TaskKey{id, k, s, i}, live->Worker);
-  }
-  // Snapshots of earlier versions do not have the use of teams.
-  if (state.Usage == shares::LedgerState())
-    for (const auto &[team, used] : book.Used)
-      book.Usage.begin(team, used);
-  return book;
-}
-
 } // namespace jujube::jobs
