jobs: a job belongs to the team that has the key of its submission

Cause: a job belonged to the id of its team, and followed a key only to a team that the configuration before did not have.

Change: the key is stored with the job, and each configuration gives the job to the team that has the key, or another key of the former team if that one is withdrawn. Use, past use and withdrawals of jobs follow the keys as well.

--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -34,7 +34,8 @@
       jujube/wire/packed_archive.cc jujube/jobs/configuration.cc
       jujube/shares/usage_ledger.cc jujube/dispatch/servable.cc
       jujube/jobs/job_state_machine.cc jujube/jobs/job_state_configuration.cc
-      jujube/jobs/job_state_snapshot.cc jujube/jobs/objective.cc jujube/jobs/withdrawals.cc platform/json_fields.cc platform/job_calls.cc
+      jujube/jobs/job_state_snapshot.cc jujube/jobs/objective.cc
+      jujube/jobs/team_succession.cc jujube/jobs/withdrawals.cc platform/json_fields.cc platform/job_calls.cc
       platform/control_calls.cc platform/worker_calls.cc)
   foreach(FOLDER base logging metrics http)
     jujube_sources(jujube/${FOLDER} SOURCES TESTS)
--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -17,6 +17,9 @@
 // Most zones that are evacuated at a time: several times those of the largest
 // cell.
 constexpr std::size_t MaxEvacuatedZones = 256;
+// Longest path in bytes that is stored with a job, for as long as it is
+// remembered. A job with a longer path is found at the place of its queue.
+constexpr std::size_t MaxStoredPath = 1024;
 // When to cancel an unknown job again that can't be recorded.
 constexpr Duration WithdrawalRetry = Duration::seconds(1);
 // How long after its withdrawal a silent worker is removed if it is idle.
@@ -93,11 +96,8 @@
     return errorOf(admitted);
   const jobs::Job *job = Book.find(id);
   const Admitted &by = valueOf(admitted);
-  // An open queue takes calls without a key, so that a caller without a team
-  // may ask for any of its jobs, and any caller for a job without one.
   const bool isOwner =
-      job != nullptr && (job->Spec.Team == by.Team || by.Team == TeamId() ||
-                         job->Spec.Team == TeamId());
+      job != nullptr && jobs::isOwnedBy(*job, ownerOf(by, caller));
   if (!isOwner || job->Place != jobs::placeOf(*by.Queue))
     return noSuchJob();
   return job;
@@ -148,8 +148,13 @@
     Storing.erase(Storing.find(id));
     done(std::move(reply));
   };
-  storeAndReply({jobs::JobAcceptedAt{{std::move(spec), WallClock.now()},
-                                     jobs::placeOf(queue)}},
+  jobs::Caller by = command.By;
+  by.Key = owner.Key;
+  if (by.Path.size() > MaxStoredPath)
+    by.Path.clear();
+  storeAndReply({jobs::JobSubmitted{{std::move(spec), WallClock.now()},
+                                    std::move(by),
+                                    jobs::placeOf(queue)}},
                 stored, [this, id]() -> Result<jobs::Reply> {
                   if (Book.find(id) == nullptr)
                     return withdrawnJob();
--- a/jujube/control/control_task.cc
+++ b/jujube/control/control_task.cc
@@ -311,6 +311,8 @@
       noteAccepted(accepted->Spec);
     else if (const auto *placed = std::get_if<jobs::JobAcceptedAt>(&event))
       noteAccepted(placed->What.Spec);
+    else if (const auto *submitted = std::get_if<jobs::JobSubmitted>(&event))
+      noteAccepted(submitted->What.Spec);
     else if (const auto *changed = std::get_if<jobs::WorkerChanged>(&event))
       Sessions->noteWorkerChanged(changed->Now.Id);
   }
--- a/jujube/control/event_batch.cc
+++ b/jujube/control/event_batch.cc
@@ -24,6 +24,14 @@
     return (*this)(event.What) + event.Place.HostName.size() +
            event.Place.PathPrefix.size();
   }
+  std::size_t operator()(const jobs::JobSubmitted &event) const {
+    return (*this)(event.What) + event.By.HostName.size() +
+           event.By.Path.size() + event.By.Key.size() +
+           event.Place.HostName.size() + event.Place.PathPrefix.size();
+  }
+  std::size_t operator()(const jobs::JobWithdrawn &event) const {
+    return ShortEvent + event.By.Key.size();
+  }
   std::size_t operator()(const jobs::ConfigurationPut &event) const {
     // The parsed values are stored along with the document.
     return ShortEvent + 2 * event.Value.Document.size();
--- a/jujube/jobs/commands.h
+++ b/jujube/jobs/commands.h
@@ -14,18 +14,6 @@
 
 namespace jujube::jobs {
 
-// The target and the key of a caller's request, not yet checked against the
-// configuration.
-struct Caller {
-  std::string HostName;
-  // Path of the request, without a job id at its end.
-  std::string Path;
-  // Empty if the request had none.
-  std::string Key;
-
-  bool operator==(const Caller &) const = default;
-};
-
 // Submits a job. The control group sets its Queue and Team.
 struct SubmitJob {
   Caller By;
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -27,6 +27,14 @@
   JobAccepted What;
   QueuePlace Place;
 };
+// A job that was accepted at this place, with the request as it was sent. The
+// key is empty if the configuration did not have it. Logs of earlier versions
+// have JobAcceptedAt, which names the team only.
+struct JobSubmitted {
+  JobAccepted What;
+  Caller By;
+  QueuePlace Place;
+};
 struct JobCancelled {
   JobId Job;
 };
@@ -90,7 +98,7 @@
     std::variant<ConfigurationPut, JobAccepted, JobCancelled, AttemptStarted,
                  AttemptEnded, WorkerChanged, WorkerGone, JobsForgotten,
                  JobAcceptedAt, ZoneEvacuated, ZoneRestored, AttemptStartedAt,
-                 AttemptEndedAt, JobWithdrawn>;
+                 AttemptEndedAt, JobWithdrawn, JobSubmitted>;
 
 } // namespace jujube::jobs
 
--- /dev/null
+++ b/jujube/jobs/job_ownership_test.cc
@@ -0,0 +1,157 @@
+// Who owns an accepted job, and where it is reached, across changes of the
+// configuration.
+#include <boost/test/unit_test.hpp>
+
+#include "jujube/jobs/job_state_machine.h"
+#include "testing/job_samples.h"
+
+namespace jujube::jobs {
+namespace {
+
+using testing::sampleBook;
+using testing::sampleConfiguration;
+using testing::sampleJob;
+using testing::sampleStep;
+using testing::sampleWorker;
+using testing::taskOf;
+
+const TeamId A("a");
+const TeamId B("b");
+
+Configuration configOf(uint64_t version, std::vector<Team> teams) {
+  Configuration config = sampleConfiguration(version);
+  config.Teams = std::move(teams);
+  return config;
+}
+
+Team teamOf(const TeamId &id, std::vector<std::string> keys) {
+  return {id, std::move(keys), 10, {}};
+}
+
+JobSubmitted submission(const std::string &id, const TeamId &team,
+                        const std::string &key) {
+  JobSpec spec = sampleJob(id, {sampleStep(2)});
+  spec.Team = team;
+  return {{spec, Instant::fromMillis(1000)},
+          {"a.example", "/plans/", key},
+          placeOf(sampleConfiguration().Queues[0])};
+}
+
+// Team a has key k1, team b has k2 and k3. Each has a job with a running task:
+// job 1 was submitted with k1, job 2 with k2.
+JobStateMachine bookOfTwoTeams() {
+  JobStateMachine book = sampleBook({sampleWorker("w1")}, {});
+  book.apply(ConfigurationPut{
+      configOf(2, {teamOf(A, {"k1"}), teamOf(B, {"k2", "k3"})})});
+  book.apply(submission("1", A, "k1"));
+  book.apply(submission("2", B, "k2"));
+  for (const char *job : {"1", "2"})
+    book.apply(AttemptStartedAt{{taskOf(job, 0), 1, WorkerId("w1")},
+                                Instant::fromMillis(1000)});
+  return book;
+}
+
+const Job &jobOf(const JobStateMachine &book, const char *id) {
+  return *book.find(JobId(id));
+}
+
+// The state itself, and that of a member that starts from its snapshot.
+std::vector<JobStateMachine> withRestored(const JobStateMachine &book) {
+  return {book, JobStateMachine::restore(book.capture())};
+}
+
+BOOST_AUTO_TEST_SUITE(JobOwnershipTest)
+
+// Guards against jobs that no key reaches any more once their team is merged
+// into another one (review/12).
+BOOST_AUTO_TEST_CASE(JobsOfATeamThatIsMergedBelongToTheOther) {
+  JobStateMachine book = bookOfTwoTeams();
+  book.apply(ConfigurationPut{configOf(3, {teamOf(A, {"k1", "k2", "k3"})})});
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST((jobOf(held, "2").Spec.Team == A));
+    BOOST_TEST(isOwnedBy(jobOf(held, "2"), {A, "k2"}));
+    BOOST_TEST(held.usedBy(A).MilliCpu == 2000);
+    BOOST_TEST(held.usedByTeams().size() == 1U);
+  }
+  // The merged team is counted from then on.
+  book.apply(AttemptEnded{taskOf("2", 0), 1, EndKind::Done, {}});
+  BOOST_TEST(book.usedBy(A).MilliCpu == 1000);
+}
+
+// Guards against the same when the teams are divided again, also if the key of
+// the submission has been withdrawn meanwhile.
+BOOST_AUTO_TEST_CASE(JobsFollowTheirKeysWhenATeamIsDivided) {
+  for (const bool isKeyWithdrawn : {false, true}) {
+    JobStateMachine book = bookOfTwoTeams();
+    const std::vector<std::string> keys =
+        isKeyWithdrawn ? std::vector<std::string>{"k3"}
+                       : std::vector<std::string>{"k2", "k3"};
+    book.apply(
+        ConfigurationPut{configOf(3, {teamOf(A, {"k1"}), teamOf(B, keys)})});
+    std::vector<std::string> all = {"k1"};
+    all.insert(all.end(), keys.begin(), keys.end());
+    book.apply(ConfigurationPut{configOf(4, {teamOf(A, all)})});
+    for (JobStateMachine &held : withRestored(book)) {
+      held.apply(ConfigurationPut{
+          configOf(5, {teamOf(A, {"k1"}), teamOf(TeamId("c"), keys)})});
+      BOOST_TEST((jobOf(held, "2").Spec.Team == TeamId("c")));
+      BOOST_TEST(isOwnedBy(jobOf(held, "2"), {TeamId("c"), "k3"}));
+      BOOST_TEST(!isOwnedBy(jobOf(held, "2"), {A, "k1"}));
+      BOOST_TEST(isOwnedBy(jobOf(held, "1"), {A, "k1"}));
+      BOOST_TEST(held.usedBy(A).MilliCpu == 1000);
+      BOOST_TEST(held.usedBy(TeamId("c")).MilliCpu == 1000);
+    }
+  }
+}
+
+// Guards against jobs that change hands when two teams exchange their ids.
+BOOST_AUTO_TEST_CASE(JobsOfTeamsThatExchangeTheirIdsKeepTheirKeys) {
+  JobStateMachine book = bookOfTwoTeams();
+  book.apply(JobCancelled{JobId("2")});
+  book.apply(AttemptEnded{taskOf("2", 0), 1, EndKind::Stopped, {}});
+  book.apply(ConfigurationPut{
+      configOf(3, {teamOf(A, {"k2", "k3"}), teamOf(B, {"k1"})})});
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST(isOwnedBy(jobOf(held, "1"), {B, "k1"}));
+    BOOST_TEST(!isOwnedBy(jobOf(held, "1"), {A, "k2"}));
+    // An ended job as well.
+    BOOST_TEST(isOwnedBy(jobOf(held, "2"), {A, "k3"}));
+    BOOST_TEST(held.usedBy(B).MilliCpu == 1000);
+    BOOST_TEST(held.usedBy(A).MilliCpu == 0);
+  }
+}
+
+// Guards against jobs that are gone for good after a version that leaves their
+// team out.
+BOOST_AUTO_TEST_CASE(JobsOfATeamThatReturnsBelongToItsKeys) {
+  JobStateMachine book = bookOfTwoTeams();
+  book.apply(ConfigurationPut{configOf(3, {teamOf(A, {"k1"})})});
+  for (JobStateMachine &held : withRestored(book)) {
+    held.apply(ConfigurationPut{configOf(4, {teamOf(A, {"k1"})})});
+    held.apply(ConfigurationPut{
+        configOf(5, {teamOf(A, {"k1"}), teamOf(TeamId("c"), {"k3"})})});
+    BOOST_TEST(isOwnedBy(jobOf(held, "2"), {TeamId("c"), "k3"}));
+    BOOST_TEST(held.usedBy(TeamId("c")).MilliCpu == 1000);
+    BOOST_TEST(held.capture().RetiredTeams.empty());
+  }
+}
+
+// Guards against past use that stays with an id which another team has now.
+BOOST_AUTO_TEST_CASE(PastUseFollowsTheKeys) {
+  JobStateMachine book = bookOfTwoTeams();
+  book.apply(AttemptEndedAt{{taskOf("1", 0), 1, EndKind::Done, {}},
+                            Instant::fromMillis(3000)});
+  BOOST_TEST(book.usage().pastUse(A).MilliCpu == 2'000'000);
+  book.apply(ConfigurationPut{
+      configOf(3, {teamOf(A, {"k2", "k3"}), teamOf(B, {"k1"})})});
+  BOOST_TEST(book.usage().pastUse(B).MilliCpu == 2'000'000);
+  // Job 2 goes on, for team a now.
+  book.apply(AttemptEndedAt{{taskOf("2", 0), 1, EndKind::Done, {}},
+                            Instant::fromMillis(4000)});
+  BOOST_TEST(book.usage().pastUse(A).MilliCpu == 3'000'000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::jobs
--- a/jujube/jobs/job_state_configuration.cc
+++ b/jujube/jobs/job_state_configuration.cc
@@ -23,21 +23,15 @@
   return moved;
 }
 
-// The new ids of teams that keep a key: callers know their team by its keys
-// only.
-std::map<TeamId, TeamId> renamedTeams(const Configuration &before,
-                                      const Configuration &now) {
-  std::map<TeamId, TeamId> renamed;
-  for (const Team &team : before.Teams) {
-    if (findTeam(now, team.Id) != nullptr)
-      continue;
-    for (const std::string &key : team.Keys) {
-      const Team *same = teamOfKey(now, key);
-      if (same != nullptr && findTeam(before, same->Id) == nullptr)
-        renamed.emplace(team.Id, same->Id);
-    }
-  }
-  return renamed;
+// What the job's tasks request that may be running.
+Resources liveRequestOf(const Job &job) {
+  Resources sum;
+  if (job.LiveTasks == 0)
+    return sum;
+  for (const Occurrence &round : job.Occurrences)
+    for (std::size_t i = 0; i < round.Steps.size(); ++i)
+      sum += job.Spec.Steps[i].Ask * round.Steps[i].LiveTasks;
+  return sum;
 }
 
 } // namespace
@@ -53,7 +47,8 @@
   if (event.Value.Version <= Config.Version)
     return;
   const Configuration before = std::exchange(Config, event.Value);
-  followRenames(before);
+  followQueues(before);
+  followTeams(before);
   retireQueues(before);
   Waiting.clear();
   Pending.clear();
@@ -67,26 +62,56 @@
   }
 }
 
-void JobStateMachine::followRenames(const Configuration &before) {
+void JobStateMachine::followQueues(const Configuration &before) {
   const auto places = movedQueues(before, Config);
-  const auto teams = renamedTeams(before, Config);
-  if (places.empty() && teams.empty())
+  if (places.empty())
     return;
-  for (auto &[id, job] : Jobs) {
+  for (auto &[id, job] : Jobs)
     if (const auto it = places.find(job.Place); it != places.end())
       job.Place = it->second;
-    if (const auto it = teams.find(job.Spec.Team); it != teams.end())
-      job.Spec.Team = it->second;
+}
+
+void JobStateMachine::followTeams(const Configuration &before) {
+  for (const Team &team : before.Teams)
+    RetiredTeams.insert_or_assign(team.Id, team);
+  const TeamSuccession succession(RetiredTeams, Config);
+  Usage.rename(succession.successors());
+  std::map<TeamId, Resources> used;
+  for (const auto &[team, request] : Used)
+    used[succession.successorOf(team)] += request;
+  Used = std::move(used);
+  for (auto &[id, job] : Jobs)
+    followTeam(job, succession);
+  Withdrawn.updateOwners([&](Owner &by) { succession.update(by); });
+  dropRetiredTeams();
+}
+
+void JobStateMachine::followTeam(Job &job, const TeamSuccession &succession) {
+  Owner owner{job.Spec.Team, job.From.Key};
+  succession.update(owner);
+  // The use of the whole team has moved there already.
+  const TeamId counted = succession.successorOf(job.Spec.Team);
+  if (const Resources live = liveRequestOf(job);
+      owner.Team != counted && live != Resources()) {
+    Usage.end(counted, live);
+    Usage.begin(owner.Team, live);
+    Used[owner.Team] += live;
+    if ((Used[counted] -= live) == Resources())
+      Used.erase(counted);
   }
-  Withdrawn.updateOwners([&](Owner &by) {
-    if (const auto it = teams.find(by.Team); it != teams.end())
-      by.Team = it->second;
+  job.Spec.Team = owner.Team;
+  job.From.Key = owner.Key;
+}
+
+void JobStateMachine::dropRetiredTeams() {
+  std::set<TeamId> owners;
+  for (const auto &[id, job] : Jobs)
+    owners.insert(job.Spec.Team);
+  for (const Withdrawal &withdrawn : Withdrawn.capture())
+    owners.insert(withdrawn.By.Team);
+  std::erase_if(RetiredTeams, [&](const auto &it) {
+    return findTeam(Config, it.first) != nullptr || !owners.contains(it.first);
   });
-  for (const auto &[from, to] : teams) {
-    Usage.rename(from, to);
-    if (const auto node = Used.extract(from); !node.empty())
-      Used[to] += node.mapped();
-  }
 }
 
 void JobStateMachine::retireQueues(const Configuration &before) {
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -45,6 +45,12 @@
 
 } // namespace
 
+bool isOwnedBy(const Job &job, const Owner &caller) {
+  const bool hasKey = !caller.Key.empty() && caller.Key == job.From.By.Key;
+  return hasKey || caller.Team == TeamId() || job.Spec.Team == TeamId() ||
+         isSameOwner({job.Spec.Team, job.From.Key}, caller);
+}
+
 void JobStateMachine::apply(const Event &event) {
   std::visit([this](const auto &what) { handle(what); }, event);
 }
@@ -119,19 +125,26 @@
   });
 }
 
-void JobStateMachine::handle(const JobAccepted &event) { accept(event, {}); }
+void JobStateMachine::handle(const JobAccepted &event) {
+  accept(event, {}, {});
+}
 
 void JobStateMachine::handle(const JobAcceptedAt &event) {
-  accept(event.What, event.Place);
+  accept(event.What, event.Place, {});
+}
+
+void JobStateMachine::handle(const JobSubmitted &event) {
+  accept(event.What, event.Place, event.By);
 }
 
-void JobStateMachine::accept(const JobAccepted &event,
-                             const QueuePlace &place) {
+void JobStateMachine::accept(const JobAccepted &event, const QueuePlace &place,
+                             const Caller &by) {
   if (Jobs.contains(event.Spec.Id) ||
-      Withdrawn.contains(event.Spec.Id, {event.Spec.Team, {}}))
+      Withdrawn.contains(event.Spec.Id, {event.Spec.Team, by.Key}))
     return;
   Job job{event.Spec, event.AcceptedAt};
   job.Place = place;
+  job.From = {by, by.Key};
   Occurrence round;
   for (const StepSpec &step : event.Spec.Steps)
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
@@ -155,7 +168,7 @@
   Job *job = findMutable(event.Job);
   if (job == nullptr)
     Withdrawn.record(event.Job, event.By);
-  else if (!isEnded(job->State) && job->Spec.Team == event.By.Team)
+  else if (!isEnded(job->State) && isOwnedBy(*job, event.By))
     end(*job, JobState::Cancelled);
 }
 
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -15,6 +15,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "jujube/jobs/configuration.h"
 #include "jujube/jobs/events.h"
+#include "jujube/jobs/team_succession.h"
 #include "jujube/jobs/types.h"
 #include "jujube/jobs/waiting_steps.h"
 #include "jujube/jobs/withdrawals.h"
@@ -67,6 +68,19 @@
   bool operator==(const Occurrence &) const = default;
 };
 
+// Where a job came from. Callers know a job by what they sent, and the team's
+// id is the operators' name for it.
+struct Origin {
+  // The submission as it was sent; its key is empty if the configuration did
+  // not have it. Empty for jobs that an earlier version accepted.
+  Caller By;
+  // The key whose team owns the job: that of the submission, or another key of
+  // the team once that one is withdrawn. Empty if none is known.
+  std::string Key;
+
+  bool operator==(const Origin &) const = default;
+};
+
 // A job. Its Spec.Payload, Spec.Steps and Occurrences are cleared once it has
 // ended and none of its attempts may be running.
 struct Job {
@@ -83,12 +97,18 @@
   // queue was unknown at the acceptance; the next configuration that has a
   // queue of that id sets it.
   QueuePlace Place;
+  Origin From;
   // It was handed in beyond the rate that its team's weight allows.
   bool IsBeyondRate = false;
 
   bool operator==(const Job &) const = default;
 };
 
+// True if the caller may read and cancel the job. An open queue takes calls
+// without a key, so that a caller without a team may ask for any of its jobs,
+// and any caller for a job without one.
+bool isOwnedBy(const Job &job, const Owner &caller);
+
 // The contents of a snapshot.
 struct JobSnapshot {
   Configuration Config;
@@ -102,6 +122,8 @@
   // What the teams have used.
   shares::LedgerState Usage;
   std::vector<Withdrawal> Withdrawn;
+  // Teams that have left the configuration, with the keys that they had last.
+  std::vector<Team> RetiredTeams;
 };
 
 // Resources and tasks of the attempts that may be running on one worker.
@@ -191,14 +213,20 @@
   void handle(const AttemptStartedAt &event);
   void handle(const AttemptEndedAt &event);
   void handle(const JobWithdrawn &event);
+  void handle(const JobSubmitted &event);
 
   // True if a task may start on the worker.
   bool mayStartOn(const WorkerId &id) const;
   Job *findMutable(const JobId &id);
-  void accept(const JobAccepted &event, const QueuePlace &place);
-  // Lets jobs follow queues that have moved and teams that have another id
-  // since `before`.
-  void followRenames(const Configuration &before);
+  void accept(const JobAccepted &event, const QueuePlace &place,
+              const Caller &by);
+  // Lets jobs follow queues that have moved since `before`.
+  void followQueues(const Configuration &before);
+  // Lets jobs and what teams have used follow the keys of the teams.
+  void followTeams(const Configuration &before);
+  void followTeam(Job &job, const TeamSuccession &succession);
+  // Forgets retired teams that are configured again or own nothing.
+  void dropRetiredTeams();
   // Keeps the queues of `before` that have left the configuration.
   void retireQueues(const Configuration &before);
   // Ends the job; its live attempts remain until they end themselves.
@@ -235,6 +263,7 @@
 
   Configuration Config;
   std::map<QueuePlace, Queue> Retired;
+  std::map<TeamId, Team> RetiredTeams;
   std::set<ZoneId> Evacuated;
   shares::UsageLedger Usage;
   std::map<JobId, Job> Jobs;
--- a/jujube/jobs/job_state_snapshot.cc
+++ b/jujube/jobs/job_state_snapshot.cc
@@ -23,6 +23,8 @@
   state.Evacuated.assign(Evacuated.begin(), Evacuated.end());
   state.Usage = Usage.capture();
   state.Withdrawn = Withdrawn.capture();
+  for (const auto &[id, team] : RetiredTeams)
+    state.RetiredTeams.push_back(team);
   return state;
 }
 
@@ -34,6 +36,8 @@
   book.Evacuated.insert(state.Evacuated.begin(), state.Evacuated.end());
   book.Usage = shares::UsageLedger::restore(state.Usage);
   book.Withdrawn = Withdrawals::restore(state.Withdrawn);
+  for (Team &team : state.RetiredTeams)
+    book.RetiredTeams.emplace(team.Id, std::move(team));
   for (Worker &worker : state.Workers) {
     if (worker.At == Address{})
       book.recordDeparture(worker.Id, worker.WorkerIncarnation);
--- a/jujube/jobs/types.h
+++ b/jujube/jobs/types.h
@@ -66,6 +66,18 @@
   return {key.Job, key.Occurrence, key.Step};
 }
 
+// The target and the key of a caller's request, not yet checked against the
+// configuration.
+struct Caller {
+  std::string HostName;
+  // Path of the request, without a job id at its end.
+  std::string Path;
+  // Empty if the request had none.
+  std::string Key;
+
+  bool operator==(const Caller &) const = default;
+};
+
 // Who submitted a job, as far as the key that was sent tells.
 struct Owner {
   // Empty if the call had no known key, which open queues accept.
--- a/jujube/shares/usage_ledger.cc
+++ b/jujube/shares/usage_ledger.cc
@@ -132,17 +132,19 @@
   return use.Allowance >= AllowancePerJob;
 }
 
-void UsageLedger::rename(const TeamId &from, const TeamId &to) {
-  const auto it = Teams.find(from);
-  if (it == Teams.end())
-    return;
-  TeamUse before = std::move(it->second);
-  Teams.erase(it);
-  settle(before);
-  TeamUse &use = useOf(to);
-  settle(use);
-  use.Past += before.Past;
-  use.Running += before.Running;
+void UsageLedger::rename(const std::map<TeamId, TeamId> &successors) {
+  std::vector<TeamUse> moved;
+  for (const auto &[from, to] : successors)
+    if (auto node = Teams.extract(from); !node.empty()) {
+      settle(node.mapped());
+      moved.push_back(std::move(node.mapped()));
+    }
+  for (const TeamUse &before : moved) {
+    TeamUse &use = useOf(successors.at(before.Team));
+    settle(use);
+    use.Past += before.Past;
+    use.Running += before.Running;
+  }
 }
 
 ResourceTime UsageLedger::pastUse(const TeamId &team) const {
--- a/jujube/shares/usage_ledger.h
+++ b/jujube/shares/usage_ledger.h
@@ -65,8 +65,9 @@
   bool takeAllowance(const TeamId &team, int64_t weight);
   // True if takeAllowance() would return true at this wall time.
   bool hasAllowance(const TeamId &team, int64_t weight, Instant wall) const;
-  // The team continues under another id.
-  void rename(const TeamId &from, const TeamId &to);
+  // The teams continue under other ids, all at the same time, so that two teams
+  // may exchange their ids. Teams that continue under the same id are merged.
+  void rename(const std::map<TeamId, TeamId> &successors);
 
   // The decayed use up to the present time.
   ResourceTime pastUse(const TeamId &team) const;
--- a/jujube/shares/usage_ledger_test.cc
+++ b/jujube/shares/usage_ledger_test.cc
@@ -67,7 +67,7 @@
   ledger.advance(at(1000));
   ledger.end(A, {1000, 0, 0});
   const int64_t used = ledger.pastUse(A).MilliCpu;
-  ledger.rename(A, B);
+  ledger.rename({{A, B}});
   BOOST_TEST(ledger.pastUse(A).MilliCpu == 0);
   BOOST_TEST(ledger.pastUse(B).MilliCpu == used);
 }
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -137,6 +137,9 @@
 template <typename Archive> void serialize(Archive &ar, JobAcceptedAt &v) {
   ar(v.What, v.Place);
 }
+template <typename Archive> void serialize(Archive &ar, JobSubmitted &v) {
+  ar(v.What, v.By, v.Place);
+}
 template <typename Archive> void serialize(Archive &ar, JobCancelled &v) {
   ar(v.Job);
 }
@@ -193,6 +196,9 @@
 template <typename Archive> void serialize(Archive &ar, Job &v) {
   ar(v.Spec, v.AcceptedAt, v.State, v.Occurrences, v.LiveTasks);
 }
+template <typename Archive> void serialize(Archive &ar, Origin &v) {
+  ar(v.By, v.Key);
+}
 // The part of a snapshot that all versions write. encodeJobSnapshot() appends
 // what later versions have added.
 template <typename Archive> void serialize(Archive &ar, JobSnapshot &v) {
--- a/jujube/wire/messages.cc
+++ b/jujube/wire/messages.cc
@@ -172,8 +172,9 @@
 
 // A snapshot is followed by the terms and the places of its jobs, in the same
 // order, the retired queues, the evacuated zones, the use of teams, which jobs
-// are beyond their team's rate, and the withdrawals. Snapshots of earlier
-// versions lack the last of these parts or all of them.
+// are beyond their team's rate, the withdrawals, the origins of the jobs, and
+// the retired teams. Snapshots of earlier versions lack the last of these parts
+// or all of them.
 std::string encodeJobSnapshot(const jobs::JobSnapshot &state) {
   std::vector<uint32_t> terms;
   std::ranges::transform(state.Jobs, std::back_inserter(terms),
@@ -184,9 +185,13 @@
   std::vector<uint8_t> beyondRate;
   std::ranges::transform(state.Jobs, std::back_inserter(beyondRate),
                          &jobs::Job::IsBeyondRate);
+  std::vector<jobs::Origin> origins;
+  std::ranges::transform(state.Jobs, std::back_inserter(origins),
+                         &jobs::Job::From);
   return encode(state) + encode(terms) + encode(places) +
          encode(state.Retired) + encode(state.Evacuated) + encode(state.Usage) +
-         encode(beyondRate) + encode(state.Withdrawn);
+         encode(beyondRate) + encode(state.Withdrawn) + encode(origins) +
+         encode(state.RetiredTeams);
 }
 Result<jobs::JobSnapshot> decodeJobSnapshot(absl::string_view bytes) {
   std::vector<uint32_t> terms;
@@ -196,15 +201,19 @@
   shares::LedgerState usage;
   std::vector<uint8_t> beyondRate;
   std::vector<jobs::Withdrawal> withdrawn;
+  std::vector<jobs::Origin> origins;
+  std::vector<jobs::Team> retiredTeams;
   auto decoded = decodeExtended<jobs::JobSnapshot>(
-      bytes, terms, places, retired, evacuated, usage, beyondRate, withdrawn);
+      bytes, terms, places, retired, evacuated, usage, beyondRate, withdrawn,
+      origins, retiredTeams);
   if (!isOk(decoded))
     return decoded;
   jobs::JobSnapshot state = valueOf(std::move(decoded));
   const std::size_t n = state.Jobs.size();
   if ((!terms.empty() && terms.size() != n) ||
       (!places.empty() && places.size() != n) ||
-      (!beyondRate.empty() && beyondRate.size() != n))
+      (!beyondRate.empty() && beyondRate.size() != n) ||
+      (!origins.empty() && origins.size() != n))
     return Error{ErrorKind::CorruptData,
                  "snapshot can't be decoded: terms and jobs differ in number",
                  "run the same version on all hosts"};
@@ -217,7 +226,10 @@
   state.Retired = std::move(retired);
   state.Evacuated = std::move(evacuated);
   state.Usage = std::move(usage);
+  for (std::size_t i = 0; i < origins.size(); ++i)
+    state.Jobs[i].From = std::move(origins[i]);
   state.Withdrawn = std::move(withdrawn);
+  state.RetiredTeams = std::move(retiredTeams);
   return state;
 }
 
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -136,15 +136,16 @@
       testing::SampleTeam.str().size() + sizeof(uint32_t) + state.Jobs.size();
   // Also the evacuated zones: their number.
   const std::size_t zones = use + sizeof(uint32_t);
-  // The withdrawals: their number.
-  const std::size_t withdrawals = sizeof(uint32_t);
+  // The numbers of withdrawals, origins and retired teams, and for the only job
+  // four texts.
+  const std::size_t origins = sizeof(uint32_t) * (3 + 4);
   const auto read = decodeJobSnapshot(now);
   BOOST_REQUIRE(isOk(read));
   BOOST_TEST((valueOf(read).Jobs == state.Jobs));
   for (const std::size_t added :
        {std::size_t(), use, zones, zones + places, zones + places + terms}) {
     const auto earlier =
-        decodeJobSnapshot(now.substr(0, now.size() - withdrawals - added));
+        decodeJobSnapshot(now.substr(0, now.size() - origins - added));
     BOOST_REQUIRE(isOk(earlier));
     const jobs::Job &job = valueOf(earlier).Jobs.at(0);
     BOOST_TEST((job.Place == jobs::QueuePlace()) == (added > zones));
--- /dev/null
+++ b/testing/job_ownership_path_test.cc
@@ -0,0 +1,65 @@
+// Tests that accepted jobs stay within reach of their callers while the
+// configuration changes, over the real tasks on a manual clock.
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "testing/control_cell.h"
+#include "testing/job_samples.h"
+
+namespace jujube::testing {
+namespace {
+
+const jobs::Caller CallerA{"a.example", "/plans/", "key-a"};
+const jobs::Caller CallerB{"a.example", "/plans/", "key-b"};
+
+jobs::Configuration configOf(uint64_t version, std::vector<jobs::Team> teams) {
+  jobs::Configuration config = sampleConfiguration(version);
+  config.Teams = std::move(teams);
+  return config;
+}
+
+void store(ControlCell &cell, const jobs::Configuration &config) {
+  BOOST_REQUIRE(isOk(cell.execute(jobs::PutConfiguration{config})));
+}
+
+jobs::JobSpec longJob(const std::string &id) {
+  jobs::JobSpec job = sampleJob(id, {sampleStep(1)});
+  job.Payload = "20000";
+  return job;
+}
+
+// The job's state as the caller sees it, or the name of the error.
+std::string stateFor(ControlCell &cell, const jobs::Caller &caller,
+                     const std::string &id) {
+  const auto reply = cell.execute(jobs::ReadJob{caller, jobs::JobId(id)});
+  if (!isOk(reply))
+    return std::string(nameIn(ErrorKindNames, errorOf(reply).Kind));
+  return std::string(
+      nameIn(jobs::JobStateNames,
+             std::get<jobs::JobStatusReply>(valueOf(reply)).State));
+}
+
+BOOST_AUTO_TEST_SUITE(JobOwnershipPathTest)
+
+// Guards against an accepted job that is answered as gone, and that nobody can
+// cancel, once its team is merged into another one (review/12).
+BOOST_AUTO_TEST_CASE(JobOfATeamThatIsMergedIsFoundByItsKey) {
+  ControlCell cell({});
+  store(cell, configOf(2, {{SampleTeam, {"key-a"}, 10, {}},
+                           {TeamId("other"), {"key-b"}, 10, {}}}));
+  BOOST_REQUIRE(isOk(cell.execute(jobs::SubmitJob{CallerB, longJob("a")})));
+  cell.wire().run(Duration::millis(500));
+  BOOST_TEST(stateFor(cell, CallerA, "a") == "gone");
+  store(cell, configOf(3, {{SampleTeam, {"key-a", "key-b"}, 10, {}}}));
+  BOOST_TEST(stateFor(cell, CallerB, "a") == "running");
+  BOOST_TEST(stateFor(cell, CallerA, "a") == "running");
+  cell.kill(cell.leader());
+  BOOST_TEST(stateFor(cell, CallerB, "a") == "running");
+  BOOST_TEST(isOk(cell.execute(jobs::CancelJob{CallerB, jobs::JobId("a")})));
+  BOOST_TEST(stateFor(cell, CallerB, "a") == "cancelled");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace jujube::testing
