jobs: a job is found at the path where it was handed in

Cause: a job had one place, which was overwritten when its queue moved, so that the queue's name decided who finds the job.

Change: a job keeps the target that was sent, the place of its queue, and where that queue has moved to, and is found at each of them. The old place takes the job back once it is served again, unless by another pool. The same cause hid jobs behind a path of which a longer or shorter prefix was served later.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -98,7 +98,7 @@
   const Admitted &by = valueOf(admitted);
   const bool isOwner =
       job != nullptr && jobs::isOwnedBy(*job, ownerOf(by, caller));
-  if (!isOwner || job->Place != jobs::placeOf(*by.Queue))
+  if (!isOwner || !jobs::isReachedBy(*job, caller, jobs::placeOf(*by.Queue)))
     return noSuchJob();
   return job;
 }
--- a/jujube/jobs/job_ownership_test.cc
+++ b/jujube/jobs/job_ownership_test.cc
@@ -55,6 +55,32 @@
   return *book.find(JobId(id));
 }
 
+Queue queueAt(const std::string &id, const std::string &prefix) {
+  Queue queue = sampleConfiguration().Queues[0];
+  queue.Id = QueueId(id);
+  queue.PathPrefix = prefix;
+  return queue;
+}
+
+// Stores the next version of the configuration, with these queues.
+void storeQueues(JobStateMachine &book, std::vector<Queue> queues) {
+  Configuration config = book.configuration();
+  ++config.Version;
+  config.Queues = std::move(queues);
+  book.apply(ConfigurationPut{config});
+}
+
+QueuePlace placeAt(const std::string &prefix) { return {"a.example", prefix}; }
+
+// True if a caller who sends this path reaches the job.
+bool isFoundAt(const JobStateMachine &book, const std::string &path,
+               const char *job = "1") {
+  const Queue *queue = findQueue(book.configuration(), "a.example", path);
+  return queue != nullptr &&
+         isReachedBy(jobOf(book, job), {"a.example", path, "k1"},
+                     placeOf(*queue));
+}
+
 // The state itself, and that of a member that starts from its snapshot.
 std::vector<JobStateMachine> withRestored(const JobStateMachine &book) {
   return {book, JobStateMachine::restore(book.capture())};
@@ -151,6 +177,87 @@
   BOOST_TEST(book.usage().pastUse(A).MilliCpu == 3'000'000);
 }
 
+// Guards against jobs that are answered as gone at the path where they were
+// handed in, once that path is served again (review/13).
+BOOST_AUTO_TEST_CASE(JobReturnsToThePathWhereItWasHandedIn) {
+  JobStateMachine book = bookOfTwoTeams();
+  storeQueues(book, {queueAt("plans", "/x/")});
+  BOOST_TEST(isFoundAt(book, "/x/"));
+  for (JobStateMachine &held : withRestored(book)) {
+    storeQueues(held, {queueAt("plans", "/x/"), queueAt("old", "/plans/")});
+    BOOST_TEST(isFoundAt(held, "/plans/"));
+    // Callers who were told of the other path find it, too.
+    BOOST_TEST(isFoundAt(held, "/x/"));
+    BOOST_TEST((jobOf(held, "1").Place == placeAt("/plans/")));
+    storeQueues(held, {queueAt("plans", "/y/")});
+    BOOST_TEST(isFoundAt(held, "/y/"));
+    BOOST_TEST((jobOf(held, "1").Place == placeAt("/y/")));
+    storeQueues(held, {queueAt("old", "/plans/")});
+    BOOST_TEST(isFoundAt(held, "/plans/"));
+    BOOST_TEST((jobOf(held, "1").Place == placeAt("/plans/")));
+  }
+}
+
+// Guards against jobs that wait at one path and are counted at another.
+BOOST_AUTO_TEST_CASE(PendingJobsCountAtThePathWhereTheyWereHandedIn) {
+  JobStateMachine book = bookOfTwoTeams();
+  book.apply(submission("3", A, "k1"));
+  storeQueues(book, {queueAt("plans", "/x/")});
+  BOOST_TEST(book.pending(QueueId("plans")) == 1U);
+  storeQueues(book, {queueAt("plans", "/x/"), queueAt("old", "/plans/")});
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST(held.pending(QueueId("old")) == 1U);
+    BOOST_TEST(held.pending(QueueId("plans")) == 0U);
+  }
+}
+
+// Guards against a task on a worker of a pool that its queue was never sent to.
+BOOST_AUTO_TEST_CASE(JobStaysWithItsPoolIfItsPathIsServedByAnother) {
+  JobStateMachine book = bookOfTwoTeams();
+  storeQueues(book, {queueAt("plans", "/x/")});
+  Queue other = queueAt("old", "/plans/");
+  other.Pool = PoolId("other");
+  storeQueues(book, {queueAt("plans", "/x/"), other});
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST((held.queueOf(jobOf(held, "1"))->Pool == testing::SamplePool));
+    BOOST_TEST(isFoundAt(held, "/plans/"));
+  }
+}
+
+// Guards against a job that is answered as gone because its caller's path
+// selects a queue with a longer prefix now, or one with a shorter prefix.
+BOOST_AUTO_TEST_CASE(JobIsFoundWhenItsPathSelectsAnotherQueue) {
+  JobStateMachine book = bookOfTwoTeams();
+  JobSubmitted deep = submission("3", A, "k1");
+  deep.By.Path = "/plans/deep/";
+  book.apply(deep);
+  storeQueues(book,
+              {queueAt("plans", "/plans/"), queueAt("deep", "/plans/deep/")});
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST(isFoundAt(held, "/plans/deep/", "3"));
+    BOOST_TEST(!isFoundAt(held, "/plans/deep/", "1"));
+  }
+  JobSubmitted later = submission("4", A, "k1");
+  later.By.Path = "/plans/deep/";
+  later.Place = placeAt("/plans/deep/");
+  book.apply(later);
+  storeQueues(book, {queueAt("plans", "/plans/")});
+  for (const JobStateMachine &held : withRestored(book))
+    for (const char *job : {"3", "4"})
+      BOOST_TEST(isFoundAt(held, "/plans/deep/", job));
+}
+
+// Guards against a job whose queue moved between its admission and its storage.
+BOOST_AUTO_TEST_CASE(JobStoredAfterItsQueueHasMovedFollowsIt) {
+  JobStateMachine book = bookOfTwoTeams();
+  storeQueues(book, {queueAt("plans", "/x/")});
+  book.apply(submission("3", A, "k1"));
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST(isFoundAt(held, "/x/", "3"));
+    BOOST_TEST(held.pending(QueueId("plans")) == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/jobs/job_state_configuration.cc
+++ b/jujube/jobs/job_state_configuration.cc
@@ -8,21 +8,6 @@
 namespace jujube::jobs {
 namespace {
 
-// Where queues have moved to that keep their id and pool.
-std::map<QueuePlace, QueuePlace> movedQueues(const Configuration &before,
-                                             const Configuration &now) {
-  std::map<QueuePlace, QueuePlace> moved;
-  for (const Queue &queue : before.Queues) {
-    if (findQueue(now, placeOf(queue)) != nullptr)
-      continue;
-    const Queue *same = findQueue(now, queue.Id);
-    if (same != nullptr && same->Pool == queue.Pool &&
-        findQueue(before, placeOf(*same)) == nullptr)
-      moved.emplace(placeOf(queue), placeOf(*same));
-  }
-  return moved;
-}
-
 // What the job's tasks request that may be running.
 Resources liveRequestOf(const Job &job) {
   Resources sum;
@@ -49,7 +34,6 @@
   const Configuration before = std::exchange(Config, event.Value);
   followQueues(before);
   followTeams(before);
-  retireQueues(before);
   Waiting.clear();
   Pending.clear();
   QueuedWork.clear();
@@ -63,12 +47,36 @@
 }
 
 void JobStateMachine::followQueues(const Configuration &before) {
-  const auto places = movedQueues(before, Config);
-  if (places.empty())
-    return;
+  // Also the queues without jobs: a job that was accepted at the same time may
+  // come next in the log.
+  for (const Queue &queue : before.Queues)
+    if (findQueue(Config, placeOf(queue)) == nullptr)
+      Retired.insert_or_assign(placeOf(queue), queue);
   for (auto &[id, job] : Jobs)
-    if (const auto it = places.find(job.Place); it != places.end())
-      job.Place = it->second;
+    followQueue(job);
+  dropRetiredQueues(before);
+}
+
+void JobStateMachine::followQueue(Job &job) const {
+  Origin &from = job.From;
+  if (from.Place == QueuePlace())
+    from.Place = job.Place;
+  const bool hasMoved = from.MovedTo != QueuePlace();
+  const QueuePlace &last = hasMoved ? from.MovedTo : from.Place;
+  if (const auto it = Retired.find(last); it != Retired.end()) {
+    const Queue *same = findQueue(Config, it->second.Id);
+    if (findQueue(Config, last) == nullptr && same != nullptr &&
+        same->Pool == it->second.Pool)
+      from.MovedTo = placeOf(*same);
+  }
+  const Queue *original = findQueue(Config, from.Place);
+  const Queue *moved = findQueue(Config, from.MovedTo);
+  // The job stays with the workers of its pool.
+  if (moved != nullptr &&
+      (original == nullptr || original->Pool != moved->Pool))
+    job.Place = from.MovedTo;
+  else if (original != nullptr)
+    job.Place = from.Place;
 }
 
 void JobStateMachine::followTeams(const Configuration &before) {
@@ -114,24 +122,25 @@
   });
 }
 
-void JobStateMachine::retireQueues(const Configuration &before) {
+void JobStateMachine::dropRetiredQueues(const Configuration &before) {
   std::set<QueuePlace> used;
-  for (const JobId &id : Open)
-    used.insert(find(id)->Place);
+  for (const JobId &id : Open) {
+    const Job &job = *find(id);
+    for (const QueuePlace &place :
+         {job.Place, job.From.Place, job.From.MovedTo})
+      used.insert(place);
+  }
   std::erase_if(Retired, [&](const auto &it) {
-    return !used.contains(it.first) || findQueue(Config, it.first) != nullptr;
+    return findQueue(Config, it.first) != nullptr ||
+           (!used.contains(it.first) && findQueue(before, it.first) == nullptr);
   });
-  // Also the queues without jobs: a job that was accepted at the same time may
-  // come next in the log.
-  for (const Queue &queue : before.Queues)
-    if (findQueue(Config, placeOf(queue)) == nullptr)
-      Retired.insert_or_assign(placeOf(queue), queue);
 }
 
 void JobStateMachine::adoptTerms(Job &job) const {
   if (job.Place == QueuePlace())
     if (const Queue *queue = findQueue(Config, job.Spec.Queue))
       job.Place = placeOf(*queue);
+  followQueue(job);
   const Queue *queue = queueOf(job);
   if (job.MaxAttempts == 0 && queue != nullptr)
     job.MaxAttempts = queue->MaxAttempts;
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -51,6 +51,14 @@
          isSameOwner({job.Spec.Team, job.From.Key}, caller);
 }
 
+bool isReachedBy(const Job &job, const Caller &caller,
+                 const QueuePlace &selected) {
+  const bool isSameTarget = caller.HostName == job.From.By.HostName &&
+                            caller.Path == job.From.By.Path;
+  return isSameTarget || selected == job.Place || selected == job.From.Place ||
+         selected == job.From.MovedTo;
+}
+
 void JobStateMachine::apply(const Event &event) {
   std::visit([this](const auto &what) { handle(what); }, event);
 }
@@ -144,7 +152,7 @@
     return;
   Job job{event.Spec, event.AcceptedAt};
   job.Place = place;
-  job.From = {by, by.Key};
+  job.From = {by, by.Key, place};
   Occurrence round;
   for (const StepSpec &step : event.Spec.Steps)
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -68,8 +68,8 @@
   bool operator==(const Occurrence &) const = default;
 };
 
-// Where a job came from. Callers know a job by what they sent, and the team's
-// id is the operators' name for it.
+// Where a job came from. Callers know a job by what they sent; the ids of teams
+// and queues are the operators' names for them.
 struct Origin {
   // The submission as it was sent; its key is empty if the configuration did
   // not have it. Empty for jobs that an earlier version accepted.
@@ -77,6 +77,11 @@
   // The key whose team owns the job: that of the submission, or another key of
   // the team once that one is withdrawn. Empty if none is known.
   std::string Key;
+  // The place of the queue that the submission selected. Default if the queue
+  // was unknown; the next configuration that has a queue of that id sets it.
+  QueuePlace Place;
+  // Where that queue has moved to; default if it has not moved.
+  QueuePlace MovedTo;
 
   bool operator==(const Origin &) const = default;
 };
@@ -93,9 +98,7 @@
   // the configuration afterwards. 0 if it was not configured even then; the
   // next configuration that has the queue sets it.
   uint32_t MaxAttempts = 0;
-  // Where the job was handed in; follows a queue that moves. Default if its
-  // queue was unknown at the acceptance; the next configuration that has a
-  // queue of that id sets it.
+  // The place of the queue that serves the job: From.Place or From.MovedTo.
   QueuePlace Place;
   Origin From;
   // It was handed in beyond the rate that its team's weight allows.
@@ -108,6 +111,11 @@
 // without a key, so that a caller without a team may ask for any of its jobs,
 // and any caller for a job without one.
 bool isOwnedBy(const Job &job, const Owner &caller);
+// True if a call to a queue at `selected` may refer to the job: the call has
+// the target of the submission, or it selects a queue that the job was handed
+// in at or has followed.
+bool isReachedBy(const Job &job, const Caller &caller,
+                 const QueuePlace &selected);
 
 // The contents of a snapshot.
 struct JobSnapshot {
@@ -220,15 +228,20 @@
   Job *findMutable(const JobId &id);
   void accept(const JobAccepted &event, const QueuePlace &place,
               const Caller &by);
-  // Lets jobs follow queues that have moved since `before`.
+  // Keeps the queues of `before` that have left the configuration, and lets
+  // jobs follow those that have moved.
   void followQueues(const Configuration &before);
+  // Sets the place of the queue that serves the job. A queue that keeps its id
+  // and pool takes its jobs along to another place, until the place where they
+  // were handed in is served again.
+  void followQueue(Job &job) const;
   // Lets jobs and what teams have used follow the keys of the teams.
   void followTeams(const Configuration &before);
   void followTeam(Job &job, const TeamSuccession &succession);
   // Forgets retired teams that are configured again or own nothing.
   void dropRetiredTeams();
-  // Keeps the queues of `before` that have left the configuration.
-  void retireQueues(const Configuration &before);
+  // Forgets retired queues that are configured again or that no open job needs.
+  void dropRetiredQueues(const Configuration &before);
   // Ends the job; its live attempts remain until they end themselves.
   void end(Job &job, JobState state);
   // True if the step belongs in Waiting.
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -197,7 +197,7 @@
   ar(v.Spec, v.AcceptedAt, v.State, v.Occurrences, v.LiveTasks);
 }
 template <typename Archive> void serialize(Archive &ar, Origin &v) {
-  ar(v.By, v.Key);
+  ar(v.By, v.Key, v.Place, v.MovedTo);
 }
 // The part of a snapshot that all versions write. encodeJobSnapshot() appends
 // what later versions have added.
--- a/jujube/wire/messages_test.cc
+++ b/jujube/wire/messages_test.cc
@@ -137,8 +137,9 @@
   // Also the evacuated zones: their number.
   const std::size_t zones = use + sizeof(uint32_t);
   // The numbers of withdrawals, origins and retired teams, and for the only job
-  // four texts.
-  const std::size_t origins = sizeof(uint32_t) * (3 + 4);
+  // eight texts, of which those of a place are not empty.
+  const std::size_t origins = sizeof(uint32_t) * (3 + 8) +
+                              place.HostName.size() + place.PathPrefix.size();
   const auto read = decodeJobSnapshot(now);
   BOOST_REQUIRE(isOk(read));
   BOOST_TEST((valueOf(read).Jobs == state.Jobs));
--- a/testing/job_ownership_path_test.cc
+++ b/testing/job_ownership_path_test.cc
@@ -59,6 +59,43 @@
   BOOST_TEST(stateFor(cell, CallerB, "a") == "cancelled");
 }
 
+// Guards against an accepted job that is answered as gone where it was handed
+// in, once that path is served again by a queue of another name (review/13).
+BOOST_AUTO_TEST_CASE(JobIsFoundOnceItsPathIsServedAgain) {
+  ControlCell cell({});
+  BOOST_REQUIRE(isOk(cell.execute(jobs::SubmitJob{CallerA, longJob("a")})));
+  cell.wire().run(Duration::millis(500));
+  jobs::Configuration config = sampleConfiguration(2);
+  config.Queues[0].PathPrefix = "/x/";
+  store(cell, config);
+  BOOST_TEST(stateFor(cell, CallerA, "a") == "not_found");
+  const jobs::Caller moved{"a.example", "/x/", "key-a"};
+  BOOST_TEST(stateFor(cell, moved, "a") == "running");
+  config.Version = 3;
+  config.Queues.push_back(sampleConfiguration().Queues[0]);
+  config.Queues.back().Id = jobs::QueueId("old");
+  store(cell, config);
+  BOOST_TEST(stateFor(cell, CallerA, "a") == "running");
+  BOOST_TEST(stateFor(cell, moved, "a") == "running");
+  cell.kill(cell.leader());
+  BOOST_TEST(stateFor(cell, CallerA, "a") == "running");
+}
+
+// Guards against the same for a path that another queue takes over, since its
+// prefix is longer.
+BOOST_AUTO_TEST_CASE(JobIsFoundWhenALongerPrefixIsServed) {
+  ControlCell cell({});
+  const jobs::Caller deep{"a.example", "/plans/deep/", "key-a"};
+  BOOST_REQUIRE(isOk(cell.execute(jobs::SubmitJob{deep, longJob("a")})));
+  cell.wire().run(Duration::millis(500));
+  jobs::Configuration config = sampleConfiguration(2);
+  config.Queues.push_back(config.Queues[0]);
+  config.Queues.back().Id = jobs::QueueId("deep");
+  config.Queues.back().PathPrefix = "/plans/deep/";
+  store(cell, config);
+  BOOST_TEST(stateFor(cell, deep, "a") == "running");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
