jobs: the team of a submission is that of its key when it is stored

Cause: the id was taken from the configuration that the leader had applied, and the version could precede the job in the log.

Change: the team of a submission or a cancellation is found by its key when the event is applied. A submission carries the properties of its queue while a configuration is being stored: the test for the same race on queues showed that the job never started if two versions preceded it, of which the first removed its queue.

--- a/jujube/control/control_commands.cc
+++ b/jujube/control/control_commands.cc
@@ -152,9 +152,13 @@
   by.Key = owner.Key;
   if (by.Path.size() > MaxStoredPath)
     by.Path.clear();
+  std::optional<jobs::Queue> terms;
+  if (ConfigurationsStoring > 0)
+    terms = queue;
   storeAndReply({jobs::JobSubmitted{{std::move(spec), WallClock.now()},
                                     std::move(by),
-                                    jobs::placeOf(queue)}},
+                                    jobs::placeOf(queue),
+                                    std::move(terms)}},
                 stored, [this, id]() -> Result<jobs::Reply> {
                   if (Book.find(id) == nullptr)
                     return withdrawnJob();
@@ -246,7 +250,12 @@
       .with("queues", command.Value.Queues.size())
       .with("teams", command.Value.Teams.size())
       .with("term", Group.log().term());
-  storeAndReply({jobs::ConfigurationPut{command.Value}}, done,
+  ++ConfigurationsStoring;
+  const Answer stored = [this, done](Result<jobs::Reply> reply) {
+    --ConfigurationsStoring;
+    done(std::move(reply));
+  };
+  storeAndReply({jobs::ConfigurationPut{command.Value}}, stored,
                 [] { return jobs::Stored{}; });
 }
 
--- a/jujube/control/control_task.h
+++ b/jujube/control/control_task.h
@@ -260,6 +260,8 @@
   std::size_t AgedOffset = 0;
   // Jobs that are being stored: a resend is the same job.
   std::multiset<jobs::JobId> Storing;
+  // Configurations that are being stored.
+  std::size_t ConfigurationsStoring = 0;
   dispatch::DispatchHooks Policy = dispatchPolicy();
   std::map<jobs::JobId, Instant> EndedAt;
   WaitTracker Waits;
--- a/jujube/jobs/events.h
+++ b/jujube/jobs/events.h
@@ -4,6 +4,7 @@
 #define JUJUBE_JOBS_EVENTS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -30,10 +31,14 @@
 // A job that was accepted at this place, with the request as it was sent. The
 // key is empty if the configuration did not have it. Logs of earlier versions
 // have JobAcceptedAt, which names the team only.
+// Configurations may precede it in the log that the leader had not applied when
+// it admitted the job; Terms is the queue that it admitted the job to, and set
+// if there may be any.
 struct JobSubmitted {
   JobAccepted What;
   Caller By;
   QueuePlace Place;
+  std::optional<Queue> Terms;
 };
 struct JobCancelled {
   JobId Job;
--- a/jujube/jobs/job_ownership_test.cc
+++ b/jujube/jobs/job_ownership_test.cc
@@ -258,6 +258,47 @@
   }
 }
 
+// Guards against a job that nobody finds, and that no maximum counts, because
+// its team got another id between its admission and its storage (review/14).
+BOOST_AUTO_TEST_CASE(JobStoredAfterItsTeamWasRenamedBelongsToTheTeam) {
+  for (const bool isKeyWithdrawn : {false, true}) {
+    JobStateMachine book = bookOfTwoTeams();
+    const std::vector<std::string> keys =
+        isKeyWithdrawn ? std::vector<std::string>{"k3"}
+                       : std::vector<std::string>{"k2", "k3"};
+    book.apply(ConfigurationPut{
+        configOf(3, {teamOf(A, {"k1"}), teamOf(TeamId("c"), keys)})});
+    for (JobStateMachine &held : withRestored(book)) {
+      held.apply(submission("3", B, "k2"));
+      BOOST_TEST(isOwnedBy(jobOf(held, "3"), {TeamId("c"), "k3"}));
+      held.apply(AttemptStarted{taskOf("3", 0), 1, WorkerId("w1")});
+      BOOST_TEST(held.usedBy(TeamId("c")).MilliCpu == 2000);
+      BOOST_TEST(held.usedBy(B).MilliCpu == 0);
+      // The same for a cancellation.
+      held.apply(JobWithdrawn{JobId("4"), {B, "k2"}});
+      BOOST_TEST(held.withdrawals().contains(JobId("4"), {TeamId("c"), "k3"}));
+    }
+  }
+}
+
+// Guards against a job that never starts because two versions were stored
+// between its admission and its storage, of which the first removed its queue.
+BOOST_AUTO_TEST_CASE(JobStoredAfterItsQueueWasRemovedTwoVersionsAgoGoesOn) {
+  JobStateMachine book = bookOfTwoTeams();
+  storeQueues(book, {queueAt("other", "/other/")});
+  book.apply(JobCancelled{JobId("1")});
+  book.apply(JobCancelled{JobId("2")});
+  storeQueues(book, {queueAt("other", "/other/")});
+  storeQueues(book, {queueAt("other", "/other/")});
+  JobSubmitted late = submission("3", A, "k1");
+  late.Terms = sampleConfiguration().Queues[0];
+  book.apply(late);
+  for (const JobStateMachine &held : withRestored(book)) {
+    BOOST_TEST(held.queueOf(jobOf(held, "3")) != nullptr);
+    BOOST_TEST(held.waiting().contains({JobId("3"), 0, 0}));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/jujube/jobs/job_state_configuration.cc
+++ b/jujube/jobs/job_state_configuration.cc
@@ -91,7 +91,16 @@
   for (auto &[id, job] : Jobs)
     followTeam(job, succession);
   Withdrawn.updateOwners([&](Owner &by) { succession.update(by); });
-  dropRetiredTeams();
+  dropRetiredTeams(before);
+}
+
+Owner JobStateMachine::currentOwner(Owner owner) const {
+  const Team *team = teamOfKey(Config, owner.Key);
+  if (team != nullptr && !owner.Key.empty())
+    owner.Team = team->Id;
+  else if (RetiredTeams.contains(owner.Team))
+    TeamSuccession(RetiredTeams, Config).update(owner);
+  return owner;
 }
 
 void JobStateMachine::followTeam(Job &job, const TeamSuccession &succession) {
@@ -111,14 +120,16 @@
   job.From.Key = owner.Key;
 }
 
-void JobStateMachine::dropRetiredTeams() {
+void JobStateMachine::dropRetiredTeams(const Configuration &before) {
   std::set<TeamId> owners;
   for (const auto &[id, job] : Jobs)
     owners.insert(job.Spec.Team);
   for (const Withdrawal &withdrawn : Withdrawn.capture())
     owners.insert(withdrawn.By.Team);
   std::erase_if(RetiredTeams, [&](const auto &it) {
-    return findTeam(Config, it.first) != nullptr || !owners.contains(it.first);
+    return findTeam(Config, it.first) != nullptr ||
+           (!owners.contains(it.first) &&
+            findTeam(before, it.first) == nullptr);
   });
 }
 
--- a/jujube/jobs/job_state_machine.cc
+++ b/jujube/jobs/job_state_machine.cc
@@ -142,24 +142,28 @@
 }
 
 void JobStateMachine::handle(const JobSubmitted &event) {
+  // A queue that several configurations have left behind.
+  if (event.Terms && findQueue(Config, event.Place) == nullptr)
+    Retired.try_emplace(event.Place, *event.Terms);
   accept(event.What, event.Place, event.By);
 }
 
 void JobStateMachine::accept(const JobAccepted &event, const QueuePlace &place,
                              const Caller &by) {
-  if (Jobs.contains(event.Spec.Id) ||
-      Withdrawn.contains(event.Spec.Id, {event.Spec.Team, by.Key}))
+  const Owner owner = currentOwner({event.Spec.Team, by.Key});
+  if (Jobs.contains(event.Spec.Id) || Withdrawn.contains(event.Spec.Id, owner))
     return;
   Job job{event.Spec, event.AcceptedAt};
+  job.Spec.Team = owner.Team;
   job.Place = place;
-  job.From = {by, by.Key, place};
+  job.From = {by, owner.Key, place};
   Occurrence round;
   for (const StepSpec &step : event.Spec.Steps)
     round.Steps.push_back(StepState{std::vector<Task>(step.Tasks)});
   job.Occurrences.assign(std::max<uint32_t>(event.Spec.Occurrences, 1), round);
   adoptTerms(job);
   Usage.advance(event.AcceptedAt);
-  if (const Team *team = findTeam(Config, event.Spec.Team))
+  if (const Team *team = findTeam(Config, owner.Team))
     job.IsBeyondRate = !Usage.takeAllowance(team->Id, team->Weight);
   Open.insert(event.Spec.Id);
   countQueued(job);
@@ -174,9 +178,10 @@
 
 void JobStateMachine::handle(const JobWithdrawn &event) {
   Job *job = findMutable(event.Job);
+  const Owner by = currentOwner(event.By);
   if (job == nullptr)
-    Withdrawn.record(event.Job, event.By);
-  else if (!isEnded(job->State) && isOwnedBy(*job, event.By))
+    Withdrawn.record(event.Job, by);
+  else if (!isEnded(job->State) && isOwnedBy(*job, by))
     end(*job, JobState::Cancelled);
 }
 
--- a/jujube/jobs/job_state_machine.h
+++ b/jujube/jobs/job_state_machine.h
@@ -238,8 +238,12 @@
   // Lets jobs and what teams have used follow the keys of the teams.
   void followTeams(const Configuration &before);
   void followTeam(Job &job, const TeamSuccession &succession);
-  // Forgets retired teams that are configured again or own nothing.
-  void dropRetiredTeams();
+  // The owner under the present configuration, which may be a later one than
+  // the leader had applied when it admitted a call.
+  Owner currentOwner(Owner owner) const;
+  // Forgets retired teams that are configured again, and those that own nothing
+  // and were not in `before`.
+  void dropRetiredTeams(const Configuration &before);
   // Forgets retired queues that are configured again or that no open job needs.
   void dropRetiredQueues(const Configuration &before);
   // Ends the job; its live attempts remain until they end themselves.
--- a/jujube/wire/jobs_encoding.h
+++ b/jujube/wire/jobs_encoding.h
@@ -138,7 +138,7 @@
   ar(v.What, v.Place);
 }
 template <typename Archive> void serialize(Archive &ar, JobSubmitted &v) {
-  ar(v.What, v.By, v.Place);
+  ar(v.What, v.By, v.Place, v.Terms);
 }
 template <typename Archive> void serialize(Archive &ar, JobCancelled &v) {
   ar(v.Job);
--- a/testing/job_ownership_path_test.cc
+++ b/testing/job_ownership_path_test.cc
@@ -96,6 +96,49 @@
   BOOST_TEST(stateFor(cell, deep, "a") == "running");
 }
 
+// Guards against jobs that are accepted and answered as gone afterwards, since
+// a version that renames their team precedes them in the log (review/14).
+BOOST_AUTO_TEST_CASE(JobsSubmittedWhileTheirTeamIsRenamedAreFound) {
+  ControlCell cell({});
+  std::vector<std::string> accepted;
+  for (uint64_t version = 2; version <= 5; ++version) {
+    const TeamId team(absl::StrCat("team-", version));
+    const auto stored = cell.post(
+        jobs::PutConfiguration{configOf(version, {{team, {"key-a"}, 10, {}}})});
+    std::vector<ControlCell::AnswerSlot> answers;
+    for (int i = 0; i < 4; ++i)
+      answers.push_back(cell.post(
+          sampleJob(absl::StrCat("v", version, "-", i), {sampleStep(1)})));
+    cell.wire().run(Duration::millis(500));
+    BOOST_TEST(ControlCell::isAcknowledged(stored));
+    for (int i = 0; i < 4; ++i)
+      if (ControlCell::isAcknowledged(answers[i]))
+        accepted.push_back(absl::StrCat("v", version, "-", i));
+  }
+  BOOST_TEST(accepted.size() == 16U);
+  cell.wire().run(Duration::seconds(5));
+  for (const std::string &id : accepted)
+    BOOST_TEST(stateFor(cell, CallerA, id) == "completed");
+}
+
+// Guards against a job that never starts, since two versions precede it in the
+// log, of which the first removes its queue.
+BOOST_AUTO_TEST_CASE(JobSubmittedWhileItsQueueIsRemovedGoesOn) {
+  ControlCell cell({});
+  jobs::Configuration without = sampleConfiguration(2);
+  without.Queues[0].Id = jobs::QueueId("other");
+  without.Queues[0].PathPrefix = "/other/";
+  jobs::Configuration later = without;
+  later.Version = 3;
+  later.Queues[0].Priority = 1;
+  (void)cell.post(jobs::PutConfiguration{without});
+  (void)cell.post(jobs::PutConfiguration{later});
+  const auto submission = cell.post(sampleJob("a", {sampleStep(1)}));
+  cell.wire().run(Duration::seconds(5));
+  BOOST_TEST(ControlCell::isAcknowledged(submission));
+  BOOST_TEST(cell.workers().starts().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
