control: a submission that is refused when it is applied leaves no wait behind

The leader began to track the wait of each submission that it applied, and kept it for good if the job had been withdrawn, which no caller saw. It is tracked only for jobs that exist; the log line names the team that the job belongs to, and the size of a submission's queue is counted in full.

--- a/jujube/control/control_metrics.cc
+++ b/jujube/control/control_metrics.cc
@@ -48,15 +48,18 @@
 }
 
 void ControlTask::noteAccepted(const jobs::JobSpec &spec) {
-  Waits.begin(spec.Id, Loop.now());
   const jobs::Job *job = Book.find(spec.Id);
-  if (job == nullptr || job->State != jobs::JobState::Queued)
+  // It was cancelled before it arrived.
+  if (job == nullptr)
+    return;
+  Waits.begin(spec.Id, Loop.now());
+  if (job->State != jobs::JobState::Queued)
     return;
   TaskMetrics.add("jobs_accepted", labelsOf(*job));
   Line line(Event::JobAccepted);
   line.with("job", spec.Id)
       .with("queue", spec.Queue)
-      .with("team", spec.Team)
+      .with("team", job->Spec.Team)
       .with("steps", spec.Steps.size())
       .with("tasks",
             std::accumulate(
--- a/jujube/control/event_batch.cc
+++ b/jujube/control/event_batch.cc
@@ -25,10 +25,11 @@
            event.Place.PathPrefix.size();
   }
   std::size_t operator()(const jobs::JobSubmitted &event) const {
-    return (*this)(event.What) + (event.Terms ? ShortEvent : 0) +
+    const std::size_t place =
+        event.Place.HostName.size() + event.Place.PathPrefix.size();
+    return (*this)(event.What) + (event.Terms ? ShortEvent + place : 0) +
            event.By.HostName.size() + event.By.Path.size() +
-           event.By.Key.size() + event.Place.HostName.size() +
-           event.Place.PathPrefix.size();
+           event.By.Key.size() + place;
   }
   std::size_t operator()(const jobs::JobWithdrawn &event) const {
     return ShortEvent + event.By.Key.size();
