--- a/testing/job_ownership_path_test.cc
+++ b/testing/job_ownership_path_test.cc
@@ -106,6 +106,7 @@
     const auto stored = cell.post(
         jobs::PutConfiguration{configOf(version, {{team, {"key-a"}, 10, {}}})});
     std::vector<ControlCell::AnswerSlot> answers;
+    answers.reserve(4);
     for (int i = 0; i < 4; ++i)
       answers.push_back(cell.post(
           sampleJob(absl::StrCat("v", version, "-", i), {sampleStep(1)})));
--- a/testing/withdrawal_path_test.cc
+++ b/testing/withdrawal_path_test.cc
@@ -99,6 +99,7 @@
 BOOST_AUTO_TEST_CASE(CancellationsBeyondTheBoundAreRefusedAndStoreNothing) {
   ControlCell cell({});
   std::vector<ControlCell::AnswerSlot> answers;
+  answers.reserve(jobs::Withdrawals::MaxPerTeam);
   for (std::size_t i = 0; i < jobs::Withdrawals::MaxPerTeam; ++i) {
     answers.push_back(
         cell.post(jobs::CancelJob{{"a.example", "/plans/", "key-a"},
